--- a/platform/src/main/java/io/persimmonstack/platform/PlatformEvent.java
+++ b/backends/src/main/java/io/persimmonstack/backends/BackendEvent.java
@@ -1,11 +1,11 @@
-package io.persimmonstack.platform;
+package io.persimmonstack.backends;
 
 import io.persimmonstack.runtime.event.Event;
 import io.persimmonstack.runtime.event.EventForm;
 import org.apache.logging.log4j.Level;
 
 /** Events of the platform adapters. */
-public enum PlatformEvent implements Event {
+public enum BackendEvent implements Event {
     /** A connection made no progress within its bound and was closed with the other idle ones to its target. */
     CONNECTION_SILENT(4001, Level.WARN, "connection closed, idle ones too: {}"),
     /** A watch ended and must be renewed. */
@@ -17,7 +17,7 @@
 
     private final EventForm form;
 
-    PlatformEvent(int number, Level level, String message) {
+    BackendEvent(int number, Level level, String message) {
         this.form = new EventForm(number, level, message);
     }
 
--- a/platform/src/main/java/io/persimmonstack/platform/PlatformException.java
+++ b/backends/src/main/java/io/persimmonstack/backends/BackendException.java
@@ -1,7 +1,7 @@
-package io.persimmonstack.platform;
+package io.persimmonstack.backends;
 
 /** Root of the errors of the platform adapters. */
-public abstract class PlatformException extends Exception {
+public abstract class BackendException extends Exception {
     private static final long serialVersionUID = 1L;
 
     /**
@@ -9,7 +9,7 @@
      *
      * @param message what failed, with the address and what was expected
      */
-    protected PlatformException(String message) {
+    protected BackendException(String message) {
         super(message);
     }
 
@@ -19,7 +19,7 @@
      * @param message what failed, with the address and what was expected
      * @param cause error of the layer below
      */
-    protected PlatformException(String message, Throwable cause) {
+    protected BackendException(String message, Throwable cause) {
         super(message, cause);
     }
 }
--- a/platform/src/main/java/io/persimmonstack/platform/engine/CheckpointPlace.java
+++ b/backends/src/main/java/io/persimmonstack/backends/engine/CheckpointPlace.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.engine;
+package io.persimmonstack.backends.engine;
 
 /** Where an engine takes a checkpoint from. */
 public enum CheckpointPlace {
--- a/platform/src/main/java/io/persimmonstack/platform/engine/EngineBodies.java
+++ b/backends/src/main/java/io/persimmonstack/backends/engine/EngineBodies.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.engine;
+package io.persimmonstack.backends.engine;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import io.persimmonstack.coordination.model.ModelVersion;
--- a/platform/src/main/java/io/persimmonstack/platform/engine/EngineException.java
+++ b/backends/src/main/java/io/persimmonstack/backends/engine/EngineException.java
@@ -1,9 +1,9 @@
-package io.persimmonstack.platform.engine;
+package io.persimmonstack.backends.engine;
 
-import io.persimmonstack.platform.PlatformException;
+import io.persimmonstack.backends.BackendException;
 
 /** An engine gave no usable account of its state. */
-public final class EngineException extends PlatformException {
+public final class EngineException extends BackendException {
     private static final long serialVersionUID = 1L;
 
     /**
--- a/platform/src/main/java/io/persimmonstack/platform/engine/EngineOrders.java
+++ b/backends/src/main/java/io/persimmonstack/backends/engine/EngineOrders.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.engine;
+package io.persimmonstack.backends.engine;
 
 import io.persimmonstack.wire.PeerAddress;
 
--- a/platform/src/main/java/io/persimmonstack/platform/engine/HttpEngineOrders.java
+++ b/backends/src/main/java/io/persimmonstack/backends/engine/HttpEngineOrders.java
@@ -1,13 +1,13 @@
-package io.persimmonstack.platform.engine;
+package io.persimmonstack.backends.engine;
 
-import io.persimmonstack.platform.engine.EngineBodies.FencedBody;
-import io.persimmonstack.platform.engine.EngineBodies.OrderBody;
-import io.persimmonstack.platform.engine.EngineBodies.StateBody;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpFailure;
-import io.persimmonstack.platform.http.HttpTimeouts;
-import io.persimmonstack.platform.json.JsonAnswer;
-import io.persimmonstack.platform.json.JsonClient;
+import io.persimmonstack.backends.engine.EngineBodies.FencedBody;
+import io.persimmonstack.backends.engine.EngineBodies.OrderBody;
+import io.persimmonstack.backends.engine.EngineBodies.StateBody;
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpTimeouts;
+import io.persimmonstack.backends.json.JsonAnswer;
+import io.persimmonstack.backends.json.JsonClient;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.Optional;
 import java.util.function.Supplier;
--- a/platform/src/main/java/io/persimmonstack/platform/engine/ModelState.java
+++ b/backends/src/main/java/io/persimmonstack/backends/engine/ModelState.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.engine;
+package io.persimmonstack.backends.engine;
 
 /** State of a base model on an engine; it takes memory in each of them. */
 public enum ModelState {
--- a/platform/src/main/java/io/persimmonstack/platform/engine/UnloadOutcome.java
+++ b/backends/src/main/java/io/persimmonstack/backends/engine/UnloadOutcome.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.engine;
+package io.persimmonstack.backends.engine;
 
 /** Answer to an order to unload. */
 public sealed interface UnloadOutcome {
--- a/platform/src/main/java/io/persimmonstack/platform/engine/package-info.java
+++ b/backends/src/main/java/io/persimmonstack/backends/engine/package-info.java
@@ -1,2 +1,2 @@
 /** Port to the orders and the state of model engines, and its HTTP adapter. */
-package io.persimmonstack.platform.engine;
+package io.persimmonstack.backends.engine;
--- a/platform/src/main/java/io/persimmonstack/platform/hosts/Host.java
+++ b/backends/src/main/java/io/persimmonstack/backends/hosts/Host.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.hosts;
+package io.persimmonstack.backends.hosts;
 
 import io.persimmonstack.wire.PeerAddress;
 import java.util.Optional;
--- a/platform/src/main/java/io/persimmonstack/platform/hosts/HostListException.java
+++ b/backends/src/main/java/io/persimmonstack/backends/hosts/HostListException.java
@@ -1,9 +1,9 @@
-package io.persimmonstack.platform.hosts;
+package io.persimmonstack.backends.hosts;
 
-import io.persimmonstack.platform.PlatformException;
+import io.persimmonstack.backends.BackendException;
 
 /** The host list gave no usable answer. */
-public final class HostListException extends PlatformException {
+public final class HostListException extends BackendException {
     private static final long serialVersionUID = 1L;
 
     /**
--- a/platform/src/main/java/io/persimmonstack/platform/hosts/HostState.java
+++ b/backends/src/main/java/io/persimmonstack/backends/hosts/HostState.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.hosts;
+package io.persimmonstack.backends.hosts;
 
 /** State of a host. */
 public enum HostState {
--- a/platform/src/main/java/io/persimmonstack/platform/hosts/HttpHostList.java
+++ b/backends/src/main/java/io/persimmonstack/backends/hosts/HttpHostList.java
@@ -1,10 +1,10 @@
-package io.persimmonstack.platform.hosts;
+package io.persimmonstack.backends.hosts;
 
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpFailure;
-import io.persimmonstack.platform.http.HttpTimeouts;
-import io.persimmonstack.platform.json.JsonAnswer;
-import io.persimmonstack.platform.json.JsonClient;
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpTimeouts;
+import io.persimmonstack.backends.json.JsonAnswer;
+import io.persimmonstack.backends.json.JsonClient;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.ArrayList;
 import java.util.List;
--- a/platform/src/main/java/io/persimmonstack/platform/hosts/package-info.java
+++ b/backends/src/main/java/io/persimmonstack/backends/hosts/package-info.java
@@ -1,2 +1,2 @@
 /** Port to the platform's list of live and leaving hosts, and its HTTP adapter. */
-package io.persimmonstack.platform.hosts;
+package io.persimmonstack.backends.hosts;
--- a/platform/src/main/java/io/persimmonstack/platform/http/ExchangeDriver.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.http;
+package io.persimmonstack.backends.http;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientExchange;
--- a/platform/src/main/java/io/persimmonstack/platform/http/HttpCall.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
@@ -1,6 +1,6 @@
-package io.persimmonstack.platform.http;
+package io.persimmonstack.backends.http;
 
-import io.persimmonstack.platform.PlatformEvent;
+import io.persimmonstack.backends.BackendEvent;
 import io.persimmonstack.runtime.event.EventLog;
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderValues;
@@ -193,7 +193,7 @@
         if (finished.compareAndSet(false, true)) {
             connection.close(CloseCause.of(kind));
             if (CloseCause.of(kind) == CloseCause.SILENT) {
-                LOG.write(PlatformEvent.CONNECTION_SILENT, failure.getMessage());
+                LOG.write(BackendEvent.CONNECTION_SILENT, failure.getMessage());
                 pool.suspect(connection.target());
             }
         }
--- a/platform/src/main/java/io/persimmonstack/platform/http/HttpFailure.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpFailure.java
@@ -1,9 +1,9 @@
-package io.persimmonstack.platform.http;
+package io.persimmonstack.backends.http;
 
-import io.persimmonstack.platform.PlatformException;
+import io.persimmonstack.backends.BackendException;
 
 /** A call brought no complete answer. */
-public final class HttpFailure extends PlatformException {
+public final class HttpFailure extends BackendException {
     private static final long serialVersionUID = 1L;
     private final Kind kind;
     private final boolean sent;
--- a/platform/src/main/java/io/persimmonstack/platform/http/PooledConnection.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/PooledConnection.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.http;
+package io.persimmonstack.backends.http;
 
 import com.codahale.metrics.MetricRegistry;
 import io.persimmonstack.wire.PeerAddress;
--- a/platform/src/main/java/io/persimmonstack/platform/http/package-info.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/package-info.java
@@ -1,2 +1,2 @@
 /** HTTP connector on Undertow's client: pooled connections, bounded waits, streaming bodies and cancellation. */
-package io.persimmonstack.platform.http;
+package io.persimmonstack.backends.http;
--- a/platform/src/main/java/io/persimmonstack/platform/json/JsonAnswer.java
+++ b/backends/src/main/java/io/persimmonstack/backends/json/JsonAnswer.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.json;
+package io.persimmonstack.backends.json;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
--- a/platform/src/main/java/io/persimmonstack/platform/json/JsonClient.java
+++ b/backends/src/main/java/io/persimmonstack/backends/json/JsonClient.java
@@ -1,10 +1,10 @@
-package io.persimmonstack.platform.json;
+package io.persimmonstack.backends.json;
 
-import io.persimmonstack.platform.http.HttpCall;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpFailure;
-import io.persimmonstack.platform.http.HttpRequest;
-import io.persimmonstack.platform.http.HttpTimeouts;
+import io.persimmonstack.backends.http.HttpCall;
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpRequest;
+import io.persimmonstack.backends.http.HttpTimeouts;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.Optional;
 import java.util.function.Supplier;
--- a/platform/src/main/java/io/persimmonstack/platform/kv/CallBudget.java
+++ b/backends/src/main/java/io/persimmonstack/backends/kv/CallBudget.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.kv;
+package io.persimmonstack.backends.kv;
 
 import io.persimmonstack.coordination.time.TimeSource;
 import java.util.concurrent.TimeUnit;
--- a/platform/src/main/java/io/persimmonstack/platform/kv/CallRates.java
+++ b/backends/src/main/java/io/persimmonstack/backends/kv/CallRates.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.kv;
+package io.persimmonstack.backends.kv;
 
 /** Sets how many calls of the key-value service may begin. */
 public interface CallRates {
--- a/platform/src/main/java/io/persimmonstack/platform/kv/EtcdBodies.java
+++ b/backends/src/main/java/io/persimmonstack/backends/kv/EtcdBodies.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.kv;
+package io.persimmonstack.backends.kv;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
--- a/platform/src/main/java/io/persimmonstack/platform/kv/EtcdWatch.java
+++ b/backends/src/main/java/io/persimmonstack/backends/kv/EtcdWatch.java
@@ -1,15 +1,15 @@
-package io.persimmonstack.platform.kv;
+package io.persimmonstack.backends.kv;
 
 import com.codahale.metrics.Counter;
+import io.persimmonstack.backends.BackendEvent;
+import io.persimmonstack.backends.http.HttpCall;
+import io.persimmonstack.backends.json.JsonAnswer;
+import io.persimmonstack.backends.kv.EtcdBodies.WatchEvent;
+import io.persimmonstack.backends.kv.EtcdBodies.WatchLine;
+import io.persimmonstack.backends.kv.EtcdBodies.WatchResult;
 import io.persimmonstack.coordination.kv.KvSubscription;
 import io.persimmonstack.coordination.kv.KvUnavailableException;
 import io.persimmonstack.coordination.kv.KvWatcher;
-import io.persimmonstack.platform.PlatformEvent;
-import io.persimmonstack.platform.http.HttpCall;
-import io.persimmonstack.platform.json.JsonAnswer;
-import io.persimmonstack.platform.kv.EtcdBodies.WatchEvent;
-import io.persimmonstack.platform.kv.EtcdBodies.WatchLine;
-import io.persimmonstack.platform.kv.EtcdBodies.WatchResult;
 import io.persimmonstack.runtime.event.EventLog;
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -97,7 +97,7 @@
         if (closed.compareAndSet(false, true)) {
             open.dec();
             call.cancel();
-            LOG.write(PlatformEvent.WATCH_ENDED, prefix, cause.getMessage());
+            LOG.write(BackendEvent.WATCH_ENDED, prefix, cause.getMessage());
             watcher.ended(new KvUnavailableException("watch '" + prefix + "': " + cause.getMessage(), cause));
         }
     }
--- a/platform/src/main/java/io/persimmonstack/platform/kv/KvCalls.java
+++ b/backends/src/main/java/io/persimmonstack/backends/kv/KvCalls.java
@@ -1,11 +1,11 @@
-package io.persimmonstack.platform.kv;
+package io.persimmonstack.backends.kv;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.backends.BackendEvent;
 import io.persimmonstack.coordination.kv.KvAmbiguousException;
 import io.persimmonstack.coordination.kv.KvUnavailableException;
 import io.persimmonstack.coordination.time.TimeSource;
-import io.persimmonstack.platform.PlatformEvent;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -86,7 +86,7 @@
         long waitNanos = budget.reserve(maxWaitNanos);
         if (waitNanos < 0) {
             metrics.counter("kv.budget.refused").inc();
-            LOG.write(PlatformEvent.KV_BUDGET_SPENT, kind, key);
+            LOG.write(BackendEvent.KV_BUDGET_SPENT, kind, key);
             throw refused(kind + " '" + key + "': the node's budget of calls is spent", null);
         }
         try {
--- a/platform/src/main/java/io/persimmonstack/platform/kv/KvOptions.java
+++ b/backends/src/main/java/io/persimmonstack/backends/kv/KvOptions.java
@@ -1,6 +1,6 @@
-package io.persimmonstack.platform.kv;
+package io.persimmonstack.backends.kv;
 
-import io.persimmonstack.platform.http.HttpTimeouts;
+import io.persimmonstack.backends.http.HttpTimeouts;
 
 /**
  * Waits and call budget of one node towards the key-value service.
--- a/platform/src/main/java/io/persimmonstack/platform/kv/PageSize.java
+++ b/backends/src/main/java/io/persimmonstack/backends/kv/PageSize.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.kv;
+package io.persimmonstack.backends.kv;
 
 /** Number of entries to ask for in one page of a range, fitted to the size of the pages before. */
 final class PageSize {
--- a/platform/src/main/java/io/persimmonstack/platform/package-info.java
+++ b/backends/src/main/java/io/persimmonstack/backends/package-info.java
@@ -1,2 +1,2 @@
 /** Adapters to the platform: one package for each interface, over one HTTP connector. */
-package io.persimmonstack.platform;
+package io.persimmonstack.backends;
--- a/platform/src/main/java/io/persimmonstack/platform/peer/PeerTrust.java
+++ b/backends/src/main/java/io/persimmonstack/backends/peer/PeerTrust.java
@@ -1,6 +1,6 @@
-package io.persimmonstack.platform.peer;
+package io.persimmonstack.backends.peer;
 
-import io.persimmonstack.platform.PlatformEvent;
+import io.persimmonstack.backends.BackendEvent;
 import io.persimmonstack.runtime.Closer;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.runtime.event.EventLog;
@@ -31,6 +31,6 @@
         }
         ReloadedFiles<SSLContext> context = closer.add(ReloadedKeys.ofPeers(settings.get()));
         return new PeerSecurity.MutualTls(
-                context, (peer, reason) -> LOG.write(PlatformEvent.PEER_REFUSED, peer, reason));
+                context, (peer, reason) -> LOG.write(BackendEvent.PEER_REFUSED, peer, reason));
     }
 }
--- a/platform/src/main/java/io/persimmonstack/platform/peer/package-info.java
+++ b/backends/src/main/java/io/persimmonstack/backends/peer/package-info.java
@@ -1,2 +1,2 @@
 /** Trust between the system's own processes, from settings. */
-package io.persimmonstack.platform.peer;
+package io.persimmonstack.backends.peer;
--- a/platform/src/main/java/io/persimmonstack/platform/weights/HttpWeightStore.java
+++ b/backends/src/main/java/io/persimmonstack/backends/weights/HttpWeightStore.java
@@ -1,11 +1,11 @@
-package io.persimmonstack.platform.weights;
+package io.persimmonstack.backends.weights;
 
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpTimeouts;
+import io.persimmonstack.backends.json.JsonAnswer;
+import io.persimmonstack.backends.json.JsonClient;
 import io.persimmonstack.coordination.model.ModelVersion;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpFailure;
-import io.persimmonstack.platform.http.HttpTimeouts;
-import io.persimmonstack.platform.json.JsonAnswer;
-import io.persimmonstack.platform.json.JsonClient;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.List;
 import java.util.Optional;
--- a/platform/src/main/java/io/persimmonstack/platform/weights/WeightStore.java
+++ b/backends/src/main/java/io/persimmonstack/backends/weights/WeightStore.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.weights;
+package io.persimmonstack.backends.weights;
 
 /** Catalogue of checkpoints and adapters with the limits of the store; engines fetch the bytes themselves. */
 public interface WeightStore {
--- a/platform/src/main/java/io/persimmonstack/platform/weights/WeightStoreException.java
+++ b/backends/src/main/java/io/persimmonstack/backends/weights/WeightStoreException.java
@@ -1,9 +1,9 @@
-package io.persimmonstack.platform.weights;
+package io.persimmonstack.backends.weights;
 
-import io.persimmonstack.platform.PlatformException;
+import io.persimmonstack.backends.BackendException;
 
 /** The weight store gave no usable answer. */
-public final class WeightStoreException extends PlatformException {
+public final class WeightStoreException extends BackendException {
     private static final long serialVersionUID = 1L;
 
     /**
--- a/platform/src/main/java/io/persimmonstack/platform/weights/package-info.java
+++ b/backends/src/main/java/io/persimmonstack/backends/weights/package-info.java
@@ -1,2 +1,2 @@
 /** Port to the platform's weight store, and its HTTP adapter. */
-package io.persimmonstack.platform.weights;
+package io.persimmonstack.backends.weights;
--- a/platform/src/test/java/io/persimmonstack/platform/engine/EngineOrdersContract.java
+++ b/backends/src/test/java/io/persimmonstack/backends/engine/EngineOrdersContract.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.engine;
+package io.persimmonstack.backends.engine;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/platform/src/test/java/io/persimmonstack/platform/engine/HttpEngineOrdersTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/engine/HttpEngineOrdersTest.java
@@ -1,13 +1,13 @@
-package io.persimmonstack.platform.engine;
+package io.persimmonstack.backends.engine;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpConnectorOptions;
+import io.persimmonstack.backends.http.HttpTimeouts;
+import io.persimmonstack.backends.http.ScriptedServer;
 import io.persimmonstack.coordination.model.ModelVersion;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpConnectorOptions;
-import io.persimmonstack.platform.http.HttpTimeouts;
-import io.persimmonstack.platform.http.ScriptedServer;
 import io.persimmonstack.wire.PeerAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
--- a/platform/src/test/java/io/persimmonstack/platform/engine/InMemoryEngineOrders.java
+++ b/backends/src/test/java/io/persimmonstack/backends/engine/InMemoryEngineOrders.java
@@ -1,8 +1,8 @@
-package io.persimmonstack.platform.engine;
+package io.persimmonstack.backends.engine;
 
+import io.persimmonstack.backends.weights.Weight;
+import io.persimmonstack.backends.weights.WeightCatalogue;
 import io.persimmonstack.coordination.model.ModelVersion;
-import io.persimmonstack.platform.weights.Weight;
-import io.persimmonstack.platform.weights.WeightCatalogue;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.List;
 import java.util.Map;
--- a/platform/src/test/java/io/persimmonstack/platform/hosts/HostListContract.java
+++ b/backends/src/test/java/io/persimmonstack/backends/hosts/HostListContract.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.hosts;
+package io.persimmonstack.backends.hosts;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/platform/src/test/java/io/persimmonstack/platform/hosts/InMemoryHostList.java
+++ b/backends/src/test/java/io/persimmonstack/backends/hosts/InMemoryHostList.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.hosts;
+package io.persimmonstack.backends.hosts;
 
 import java.util.List;
 import java.util.Map;
--- a/platform/src/test/java/io/persimmonstack/platform/http/HttpConnectorTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/http/HttpConnectorTest.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.http;
+package io.persimmonstack.backends.http;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/platform/src/test/java/io/persimmonstack/platform/kv/CallBudgetTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/kv/CallBudgetTest.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.kv;
+package io.persimmonstack.backends.kv;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/platform/src/test/java/io/persimmonstack/platform/kv/InMemoryKvStoreContractTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/kv/InMemoryKvStoreContractTest.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.kv;
+package io.persimmonstack.backends.kv;
 
 import io.persimmonstack.coordination.kv.InMemoryKvStore;
 import io.persimmonstack.coordination.kv.KvStore;
--- a/platform/src/test/java/io/persimmonstack/platform/peer/PeerTrustTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/peer/PeerTrustTest.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.peer;
+package io.persimmonstack.backends.peer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/platform/src/test/java/io/persimmonstack/platform/weights/InMemoryWeightStore.java
+++ b/backends/src/test/java/io/persimmonstack/backends/weights/InMemoryWeightStore.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.weights;
+package io.persimmonstack.backends.weights;
 
 /** In-memory {@link WeightStore}. */
 public final class InMemoryWeightStore implements WeightStore {
--- a/platform/src/test/java/io/persimmonstack/platform/weights/InMemoryWeightStoreTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/weights/InMemoryWeightStoreTest.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.weights;
+package io.persimmonstack.backends.weights;
 
 import io.persimmonstack.coordination.model.ModelVersion;
 import java.util.List;
--- a/platform/src/test/java/io/persimmonstack/platform/weights/WeightStoreContract.java
+++ b/backends/src/test/java/io/persimmonstack/backends/weights/WeightStoreContract.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform.weights;
+package io.persimmonstack.backends.weights;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/CoordinatorNode.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/CoordinatorNode.java
@@ -1,6 +1,8 @@
 package io.persimmonstack.coordinator;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.backends.hosts.HostListException;
+import io.persimmonstack.backends.peer.PeerTrust;
 import io.persimmonstack.configuration.ConfigurationCodec;
 import io.persimmonstack.configuration.ConfigurationException;
 import io.persimmonstack.configuration.FleetConfiguration;
@@ -42,8 +44,6 @@
 import io.persimmonstack.coordinator.view.RouterPresence;
 import io.persimmonstack.coordinator.view.SnapshotPublisher;
 import io.persimmonstack.coordinator.view.Weights;
-import io.persimmonstack.platform.hosts.HostListException;
-import io.persimmonstack.platform.peer.PeerTrust;
 import io.persimmonstack.runtime.ProgramContext;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.runtime.RunningProgram;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/FleetBudget.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/FleetBudget.java
@@ -1,6 +1,6 @@
 package io.persimmonstack.coordinator;
 
-import io.persimmonstack.platform.kv.CallRates;
+import io.persimmonstack.backends.kv.CallRates;
 
 /** Keeps the calls of all coordinators together within what the key-value service is to get from them. */
 public final class FleetBudget {
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/load/StorePermits.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/load/StorePermits.java
@@ -1,14 +1,14 @@
 package io.persimmonstack.coordinator.load;
 
+import io.persimmonstack.backends.hosts.Host;
+import io.persimmonstack.backends.hosts.HostState;
+import io.persimmonstack.backends.weights.WeightCatalogue;
 import io.persimmonstack.coordination.limit.LimitShare;
 import io.persimmonstack.coordination.membership.Member;
 import io.persimmonstack.coordination.time.TimeSource;
 import io.persimmonstack.coordinator.gossip.NodeAttributes;
 import io.persimmonstack.coordinator.view.FleetView;
 import io.persimmonstack.coordinator.view.Weights;
-import io.persimmonstack.platform.hosts.Host;
-import io.persimmonstack.platform.hosts.HostState;
-import io.persimmonstack.platform.weights.WeightCatalogue;
 import io.persimmonstack.wire.PeerAddress;
 import io.persimmonstack.wire.ThriftPeers;
 import io.persimmonstack.wire.WireException;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/DemandQueue.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/DemandQueue.java
@@ -1,13 +1,13 @@
 package io.persimmonstack.coordinator.runner;
 
+import io.persimmonstack.backends.engine.EngineModel;
+import io.persimmonstack.backends.engine.ModelState;
+import io.persimmonstack.backends.hosts.Host;
 import io.persimmonstack.coordination.grant.OwnedRunner;
 import io.persimmonstack.coordination.model.ModelVersion;
 import io.persimmonstack.coordinator.load.LoadAnswers;
 import io.persimmonstack.coordinator.load.LoadKey;
 import io.persimmonstack.coordinator.load.LoadSizes;
-import io.persimmonstack.platform.engine.EngineModel;
-import io.persimmonstack.platform.engine.ModelState;
-import io.persimmonstack.platform.hosts.Host;
 import io.persimmonstack.wire.gen.LoadAnswer;
 import io.persimmonstack.wire.gen.LoadResult;
 import java.util.ArrayList;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/EngineBook.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/EngineBook.java
@@ -1,12 +1,12 @@
 package io.persimmonstack.coordinator.runner;
 
+import io.persimmonstack.backends.engine.CachedCheckpoint;
+import io.persimmonstack.backends.engine.CheckpointPlace;
+import io.persimmonstack.backends.engine.EngineModel;
+import io.persimmonstack.backends.engine.EngineState;
+import io.persimmonstack.backends.engine.ModelState;
 import io.persimmonstack.coordination.model.ModelVersion;
 import io.persimmonstack.coordinator.load.LoadKey;
-import io.persimmonstack.platform.engine.CachedCheckpoint;
-import io.persimmonstack.platform.engine.CheckpointPlace;
-import io.persimmonstack.platform.engine.EngineModel;
-import io.persimmonstack.platform.engine.EngineState;
-import io.persimmonstack.platform.engine.ModelState;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/EvictionPlan.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/EvictionPlan.java
@@ -1,8 +1,8 @@
 package io.persimmonstack.coordinator.runner;
 
+import io.persimmonstack.backends.engine.EngineModel;
+import io.persimmonstack.backends.engine.ModelState;
 import io.persimmonstack.coordinator.load.LoadKey;
-import io.persimmonstack.platform.engine.EngineModel;
-import io.persimmonstack.platform.engine.ModelState;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/GoneRunners.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/GoneRunners.java
@@ -1,5 +1,7 @@
 package io.persimmonstack.coordinator.runner;
 
+import io.persimmonstack.backends.engine.EngineOrders;
+import io.persimmonstack.backends.hosts.Host;
 import io.persimmonstack.coordination.grant.AcquireResult;
 import io.persimmonstack.coordination.grant.GiveBackResult;
 import io.persimmonstack.coordination.grant.GrantReader;
@@ -12,8 +14,6 @@
 import io.persimmonstack.coordination.kv.KvException;
 import io.persimmonstack.coordinator.CoordinatorEvent;
 import io.persimmonstack.coordinator.view.FleetView;
-import io.persimmonstack.platform.engine.EngineOrders;
-import io.persimmonstack.platform.hosts.Host;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.Comparator;
 import java.util.List;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/RunnerAgent.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/RunnerAgent.java
@@ -1,14 +1,14 @@
 package io.persimmonstack.coordinator.runner;
 
+import io.persimmonstack.backends.engine.EngineException;
+import io.persimmonstack.backends.engine.EngineModel;
+import io.persimmonstack.backends.engine.ModelState;
+import io.persimmonstack.backends.hosts.Host;
 import io.persimmonstack.coordination.grant.OwnedRunner;
 import io.persimmonstack.coordination.model.ModelVersion;
 import io.persimmonstack.coordinator.CoordinatorEvent;
 import io.persimmonstack.coordinator.load.LoadKey;
 import io.persimmonstack.coordinator.load.LoadSizes;
-import io.persimmonstack.platform.engine.EngineException;
-import io.persimmonstack.platform.engine.EngineModel;
-import io.persimmonstack.platform.engine.ModelState;
-import io.persimmonstack.platform.hosts.Host;
 import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.gen.LoadAnswer;
 import java.util.HashSet;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/RunnerPorts.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/RunnerPorts.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.coordinator.runner;
 
+import io.persimmonstack.backends.engine.EngineOrders;
 import io.persimmonstack.coordination.grant.NodeIdentity;
 import io.persimmonstack.coordination.grant.ReplicaCaps;
 import io.persimmonstack.coordination.grant.RunnerGrants;
@@ -7,7 +8,6 @@
 import io.persimmonstack.coordinator.load.IdleModels;
 import io.persimmonstack.coordinator.load.LoadHistory;
 import io.persimmonstack.coordinator.load.StorePermits;
-import io.persimmonstack.platform.engine.EngineOrders;
 import io.persimmonstack.wire.gen.RunnerStatus;
 import java.util.function.Consumer;
 
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/Runners.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/Runners.java
@@ -1,5 +1,7 @@
 package io.persimmonstack.coordinator.runner;
 
+import io.persimmonstack.backends.hosts.Host;
+import io.persimmonstack.backends.hosts.HostState;
 import io.persimmonstack.coordination.grant.AcquireResult;
 import io.persimmonstack.coordination.grant.GrantReader;
 import io.persimmonstack.coordination.grant.NodeIdentity;
@@ -13,8 +15,6 @@
 import io.persimmonstack.coordinator.gossip.NodeAttributes;
 import io.persimmonstack.coordinator.view.FleetView;
 import io.persimmonstack.coordinator.view.Hosts;
-import io.persimmonstack.platform.hosts.Host;
-import io.persimmonstack.platform.hosts.HostState;
 import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.ThriftPeers;
 import io.persimmonstack.wire.gen.Coordinator;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/StatusWriter.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/StatusWriter.java
@@ -1,14 +1,14 @@
 package io.persimmonstack.coordinator.runner;
 
+import io.persimmonstack.backends.engine.CheckpointPlace;
+import io.persimmonstack.backends.engine.EngineModel;
+import io.persimmonstack.backends.engine.EngineState;
+import io.persimmonstack.backends.engine.ModelState;
+import io.persimmonstack.backends.hosts.Host;
 import io.persimmonstack.coordination.grant.NodeIdentity;
 import io.persimmonstack.coordination.grant.OwnedRunner;
 import io.persimmonstack.coordination.model.ModelVersion;
 import io.persimmonstack.coordinator.load.LoadKey;
-import io.persimmonstack.platform.engine.CheckpointPlace;
-import io.persimmonstack.platform.engine.EngineModel;
-import io.persimmonstack.platform.engine.EngineState;
-import io.persimmonstack.platform.engine.ModelState;
-import io.persimmonstack.platform.hosts.Host;
 import io.persimmonstack.wire.gen.LoadState;
 import io.persimmonstack.wire.gen.LoadedModel;
 import io.persimmonstack.wire.gen.RunnerStatus;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/Takeover.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/Takeover.java
@@ -1,5 +1,7 @@
 package io.persimmonstack.coordinator.runner;
 
+import io.persimmonstack.backends.hosts.Host;
+import io.persimmonstack.backends.hosts.HostState;
 import io.persimmonstack.coordination.grant.NodeIdentity;
 import io.persimmonstack.coordination.grant.RunnerRecord;
 import io.persimmonstack.coordination.grant.TakeoverEvidence;
@@ -8,8 +10,6 @@
 import io.persimmonstack.coordination.time.TimeSource;
 import io.persimmonstack.coordinator.gossip.NodeAttributes;
 import io.persimmonstack.coordinator.view.FleetView;
-import io.persimmonstack.platform.hosts.Host;
-import io.persimmonstack.platform.hosts.HostState;
 import io.persimmonstack.wire.PeerAddress;
 import io.persimmonstack.wire.ThriftPeers;
 import io.persimmonstack.wire.WireException;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/view/Hosts.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/view/Hosts.java
@@ -1,8 +1,8 @@
 package io.persimmonstack.coordinator.view;
 
-import io.persimmonstack.platform.hosts.Host;
-import io.persimmonstack.platform.hosts.HostKind;
-import io.persimmonstack.platform.hosts.HostState;
+import io.persimmonstack.backends.hosts.Host;
+import io.persimmonstack.backends.hosts.HostKind;
+import io.persimmonstack.backends.hosts.HostState;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/view/SnapshotPublisher.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/view/SnapshotPublisher.java
@@ -1,12 +1,12 @@
 package io.persimmonstack.coordinator.view;
 
+import io.persimmonstack.backends.hosts.Host;
+import io.persimmonstack.backends.hosts.HostState;
 import io.persimmonstack.configuration.FleetConfiguration;
 import io.persimmonstack.coordination.feed.ConfigurationFeed;
 import io.persimmonstack.coordination.membership.Member;
 import io.persimmonstack.coordinator.gossip.GossipMapping;
 import io.persimmonstack.coordinator.gossip.NodeAttributes;
-import io.persimmonstack.platform.hosts.Host;
-import io.persimmonstack.platform.hosts.HostState;
 import io.persimmonstack.wire.gen.ServiceInstance;
 import io.persimmonstack.wire.gen.Snapshot;
 import io.persimmonstack.wire.gen.SnapshotRequest;
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/view/Weights.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/view/Weights.java
@@ -1,12 +1,12 @@
 package io.persimmonstack.coordinator.view;
 
+import io.persimmonstack.backends.weights.Weight;
+import io.persimmonstack.backends.weights.WeightCatalogue;
+import io.persimmonstack.backends.weights.WeightStore;
+import io.persimmonstack.backends.weights.WeightStoreException;
 import io.persimmonstack.coordinator.CoordinatorEvent;
 import io.persimmonstack.coordinator.load.LoadKey;
 import io.persimmonstack.coordinator.load.LoadSizes;
-import io.persimmonstack.platform.weights.Weight;
-import io.persimmonstack.platform.weights.WeightCatalogue;
-import io.persimmonstack.platform.weights.WeightStore;
-import io.persimmonstack.platform.weights.WeightStoreException;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.Map;
 import java.util.Optional;
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/CoordinatorNodeTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/CoordinatorNodeTest.java
@@ -5,8 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.persimmonstack.backends.hosts.HostState;
 import io.persimmonstack.coordination.hash.RendezvousHash;
-import io.persimmonstack.platform.hosts.HostState;
 import io.persimmonstack.wire.WireException;
 import io.persimmonstack.wire.gen.LoadResult;
 import io.persimmonstack.wire.gen.LoadState;
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/StoreLimitsTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/StoreLimitsTest.java
@@ -3,10 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.persimmonstack.backends.hosts.Host;
+import io.persimmonstack.backends.hosts.HostKind;
+import io.persimmonstack.backends.hosts.HostState;
 import io.persimmonstack.coordination.limit.LimitShare;
-import io.persimmonstack.platform.hosts.Host;
-import io.persimmonstack.platform.hosts.HostKind;
-import io.persimmonstack.platform.hosts.HostState;
 import io.persimmonstack.wire.PeerAddress;
 import io.persimmonstack.wire.gen.LoadAnswer;
 import io.persimmonstack.wire.gen.LoadRequest;
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/runner/EngineBookTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/runner/EngineBookTest.java
@@ -4,11 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.persimmonstack.backends.engine.EngineModel;
+import io.persimmonstack.backends.engine.EngineState;
+import io.persimmonstack.backends.engine.ModelState;
 import io.persimmonstack.coordination.model.ModelVersion;
 import io.persimmonstack.coordinator.load.LoadKey;
-import io.persimmonstack.platform.engine.EngineModel;
-import io.persimmonstack.platform.engine.EngineState;
-import io.persimmonstack.platform.engine.ModelState;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/runner/GoneRunnersTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/runner/GoneRunnersTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.backends.hosts.HostState;
 import io.persimmonstack.coordination.grant.GrantCodecs;
 import io.persimmonstack.coordination.grant.GrantReader;
 import io.persimmonstack.coordination.grant.ModelRecord;
@@ -27,7 +28,6 @@
 import io.persimmonstack.coordinator.gossip.ThriftGossip;
 import io.persimmonstack.coordinator.view.FleetView;
 import io.persimmonstack.coordinator.view.Hosts;
-import io.persimmonstack.platform.hosts.HostState;
 import io.persimmonstack.wire.ThriftPeers;
 import io.persimmonstack.wire.codec.ModelRecordCodec;
 import io.persimmonstack.wire.codec.RunnerRecordCodec;
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/runner/RunnerAgentTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/runner/RunnerAgentTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.backends.engine.LoadOutcome;
 import io.persimmonstack.configuration.FleetConfiguration;
 import io.persimmonstack.coordination.grant.GrantCodecs;
 import io.persimmonstack.coordination.grant.NodeIdentity;
@@ -30,7 +31,6 @@
 import io.persimmonstack.coordinator.load.StorePermits;
 import io.persimmonstack.coordinator.view.FleetView;
 import io.persimmonstack.coordinator.view.Weights;
-import io.persimmonstack.platform.engine.LoadOutcome;
 import io.persimmonstack.wire.ThriftPeers;
 import io.persimmonstack.wire.codec.ModelRecordCodec;
 import io.persimmonstack.wire.codec.RunnerRecordCodec;
--- a/ctl/src/main/java/io/persimmonstack/ctl/CtlMain.java
+++ b/ctl/src/main/java/io/persimmonstack/ctl/CtlMain.java
@@ -1,10 +1,10 @@
 package io.persimmonstack.ctl;
 
 import com.codahale.metrics.MetricRegistry;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpConnectorOptions;
-import io.persimmonstack.platform.kv.EtcdKvStore;
-import io.persimmonstack.platform.kv.KvOptions;
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpConnectorOptions;
+import io.persimmonstack.backends.kv.EtcdKvStore;
+import io.persimmonstack.backends.kv.KvOptions;
 import io.persimmonstack.runtime.ExitCode;
 import io.persimmonstack.wire.PeerAddress;
 
--- a/ctl/src/main/java/io/persimmonstack/ctl/Fleet.java
+++ b/ctl/src/main/java/io/persimmonstack/ctl/Fleet.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.ctl;
 
+import io.persimmonstack.backends.peer.PeerTrust;
 import io.persimmonstack.configuration.ConfigurationCodec;
 import io.persimmonstack.configuration.ConfigurationException;
 import io.persimmonstack.configuration.FleetConfiguration;
@@ -9,7 +10,6 @@
 import io.persimmonstack.coordination.kv.KvException;
 import io.persimmonstack.coordination.kv.KvStore;
 import io.persimmonstack.coordination.time.TimeSource;
-import io.persimmonstack.platform.peer.PeerTrust;
 import io.persimmonstack.runtime.Closer;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.wire.PeerAddress;
--- a/load/src/main/java/io/persimmonstack/load/AddressBook.java
+++ b/load/src/main/java/io/persimmonstack/load/AddressBook.java
@@ -2,11 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.persimmonstack.platform.http.HttpCall;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpFailure;
-import io.persimmonstack.platform.http.HttpRequest;
-import io.persimmonstack.platform.http.HttpTimeouts;
+import io.persimmonstack.backends.http.HttpCall;
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpRequest;
+import io.persimmonstack.backends.http.HttpTimeouts;
 import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.PeerAddress;
 import java.io.IOException;
--- a/load/src/main/java/io/persimmonstack/load/ChatReader.java
+++ b/load/src/main/java/io/persimmonstack/load/ChatReader.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.persimmonstack.platform.http.HttpCall;
+import io.persimmonstack.backends.http.HttpCall;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
--- a/load/src/main/java/io/persimmonstack/load/LoadRun.java
+++ b/load/src/main/java/io/persimmonstack/load/LoadRun.java
@@ -2,11 +2,11 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpConnectorOptions;
+import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpRequest;
 import io.persimmonstack.load.replay.CompressedTrace;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpConnectorOptions;
-import io.persimmonstack.platform.http.HttpFailure;
-import io.persimmonstack.platform.http.HttpRequest;
 import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.PeerAddress;
 import java.nio.charset.StandardCharsets;
@@ -199,7 +199,7 @@
         };
     }
 
-    private static Outcome readCall(io.persimmonstack.platform.http.HttpCall answer, long startNanos, String key)
+    private static Outcome readCall(io.persimmonstack.backends.http.HttpCall answer, long startNanos, String key)
             throws HttpFailure {
         long firstByteMs = Caller.millisSince(startNanos);
         String body = new String(answer.readAll(MAX_ANSWER_BYTES), StandardCharsets.UTF_8);
--- a/load/src/main/java/io/persimmonstack/load/WholeChatReader.java
+++ b/load/src/main/java/io/persimmonstack/load/WholeChatReader.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.persimmonstack.platform.http.HttpCall;
-import io.persimmonstack.platform.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpCall;
+import io.persimmonstack.backends.http.HttpFailure;
 import java.io.IOException;
 
 /** Reads a chat completion that is not streamed and checks that it is whole and the request's own. */
--- a/load/src/main/java/io/persimmonstack/load/bench/PropagationMain.java
+++ b/load/src/main/java/io/persimmonstack/load/bench/PropagationMain.java
@@ -1,6 +1,10 @@
 package io.persimmonstack.load.bench;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpConnectorOptions;
+import io.persimmonstack.backends.kv.EtcdKvStore;
+import io.persimmonstack.backends.kv.KvOptions;
 import io.persimmonstack.configuration.ConfigurationCodec;
 import io.persimmonstack.configuration.ConfigurationException;
 import io.persimmonstack.configuration.Deployment;
@@ -10,10 +14,6 @@
 import io.persimmonstack.coordination.feed.StoredHead;
 import io.persimmonstack.coordination.kv.KvException;
 import io.persimmonstack.coordination.time.TimeSource;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpConnectorOptions;
-import io.persimmonstack.platform.kv.EtcdKvStore;
-import io.persimmonstack.platform.kv.KvOptions;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.runtime.RuntimeFailure;
 import io.persimmonstack.runtime.command.Options;
--- a/load/src/test/java/io/persimmonstack/load/DocumentationTest.java
+++ b/load/src/test/java/io/persimmonstack/load/DocumentationTest.java
@@ -4,11 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.persimmonstack.backends.BackendEvent;
 import io.persimmonstack.coordinator.CoordinatorEvent;
 import io.persimmonstack.coordinator.CoordinatorSettings;
 import io.persimmonstack.ctl.CtlSettings;
 import io.persimmonstack.ctl.PersimmonCtl;
-import io.persimmonstack.platform.PlatformEvent;
 import io.persimmonstack.router.RouterEvent;
 import io.persimmonstack.router.RouterSettings;
 import io.persimmonstack.runtime.event.Event;
@@ -43,7 +43,7 @@
                         FrameEvent.values(),
                         RouterEvent.values(),
                         CoordinatorEvent.values(),
-                        PlatformEvent.values(),
+                        BackendEvent.values(),
                         StandinEvent.values(),
                         LoadEvent.values())
                 .flatMap(Arrays::stream)
--- a/router/src/main/java/io/persimmonstack/router/Router.java
+++ b/router/src/main/java/io/persimmonstack/router/Router.java
@@ -1,10 +1,10 @@
 package io.persimmonstack.router;
 
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpConnectorOptions;
+import io.persimmonstack.backends.peer.PeerTrust;
 import io.persimmonstack.coordination.claim.ClaimShards;
 import io.persimmonstack.coordination.kv.KvStore;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpConnectorOptions;
-import io.persimmonstack.platform.peer.PeerTrust;
 import io.persimmonstack.router.admission.Admission;
 import io.persimmonstack.router.admission.LoadRequester;
 import io.persimmonstack.router.admission.Placer;
--- a/router/src/main/java/io/persimmonstack/router/RouterProgram.java
+++ b/router/src/main/java/io/persimmonstack/router/RouterProgram.java
@@ -1,9 +1,9 @@
 package io.persimmonstack.router;
 
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpConnectorOptions;
-import io.persimmonstack.platform.kv.EtcdKvStore;
-import io.persimmonstack.platform.kv.KvOptions;
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpConnectorOptions;
+import io.persimmonstack.backends.kv.EtcdKvStore;
+import io.persimmonstack.backends.kv.KvOptions;
 import io.persimmonstack.runtime.Program;
 import io.persimmonstack.runtime.ProgramContext;
 import io.persimmonstack.runtime.ProgramMain;
--- a/router/src/main/java/io/persimmonstack/router/filter/DispatchFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/DispatchFilter.java
@@ -1,11 +1,11 @@
 package io.persimmonstack.router.filter;
 
 import com.codahale.metrics.Timer;
-import io.persimmonstack.platform.http.HttpCall;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpFailure;
-import io.persimmonstack.platform.http.HttpRequest;
-import io.persimmonstack.platform.http.HttpTimeouts;
+import io.persimmonstack.backends.http.HttpCall;
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpRequest;
+import io.persimmonstack.backends.http.HttpTimeouts;
 import io.persimmonstack.router.RouterEvent;
 import io.persimmonstack.router.RouterMetrics;
 import io.persimmonstack.router.admission.Admission;
--- a/router/src/main/java/io/persimmonstack/router/filter/DispatchTimeouts.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/DispatchTimeouts.java
@@ -1,6 +1,6 @@
 package io.persimmonstack.router.filter;
 
-import io.persimmonstack.platform.http.HttpTimeouts;
+import io.persimmonstack.backends.http.HttpTimeouts;
 import io.persimmonstack.router.request.Request;
 
 /**
--- a/router/src/main/java/io/persimmonstack/router/filter/Hedges.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/Hedges.java
@@ -1,7 +1,7 @@
 package io.persimmonstack.router.filter;
 
-import io.persimmonstack.platform.http.HttpCall;
-import io.persimmonstack.platform.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpCall;
+import io.persimmonstack.backends.http.HttpFailure;
 import io.persimmonstack.router.RouterMetrics;
 import io.persimmonstack.router.admission.Placer;
 import io.persimmonstack.router.admission.Reservation;
--- a/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
@@ -1,8 +1,8 @@
 package io.persimmonstack.router.filter;
 
-import io.persimmonstack.platform.http.HttpCall;
-import io.persimmonstack.platform.http.HttpFailure;
-import io.persimmonstack.platform.http.HttpHeader;
+import io.persimmonstack.backends.http.HttpCall;
+import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpHeader;
 import io.persimmonstack.router.RouterMetrics;
 import io.persimmonstack.router.filter.SseReader.StreamEvent;
 import io.persimmonstack.router.request.AttemptException;
--- a/router/src/main/java/io/persimmonstack/router/filter/TargetRequests.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/TargetRequests.java
@@ -1,7 +1,7 @@
 package io.persimmonstack.router.filter;
 
-import io.persimmonstack.platform.http.HttpHeader;
-import io.persimmonstack.platform.http.HttpRequest;
+import io.persimmonstack.backends.http.HttpHeader;
+import io.persimmonstack.backends.http.HttpRequest;
 import io.persimmonstack.router.request.CallerMessage;
 import io.persimmonstack.router.request.Request;
 import io.persimmonstack.router.request.Work;
--- a/router/src/main/java/io/persimmonstack/router/request/Request.java
+++ b/router/src/main/java/io/persimmonstack/router/request/Request.java
@@ -1,7 +1,7 @@
 package io.persimmonstack.router.request;
 
 import io.opentelemetry.context.Context;
-import io.persimmonstack.platform.http.HttpCall;
+import io.persimmonstack.backends.http.HttpCall;
 import io.persimmonstack.router.admission.Reservation;
 import io.persimmonstack.router.snapshot.Target;
 import java.util.LinkedHashSet;
--- a/router/src/test/java/io/persimmonstack/router/BenchRouter.java
+++ b/router/src/test/java/io/persimmonstack/router/BenchRouter.java
@@ -2,10 +2,10 @@
 
 import com.sun.management.OperatingSystemMXBean;
 import com.sun.management.ThreadMXBean;
-import io.persimmonstack.platform.http.HttpCall;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpRequest;
-import io.persimmonstack.platform.http.HttpTimeouts;
+import io.persimmonstack.backends.http.HttpCall;
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpRequest;
+import io.persimmonstack.backends.http.HttpTimeouts;
 import io.persimmonstack.wire.PeerAddress;
 import io.undertow.Undertow;
 import java.lang.management.ManagementFactory;
--- a/router/src/test/java/io/persimmonstack/router/RouterBenchmark.java
+++ b/router/src/test/java/io/persimmonstack/router/RouterBenchmark.java
@@ -1,12 +1,12 @@
 package io.persimmonstack.router;
 
 import com.codahale.metrics.MetricRegistry;
-import io.persimmonstack.platform.http.HttpCall;
-import io.persimmonstack.platform.http.HttpConnector;
-import io.persimmonstack.platform.http.HttpConnectorOptions;
-import io.persimmonstack.platform.http.HttpHeader;
-import io.persimmonstack.platform.http.HttpRequest;
-import io.persimmonstack.platform.http.HttpTimeouts;
+import io.persimmonstack.backends.http.HttpCall;
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpConnectorOptions;
+import io.persimmonstack.backends.http.HttpHeader;
+import io.persimmonstack.backends.http.HttpRequest;
+import io.persimmonstack.backends.http.HttpTimeouts;
 import io.persimmonstack.router.BenchRouter.Usage;
 import io.persimmonstack.wire.PeerAddress;
 import java.io.BufferedReader;
--- a/router/src/test/java/io/persimmonstack/router/TlsTest.java
+++ b/router/src/test/java/io/persimmonstack/router/TlsTest.java
@@ -2,7 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.persimmonstack.platform.peer.PeerTrust;
+import io.persimmonstack.backends.peer.PeerTrust;
 import io.persimmonstack.runtime.Closer;
 import io.persimmonstack.runtime.tls.PeerTlsSettings;
 import java.io.InputStream;
--- a/standin/src/test/java/io/persimmonstack/standin/EngineStandinContractTest.java
+++ b/standin/src/test/java/io/persimmonstack/standin/EngineStandinContractTest.java
@@ -1,8 +1,8 @@
 package io.persimmonstack.standin;
 
-import io.persimmonstack.platform.engine.EngineOrders;
-import io.persimmonstack.platform.engine.EngineOrdersContract;
-import io.persimmonstack.platform.engine.HttpEngineOrders;
+import io.persimmonstack.backends.engine.EngineOrders;
+import io.persimmonstack.backends.engine.EngineOrdersContract;
+import io.persimmonstack.backends.engine.HttpEngineOrders;
 import io.persimmonstack.wire.PeerAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
--- a/standin/src/test/java/io/persimmonstack/standin/HostListStandinTest.java
+++ b/standin/src/test/java/io/persimmonstack/standin/HostListStandinTest.java
@@ -3,12 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
 
-import io.persimmonstack.platform.hosts.Host;
-import io.persimmonstack.platform.hosts.HostList;
-import io.persimmonstack.platform.hosts.HostListContract;
-import io.persimmonstack.platform.hosts.HostState;
-import io.persimmonstack.platform.hosts.HttpHostList;
-import io.persimmonstack.platform.http.HttpRequest;
+import io.persimmonstack.backends.hosts.Host;
+import io.persimmonstack.backends.hosts.HostList;
+import io.persimmonstack.backends.hosts.HostListContract;
+import io.persimmonstack.backends.hosts.HostState;
+import io.persimmonstack.backends.hosts.HttpHostList;
+import io.persimmonstack.backends.http.HttpRequest;
 import java.util.List;
 import java.util.Locale;
 import org.junit.jupiter.api.AfterEach;
--- a/standin/src/test/java/io/persimmonstack/standin/KvFaultsTest.java
+++ b/standin/src/test/java/io/persimmonstack/standin/KvFaultsTest.java
@@ -5,14 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.backends.http.ScriptedServer;
+import io.persimmonstack.backends.kv.EtcdKvStore;
+import io.persimmonstack.backends.kv.KvOptions;
+import io.persimmonstack.backends.kv.KvStoreContract;
 import io.persimmonstack.coordination.kv.Expectation;
 import io.persimmonstack.coordination.kv.KvException;
 import io.persimmonstack.coordination.kv.KvStore;
 import io.persimmonstack.coordination.kv.KvUnavailableException;
-import io.persimmonstack.platform.http.ScriptedServer;
-import io.persimmonstack.platform.kv.EtcdKvStore;
-import io.persimmonstack.platform.kv.KvOptions;
-import io.persimmonstack.platform.kv.KvStoreContract;
 import io.persimmonstack.wire.PeerAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
--- a/standin/src/test/java/io/persimmonstack/standin/KvStandinContractTest.java
+++ b/standin/src/test/java/io/persimmonstack/standin/KvStandinContractTest.java
@@ -3,12 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.backends.kv.EtcdKvStore;
+import io.persimmonstack.backends.kv.KvOptions;
+import io.persimmonstack.backends.kv.KvStoreContract;
 import io.persimmonstack.coordination.kv.Expectation;
 import io.persimmonstack.coordination.kv.KvException;
 import io.persimmonstack.coordination.kv.KvStore;
-import io.persimmonstack.platform.kv.EtcdKvStore;
-import io.persimmonstack.platform.kv.KvOptions;
-import io.persimmonstack.platform.kv.KvStoreContract;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/standin/src/test/java/io/persimmonstack/standin/WeightStoreStandinTest.java
+++ b/standin/src/test/java/io/persimmonstack/standin/WeightStoreStandinTest.java
@@ -1,8 +1,8 @@
 package io.persimmonstack.standin;
 
-import io.persimmonstack.platform.weights.HttpWeightStore;
-import io.persimmonstack.platform.weights.WeightStore;
-import io.persimmonstack.platform.weights.WeightStoreContract;
+import io.persimmonstack.backends.weights.HttpWeightStore;
+import io.persimmonstack.backends.weights.WeightStore;
+import io.persimmonstack.backends.weights.WeightStoreContract;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
