--- a/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
@@ -106,10 +106,9 @@
         for (HttpHeader header : request.headers()) {
             sent.getRequestHeaders().add(new HttpString(header.name()), header.value());
         }
-        sent.getRequestHeaders()
-                .put(
-                        Headers.HOST,
-                        connection.target().ip() + ":" + connection.target().port());
+        if (!sent.getRequestHeaders().contains(Headers.HOST)) {
+            sent.getRequestHeaders().put(Headers.HOST, connection.target().toString());
+        }
         if (request.body().length > 0 || !request.method().equals("GET")) {
             sent.getRequestHeaders().put(Headers.CONTENT_LENGTH, request.body().length);
         }
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/NodeMetrics.java
@@ -0,0 +1,42 @@
+package io.persimmonstack.node;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.TimeUnit;
+
+/** Counters and histograms of the node. */
+public final class NodeMetrics {
+    private final MetricRegistry registry;
+
+    private NodeMetrics(MetricRegistry registry) {
+        this.registry = registry;
+    }
+
+    /** Returns metrics in the given registry. */
+    public static NodeMetrics in(MetricRegistry registry) {
+        return new NodeMetrics(registry);
+    }
+
+    /** Counts a request that a runner answered. */
+    public void served(String route, long totalMs, long firstMs) {
+        registry.counter("requests.served").inc();
+        registry.timer("requests.time").update(totalMs, TimeUnit.MILLISECONDS);
+        if (firstMs >= 0) {
+            registry.timer("requests.first-event").update(firstMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Counts a request that the node answered by itself. */
+    public void refused(String route, String reason) {
+        registry.counter("requests.refused." + reason).inc();
+    }
+
+    /** Counts a request whose caller left. */
+    public void callerLeft(String route) {
+        registry.counter("requests.caller-left").inc();
+    }
+
+    /** Counts an order to a runner by its outcome. */
+    public void order(String outcome) {
+        registry.counter("orders." + outcome).inc();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/NodeOptions.java
@@ -0,0 +1,26 @@
+package io.persimmonstack.node;
+
+import io.persimmonstack.node.placing.RepeatBudgetOptions;
+import io.persimmonstack.wire.PeerAddress;
+
+/**
+ * What one node is told about itself and the fleet.
+ *
+ * @param name name of the node, unique in the fleet
+ * @param zone availability zone
+ * @param callers where callers find it
+ * @param link where other nodes find it
+ * @param routingKey key of the configuration in the store
+ * @param runnersPrefix beginning of the runners' keys in the store
+ * @param budget bounds of repeats
+ * @param graceMs time from the request to stop until the process is killed, in milliseconds
+ */
+public record NodeOptions(
+        String name,
+        String zone,
+        PeerAddress callers,
+        PeerAddress link,
+        String routingKey,
+        String runnersPrefix,
+        RepeatBudgetOptions budget,
+        long graceMs) {}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/NodePorts.java
@@ -0,0 +1,26 @@
+package io.persimmonstack.node;
+
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.coordination.kv.LeasedKvStore;
+import io.persimmonstack.node.planning.RunnerControl;
+import io.persimmonstack.node.sending.RunnerProtocol;
+import io.persimmonstack.node.store.RoutingDecoder;
+import io.persimmonstack.node.store.RunnerDecoder;
+
+/**
+ * What the node speaks to, each through an interface of its own.
+ *
+ * @param store key-value service
+ * @param routing reads configurations
+ * @param runners reads descriptions of runners
+ * @param protocol protocol of callers and runners
+ * @param control orders to runners
+ * @param connector connections to runners
+ */
+public record NodePorts(
+        LeasedKvStore store,
+        RoutingDecoder routing,
+        RunnerDecoder runners,
+        RunnerProtocol protocol,
+        RunnerControl control,
+        HttpConnector connector) {}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/callers/Directory.java
@@ -0,0 +1,38 @@
+package io.persimmonstack.node.callers;
+
+import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.fleet.Peer;
+import io.persimmonstack.wire.PeerAddress;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+/** Says which addresses a caller may use. */
+public final class Directory {
+    private static final int MAX_ADDRESSES = 64;
+    private final FleetView fleet;
+
+    private Directory(FleetView fleet) {
+        this.fleet = fleet;
+    }
+
+    /** Returns a directory of the ready nodes of a view. */
+    public static Directory of(FleetView fleet) {
+        return new Directory(fleet);
+    }
+
+    /**
+     * Returns addresses of ready nodes, those of the caller's zone first, in an order that differs from call to call.
+     *
+     * @param zone availability zone of the caller
+     * @param random source of the order
+     */
+    public List<PeerAddress> addresses(String zone, Random random) {
+        List<Peer> peers = new ArrayList<>(fleet.current().peers().values());
+        Collections.shuffle(peers, random);
+        peers.sort((one, other) ->
+                Boolean.compare(other.zone().equals(zone), one.zone().equals(zone)));
+        return peers.stream().limit(MAX_ADDRESSES).map(Peer::callers).toList();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/config/RoutingTable.java
@@ -0,0 +1,73 @@
+package io.persimmonstack.node.config;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the configuration, immutable. */
+public final class RoutingTable {
+    private static final Comparator<Route> LONGEST_PREFIX_FIRST =
+            Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
+    private final long version;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, Service> services = new HashMap<>();
+
+    private RoutingTable(long version) {
+        this.version = version;
+    }
+
+    /**
+     * Returns a table.
+     *
+     * @param version version of the configuration, rising
+     * @param routes all routes
+     * @param services all services
+     */
+    public static RoutingTable of(long version, List<Route> routes, List<Service> services) {
+        RoutingTable table = new RoutingTable(version);
+        for (Route route : routes) {
+            table.routesByHost
+                    .computeIfAbsent(route.host(), host -> new ArrayList<>())
+                    .add(route);
+        }
+        table.routesByHost.values().forEach(list -> list.sort(LONGEST_PREFIX_FIRST));
+        services.forEach(service -> table.services.put(service.name(), service));
+        return table;
+    }
+
+    /** Returns the version of the configuration. */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns the route with the longest prefix of a path.
+     *
+     * @param host value of the Host header
+     * @param path path without query
+     * @return the route, empty where none matches
+     */
+    public Optional<Route> route(String host, String path) {
+        return routesByHost.getOrDefault(host, List.of()).stream()
+                .filter(route -> path.startsWith(route.prefix()))
+                .findFirst();
+    }
+
+    /** Returns the named service, empty where the configuration has none. */
+    public Optional<Service> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns all services. */
+    public List<Service> services() {
+        return List.copyOf(services.values());
+    }
+
+    /** Returns the number of routes. */
+    public int routeCount() {
+        return routesByHost.values().stream().mapToInt(List::size).sum();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/config/ServiceShare.java
@@ -0,0 +1,9 @@
+package io.persimmonstack.node.config;
+
+/**
+ * Share of a route's requests that goes to one service.
+ *
+ * @param service name of the service
+ * @param weight weight among the shares of the route, not negative
+ */
+public record ServiceShare(String service, double weight) {}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
@@ -0,0 +1,39 @@
+package io.persimmonstack.node.fleet;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
+
+/** The current {@link Fleet}, replaced whole on each change and read without locks. */
+public final class FleetView {
+    private final AtomicReference<Fleet> current = new AtomicReference<>(Fleet.unknown());
+    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+
+    private FleetView() {}
+
+    /** Returns a view of a fleet of which nothing is known. */
+    public static FleetView create() {
+        return new FleetView();
+    }
+
+    /** Returns the current state. */
+    public Fleet current() {
+        return current.get();
+    }
+
+    /**
+     * Replaces the state and tells the listeners.
+     *
+     * @param change computes the new state from the current one; may run more than once
+     */
+    public void update(UnaryOperator<Fleet> change) {
+        current.updateAndGet(change);
+        listeners.forEach(Runnable::run);
+    }
+
+    /** Adds an action to run after each change; it must not block. */
+    public void onChange(Runnable listener) {
+        listeners.add(listener);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
@@ -0,0 +1,50 @@
+package io.persimmonstack.node.peers;
+
+import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.planning.NodeReports;
+import io.persimmonstack.node.planning.Planner;
+import io.persimmonstack.wire.gen.FleetLoad;
+import io.persimmonstack.wire.gen.NodeLink;
+import io.persimmonstack.wire.gen.NodeLoad;
+import io.persimmonstack.wire.gen.WireRefusal;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+
+/** Takes the reports of all nodes while this node leads. */
+public final class LeaderHandler implements NodeLink.Iface {
+    private static final String NOT_LEADING = "not-leading";
+    private final FleetView fleet;
+    private final NodeReports reports;
+    private final Planner planner;
+    private final Supplier<OptionalLong> leadTerm;
+
+    private LeaderHandler(FleetView fleet, NodeReports reports, Planner planner, Supplier<OptionalLong> leadTerm) {
+        this.fleet = fleet;
+        this.reports = reports;
+        this.planner = planner;
+        this.leadTerm = leadTerm;
+    }
+
+    /**
+     * Returns a handler.
+     *
+     * @param fleet what this node knows
+     * @param reports where reports are kept
+     * @param planner knows the runners
+     * @param leadTerm term of this node's lead, empty while it does not lead
+     */
+    public static LeaderHandler of(
+            FleetView fleet, NodeReports reports, Planner planner, Supplier<OptionalLong> leadTerm) {
+        return new LeaderHandler(fleet, reports, planner, leadTerm);
+    }
+
+    @Override
+    public FleetLoad exchange(NodeLoad load) throws WireRefusal {
+        OptionalLong term = leadTerm.get();
+        if (term.isEmpty()) {
+            throw new WireRefusal(NOT_LEADING, "this node does not lead");
+        }
+        reports.take(load.getNode(), LoadMessages.uses(load), LoadMessages.demands(load), System.nanoTime());
+        return LoadMessages.answer(term.getAsLong(), fleet.current(), planner.reportsFor(load.getNode()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
@@ -0,0 +1,108 @@
+package io.persimmonstack.node.peers;
+
+import io.persimmonstack.node.config.RoutingTable;
+import io.persimmonstack.node.fleet.Fleet;
+import io.persimmonstack.node.placing.ModelDemand;
+import io.persimmonstack.node.placing.RunnerReport;
+import io.persimmonstack.node.placing.RunnerUsage;
+import io.persimmonstack.node.request.ModelRef;
+import io.persimmonstack.wire.gen.FleetLoad;
+import io.persimmonstack.wire.gen.HeldModel;
+import io.persimmonstack.wire.gen.ModelNeed;
+import io.persimmonstack.wire.gen.NodeLoad;
+import io.persimmonstack.wire.gen.RunnerHolding;
+import io.persimmonstack.wire.gen.RunnerUse;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+
+/** Conversion between the node's types and the messages of the protocol. */
+final class LoadMessages {
+    private LoadMessages() {}
+
+    static NodeLoad report(String node, long sequence, Fleet known, List<RunnerUsage> uses, List<ModelDemand> demands) {
+        return new NodeLoad(
+                node,
+                sequence,
+                known.routing().map(RoutingTable::version).orElse(0L),
+                known.runnersRevision(),
+                uses.stream().map(LoadMessages::use).toList(),
+                demands.stream().map(LoadMessages::need).toList());
+    }
+
+    static FleetLoad answer(long term, Fleet known, List<RunnerReport> reports) {
+        return new FleetLoad(
+                term,
+                known.routing().map(RoutingTable::version).orElse(0L),
+                known.runnersRevision(),
+                reports.stream().map(LoadMessages::holding).toList(),
+                new ArrayList<>());
+    }
+
+    static List<RunnerUsage> uses(NodeLoad load) {
+        return load.getUses().stream()
+                .map(use -> new RunnerUsage(
+                        use.getRunner(),
+                        new ModelRef(use.getModel(), use.getAdapter()),
+                        use.getRequests(),
+                        use.getTokens()))
+                .toList();
+    }
+
+    static List<ModelDemand> demands(NodeLoad load) {
+        return load.getNeeds().stream()
+                .map(need -> new ModelDemand(
+                        need.getServiceName(),
+                        new ModelRef(need.getModel(), need.getAdapter()),
+                        need.getWaiting(),
+                        need.getArrived(),
+                        need.getOldestMs(),
+                        need.getTargetMs()))
+                .toList();
+    }
+
+    static List<RunnerReport> reports(FleetLoad load) {
+        return load.getRunners().stream()
+                .map(holding -> new RunnerReport(
+                        holding.getRunner(),
+                        holding.getStartedMs(),
+                        holding.getModels().stream().map(LoadMessages::held).toList(),
+                        holding.getRequestsElsewhere(),
+                        holding.getTokensElsewhere()))
+                .toList();
+    }
+
+    private static RunnerUse use(RunnerUsage usage) {
+        return new RunnerUse(
+                usage.runner(), usage.model().model(), usage.model().adapter(), usage.requests(), usage.tokens());
+    }
+
+    private static ModelNeed need(ModelDemand demand) {
+        return new ModelNeed(
+                demand.service(),
+                demand.model().model(),
+                demand.model().adapter(),
+                demand.waiting(),
+                demand.arrived(),
+                demand.oldestMs(),
+                demand.targetMs());
+    }
+
+    private static RunnerHolding holding(RunnerReport report) {
+        return new RunnerHolding(
+                report.runner(),
+                report.startedMs(),
+                report.models().stream().map(LoadMessages::held).toList(),
+                report.requestsElsewhere(),
+                report.tokensElsewhere());
+    }
+
+    private static HeldModel held(io.persimmonstack.node.fleet.HeldModel model) {
+        return new HeldModel(model.name(), model.version(), new ArrayList<>(model.adapters()));
+    }
+
+    private static io.persimmonstack.node.fleet.HeldModel held(HeldModel model) {
+        return new io.persimmonstack.node.fleet.HeldModel(
+                model.getModel(), model.getVersion(), new HashSet<>(model.getAdapters()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -0,0 +1,127 @@
+package io.persimmonstack.node.peers;
+
+import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.fleet.Fleet;
+import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.fleet.Leader;
+import io.persimmonstack.node.placing.Placer;
+import io.persimmonstack.runtime.event.EventLog;
+import io.persimmonstack.wire.ThriftPeers;
+import io.persimmonstack.wire.WireException;
+import io.persimmonstack.wire.gen.FleetLoad;
+import io.persimmonstack.wire.gen.NodeLink;
+import io.persimmonstack.wire.gen.NodeLoad;
+import io.persimmonstack.wire.gen.WireRefusal;
+import java.util.Optional;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+
+/** Reports this node's load to the leader and takes the fleet's load from its answers. */
+public final class LoadReporter implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(LoadReporter.class);
+    private static final int IDLE_MS = 250;
+    private static final int WAITING_MS = 50;
+    private static final int LEAST_MS = 10;
+    private static final int CALL_MS = 500;
+    private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private final String node;
+    private final FleetView fleet;
+    private final Placer placer;
+    private final LeaderHandler local;
+    private final ThriftPeers<NodeLink.Client> peers;
+    private final Semaphore wakeUp = new Semaphore(0);
+    private final Thread thread = Thread.ofVirtual().name("load-reporter").unstarted(this::run);
+    private long sequence;
+    private long answeredNanos;
+    private boolean silent = true;
+
+    private LoadReporter(
+            String node, FleetView fleet, Placer placer, LeaderHandler local, ThriftPeers<NodeLink.Client> peers) {
+        this.node = node;
+        this.fleet = fleet;
+        this.placer = placer;
+        this.local = local;
+        this.peers = peers;
+    }
+
+    /**
+     * Starts to report.
+     *
+     * @param node name of this node
+     * @param fleet tells who leads
+     * @param placer source of the load, and receiver of the fleet's
+     * @param local takes the reports while this node leads
+     * @param peers connections to other nodes
+     */
+    public static LoadReporter start(
+            String node, FleetView fleet, Placer placer, LeaderHandler local, ThriftPeers<NodeLink.Client> peers) {
+        LoadReporter reporter = new LoadReporter(node, fleet, placer, local, peers);
+        placer.onWait(reporter::wake);
+        reporter.thread.start();
+        return reporter;
+    }
+
+    private void wake() {
+        if (wakeUp.availablePermits() == 0) {
+            wakeUp.release();
+        }
+    }
+
+    private void run() {
+        try {
+            while (true) {
+                wakeUp.tryAcquire(placer.waiting() > 0 ? WAITING_MS : IDLE_MS, TimeUnit.MILLISECONDS);
+                wakeUp.drainPermits();
+                report();
+                placer.retryWaiting();
+                TimeUnit.MILLISECONDS.sleep(LEAST_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void report() {
+        Fleet known = fleet.current();
+        Optional<Leader> leader = known.leader();
+        if (leader.isEmpty()) {
+            checkSilence("-", "no leader");
+            return;
+        }
+        NodeLoad load = LoadMessages.report(node, ++sequence, known, placer.usage(), placer.takeDemand());
+        try {
+            take(exchange(leader.get(), load));
+        } catch (WireException | WireRefusal e) {
+            checkSilence(leader.get().node(), e.toString());
+        }
+    }
+
+    private FleetLoad exchange(Leader leader, NodeLoad load) throws WireException, WireRefusal {
+        if (leader.node().equals(node)) {
+            return local.exchange(load);
+        }
+        return peers.call(leader.link(), CALL_MS, client -> client.exchange(load));
+    }
+
+    private void take(FleetLoad answer) {
+        answeredNanos = System.nanoTime();
+        silent = false;
+        placer.takeReports(LoadMessages.reports(answer));
+        answer.getUnserved()
+                .forEach(model ->
+                        placer.refuseWaiting(model.getServiceName(), model.getModel(), model.getRetryAfterMs()));
+    }
+
+    private void checkSilence(String leader, String cause) {
+        if (!silent && System.nanoTime() - answeredNanos > SILENT_NANOS) {
+            silent = true;
+            LOG.write(NodeEvent.LEADER_SILENT, leader, cause);
+            placer.forgetReports();
+        }
+    }
+
+    @Override
+    public void close() {
+        thread.interrupt();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -0,0 +1,360 @@
+package io.persimmonstack.node.placing;
+
+import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.request.ActiveRequest;
+import io.persimmonstack.node.request.ModelRef;
+import io.persimmonstack.node.request.Refusal;
+import io.persimmonstack.node.request.RefusedException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.ReentrantLock;
+
+/** Gives each request a place at a runner, or lets it wait for one in order of rank and age. */
+public final class Placer {
+    private static final long RETRY_AFTER_MS = 500;
+    private static final ModelRef NO_MODEL = new ModelRef("", "");
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Map<String, RunnerBook> books = new HashMap<>();
+    private final PriorityQueue<Waiter> waiters = new PriorityQueue<>();
+    private final Map<DemandKey, Integer> arrivals = new HashMap<>();
+    private final PromptKeepers keepers = new PromptKeepers();
+    private final FleetView fleet;
+    private final String zone;
+    private volatile Runnable onWait = () -> {};
+
+    private record DemandKey(String service, ModelRef model) {}
+
+    private Placer(FleetView fleet, String zone) {
+        this.fleet = fleet;
+        this.zone = zone;
+    }
+
+    /**
+     * Returns a placer that follows the runners of a view.
+     *
+     * @param fleet runners
+     * @param zone availability zone of this node
+     */
+    public static Placer following(FleetView fleet, String zone) {
+        Placer placer = new Placer(fleet, zone);
+        fleet.onChange(placer::followFleet);
+        return placer;
+    }
+
+    /** Sets what to do when a request begins to wait for a model; it must not block. */
+    public void onWait(Runnable action) {
+        onWait = action;
+    }
+
+    /**
+     * Waits for a place.
+     *
+     * @param request request to place
+     * @param excluded runners that it must not go to
+     * @param untilNanos when waiting is in vain, by the monotonic clock
+     * @return the place
+     * @throws RefusedException if there is none in time
+     * @throws InterruptedException if the caller has left
+     */
+    public Placement place(ActiveRequest request, Set<String> excluded, long untilNanos)
+            throws RefusedException, InterruptedException {
+        Waiter waiter = new Waiter(request, excluded);
+        lock.lock();
+        try {
+            countArrival(request);
+            Optional<Placement> placed = tryPlace(waiter);
+            if (placed.isPresent()) {
+                return placed.get();
+            }
+            waiters.add(waiter);
+        } finally {
+            lock.unlock();
+        }
+        onWait.run();
+        return await(waiter, untilNanos);
+    }
+
+    private Placement await(Waiter waiter, long untilNanos) throws RefusedException, InterruptedException {
+        try {
+            return waiter.placed().get(untilNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
+        } catch (TimeoutException e) {
+            return lastMoment(waiter);
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof RefusedException refused) {
+                throw refused;
+            }
+            throw new IllegalStateException("waiters end with a place or a refusal", e);
+        } catch (InterruptedException e) {
+            withdraw(waiter);
+            throw e;
+        }
+    }
+
+    private Placement lastMoment(Waiter waiter) throws RefusedException {
+        lock.lock();
+        try {
+            waiters.remove(waiter);
+            Placement placed = waiter.placed().getNow(null);
+            if (placed != null) {
+                return placed;
+            }
+        } finally {
+            lock.unlock();
+        }
+        ActiveRequest request = waiter.request();
+        String detail =
+                request.caller().model().map(model -> "no runner with " + model).orElse("no runner") + " in time";
+        throw new RefusedException(Refusal.notRun("no-place", detail, RETRY_AFTER_MS));
+    }
+
+    private void withdraw(Waiter waiter) {
+        lock.lock();
+        try {
+            waiters.remove(waiter);
+            Placement placed = waiter.placed().getNow(null);
+            if (placed != null) {
+                placed.close();
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void countArrival(ActiveRequest request) {
+        request.caller()
+                .model()
+                .ifPresent(
+                        model -> arrivals.merge(new DemandKey(request.service().name(), model), 1, Integer::sum));
+    }
+
+    private Optional<Placement> tryPlace(Waiter waiter) {
+        ActiveRequest request = waiter.request();
+        long tokens = request.caller().tokens().likelyTotal();
+        RunnerChoice.Wanted wanted = new RunnerChoice.Wanted(
+                request.caller().model(), tokens, waiter.excluded(), keepers.keeper(request.caller()));
+        return RunnerChoice.of(request.service(), zone, System.nanoTime())
+                .choose(booksOf(request.service().name()), wanted)
+                .map(book -> take(book, request, tokens));
+    }
+
+    private Collection<RunnerBook> booksOf(String service) {
+        return books.values().stream()
+                .filter(book -> book.runner().service().equals(service))
+                .toList();
+    }
+
+    private Placement take(RunnerBook book, ActiveRequest request, long tokens) {
+        ModelRef model = request.caller().model().orElse(NO_MODEL);
+        book.begin(model, tokens);
+        keepers.remember(request.caller(), book.runner().id());
+        return new Placement(book.runner(), () -> release(book, model, tokens));
+    }
+
+    private void release(RunnerBook book, ModelRef model, long tokens) {
+        lock.lock();
+        try {
+            book.end(model, tokens);
+            placeWaiters();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Gives places to waiting requests in order; those that cannot be placed stay. */
+    private void placeWaiters() {
+        List<Waiter> inOrder = new ArrayList<>(waiters);
+        inOrder.sort(null);
+        for (Waiter waiter : inOrder) {
+            tryPlace(waiter).ifPresent(placement -> {
+                waiters.remove(waiter);
+                if (!waiter.placed().complete(placement)) {
+                    placement.close();
+                }
+            });
+        }
+    }
+
+    private void followFleet() {
+        lock.lock();
+        try {
+            Map<String, Runner> runners = fleet.current().runners();
+            books.values().removeIf(book -> !runners.containsKey(book.runner().id()));
+            runners.values()
+                    .forEach(runner -> books.computeIfAbsent(runner.id(), id -> new RunnerBook(runner))
+                            .describe(runner));
+            placeWaiters();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Takes what the leader knows of the runners.
+     *
+     * @param reports one report for each runner
+     */
+    public void takeReports(List<RunnerReport> reports) {
+        lock.lock();
+        try {
+            for (RunnerReport report : reports) {
+                RunnerBook book = books.get(report.runner());
+                if (book != null && book.runner().startedMs() == report.startedMs()) {
+                    book.report(report.models(), report.requestsElsewhere(), report.tokensElsewhere());
+                }
+            }
+            placeWaiters();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Falls back on the runners' own descriptions, for the leader has fallen silent. */
+    public void forgetReports() {
+        lock.lock();
+        try {
+            books.values().forEach(RunnerBook::forgetReport);
+            placeWaiters();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Refuses all requests that wait for a model.
+     *
+     * @param service service of the model
+     * @param model name of the model
+     * @param retryAfterMs when to come back, in milliseconds
+     */
+    public void refuseWaiting(String service, String model, long retryAfterMs) {
+        lock.lock();
+        try {
+            List<Waiter> refused = waiters.stream()
+                    .filter(waiter -> waiter.request().service().name().equals(service))
+                    .filter(waiter -> waiter.request()
+                            .caller()
+                            .model()
+                            .filter(ref -> ref.model().equals(model))
+                            .isPresent())
+                    .toList();
+            waiters.removeAll(refused);
+            refused.forEach(waiter -> waiter.refuse(new RefusedException(
+                    Refusal.notRun("no-room", "no runner will hold " + model + " in time", retryAfterMs))));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A runner turned out to lack a model. */
+    public void lacks(Runner runner, ModelRef model) {
+        observe(runner, book -> book.lacks(model, System.nanoTime()));
+    }
+
+    /** A runner turned out to have no room. */
+    public void full(Runner runner) {
+        observe(runner, book -> book.full(System.nanoTime()));
+    }
+
+    /** A runner could not be reached. */
+    public void unreachable(Runner runner) {
+        observe(runner, book -> book.unreachable(System.nanoTime()));
+    }
+
+    /** A runner broke off a request or reported an error of its own. */
+    public void failed(Runner runner) {
+        observe(runner, book -> book.failed(System.nanoTime()));
+    }
+
+    private void observe(Runner runner, java.util.function.Consumer<RunnerBook> observation) {
+        lock.lock();
+        try {
+            RunnerBook book = books.get(runner.id());
+            if (book != null && book.runner().isSameProcess(runner)) {
+                observation.accept(book);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Tries again to place the waiting requests, for time has passed. */
+    public void retryWaiting() {
+        lock.lock();
+        try {
+            placeWaiters();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the number of waiting requests. */
+    public int waiting() {
+        lock.lock();
+        try {
+            return waiters.size();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the requests in progress, by runner. */
+    public List<RunnerUsage> usage() {
+        lock.lock();
+        try {
+            return books.values().stream()
+                    .flatMap(book -> book.usage().stream())
+                    .toList();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns what callers ask of models, and counts arrivals anew. */
+    public List<ModelDemand> takeDemand() {
+        lock.lock();
+        try {
+            Map<DemandKey, List<Waiter>> waiting = new HashMap<>();
+            for (Waiter waiter : waiters) {
+                waiter.request()
+                        .caller()
+                        .model()
+                        .ifPresent(model -> waiting.computeIfAbsent(
+                                        new DemandKey(waiter.request().service().name(), model),
+                                        key -> new ArrayList<>())
+                                .add(waiter));
+            }
+            arrivals.keySet().forEach(key -> waiting.computeIfAbsent(key, ignored -> List.of()));
+            long now = System.nanoTime();
+            List<ModelDemand> demand = new ArrayList<>();
+            waiting.forEach((key, list) -> demand.add(demand(key, list, now)));
+            arrivals.clear();
+            return demand;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private ModelDemand demand(DemandKey key, List<Waiter> waiting, long now) {
+        Optional<ActiveRequest> oldest =
+                waiting.stream().map(Waiter::request).min(Comparator.comparingLong(ActiveRequest::receivedNanos));
+        return new ModelDemand(
+                key.service(),
+                key.model(),
+                waiting.size(),
+                arrivals.getOrDefault(key, 0),
+                oldest.map(request -> TimeUnit.NANOSECONDS.toMillis(now - request.receivedNanos()))
+                        .orElse(0L),
+                oldest.map(request -> (long) request.route().targetLatencyMs()).orElse(0L));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/placing/PromptKeepers.java
@@ -0,0 +1,46 @@
+package io.persimmonstack.node.placing;
+
+import io.persimmonstack.node.request.CallerRequest;
+import io.persimmonstack.node.request.PromptPart;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Remembers which runner read a part of a prompt last, and so probably keeps it. Not thread-safe. */
+final class PromptKeepers {
+    private static final int MAX_ENTRIES = 4_096;
+    private final Map<String, String> runnerByPart = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+            return size() > MAX_ENTRIES;
+        }
+    };
+
+    void remember(CallerRequest request, String runner) {
+        for (PromptPart part : shared(request.prompt())) {
+            runnerByPart.put(key(request, part), runner);
+        }
+    }
+
+    /** Returns the runner that read the longest shared beginning of the prompt. */
+    Optional<String> keeper(CallerRequest request) {
+        for (PromptPart part : shared(request.prompt()).reversed()) {
+            String runner = runnerByPart.get(key(request, part));
+            if (runner != null) {
+                return Optional.of(runner);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static List<PromptPart> shared(List<PromptPart> parts) {
+        return parts.size() <= 1 ? parts : parts.subList(0, parts.size() - 1);
+    }
+
+    private static String key(CallerRequest request, PromptPart part) {
+        return request.model().map(Object::toString).orElse("") + '#' + part.id();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelDemands.java
@@ -0,0 +1,67 @@
+package io.persimmonstack.node.planning;
+
+import io.persimmonstack.node.config.Engine;
+import io.persimmonstack.node.config.Model;
+import io.persimmonstack.node.fleet.HeldModel;
+import io.persimmonstack.node.request.ModelRef;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Sums over models and their adapters. */
+final class ModelDemands {
+    private ModelDemands() {}
+
+    /** Returns the demand of each model: its own, and that of its adapters where no runner holds the model. */
+    static Map<String, DemandState> byModel(ServiceState state) {
+        Map<String, DemandState> byModel = new HashMap<>();
+        for (DemandState demand : state.demands()) {
+            String model = demand.model().model();
+            boolean held = state.runners().stream().anyMatch(runner -> !runner.leaving() && runner.holds(model));
+            boolean waitsForAdapter = demand.model().hasAdapter() && held;
+            int waiting = waitsForAdapter ? 0 : demand.waiting();
+            long oldestMs = waitsForAdapter ? 0 : demand.oldestMs();
+            DemandState one =
+                    new DemandState(new ModelRef(model, ""), waiting, oldestMs, demand.targetMs(), demand.perSecond());
+            byModel.merge(model, one, ModelDemands::sum);
+        }
+        return byModel;
+    }
+
+    private static DemandState sum(DemandState one, DemandState other) {
+        return new DemandState(
+                one.model(),
+                one.waiting() + other.waiting(),
+                Math.max(one.oldestMs(), other.oldestMs()),
+                Math.max(one.targetMs(), other.targetMs()),
+                one.perSecond() + other.perSecond());
+    }
+
+    /** Returns the accelerator memory of the weights that a runner holds or is loading, in megabytes. */
+    static double weightsMb(Engine engine, RunnerState runner) {
+        double held = runner.models().keySet().stream()
+                .mapToDouble(model -> weightsMb(engine, model))
+                .sum();
+        boolean counted =
+                runner.coming().isEmpty() || runner.holds(runner.coming().get());
+        return counted ? held : held + weightsMb(engine, runner.coming().get());
+    }
+
+    /** Returns the accelerator memory of a runner's weights and adapters, in megabytes. */
+    static double usedMb(Engine engine, RunnerState runner) {
+        double adapters = runner.models().values().stream()
+                .mapToDouble(model -> adaptersMb(engine, model))
+                .sum();
+        return weightsMb(engine, runner) + adapters;
+    }
+
+    /** Returns the weights of a model; a whole runner's memory for one that is not configured. */
+    private static double weightsMb(Engine engine, String name) {
+        Model model = engine.models().get(name);
+        return model == null ? engine.memoryMb() : model.weightsMb();
+    }
+
+    private static double adaptersMb(Engine engine, HeldModel held) {
+        Model model = engine.models().get(held.name());
+        return model == null ? 0 : held.adapters().size() * model.adapterMb();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -0,0 +1,223 @@
+package io.persimmonstack.node.planning;
+
+import io.persimmonstack.node.config.Engine;
+import io.persimmonstack.node.config.Model;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides which runner holds which model, for a load of many models of which most are asked for rarely: a model that is
+ * asked for replaces the ones whose next start costs least; models that fill their runners get another one; copies on
+ * disks are made ahead. Pure.
+ */
+final class ModelPolicy {
+    private static final int MAX_STORE_LOADS = 4;
+    private static final double CROWDED_SHARE = 0.6;
+    private static final double BUSY_PER_SECOND = 1;
+    private static final int BUSY_REPLICAS = 2;
+    private static final double BUSY_VICTIM_MS = 4_000;
+    private static final double LAST_REPLICA_FACTOR = 4;
+    private static final double IDLE_PER_SECOND = 0.05;
+    private static final double LEAST_PER_SECOND = 0.01;
+    private static final double WAITING_PER_SECOND = 1;
+    private static final double LATE_SHARE = 0.3;
+    private static final double LOAD_MS_OF_FULL_RUNNER = 1_500;
+    private final ServiceState state;
+    private final Map<String, DemandState> demands;
+    private final Map<String, Integer> replicas = new HashMap<>();
+    private final Set<String> taken = new HashSet<>();
+    private final List<Directive> directives = new ArrayList<>();
+    private int storeLoads;
+
+    /** Way to bring a model to a runner. */
+    private record Option(RunnerState runner, List<String> victims, double costMs) {}
+
+    /** Model that needs one more runner. */
+    private record Need(DemandState demand, boolean cold, double urgency) {}
+
+    private ModelPolicy(ServiceState state) {
+        this.state = state;
+        this.demands = ModelDemands.byModel(state);
+        this.storeLoads = state.storeLoads();
+        state.runners().stream()
+                .filter(runner -> !runner.leaving())
+                .flatMap(runner -> runner.models().keySet().stream())
+                .forEach(model -> replicas.merge(model, 1, Integer::sum));
+    }
+
+    /**
+     * Plans.
+     *
+     * @param state runners and demand
+     * @return orders, at most one directive for each runner
+     */
+    static List<Directive> plan(ServiceState state) {
+        ModelPolicy policy = new ModelPolicy(state);
+        policy.serveNeeds();
+        policy.copyAhead();
+        return policy.directives;
+    }
+
+    private Engine engine() {
+        return state.engine();
+    }
+
+    private void serveNeeds() {
+        demands.values().stream()
+                .filter(demand -> engine().models().containsKey(demand.model().model()))
+                .map(this::need)
+                .flatMap(Optional::stream)
+                .sorted(Comparator.comparingDouble(Need::urgency).reversed())
+                .forEach(this::serve);
+    }
+
+    /** Returns the need of a model for one more runner, empty where those that hold or load it suffice. */
+    private Optional<Need> need(DemandState demand) {
+        String model = demand.model().model();
+        if (state.runners().stream().anyMatch(runner -> runner.loads(model))) {
+            return Optional.empty();
+        }
+        List<RunnerState> holders = state.runners().stream()
+                .filter(runner -> !runner.leaving() && runner.holds(model))
+                .toList();
+        if (holders.isEmpty()) {
+            return demand.waiting() > 0 ? Optional.of(new Need(demand, true, coldUrgency(demand))) : Optional.empty();
+        }
+        boolean crowded = holders.stream().allMatch(runner -> runner.load() > CROWDED_SHARE);
+        boolean alone = demand.perSecond() >= BUSY_PER_SECOND && holders.size() < BUSY_REPLICAS;
+        double urgency = demand.waiting() + (crowded ? demand.perSecond() : 0);
+        return crowded || alone ? Optional.of(new Need(demand, false, urgency)) : Optional.empty();
+    }
+
+    /** Requests that can still be on time go before those that are late anyway. */
+    private static double coldUrgency(DemandState demand) {
+        return demand.isLate() ? LATE_SHARE * demand.waiting() : demand.waiting();
+    }
+
+    private void serve(Need need) {
+        String model = need.demand().model().model();
+        state.runners().stream()
+                .filter(runner -> isOpen(runner, model))
+                .map(runner -> option(runner, model))
+                .flatMap(Optional::stream)
+                .filter(option ->
+                        need.cold() || option.victims().stream().allMatch(v -> isLessAskedFor(option, v, need)))
+                .min(Comparator.comparingDouble(Option::costMs))
+                .ifPresent(option -> carryOut(model, option, need.cold() ? "waiting" : "crowded"));
+    }
+
+    private boolean isOpen(RunnerState runner, String model) {
+        return runner.known()
+                && runner.idle()
+                && !runner.leaving()
+                && !taken.contains(runner.id())
+                && !runner.holds(model);
+    }
+
+    private double rate(String model) {
+        DemandState demand = demands.get(model);
+        if (demand == null) {
+            return LEAST_PER_SECOND;
+        }
+        double waiting = demand.waiting() > 0 ? WAITING_PER_SECOND : 0;
+        return Math.max(LEAST_PER_SECOND, demand.perSecond() + waiting);
+    }
+
+    /** Returns the cheapest way to bring a model to a runner, empty where it cannot make room. */
+    private Optional<Option> option(RunnerState runner, String model) {
+        Model wanted = engine().models().get(model);
+        double free = engine().weightsRoomMb() - ModelDemands.weightsMb(engine(), runner);
+        List<String> victims = new ArrayList<>();
+        double cost = loadMs(runner, wanted) + LOAD_MS_OF_FULL_RUNNER * runner.load();
+        List<String> byCost = runner.models().keySet().stream()
+                .filter(held -> engine().models().containsKey(held))
+                .sorted(Comparator.comparingDouble(held -> victimCost(runner, held)))
+                .toList();
+        for (String victim : byCost) {
+            if (free >= wanted.weightsMb()) {
+                break;
+            }
+            free += engine().models().get(victim).weightsMb();
+            cost += victimCost(runner, victim);
+            victims.add(victim);
+        }
+        return free < wanted.weightsMb() ? Optional.empty() : Optional.of(new Option(runner, victims, cost));
+    }
+
+    private double loadMs(RunnerState runner, Model model) {
+        if (runner.inMemory().contains(model.name())) {
+            return model.memoryLoadMs();
+        }
+        if (runner.onDisk().contains(model.name())) {
+            return model.diskLoadMs();
+        }
+        return model.storeLoadMs() * Math.max(1, (storeLoads + 1.0) / MAX_STORE_LOADS);
+    }
+
+    /** Returns what unloading a model costs later callers, in milliseconds of their waiting a second. */
+    private double victimCost(RunnerState runner, String victim) {
+        Model model = engine().models().get(victim);
+        double restartMs = runner.hasCopy(victim) ? model.diskLoadMs() : model.storeLoadMs();
+        double last = replicas.getOrDefault(victim, 1) <= 1 ? LAST_REPLICA_FACTOR : 1;
+        double busy = runner.requestsOf(victim) > 0 ? BUSY_VICTIM_MS : 0;
+        return rate(victim) * restartMs * last + busy;
+    }
+
+    private void carryOut(String model, Option option, String reason) {
+        RunnerState runner = option.runner();
+        boolean fromStore = !runner.hasCopy(model);
+        if (fromStore && (!state.storeLoadAllowed() || storeLoads >= MAX_STORE_LOADS)) {
+            return;
+        }
+        storeLoads += fromStore ? 1 : 0;
+        List<PlacementOrder> orders = new ArrayList<>();
+        option.victims().forEach(victim -> orders.add(new PlacementOrder.UnloadModel(victim)));
+        orders.add(new PlacementOrder.LoadModel(model));
+        taken.add(runner.id());
+        directives.add(new Directive(runner.id(), orders, reason));
+    }
+
+    private boolean isLessAskedFor(Option option, String victim, Need need) {
+        int holders = replicas.getOrDefault(need.demand().model().model(), 0);
+        double relief = need.demand().perSecond() / (1 + holders);
+        return option.runner().requestsOf(victim) == 0 && rate(victim) < relief / 2;
+    }
+
+    /** Brings models of which no runner has a copy to free memory or in place of idle ones, a few at a time. */
+    private void copyAhead() {
+        for (String model : engine().models().keySet().stream().sorted().toList()) {
+            if (storeLoads >= MAX_STORE_LOADS) {
+                return;
+            }
+            boolean copied = state.runners().stream()
+                    .filter(runner -> !runner.leaving())
+                    .anyMatch(runner -> runner.hasCopy(model) || runner.holds(model) || runner.loads(model));
+            if (!copied) {
+                copy(model);
+            }
+        }
+    }
+
+    private void copy(String model) {
+        state.runners().stream()
+                .filter(runner -> isOpen(runner, model))
+                .map(runner -> option(runner, model))
+                .flatMap(Optional::stream)
+                .filter(option -> option.victims().stream().allMatch(victim -> isSpare(option, victim)))
+                .min(Comparator.comparingDouble(Option::costMs))
+                .ifPresent(option -> carryOut(model, option, "ahead"));
+    }
+
+    /** Returns whether a model may make way for a copy ahead: idle, and soon loaded again. */
+    private boolean isSpare(Option option, String victim) {
+        boolean idle = option.runner().requestsOf(victim) == 0 && rate(victim) < IDLE_PER_SECOND;
+        boolean several = replicas.getOrDefault(victim, 1) > 1;
+        return idle && !several && option.runner().hasCopy(victim);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -0,0 +1,204 @@
+package io.persimmonstack.node.planning;
+
+import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.NodeMetrics;
+import io.persimmonstack.node.config.Engine;
+import io.persimmonstack.node.config.RoutingTable;
+import io.persimmonstack.node.config.Service;
+import io.persimmonstack.node.fleet.Fleet;
+import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.placing.RunnerReport;
+import io.persimmonstack.node.placing.RunnerUsage;
+import io.persimmonstack.runtime.event.EventLog;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+/** Plans the loads of all runners while this node leads. */
+public final class Planner implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(Planner.class);
+    private static final int TICK_MS = 30;
+    private static final long STORE_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final double STORE_WINDOW_SECONDS = 5;
+    private final FleetView fleet;
+    private final NodeReports reports;
+    private final Supplier<OptionalLong> leadTerm;
+    private final OrderDesk desk;
+    private final RunnerControl control;
+    private final ExecutorService threads;
+    private final Map<String, RunnerLedger> ledgers = new HashMap<>();
+    private final Deque<Long> storeLoads = new ArrayDeque<>();
+    private final Thread thread = Thread.ofVirtual().name("planner").unstarted(this::run);
+    private OptionalLong term = OptionalLong.empty();
+
+    private Planner(
+            FleetView fleet,
+            NodeReports reports,
+            Supplier<OptionalLong> leadTerm,
+            OrderDesk desk,
+            RunnerControl control,
+            ExecutorService threads) {
+        this.fleet = fleet;
+        this.reports = reports;
+        this.leadTerm = leadTerm;
+        this.desk = desk;
+        this.control = control;
+        this.threads = threads;
+    }
+
+    /**
+     * Starts the planner.
+     *
+     * @param fleet runners and configuration
+     * @param reports demand of all nodes
+     * @param leadTerm term of this node's lead, empty while it does not lead
+     * @param node name of this node
+     * @param control calls to runners
+     * @param threads starts a virtual thread for each call
+     * @param metrics counts orders
+     * @param onFenced told when a runner has seen a later term
+     */
+    public static Planner start(
+            FleetView fleet,
+            NodeReports reports,
+            Supplier<OptionalLong> leadTerm,
+            String node,
+            RunnerControl control,
+            ExecutorService threads,
+            NodeMetrics metrics,
+            Consumer<String> onFenced) {
+        OrderDesk desk = OrderDesk.of(node, control, metrics, onFenced);
+        Planner planner = new Planner(fleet, reports, leadTerm, desk, control, threads);
+        planner.thread.start();
+        return planner;
+    }
+
+    /** Returns what is known of the runners, with the requests in progress there from other nodes than the given. */
+    public List<RunnerReport> reportsFor(String node) {
+        List<RunnerUsage> uses = reports.usesExcept(node, System.nanoTime());
+        Map<String, List<RunnerUsage>> byRunner = uses.stream().collect(Collectors.groupingBy(RunnerUsage::runner));
+        synchronized (this) {
+            return ledgers.values().stream()
+                    .map(ledger ->
+                            report(ledger, byRunner.getOrDefault(ledger.runner().id(), List.of())))
+                    .toList();
+        }
+    }
+
+    private static RunnerReport report(RunnerLedger ledger, List<RunnerUsage> uses) {
+        return new RunnerReport(
+                ledger.runner().id(),
+                ledger.runner().startedMs(),
+                ledger.serving(),
+                uses.stream().mapToInt(RunnerUsage::requests).sum(),
+                uses.stream().mapToLong(RunnerUsage::tokens).sum());
+    }
+
+    private void run() {
+        try {
+            while (true) {
+                TimeUnit.MILLISECONDS.sleep(TICK_MS);
+                step();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void step() {
+        OptionalLong current = leadTerm.get();
+        if (!current.equals(term)) {
+            ledgers.clear();
+            term = current;
+        }
+        Fleet known = fleet.current();
+        if (term.isEmpty() || known.routing().isEmpty()) {
+            return;
+        }
+        RoutingTable routing = known.routing().get();
+        followRunners(known, routing);
+        ledgers.values().forEach(this::askStatus);
+        for (Service service : routing.services()) {
+            service.engine().ifPresent(engine -> plan(service.name(), engine));
+        }
+    }
+
+    private void followRunners(Fleet known, RoutingTable routing) {
+        Map<String, Runner> runners = new HashMap<>();
+        known.runners().values().stream()
+                .filter(runner -> routing.service(runner.service())
+                        .flatMap(Service::engine)
+                        .isPresent())
+                .forEach(runner -> runners.put(runner.id(), runner));
+        ledgers.entrySet().removeIf(entry -> {
+            Runner runner = runners.get(entry.getKey());
+            return runner == null || !runner.isSameProcess(entry.getValue().runner());
+        });
+        runners.values()
+                .forEach(runner -> ledgers.computeIfAbsent(runner.id(), id -> new RunnerLedger(runner))
+                        .describe(runner));
+    }
+
+    private void askStatus(RunnerLedger ledger) {
+        if (!ledger.wantsStatus(System.nanoTime())) {
+            return;
+        }
+        ledger.asking(System.nanoTime());
+        threads.execute(() -> {
+            try {
+                ledger.answered(control.status(ledger.runner()), System.nanoTime());
+            } catch (RunnerControlException e) {
+                ledger.notAnswered();
+                LOG.write(NodeEvent.REPORT_FAILED, ledger.runner().id(), e.getMessage());
+            }
+        });
+    }
+
+    private void plan(String service, Engine engine) {
+        long now = System.nanoTime();
+        List<RunnerUsage> uses = reports.usesExcept("", now);
+        List<RunnerState> states = ledgers.values().stream()
+                .filter(ledger -> ledger.runner().service().equals(service))
+                .map(ledger -> ledger.state(uses, engine))
+                .toList();
+        int loading = (int)
+                ledgers.values().stream().filter(RunnerLedger::loadsFromStore).count();
+        ServiceState state =
+                new ServiceState(engine, states, reports.demands(service, now), loading, storeLoadAllowed(engine, now));
+        ModelPolicy.plan(state).forEach(directive -> execute(directive, engine));
+        AdapterPolicy.plan(state).forEach(directive -> execute(directive, engine));
+    }
+
+    private boolean storeLoadAllowed(Engine engine, long nowNanos) {
+        while (!storeLoads.isEmpty() && nowNanos - storeLoads.peekFirst() > STORE_WINDOW_NANOS) {
+            storeLoads.removeFirst();
+        }
+        return storeLoads.size() + 1 <= Math.max(1, engine.storeLoadsPerSecond() * STORE_WINDOW_SECONDS);
+    }
+
+    private void execute(Directive directive, Engine engine) {
+        RunnerLedger ledger = ledgers.get(directive.runner());
+        if (term.isEmpty() || !ledger.begin(directive)) {
+            return;
+        }
+        if (!directive.ofAdapters() && ledger.loadsFromStore()) {
+            storeLoads.addLast(System.nanoTime());
+        }
+        long orderTerm = term.getAsLong();
+        threads.execute(() -> desk.carryOut(ledger, directive, orderTerm, engine));
+    }
+
+    @Override
+    public void close() {
+        thread.interrupt();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/planning/RateMeter.java
@@ -0,0 +1,19 @@
+package io.persimmonstack.node.planning;
+
+/** Events a second, with recent ones counting most. Pure: the time comes in as an argument. */
+final class RateMeter {
+    private static final double WINDOW_SECONDS = 5;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private double perSecond;
+    private long countedNanos;
+
+    void add(int events, long nowNanos) {
+        perSecond = perSecond(nowNanos) + events / WINDOW_SECONDS;
+        countedNanos = nowNanos;
+    }
+
+    double perSecond(long nowNanos) {
+        double seconds = (nowNanos - countedNanos) / NANOS_PER_SECOND;
+        return perSecond == 0 ? 0 : perSecond * Math.exp(-seconds / WINDOW_SECONDS);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerStatus.java
@@ -0,0 +1,51 @@
+package io.persimmonstack.node.planning;
+
+import io.persimmonstack.node.fleet.HeldModel;
+import io.persimmonstack.node.request.ModelRef;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * State of a runner by its own word, some hundred milliseconds old.
+ *
+ * @param busy whether an order is in progress
+ * @param sequence orders taken so far
+ * @param models models that it holds
+ * @param coming adapters on their way to it
+ * @param inMemory models with a copy in its host memory
+ * @param onDisk models with a copy on its disk
+ */
+public record RunnerStatus(
+        boolean busy,
+        long sequence,
+        List<HeldModel> models,
+        Set<ModelRef> coming,
+        Set<String> inMemory,
+        Set<String> onDisk) {
+    /** Copies the collections. */
+    public RunnerStatus {
+        models = List.copyOf(models);
+        coming = Set.copyOf(coming);
+        inMemory = Set.copyOf(inMemory);
+        onDisk = Set.copyOf(onDisk);
+    }
+
+    /** Returns whether an order has been carried out. */
+    boolean shows(PlacementOrder order) {
+        return switch (order) {
+            case PlacementOrder.LoadModel load -> holds(load.model());
+            case PlacementOrder.UnloadModel unload -> !holds(unload.model());
+            case PlacementOrder.LoadAdapter load -> holds(load.model(), load.adapter());
+            case PlacementOrder.UnloadAdapter unload -> !holds(unload.model(), unload.adapter());
+        };
+    }
+
+    private boolean holds(String model) {
+        return models.stream().anyMatch(held -> held.name().equals(model));
+    }
+
+    private boolean holds(String model, String adapter) {
+        return models.stream()
+                .anyMatch(held -> held.name().equals(model) && held.adapters().contains(adapter));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/planning/ServiceState.java
@@ -0,0 +1,20 @@
+package io.persimmonstack.node.planning;
+
+import io.persimmonstack.node.config.Engine;
+import java.util.List;
+
+/**
+ * Everything that the plan for one service depends on.
+ *
+ * @param engine what its runners can hold
+ * @param runners all its runners
+ * @param demands demand by model and adapter
+ * @param storeLoads loads from the weight store in progress over all runners
+ * @param storeLoadAllowed whether the rate of the weight store allows one more load now
+ */
+record ServiceState(
+        Engine engine,
+        List<RunnerState> runners,
+        List<DemandState> demands,
+        int storeLoads,
+        boolean storeLoadAllowed) {}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/request/Refusal.java
@@ -0,0 +1,44 @@
+package io.persimmonstack.node.request;
+
+import java.util.OptionalLong;
+
+/**
+ * Answer that the node gives by itself.
+ *
+ * @param status HTTP status; 503 only where no runner has worked on the request and none will
+ * @param reason cause, one word for logs and metrics
+ * @param detail what was found
+ * @param retryAfterMs when to come back, in milliseconds
+ */
+public record Refusal(int status, String reason, String detail, OptionalLong retryAfterMs) {
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    /** Returns the refusal of a request that cannot be understood. */
+    public static Refusal malformed(String detail) {
+        return new Refusal(BAD_REQUEST, "malformed", detail, OptionalLong.empty());
+    }
+
+    /** Returns the refusal of a request that no route matches. */
+    public static Refusal noRoute(String detail) {
+        return new Refusal(NOT_FOUND, "no-route", detail, OptionalLong.empty());
+    }
+
+    /** Returns the refusal of a request that has not run and will not. */
+    public static Refusal notRun(String reason, String detail, long retryAfterMs) {
+        return new Refusal(UNAVAILABLE, reason, detail, OptionalLong.of(retryAfterMs));
+    }
+
+    /** Returns the answer to a request that may have run and whose answer was lost. */
+    public static Refusal outcomeUnknown(String detail) {
+        return new Refusal(BAD_GATEWAY, "outcome-unknown", detail, OptionalLong.empty());
+    }
+
+    /** Returns the answer to a request that may have run and whose answer did not come in time. */
+    public static Refusal timeout(String detail) {
+        return new Refusal(GATEWAY_TIMEOUT, "timeout", detail, OptionalLong.empty());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/request/package-info.java
@@ -0,0 +1,2 @@
+/** Requests of callers, and what the node answers by itself. */
+package io.persimmonstack.node.request;
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/sending/EventReader.java
@@ -0,0 +1,92 @@
+package io.persimmonstack.node.sending;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Reads a stream of events, each whole, so that a part of one is never handed on. */
+final class EventReader {
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+    private static final int PART_BYTES = 4_096;
+    private static final String ID_FIELD = "id:";
+
+    /**
+     * One event.
+     *
+     * @param bytes the event with the empty line that ends it
+     * @param id its number, absent where it bears none
+     */
+    record StreamEvent(byte[] bytes, OptionalLong id) {}
+
+    private final InputStream body;
+    private final byte[] part = new byte[PART_BYTES];
+    private int position;
+    private int limit;
+
+    private EventReader(InputStream body) {
+        this.body = body;
+    }
+
+    static EventReader of(InputStream body) {
+        return new EventReader(body);
+    }
+
+    /**
+     * Reads the next event.
+     *
+     * @return the event, empty where the stream has ended after the one before
+     * @throws IOException if the stream broke or ended within an event
+     */
+    Optional<StreamEvent> next() throws IOException {
+        ByteArrayOutputStream event = new ByteArrayOutputStream();
+        int lineBytes = 0;
+        while (position < limit || fill()) {
+            byte next = part[position++];
+            event.write(next);
+            if (event.size() > MAX_EVENT_BYTES) {
+                throw new IOException("event longer than " + MAX_EVENT_BYTES + " bytes");
+            }
+            if (next == '\n') {
+                if (lineBytes == 0 && !isBlank(event)) {
+                    return Optional.of(event(event.toByteArray()));
+                }
+                lineBytes = 0;
+            } else if (next != '\r') {
+                lineBytes++;
+            }
+        }
+        if (!isBlank(event)) {
+            throw new IOException("stream ended within an event of " + event.size() + " bytes so far");
+        }
+        return Optional.empty();
+    }
+
+    /** Returns whether an event is already here, so that reading it does not wait. */
+    boolean hasMore() {
+        return position < limit;
+    }
+
+    private boolean fill() throws IOException {
+        position = 0;
+        limit = Math.max(0, body.read(part, 0, part.length));
+        return limit > 0;
+    }
+
+    private static boolean isBlank(ByteArrayOutputStream event) {
+        return event.size() == 0 || event.toString(StandardCharsets.ISO_8859_1).isBlank();
+    }
+
+    private static StreamEvent event(byte[] bytes) {
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        OptionalLong id = text.lines()
+                .filter(line -> line.startsWith(ID_FIELD))
+                .map(line -> line.substring(ID_FIELD.length()).strip())
+                .filter(value -> value.matches("\\d{1,18}"))
+                .mapToLong(Long::parseLong)
+                .findFirst();
+        return new StreamEvent(bytes, id);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/sending/Hop.java
@@ -0,0 +1,47 @@
+package io.persimmonstack.node.sending;
+
+import io.persimmonstack.backends.http.HttpHeader;
+import io.persimmonstack.router.request.Reply;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** Headers that concern one connection and are not handed on. */
+public final class Hop {
+    private static final Set<String> OF_CONNECTION = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect",
+            "content-length");
+
+    private Hop() {}
+
+    /** Returns the headers that are handed on: those of no connection, also not by the words of Connection. */
+    public static List<HttpHeader> endToEnd(List<HttpHeader> headers) {
+        Set<String> named = headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase("connection"))
+                .flatMap(header -> Stream.of(header.value().split(",")))
+                .map(name -> name.strip().toLowerCase(Locale.ROOT))
+                .collect(Collectors.toSet());
+        return headers.stream()
+                .filter(header -> !OF_CONNECTION.contains(header.name().toLowerCase(Locale.ROOT)))
+                .filter(header -> !named.contains(header.name().toLowerCase(Locale.ROOT)))
+                .toList();
+    }
+
+    /** Returns the headers of a runner's answer as those of the reply. */
+    static List<Reply.Header> forReply(List<HttpHeader> headers) {
+        return endToEnd(headers).stream()
+                .map(header -> new Reply.Header(header.name(), header.value()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/store/PeerFollower.java
@@ -0,0 +1,99 @@
+package io.persimmonstack.node.store;
+
+import io.persimmonstack.coordination.kv.KvChange;
+import io.persimmonstack.coordination.kv.KvEntry;
+import io.persimmonstack.coordination.kv.KvRange;
+import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.fleet.Leader;
+import io.persimmonstack.node.fleet.Peer;
+import io.persimmonstack.runtime.event.EventLog;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/** Keeps the nodes and the leader of the fleet view as the store lists them. */
+public final class PeerFollower implements PrefixFollower.Listener {
+    private static final EventLog LOG = EventLog.of(PeerFollower.class);
+    private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(3);
+    private final FleetView fleet;
+    private final SettledEntries<Peer> peers = SettledEntries.after(SETTLE_NANOS);
+    private Optional<Leader> leader = Optional.empty();
+
+    private PeerFollower(FleetView fleet) {
+        this.fleet = fleet;
+    }
+
+    /** Returns a listener for the keys of nodes. */
+    public static PeerFollower of(FleetView fleet) {
+        return new PeerFollower(fleet);
+    }
+
+    @Override
+    public synchronized void read(KvRange range) {
+        Optional<Leader> before = leader;
+        leader = Optional.empty();
+        range.entries().forEach(this::take);
+        Set<String> listed = range.entries().stream().map(KvEntry::key).collect(Collectors.toSet());
+        peers.retain(listed, System.nanoTime());
+        publish(before);
+    }
+
+    @Override
+    public synchronized void changed(KvChange change) {
+        Optional<Leader> before = leader;
+        switch (change) {
+            case KvChange.Written written -> take(written.entry());
+            case KvChange.Deleted deleted -> remove(deleted.key());
+        }
+        publish(before);
+    }
+
+    private void take(KvEntry entry) {
+        try {
+            Peer peer = NodeRecords.decode(entry.value());
+            if (entry.key().equals(NodeKeys.LEADER)) {
+                leader = Optional.of(new Leader(peer.node(), peer.link(), entry.revision()));
+            } else {
+                peers.put(entry.key(), peer);
+            }
+        } catch (UnreadableException e) {
+            LOG.write(NodeEvent.RUNNER_UNREADABLE, entry.key() + " " + e.getMessage(), entry.revision());
+        }
+    }
+
+    @Override
+    public synchronized void lost() {
+        peers.lost(System.nanoTime());
+    }
+
+    /** Removes nodes whose entries lapsed in an outage and have not come back. */
+    public synchronized void expire() {
+        if (!peers.expire(System.nanoTime()).isEmpty()) {
+            publish(leader);
+        }
+    }
+
+    private void remove(String key) {
+        peers.remove(key, System.nanoTime());
+        if (key.equals(NodeKeys.LEADER)) {
+            leader = Optional.empty();
+        }
+    }
+
+    private void publish(Optional<Leader> before) {
+        if (!leader.equals(before)) {
+            LOG.write(
+                    NodeEvent.LEADER_CHANGED,
+                    leader.map(Leader::node).orElse("-"),
+                    leader.map(Leader::term).orElse(0L));
+        }
+        Map<String, Peer> byName = new HashMap<>();
+        peers.entries().values().forEach(peer -> byName.put(peer.node(), peer));
+        Optional<Leader> known = leader;
+        fleet.update(now -> now.withPeers(byName, known));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/store/RoutingFollower.java
@@ -0,0 +1,68 @@
+package io.persimmonstack.node.store;
+
+import io.persimmonstack.coordination.kv.KvChange;
+import io.persimmonstack.coordination.kv.KvEntry;
+import io.persimmonstack.coordination.kv.KvRange;
+import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.config.RoutingTable;
+import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.runtime.event.EventLog;
+
+/** Puts each newer configuration into force; an older or unreadable one changes nothing. */
+public final class RoutingFollower implements PrefixFollower.Listener {
+    private static final EventLog LOG = EventLog.of(RoutingFollower.class);
+    private final String key;
+    private final RoutingDecoder decoder;
+    private final FleetView fleet;
+
+    private RoutingFollower(String key, RoutingDecoder decoder, FleetView fleet) {
+        this.key = key;
+        this.decoder = decoder;
+        this.fleet = fleet;
+    }
+
+    /**
+     * Returns a listener for the key of the configuration.
+     *
+     * @param key key whose value is the newest configuration
+     * @param decoder reads the value
+     * @param fleet where the configuration is put into force
+     */
+    public static RoutingFollower of(String key, RoutingDecoder decoder, FleetView fleet) {
+        return new RoutingFollower(key, decoder, fleet);
+    }
+
+    @Override
+    public void read(KvRange range) {
+        range.entries().forEach(this::take);
+    }
+
+    @Override
+    public void changed(KvChange change) {
+        if (change instanceof KvChange.Written written) {
+            take(written.entry());
+        }
+    }
+
+    private void take(KvEntry entry) {
+        if (!entry.key().equals(key)) {
+            return;
+        }
+        try {
+            RoutingTable routing = decoder.routing(entry.value());
+            long before = fleet.current().routing().map(RoutingTable::version).orElse(0L);
+            if (routing.version() > before) {
+                fleet.update(now -> now.withRouting(routing));
+                LOG.write(
+                        NodeEvent.CONFIGURATION,
+                        routing.version(),
+                        before,
+                        entry.revision(),
+                        routing.routeCount(),
+                        routing.services().size());
+            }
+        } catch (UnreadableException e) {
+            LOG.write(NodeEvent.CONFIGURATION_UNREADABLE, entry.revision(), e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
@@ -0,0 +1,117 @@
+package io.persimmonstack.node.store;
+
+import io.persimmonstack.coordination.kv.KvChange;
+import io.persimmonstack.coordination.kv.KvEntry;
+import io.persimmonstack.coordination.kv.KvRange;
+import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.runtime.event.EventLog;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/** Keeps the runners of the fleet view as the store lists them. */
+public final class RunnerFollower implements PrefixFollower.Listener {
+    private static final EventLog LOG = EventLog.of(RunnerFollower.class);
+    private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    private final String prefix;
+    private final RunnerDecoder decoder;
+    private final FleetView fleet;
+    private final SettledEntries<Runner> list = SettledEntries.after(SETTLE_NANOS);
+    private long revision;
+
+    private RunnerFollower(String prefix, RunnerDecoder decoder, FleetView fleet) {
+        this.prefix = prefix;
+        this.decoder = decoder;
+        this.fleet = fleet;
+    }
+
+    /**
+     * Returns a listener for the keys of runners.
+     *
+     * @param prefix beginning of the keys; the rest is the identifier
+     * @param decoder reads the values
+     * @param fleet where the runners are shown
+     */
+    public static RunnerFollower of(String prefix, RunnerDecoder decoder, FleetView fleet) {
+        return new RunnerFollower(prefix, decoder, fleet);
+    }
+
+    @Override
+    public synchronized void read(KvRange range) {
+        revision = range.revision();
+        Set<String> listed =
+                range.entries().stream().map(entry -> id(entry.key())).collect(Collectors.toSet());
+        range.entries().forEach(this::take);
+        logGone(list.retain(listed, System.nanoTime()), "not listed");
+        publish();
+    }
+
+    @Override
+    public synchronized void changed(KvChange change) {
+        switch (change) {
+            case KvChange.Written written -> {
+                revision = written.entry().revision();
+                take(written.entry());
+            }
+            case KvChange.Deleted deleted -> {
+                revision = deleted.revision();
+                String id = id(deleted.key());
+                if (list.remove(id, System.nanoTime())) {
+                    logGone(List.of(id), "entry removed");
+                }
+            }
+        }
+        publish();
+    }
+
+    @Override
+    public synchronized void lost() {
+        list.lost(System.nanoTime());
+    }
+
+    /** Removes runners whose entries lapsed in an outage and have not come back. */
+    public synchronized void expire() {
+        List<String> over = list.expire(System.nanoTime());
+        if (!over.isEmpty()) {
+            logGone(over, "not back after an outage");
+            publish();
+        }
+    }
+
+    private void take(KvEntry entry) {
+        String id = id(entry.key());
+        try {
+            Runner runner = decoder.runner(id, entry.value());
+            Runner before = list.entries().get(id);
+            boolean ofEarlierProcess = before != null && before.startedMs() > runner.startedMs();
+            if (!ofEarlierProcess && list.put(id, runner)) {
+                LOG.write(
+                        NodeEvent.RUNNER_CHANGED,
+                        id,
+                        runner.service(),
+                        runner.address(),
+                        runner.leaving(),
+                        runner.models().stream().map(model -> model.name()).toList(),
+                        entry.revision());
+            }
+        } catch (UnreadableException e) {
+            LOG.write(NodeEvent.RUNNER_UNREADABLE, id + " " + e.getMessage(), entry.revision());
+        }
+    }
+
+    private String id(String key) {
+        return key.substring(prefix.length());
+    }
+
+    private void logGone(List<String> ids, String cause) {
+        ids.forEach(id -> LOG.write(NodeEvent.RUNNER_GONE, id, revision, cause));
+    }
+
+    private void publish() {
+        long known = revision;
+        fleet.update(now -> now.withRunners(list.entries(), known));
+    }
+}
--- a/router/src/main/java/io/persimmonstack/router/callers/CallerWatch.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallerWatch.java
@@ -14,14 +14,15 @@
  * while a request is in progress, so the connection is looked at from time to time on its I/O thread; later, writes
  * tell. Connections with TLS are not looked at.
  */
-final class CallerWatch implements AutoCloseable {
+public final class CallerWatch implements AutoCloseable {
     private static final long INTERVAL_MS = 200;
     private final Set<Watched> watched = ConcurrentHashMap.newKeySet();
     private final Thread thread = Thread.ofVirtual().name("caller-watch").unstarted(this::run);
 
     private CallerWatch() {}
 
-    static CallerWatch start() {
+    /** Starts watching. */
+    public static CallerWatch start() {
         CallerWatch watch = new CallerWatch();
         watch.thread.start();
         return watch;
--- a/router/src/main/java/io/persimmonstack/router/callers/UndertowReply.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/UndertowReply.java
@@ -18,7 +18,7 @@
 import org.xnio.IoUtils;
 
 /** Reply through an exchange of Undertow. Each write waits until the connection has taken it, so memory is bounded. */
-final class UndertowReply implements Reply {
+public final class UndertowReply implements Reply {
     private static final HttpString REQUEST_ID = HttpString.tryFromString("X-Request-Id");
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
@@ -36,7 +36,9 @@
         this.watched = watch.add(exchange, () -> whenGone.get().run());
     }
 
-    static UndertowReply to(HttpServerExchange exchange, String requestId, long slowCallerMs, CallerWatch watch) {
+    /** Returns the way back to the caller of an exchange, which is watched until its answer begins. */
+    public static UndertowReply to(
+            HttpServerExchange exchange, String requestId, long slowCallerMs, CallerWatch watch) {
         return new UndertowReply(exchange, requestId, slowCallerMs, watch);
     }
 
@@ -127,7 +129,8 @@
         whenGone.set(action);
     }
 
-    void closeAfterwards() {
+    /** Asks the caller to close the connection after this answer. */
+    public void closeAfterwards() {
         exchange.getResponseHeaders().put(Headers.CONNECTION, Headers.CLOSE.toString());
     }
 }
--- a/runtime/src/main/java/io/persimmonstack/runtime/ProgramMain.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/ProgramMain.java
@@ -17,6 +17,7 @@
 /** Runs a {@link Program}: options, settings, admin port, graceful stop on SIGTERM, exit code. */
 public final class ProgramMain {
     private static final EventLog LOG = EventLog.of(ProgramMain.class);
+    private static final CountDownLatch STOPPED = new CountDownLatch(1);
 
     private ProgramMain() {}
 
@@ -91,41 +92,60 @@
 
     private static <S extends Record> void serve(Program<S> program, S settings, AdminSettings admin)
             throws RuntimeFailure {
-        Thread.setDefaultUncaughtExceptionHandler(
-                (thread, error) -> LOG.write(FrameEvent.UNCAUGHT, thread.getName(), error.toString(), error));
-        CountDownLatch stopAsked = new CountDownLatch(1);
-        CountDownLatch stopped = new CountDownLatch(1);
+        logUncaught();
         try (Closer closer = Closer.create()) {
             Tracing tracing = closer.add(Tracing.of(program.name()));
             ProgramContext context = new ProgramContext(new MetricRegistry(), Readiness.starting(), tracing, closer);
             closer.add(AdminServer.start(admin.ip(), admin.port(), program.adminTls(settings), context));
             RunningProgram running = closer.add(program.start(settings, context));
             LOG.write(FrameEvent.STARTED, program.name(), admin.port());
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> awaitStop(stopAsked, stopped), "stop"));
-            awaitQuietly(stopAsked);
-            stop(program, running);
+            runUntilStopped(program.name(), running);
         } finally {
-            LogManager.shutdown();
-            stopped.countDown();
+            finished();
         }
     }
 
+    /** Logs what threads end with. */
+    public static void logUncaught() {
+        Thread.setDefaultUncaughtExceptionHandler(
+                (thread, error) -> LOG.write(FrameEvent.UNCAUGHT, thread.getName(), error.toString(), error));
+    }
+
+    /**
+     * Waits for SIGTERM and stops the program gracefully. The process ends after {@link #finished()}.
+     *
+     * @param name name of the program
+     * @param running program to stop
+     */
+    public static void runUntilStopped(String name, RunningProgram running) {
+        CountDownLatch stopAsked = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> awaitStop(stopAsked), "stop"));
+        awaitQuietly(stopAsked);
+        stop(name, running);
+    }
+
+    /** Lets the process end once all resources are closed. */
+    public static void finished() {
+        LogManager.shutdown();
+        STOPPED.countDown();
+    }
+
     /** Ends the process with exit code 0 after a graceful stop; a signal would otherwise leave 143. */
-    private static void awaitStop(CountDownLatch stopAsked, CountDownLatch stopped) {
+    private static void awaitStop(CountDownLatch stopAsked) {
         stopAsked.countDown();
-        awaitQuietly(stopped);
+        awaitQuietly(STOPPED);
         Runtime.getRuntime().halt(ExitCode.OK.code());
     }
 
-    private static void stop(Program<?> program, RunningProgram running) {
+    private static void stop(String name, RunningProgram running) {
         long begun = System.nanoTime();
-        LOG.write(FrameEvent.STOPPING, program.name());
+        LOG.write(FrameEvent.STOPPING, name);
         try {
             running.stop();
-            LOG.write(FrameEvent.STOPPED, program.name(), (System.nanoTime() - begun) / 1_000_000);
+            LOG.write(FrameEvent.STOPPED, name, (System.nanoTime() - begun) / 1_000_000);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            LOG.write(FrameEvent.STOP_FAILED, program.name(), "interrupted");
+            LOG.write(FrameEvent.STOP_FAILED, name, "interrupted");
         }
     }
 
--- a/runtime/src/main/java/io/persimmonstack/runtime/admin/MetricsPage.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/admin/MetricsPage.java
@@ -11,7 +11,7 @@
 import java.util.TreeMap;
 
 /** Writes all metrics as one JSON object, names in order. */
-final class MetricsPage {
+public final class MetricsPage {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private final MetricRegistry metrics;
 
@@ -19,11 +19,13 @@
         this.metrics = metrics;
     }
 
-    static MetricsPage of(MetricRegistry metrics) {
+    /** Returns the page of a registry. */
+    public static MetricsPage of(MetricRegistry metrics) {
         return new MetricsPage(metrics);
     }
 
-    String json() {
+    /** Returns the current values as JSON text. */
+    public String json() {
         ObjectNode page = MAPPER.createObjectNode();
         new TreeMap<>(metrics.getMetrics()).forEach((name, metric) -> write(page, name, metric));
         return page.toPrettyString() + "\n";
--- a/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
@@ -8597,15 +8597,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map176 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map176.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key177;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val178;
-                  for (int _i179 = 0; _i179 < _map176.size; ++_i179)
+                  org.apache.thrift.protocol.TMap _map224 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map224.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key225;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val226;
+                  for (int _i227 = 0; _i227 < _map224.size; ++_i227)
                   {
-                    _key177 = iprot.readString();
-                    _val178 = iprot.readString();
-                    struct.trace.put(_key177, _val178);
+                    _key225 = iprot.readString();
+                    _val226 = iprot.readString();
+                    struct.trace.put(_key225, _val226);
                   }
                   iprot.readMapEnd();
                 }
@@ -8639,10 +8639,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter180 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter228 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter180.getKey());
-              oprot.writeString(_iter180.getValue());
+              oprot.writeString(_iter228.getKey());
+              oprot.writeString(_iter228.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -8680,10 +8680,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter181 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter229 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter181.getKey());
-              oprot.writeString(_iter181.getValue());
+              oprot.writeString(_iter229.getKey());
+              oprot.writeString(_iter229.getValue());
             }
           }
         }
@@ -8700,15 +8700,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map182 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map182.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key183;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val184;
-            for (int _i185 = 0; _i185 < _map182.size; ++_i185)
+            org.apache.thrift.protocol.TMap _map230 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map230.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key231;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val232;
+            for (int _i233 = 0; _i233 < _map230.size; ++_i233)
             {
-              _key183 = iprot.readString();
-              _val184 = iprot.readString();
-              struct.trace.put(_key183, _val184);
+              _key231 = iprot.readString();
+              _val232 = iprot.readString();
+              struct.trace.put(_key231, _val232);
             }
           }
           struct.setTraceIsSet(true);
@@ -9620,14 +9620,14 @@
             case 1: // USES
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list186 = iprot.readListBegin();
-                  struct.uses = new java.util.ArrayList<ModelUse>(_list186.size);
-                  @org.apache.thrift.annotation.Nullable ModelUse _elem187;
-                  for (int _i188 = 0; _i188 < _list186.size; ++_i188)
+                  org.apache.thrift.protocol.TList _list234 = iprot.readListBegin();
+                  struct.uses = new java.util.ArrayList<ModelUse>(_list234.size);
+                  @org.apache.thrift.annotation.Nullable ModelUse _elem235;
+                  for (int _i236 = 0; _i236 < _list234.size; ++_i236)
                   {
-                    _elem187 = new ModelUse();
-                    _elem187.read(iprot);
-                    struct.uses.add(_elem187);
+                    _elem235 = new ModelUse();
+                    _elem235.read(iprot);
+                    struct.uses.add(_elem235);
                   }
                   iprot.readListEnd();
                 }
@@ -9664,9 +9664,9 @@
           oprot.writeFieldBegin(USES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-            for (ModelUse _iter189 : struct.uses)
+            for (ModelUse _iter237 : struct.uses)
             {
-              _iter189.write(oprot);
+              _iter237.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -9704,9 +9704,9 @@
         if (struct.isSetUses()) {
           {
             oprot.writeI32(struct.uses.size());
-            for (ModelUse _iter190 : struct.uses)
+            for (ModelUse _iter238 : struct.uses)
             {
-              _iter190.write(oprot);
+              _iter238.write(oprot);
             }
           }
         }
@@ -9721,14 +9721,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list191 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.uses = new java.util.ArrayList<ModelUse>(_list191.size);
-            @org.apache.thrift.annotation.Nullable ModelUse _elem192;
-            for (int _i193 = 0; _i193 < _list191.size; ++_i193)
+            org.apache.thrift.protocol.TList _list239 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.uses = new java.util.ArrayList<ModelUse>(_list239.size);
+            @org.apache.thrift.annotation.Nullable ModelUse _elem240;
+            for (int _i241 = 0; _i241 < _list239.size; ++_i241)
             {
-              _elem192 = new ModelUse();
-              _elem192.read(iprot);
-              struct.uses.add(_elem192);
+              _elem240 = new ModelUse();
+              _elem240.read(iprot);
+              struct.uses.add(_elem240);
             }
           }
           struct.setUsesIsSet(true);
@@ -14385,14 +14385,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list194 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StatusLine>(_list194.size);
-                  @org.apache.thrift.annotation.Nullable StatusLine _elem195;
-                  for (int _i196 = 0; _i196 < _list194.size; ++_i196)
+                  org.apache.thrift.protocol.TList _list242 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StatusLine>(_list242.size);
+                  @org.apache.thrift.annotation.Nullable StatusLine _elem243;
+                  for (int _i244 = 0; _i244 < _list242.size; ++_i244)
                   {
-                    _elem195 = new StatusLine();
-                    _elem195.read(iprot);
-                    struct.success.add(_elem195);
+                    _elem243 = new StatusLine();
+                    _elem243.read(iprot);
+                    struct.success.add(_elem243);
                   }
                   iprot.readListEnd();
                 }
@@ -14430,9 +14430,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StatusLine _iter197 : struct.success)
+            for (StatusLine _iter245 : struct.success)
             {
-              _iter197.write(oprot);
+              _iter245.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -14472,9 +14472,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StatusLine _iter198 : struct.success)
+            for (StatusLine _iter246 : struct.success)
             {
-              _iter198.write(oprot);
+              _iter246.write(oprot);
             }
           }
         }
@@ -14489,14 +14489,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list199 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StatusLine>(_list199.size);
-            @org.apache.thrift.annotation.Nullable StatusLine _elem200;
-            for (int _i201 = 0; _i201 < _list199.size; ++_i201)
+            org.apache.thrift.protocol.TList _list247 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StatusLine>(_list247.size);
+            @org.apache.thrift.annotation.Nullable StatusLine _elem248;
+            for (int _i249 = 0; _i249 < _list247.size; ++_i249)
             {
-              _elem200 = new StatusLine();
-              _elem200.read(iprot);
-              struct.success.add(_elem200);
+              _elem248 = new StatusLine();
+              _elem248.read(iprot);
+              struct.success.add(_elem248);
             }
           }
           struct.setSuccessIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
@@ -947,15 +947,15 @@
             case 3: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map202 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map202.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key203;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val204;
-                  for (int _i205 = 0; _i205 < _map202.size; ++_i205)
+                  org.apache.thrift.protocol.TMap _map250 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map250.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key251;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val252;
+                  for (int _i253 = 0; _i253 < _map250.size; ++_i253)
                   {
-                    _key203 = iprot.readString();
-                    _val204 = iprot.readString();
-                    struct.trace.put(_key203, _val204);
+                    _key251 = iprot.readString();
+                    _val252 = iprot.readString();
+                    struct.trace.put(_key251, _val252);
                   }
                   iprot.readMapEnd();
                 }
@@ -992,10 +992,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter206 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter254 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter206.getKey());
-              oprot.writeString(_iter206.getValue());
+              oprot.writeString(_iter254.getKey());
+              oprot.writeString(_iter254.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1039,10 +1039,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter207 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter255 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter207.getKey());
-              oprot.writeString(_iter207.getValue());
+              oprot.writeString(_iter255.getKey());
+              oprot.writeString(_iter255.getValue());
             }
           }
         }
@@ -1063,15 +1063,15 @@
         }
         if (incoming.get(2)) {
           {
-            org.apache.thrift.protocol.TMap _map208 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map208.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key209;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val210;
-            for (int _i211 = 0; _i211 < _map208.size; ++_i211)
+            org.apache.thrift.protocol.TMap _map256 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map256.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key257;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val258;
+            for (int _i259 = 0; _i259 < _map256.size; ++_i259)
             {
-              _key209 = iprot.readString();
-              _val210 = iprot.readString();
-              struct.trace.put(_key209, _val210);
+              _key257 = iprot.readString();
+              _val258 = iprot.readString();
+              struct.trace.put(_key257, _val258);
             }
           }
           struct.setTraceIsSet(true);
@@ -1991,15 +1991,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map212 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map212.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key213;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val214;
-                  for (int _i215 = 0; _i215 < _map212.size; ++_i215)
+                  org.apache.thrift.protocol.TMap _map260 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map260.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key261;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val262;
+                  for (int _i263 = 0; _i263 < _map260.size; ++_i263)
                   {
-                    _key213 = iprot.readString();
-                    _val214 = iprot.readString();
-                    struct.trace.put(_key213, _val214);
+                    _key261 = iprot.readString();
+                    _val262 = iprot.readString();
+                    struct.trace.put(_key261, _val262);
                   }
                   iprot.readMapEnd();
                 }
@@ -2033,10 +2033,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter216 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter264 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter216.getKey());
-              oprot.writeString(_iter216.getValue());
+              oprot.writeString(_iter264.getKey());
+              oprot.writeString(_iter264.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -2074,10 +2074,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter217 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter265 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter217.getKey());
-              oprot.writeString(_iter217.getValue());
+              oprot.writeString(_iter265.getKey());
+              oprot.writeString(_iter265.getValue());
             }
           }
         }
@@ -2094,15 +2094,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map218 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map218.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key219;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val220;
-            for (int _i221 = 0; _i221 < _map218.size; ++_i221)
+            org.apache.thrift.protocol.TMap _map266 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map266.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key267;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val268;
+            for (int _i269 = 0; _i269 < _map266.size; ++_i269)
             {
-              _key219 = iprot.readString();
-              _val220 = iprot.readString();
-              struct.trace.put(_key219, _val220);
+              _key267 = iprot.readString();
+              _val268 = iprot.readString();
+              struct.trace.put(_key267, _val268);
             }
           }
           struct.setTraceIsSet(true);
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -280,3 +280,81 @@
   ClaimAnswer claim(1: ClaimRecord claim, 2: i32 waitMs, 3: map<string, string> trace) throws (1: WireRefusal refusal)
   void settle(1: ClaimRecord outcome, 2: map<string, string> trace) throws (1: WireRefusal refusal)
 }
+
+// ---------------------------------------------------------------- between persimmon-node processes
+
+/** Work that a node has in progress at one runner. */
+struct RunnerUse {
+  1: required string runner
+  2: required string model                  // empty for plain services
+  3: required string adapter                // empty for the model itself
+  4: required i32 requests
+  5: required i64 tokens                    // prompt and expected output tokens of these requests
+}
+
+/** Value of the keys of nodes and of the leader in the key-value service. */
+struct NodeRecord {
+  1: required string node
+  2: required i64 startedMs
+  3: required string zone
+  4: required string callers                // ip:port for requests
+  5: required string link                   // ip:port for NodeLink
+}
+
+/** What a node's callers ask of a model, or of one of its adapters, since the last report. */
+struct ModelNeed {
+  1: required string serviceName
+  2: required string model
+  3: required string adapter                // empty for the model itself
+  4: required i32 waiting                   // requests that wait because no runner has it or none has room
+  5: required i32 arrived                   // requests that arrived since the last report
+  6: required i64 oldestMs                  // how long the oldest waiting request has waited
+  7: required i64 targetMs                  // latency target of that request
+}
+
+/** Report of a node to the leader. */
+struct NodeLoad {
+  1: required string node
+  2: required i64 sequence                  // rises with each report of one process
+  3: required i64 configurationVersion
+  4: required i64 runnersRevision           // store revision up to which the node knows the runners
+  5: required list<RunnerUse> uses
+  6: required list<ModelNeed> needs
+}
+
+/** Model that a runner holds, with the adapters loaded for it. */
+struct HeldModel {
+  1: required string model
+  2: required i64 version
+  3: required list<string> adapters
+}
+
+/** What the leader knows of one runner. */
+struct RunnerHolding {
+  1: required string runner
+  2: required i64 startedMs                 // start of the runner's process, by its own clock
+  3: required list<HeldModel> models
+  4: required i32 requestsElsewhere         // requests in progress there from other nodes
+  5: required i64 tokensElsewhere
+}
+
+/** Model that no runner will hold soon, so that waiting for it is in vain. */
+struct UnservedModel {
+  1: required string serviceName
+  2: required string model
+  3: required i64 retryAfterMs
+}
+
+/** Answer of the leader to a report. */
+struct FleetLoad {
+  1: required i64 term                      // store revision at which the leader was elected
+  2: required i64 configurationVersion
+  3: required i64 runnersRevision
+  4: required list<RunnerHolding> runners
+  5: required list<UnservedModel> unserved
+}
+
+service NodeLink {
+  /** Reports the node's load and returns the load of the fleet; refused by a node that does not lead. */
+  FleetLoad exchange(1: NodeLoad load) throws (1: WireRefusal refusal)
+}
