planner: no thrash between models

Cause: a model just loaded was unloaded for the next one before its waiting requests had been sent, since demand for its adapters was not counted as its own; a busy model's third replica was dearer than a rare model's last; adapter orders met runners that were loading (409), which made their state unknown for 300 ms; a load from disk was taken as done 250 ms late, by reports that lag 100 to 200 ms. Now replicas that others can stand in for go first, models in use or awaited make way only for requests that have waited 1.5 s, and loads from disk or memory end by prediction, corrected by the next report.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.node;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.node.callers.Departure;
 import io.persimmonstack.node.callers.Directory;
 import io.persimmonstack.node.callers.RequestReceiver;
 import io.persimmonstack.node.callers.RequestServer;
@@ -42,13 +43,14 @@
     private static final int POLL_MS = 50;
     private static final int HOUSEKEEPING_MS = 200;
     private static final long LINGER_MS = 3_200;
-    private static final long EXIT_MS = 800;
+    private static final long EXIT_MS = 400;
     private final NodeOptions options;
     private final Closer closer;
     private final FleetView fleet;
     private final RequestReceiver receiver;
     private final StoreSession session;
-    private volatile boolean leaving;
+    private final Departure departure;
+    private final Placer placer;
     private volatile boolean readyLogged;
 
     private Node(NodeOptions options, NodePorts ports, MetricRegistry registry, Closer closer) throws ProgramException {
@@ -59,17 +61,18 @@
         long startedMs = System.currentTimeMillis();
         LOG.write(NodeEvent.STARTED, options.name(), options.zone(), startedMs);
         ExecutorService threads = closer.add(Executors.newVirtualThreadPerTaskExecutor());
-        Placer placer = Placer.following(fleet, options.zone());
+        this.departure = Departure.within(options.graceMs());
+        this.placer = Placer.following(fleet, options.zone());
         Dispatcher dispatcher =
                 Dispatcher.of(fleet, placer, RepeatBudget.of(options.budget()), ports.connector(), ports.protocol());
-        RequestServer server = RequestServer.of(fleet, ports.protocol(), dispatcher, metrics);
-        this.receiver = closer.add(RequestReceiver.of(server, threads, () -> leaving));
+        RequestServer server = RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, departure);
+        this.receiver = closer.add(RequestReceiver.of(server, threads, departure::hasBegun));
         follow(ports);
         Peer self = new Peer(options.name(), startedMs, options.zone(), options.callers(), options.link());
         this.session = StoreSession.start(ports.store(), fleet, self, this::canServe);
         closer.add(session);
-        startPlanning(ports, placer, threads, metrics);
-        gauges(registry, placer);
+        startPlanning(ports, threads, metrics);
+        gauges(registry);
     }
 
     /**
@@ -108,8 +111,7 @@
         }
     }
 
-    private void startPlanning(NodePorts ports, Placer placer, ExecutorService threads, NodeMetrics metrics)
-            throws ProgramException {
+    private void startPlanning(NodePorts ports, ExecutorService threads, NodeMetrics metrics) throws ProgramException {
         Supplier<OptionalLong> leadTerm = session::leadTerm;
         NodeReports reports = NodeReports.none();
         Planner planner = closer.add(Planner.start(
@@ -124,7 +126,7 @@
         closer.add(LoadReporter.start(options.name(), fleet, placer, leader, links));
     }
 
-    private void gauges(MetricRegistry registry, Placer placer) {
+    private void gauges(MetricRegistry registry) {
         registry.gauge("requests.open", () -> receiver::open);
         registry.gauge("requests.waiting", () -> placer::waiting);
         registry.gauge("fleet.runners", () -> () -> fleet.current().runners().size());
@@ -158,17 +160,18 @@
     }
 
     private boolean canServe() {
-        return fleet.current().isKnown() && !leaving;
+        return fleet.current().isKnown() && !departure.hasBegun();
     }
 
     @Override
     public void stop() throws InterruptedException {
-        leaving = true;
         LOG.write(NodeEvent.LEAVING, options.name(), receiver.open());
         long begunNanos = System.nanoTime();
+        departure.begin(begunNanos);
         session.close();
         long leftMs = options.graceMs() - EXIT_MS;
         while (elapsedMs(begunNanos) < leftMs && (elapsedMs(begunNanos) < LINGER_MS || receiver.open() > 0)) {
+            placer.refuseUnless(request -> departure.takes(request.route(), System.nanoTime()));
             TimeUnit.MILLISECONDS.sleep(POLL_MS);
         }
         LOG.write(NodeEvent.LEFT, options.name(), receiver.open());
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -35,8 +35,11 @@
     private final RunnerProtocol protocol;
     private final Dispatcher dispatcher;
     private final NodeMetrics metrics;
+    private final Departure departure;
 
-    private RequestServer(FleetView fleet, RunnerProtocol protocol, Dispatcher dispatcher, NodeMetrics metrics) {
+    private RequestServer(
+            FleetView fleet, RunnerProtocol protocol, Dispatcher dispatcher, NodeMetrics metrics, Departure departure) {
+        this.departure = departure;
         this.fleet = fleet;
         this.protocol = protocol;
         this.dispatcher = dispatcher;
@@ -50,10 +53,11 @@
      * @param protocol reads requests
      * @param dispatcher sends them to runners
      * @param metrics counts them
+     * @param departure says which requests a leaving node still takes
      */
     public static RequestServer of(
-            FleetView fleet, RunnerProtocol protocol, Dispatcher dispatcher, NodeMetrics metrics) {
-        return new RequestServer(fleet, protocol, dispatcher, metrics);
+            FleetView fleet, RunnerProtocol protocol, Dispatcher dispatcher, NodeMetrics metrics, Departure departure) {
+        return new RequestServer(fleet, protocol, dispatcher, metrics, departure);
     }
 
     /**
@@ -94,6 +98,9 @@
                 .orElseThrow(() -> new RefusedException(
                         Refusal.noRoute(caller.host() + caller.path() + " in configuration " + routing.version())));
         trace.route = route;
+        if (!departure.takes(route, System.nanoTime())) {
+            throw new RefusedException(Refusal.notRun("leaving", "this node is about to end", 0));
+        }
         String name = route.service(ThreadLocalRandom.current().nextDouble());
         Service service = routing.service(name)
                 .orElseThrow(() ->
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** Gives each request a place at a runner, or lets it wait for one in order of rank and age. */
 public final class Placer {
@@ -256,6 +258,25 @@
         }
     }
 
+    /**
+     * Refuses the waiting requests that a leaving node does not take any more.
+     *
+     * @param stays whether a request may still be placed
+     */
+    public void refuseUnless(Predicate<ActiveRequest> stays) {
+        lock.lock();
+        try {
+            List<Waiter> refused = waiters.stream()
+                    .filter(waiter -> !stays.test(waiter.request()))
+                    .toList();
+            waiters.removeAll(refused);
+            refused.forEach(waiter ->
+                    waiter.refuse(new RefusedException(Refusal.notRun("leaving", "this node is about to end", 0))));
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** A runner turned out to lack a model. */
     public void lacks(Runner runner, ModelRef model) {
         observe(runner, book -> book.lacks(model, System.nanoTime()));
@@ -276,7 +297,7 @@
         observe(runner, book -> book.failed(System.nanoTime()));
     }
 
-    private void observe(Runner runner, java.util.function.Consumer<RunnerBook> observation) {
+    private void observe(Runner runner, Consumer<RunnerBook> observation) {
         lock.lock();
         try {
             RunnerBook book = books.get(runner.id());
--- a/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
@@ -71,6 +71,7 @@
 
     private boolean isOpen(RunnerState runner, ModelRef adapter) {
         return runner.known()
+                && runner.idle()
                 && !runner.leaving()
                 && !ordered.contains(runner.id())
                 && runner.adaptersComing().size() < MAX_IN_TRANSIT
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelDemands.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelDemands.java
@@ -11,17 +11,17 @@
 final class ModelDemands {
     private ModelDemands() {}
 
-    /** Returns the demand of each model: its own, and that of its adapters where no runner holds the model. */
+    /** Returns the demand of each model, that of its adapters included. */
     static Map<String, DemandState> byModel(ServiceState state) {
         Map<String, DemandState> byModel = new HashMap<>();
         for (DemandState demand : state.demands()) {
             String model = demand.model().model();
-            boolean held = state.runners().stream().anyMatch(runner -> !runner.leaving() && runner.holds(model));
-            boolean waitsForAdapter = demand.model().hasAdapter() && held;
-            int waiting = waitsForAdapter ? 0 : demand.waiting();
-            long oldestMs = waitsForAdapter ? 0 : demand.oldestMs();
-            DemandState one =
-                    new DemandState(new ModelRef(model, ""), waiting, oldestMs, demand.targetMs(), demand.perSecond());
+            DemandState one = new DemandState(
+                    new ModelRef(model, ""),
+                    demand.waiting(),
+                    demand.oldestMs(),
+                    demand.targetMs(),
+                    demand.perSecond());
             byModel.merge(model, one, ModelDemands::sum);
         }
         return byModel;
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -19,13 +19,14 @@
 final class ModelPolicy {
     private static final int MAX_STORE_LOADS = 4;
     private static final double CROWDED_SHARE = 0.6;
-    private static final double BUSY_PER_SECOND = 1;
-    private static final int BUSY_REPLICAS = 2;
-    private static final double BUSY_VICTIM_MS = 4_000;
+    private static final double IN_USE_MS = 1_500;
+    private static final double SPARE_REPLICA_MS = 20;
+    private static final long PATIENT_MS = 1_500;
     private static final double LAST_REPLICA_FACTOR = 4;
     private static final double IDLE_PER_SECOND = 0.05;
     private static final double LEAST_PER_SECOND = 0.01;
     private static final double WAITING_PER_SECOND = 1;
+    private static final double MS_PER_SECOND = 1_000;
     private static final double LATE_SHARE = 0.3;
     private static final double LOAD_MS_OF_FULL_RUNNER = 1_500;
     private final ServiceState state;
@@ -90,9 +91,8 @@
             return demand.waiting() > 0 ? Optional.of(new Need(demand, true, coldUrgency(demand))) : Optional.empty();
         }
         boolean crowded = holders.stream().allMatch(runner -> runner.load() > CROWDED_SHARE);
-        boolean alone = demand.perSecond() >= BUSY_PER_SECOND && holders.size() < BUSY_REPLICAS;
-        double urgency = demand.waiting() + (crowded ? demand.perSecond() : 0);
-        return crowded || alone ? Optional.of(new Need(demand, false, urgency)) : Optional.empty();
+        double urgency = demand.waiting() + demand.perSecond();
+        return crowded ? Optional.of(new Need(demand, false, urgency)) : Optional.empty();
     }
 
     /** Requests that can still be on time go before those that are late anyway. */
@@ -106,8 +106,7 @@
                 .filter(runner -> isOpen(runner, model))
                 .map(runner -> option(runner, model))
                 .flatMap(Optional::stream)
-                .filter(option ->
-                        need.cold() || option.victims().stream().allMatch(v -> isLessAskedFor(option, v, need)))
+                .filter(option -> option.victims().stream().allMatch(victim -> mayYield(option, victim, need)))
                 .min(Comparator.comparingDouble(Option::costMs))
                 .ifPresent(option -> carryOut(model, option, need.cold() ? "waiting" : "crowded"));
     }
@@ -134,7 +133,8 @@
         Model wanted = engine().models().get(model);
         double free = engine().weightsRoomMb() - ModelDemands.weightsMb(engine(), runner);
         List<String> victims = new ArrayList<>();
-        double cost = loadMs(runner, wanted) + LOAD_MS_OF_FULL_RUNNER * runner.load();
+        double loadMs = loadMs(runner, wanted);
+        double cost = loadMs + LOAD_MS_OF_FULL_RUNNER * runner.load() + blockingCost(runner, loadMs);
         List<String> byCost = runner.models().keySet().stream()
                 .filter(held -> engine().models().containsKey(held))
                 .sorted(Comparator.comparingDouble(held -> victimCost(runner, held)))
@@ -160,13 +160,41 @@
         return model.storeLoadMs() * Math.max(1, (storeLoads + 1.0) / MAX_STORE_LOADS);
     }
 
+    /** Returns what it costs that a runner takes no order for an adapter while it loads a model. */
+    private double blockingCost(RunnerState runner, double loadMs) {
+        double adaptersPerSecond = state.demands().stream()
+                .filter(demand -> demand.model().hasAdapter())
+                .filter(demand -> runner.holds(demand.model().model()))
+                .mapToDouble(demand -> demand.perSecond()
+                        / Math.max(1, replicas.getOrDefault(demand.model().model(), 1)))
+                .sum();
+        return adaptersPerSecond * loadMs * loadMs / MS_PER_SECOND;
+    }
+
     /** Returns what unloading a model costs later callers, in milliseconds of their waiting a second. */
     private double victimCost(RunnerState runner, String victim) {
+        double inUse = runner.requestsOf(victim) > 0 ? IN_USE_MS : 0;
+        if (isSpareReplica(runner, victim)) {
+            return SPARE_REPLICA_MS + inUse;
+        }
         Model model = engine().models().get(victim);
         double restartMs = runner.hasCopy(victim) ? model.diskLoadMs() : model.storeLoadMs();
         double last = replicas.getOrDefault(victim, 1) <= 1 ? LAST_REPLICA_FACTOR : 1;
-        double busy = runner.requestsOf(victim) > 0 ? BUSY_VICTIM_MS : 0;
-        return rate(victim) * restartMs * last + busy;
+        return rate(victim) * restartMs * last + inUse;
+    }
+
+    /** Returns whether the other runners that hold a model can take over its requests. */
+    private boolean isSpareReplica(RunnerState runner, String model) {
+        List<RunnerState> others = state.runners().stream()
+                .filter(other ->
+                        !other.leaving() && other.holds(model) && !other.id().equals(runner.id()))
+                .filter(other -> !taken.contains(other.id()))
+                .toList();
+        double free = others.stream()
+                .mapToDouble(other -> CROWDED_SHARE * other.slots() - other.requests())
+                .filter(places -> places > 0)
+                .sum();
+        return free > runner.requestsOf(model);
     }
 
     private void carryOut(String model, Option option, String reason) {
@@ -183,10 +211,16 @@
         directives.add(new Directive(runner.id(), orders, reason));
     }
 
-    private boolean isLessAskedFor(Option option, String victim, Need need) {
+    /** Models in use make way only for requests that have waited long; none does for one that is asked for less. */
+    private boolean mayYield(Option option, String victim, Need need) {
+        boolean inUse = option.runner().requestsOf(victim) > 0;
+        if (need.cold()) {
+            boolean awaited = demands.containsKey(victim) && demands.get(victim).waiting() > 0;
+            return !awaited && (!inUse || need.demand().oldestMs() > PATIENT_MS);
+        }
         int holders = replicas.getOrDefault(need.demand().model().model(), 0);
         double relief = need.demand().perSecond() / (1 + holders);
-        return option.runner().requestsOf(victim) == 0 && rate(victim) < relief / 2;
+        return !inUse && (isSpareReplica(option.runner(), victim) || rate(victim) < relief / 2);
     }
 
     /** Brings models of which no runner has a copy to free memory or in place of idle ones, a few at a time. */
--- a/node/src/main/java/io/persimmonstack/node/planning/OrderDesk.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderDesk.java
@@ -13,7 +13,8 @@
 final class OrderDesk {
     private static final EventLog LOG = EventLog.of(OrderDesk.class);
     private static final int ADAPTER_MS = 10;
-    private static final int RETRY_MS = 40;
+    private static final int RETRY_MS = 80;
+    private static final int MARGIN_MS = 15;
     private static final int POLL_MS = 50;
     private static final long UNLOAD_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(8);
     private static final long LOAD_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(40);
@@ -115,8 +116,8 @@
         switch (order) {
             case PlacementOrder.LoadModel load -> {
                 LoadSource source = ledger.source(load.model());
-                TimeUnit.MILLISECONDS.sleep(source.loadMs(engine.models().get(load.model())));
-                if (!awaitLoad(ledger, order)) {
+                TimeUnit.MILLISECONDS.sleep(source.loadMs(engine.models().get(load.model())) + MARGIN_MS);
+                if (source == LoadSource.STORE && !awaitLoad(ledger, order)) {
                     return false;
                 }
             }
@@ -128,6 +129,7 @@
         return true;
     }
 
+    /** Waits for a load whose time depends on others; the runner's reports show its end late. */
     private boolean awaitLoad(RunnerLedger ledger, PlacementOrder order) throws InterruptedException {
         long begunNanos = System.nanoTime();
         while (System.nanoTime() - begunNanos < LOAD_LIMIT_NANOS) {
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
@@ -81,7 +81,11 @@
     /** Takes a report, unless an order has been given since it was asked for. */
     synchronized void answered(RunnerStatus status, long nowNanos) {
         asking = false;
-        if (modelDirective.isPresent() || orderedNanos - askedNanos > 0 || status.busy()) {
+        if (modelDirective.isPresent() || orderedNanos - askedNanos > 0) {
+            return;
+        }
+        if (status.busy()) {
+            keepShown(status);
             return;
         }
         known = true;
@@ -92,6 +96,14 @@
         copies(status);
     }
 
+    /** An order takes longer than expected: what it was to load is not there yet. */
+    private void keepShown(RunnerStatus status) {
+        known = false;
+        models.keySet()
+                .removeIf(model ->
+                        status.models().stream().noneMatch(held -> held.name().equals(model)));
+    }
+
     private void copies(RunnerStatus status) {
         inMemory.clear();
         inMemory.addAll(status.inMemory());
@@ -107,7 +119,7 @@
 
     /** Begins a directive; returns whether the runner can take it. */
     synchronized boolean begin(Directive directive) {
-        if (!known || !directive.ofAdapters() && modelDirective.isPresent()) {
+        if (!known || modelDirective.isPresent()) {
             return false;
         }
         for (PlacementOrder order : directive.orders()) {
