planner: models that have become busy go before rare ones

Cause: after the demand had moved, a model with nine requests a second waited 6 s for an order: its requests count as late after 400 ms and stood behind rare ones, all four loads from the store were taken, and models in use made way only for requests older than 1.5 s, which callers with 2 s of patience hardly reach. Urgency now counts arrivals; a busy model may use two more loads and take the place of one in use.

--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -19,6 +19,8 @@
 final class ModelPolicy {
     private static final int MAX_STORE_LOADS = 4;
     private static final double CROWDED_SHARE = 0.6;
+    private static final int MAX_URGENT_STORE_LOADS = 6;
+    private static final double BUSY_PER_SECOND = 2;
     private static final double IN_USE_MS = 1_500;
     private static final double SPARE_REPLICA_MS = 20;
     private static final long PATIENT_MS = 1_500;
@@ -97,7 +99,8 @@
 
     /** Requests that can still be on time go before those that are late anyway. */
     private static double coldUrgency(DemandState demand) {
-        return demand.isLate() ? LATE_SHARE * demand.waiting() : demand.waiting();
+        double waiting = demand.isLate() ? LATE_SHARE * demand.waiting() : demand.waiting();
+        return waiting + demand.perSecond();
     }
 
     private void serve(Need need) {
@@ -134,7 +137,7 @@
         double free = engine().weightsRoomMb() - ModelDemands.weightsMb(engine(), runner);
         List<String> victims = new ArrayList<>();
         double loadMs = loadMs(runner, wanted);
-        double cost = loadMs + LOAD_MS_OF_FULL_RUNNER * runner.load() + blockingCost(runner, loadMs);
+        double cost = loadMs + LOAD_MS_OF_FULL_RUNNER * runner.load();
         List<String> byCost = runner.models().keySet().stream()
                 .filter(held -> engine().models().containsKey(held))
                 .sorted(Comparator.comparingDouble(held -> victimCost(runner, held)))
@@ -147,6 +150,8 @@
             cost += victimCost(runner, victim);
             victims.add(victim);
         }
+        boolean waits = victims.stream().anyMatch(victim -> runner.requestsOf(victim) > 0);
+        cost += blockingCost(runner, waits ? loadMs + IN_USE_MS : loadMs);
         return free < wanted.weightsMb() ? Optional.empty() : Optional.of(new Option(runner, victims, cost));
     }
 
@@ -161,14 +166,14 @@
     }
 
     /** Returns what it costs that a runner takes no order for an adapter while it loads a model. */
-    private double blockingCost(RunnerState runner, double loadMs) {
+    private double blockingCost(RunnerState runner, double orderMs) {
         double adaptersPerSecond = state.demands().stream()
                 .filter(demand -> demand.model().hasAdapter())
                 .filter(demand -> runner.holds(demand.model().model()))
                 .mapToDouble(demand -> demand.perSecond()
                         / Math.max(1, replicas.getOrDefault(demand.model().model(), 1)))
                 .sum();
-        return adaptersPerSecond * loadMs * loadMs / MS_PER_SECOND;
+        return adaptersPerSecond * orderMs * orderMs / MS_PER_SECOND;
     }
 
     /** Returns what unloading a model costs later callers, in milliseconds of their waiting a second. */
@@ -200,7 +205,9 @@
     private void carryOut(String model, Option option, String reason) {
         RunnerState runner = option.runner();
         boolean fromStore = !runner.hasCopy(model);
-        if (fromStore && (!state.storeLoadAllowed() || storeLoads >= MAX_STORE_LOADS)) {
+        boolean urgent = demands.containsKey(model) && demands.get(model).perSecond() > BUSY_PER_SECOND;
+        int maxLoads = urgent ? MAX_URGENT_STORE_LOADS : MAX_STORE_LOADS;
+        if (fromStore && (!state.storeLoadAllowed() || storeLoads >= maxLoads)) {
             return;
         }
         storeLoads += fromStore ? 1 : 0;
@@ -216,7 +223,9 @@
         boolean inUse = option.runner().requestsOf(victim) > 0;
         if (need.cold()) {
             boolean awaited = demands.containsKey(victim) && demands.get(victim).waiting() > 0;
-            return !awaited && (!inUse || need.demand().oldestMs() > PATIENT_MS);
+            boolean pressing =
+                    need.demand().oldestMs() > PATIENT_MS || need.demand().perSecond() > BUSY_PER_SECOND;
+            return !awaited && (!inUse || pressing && rate(victim) < need.urgency());
         }
         int holders = replicas.getOrDefault(need.demand().model().model(), 0);
         double relief = need.demand().perSecond() / (1 + holders);
