--- a/coordination/src/main/java/io/persimmonstack/coordination/kv/KvWatcher.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/kv/KvWatcher.java
@@ -15,4 +15,9 @@
      * @param cause why it ended
      */
     void ended(KvException cause);
+
+    /** Returns how long changes may gather before the next ones are reported, in milliseconds. */
+    default int gatherMs() {
+        return 0;
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatch.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatch.java
@@ -14,6 +14,9 @@
     private static final int NEXT_EVENT_MS = 1_000;
     private static final int LEAST_SAFE_SILENCE_MS = 250;
     private static final double PATIENCE_SHARE = 0.9;
+    /** Leaves a refused caller time to come back. */
+    private static final double WAIT_SHARE = 0.7;
+
     private final ActiveRequest request;
     private final Set<String> excluded = new HashSet<>();
     private int sends;
@@ -70,8 +73,9 @@
         if (!request.isStream()) {
             return latest;
         }
-        long patienceMs = Math.round(PATIENCE_SHARE * request.patienceMs());
-        return Math.min(latest, request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(patienceMs));
+        long limitMs = request.caller().timeLimitMs().orElse(request.route().timeoutMs());
+        long waitMs = Math.round(Math.min(PATIENCE_SHARE * request.patienceMs(), WAIT_SHARE * limitMs));
+        return Math.min(latest, request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(waitMs));
     }
 
     /**
--- a/node/src/main/java/io/persimmonstack/node/store/PrefixFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/PrefixFollower.java
@@ -32,6 +32,11 @@
         /** One key has changed. */
         void changed(KvChange change);
 
+        /** Returns how long changes may gather before the next ones are told, in milliseconds. */
+        default int gatherMs() {
+            return 0;
+        }
+
         /** The service gave no answer; what is known may be old. */
         default void lost() {}
     }
@@ -87,6 +92,11 @@
                 listener.changed(change);
             }
 
+            @Override
+            public int gatherMs() {
+                return listener.gatherMs();
+            }
+
             @Override
             public void ended(KvException cause) {
                 ended.countDown();
--- a/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
@@ -16,6 +16,9 @@
 public final class RunnerFollower implements PrefixFollower.Listener {
     private static final EventLog LOG = EventLog.of(RunnerFollower.class);
     private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    /** Well below the time within which a leaving runner must get no more work. */
+    private static final int GATHER_MS = 500;
+
     private final String prefix;
     private final RunnerDecoder decoder;
     private final FleetView fleet;
@@ -67,6 +70,11 @@
         publish();
     }
 
+    @Override
+    public int gatherMs() {
+        return GATHER_MS;
+    }
+
     @Override
     public synchronized void lost() {
         list.lost(System.nanoTime());
