--- /dev/null
+++ b/node/src/test/java/io/persimmonstack/node/sending/Requests.java
@@ -0,0 +1,48 @@
+package io.persimmonstack.node.sending;
+
+import io.persimmonstack.node.config.Route;
+import io.persimmonstack.node.config.RouteKind;
+import io.persimmonstack.node.config.Service;
+import io.persimmonstack.node.config.ServiceShare;
+import io.persimmonstack.node.request.ActiveRequest;
+import io.persimmonstack.node.request.CallerRequest;
+import io.persimmonstack.node.request.TokenCount;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+/** Requests for tests. */
+final class Requests {
+    private Requests() {}
+
+    /** Returns a request received at time 0 whose caller waits for a second. */
+    static ActiveRequest of(RouteKind kind, boolean resumable, int maxAttempts) {
+        Route route = new Route(
+                "r",
+                "host",
+                "/p/",
+                kind,
+                resumable,
+                10_000,
+                200,
+                100,
+                1,
+                maxAttempts,
+                List.of(new ServiceShare("s", 1)));
+        CallerRequest caller = new CallerRequest(
+                "id",
+                "POST",
+                "host",
+                "/p/x",
+                "/p/x",
+                List.of(),
+                new byte[0],
+                OptionalInt.of(1_000),
+                Optional.empty(),
+                TokenCount.none(),
+                List.of(),
+                OptionalLong.empty());
+        return new ActiveRequest(caller, route, new Service("s", "/health", 10, Optional.empty()), 0);
+    }
+}
