--- a/load/src/test/java/io/persimmonstack/load/DocumentationTest.java
+++ b/load/src/test/java/io/persimmonstack/load/DocumentationTest.java
@@ -9,6 +9,7 @@
 import io.persimmonstack.coordinator.CoordinatorSettings;
 import io.persimmonstack.ctl.CtlSettings;
 import io.persimmonstack.ctl.PersimmonCtl;
+import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.router.RouterEvent;
 import io.persimmonstack.router.RouterSettings;
 import io.persimmonstack.runtime.event.Event;
@@ -31,7 +32,7 @@
 
 class DocumentationTest {
     private static final Path ROOT = root();
-    private static final List<String> PAGES = List.of("README.md", "docs/OPERATING.md");
+    private static final List<String> PAGES = List.of("README.md", "docs/OPERATIONS.md");
     private static final Pattern SETTING_ROW =
             Pattern.compile("(?m)^\\| (`\\S+` \\| [^|]* \\| [^|]* \\| [^|]*) \\| \\S.* \\|$");
     private static final Pattern EVENT_ROW =
@@ -44,6 +45,7 @@
                         RouterEvent.values(),
                         CoordinatorEvent.values(),
                         BackendEvent.values(),
+                        NodeEvent.values(),
                         StandinEvent.values(),
                         LoadEvent.values())
                 .flatMap(Arrays::stream)
@@ -74,7 +76,7 @@
 
     @Test
     void everyCommandIsDocumented() throws IOException {
-        String operating = read("docs/OPERATING.md");
+        String operating = read("docs/OPERATIONS.md");
         PersimmonCtl.commands()
                 .forEach(command -> assertTrue(operating.contains("persimmonctl " + command.name()), command.name()));
     }
@@ -98,7 +100,7 @@
     @ParameterizedTest
     @MethodSource("settingsTypes")
     void tableOfSettingsAndTheirRecordsAgree(String program, Class<? extends Record> type) throws IOException {
-        String page = read("docs/OPERATING.md");
+        String page = read("docs/OPERATIONS.md");
         int from = page.indexOf("### Settings of " + program + "\n");
         String section = page.substring(from, page.indexOf("\n#", from + 1));
         List<String> documented =
--- a/runtime/src/main/java/io/persimmonstack/runtime/event/Event.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/event/Event.java
@@ -5,7 +5,8 @@
 /**
  * Numbered log event. Each program keeps its events in one enum; {@code docs/EVENTS.md} lists them all.
  *
- * <p>Numbers: 1000 frame, 2000 router, 3000 coordinator, 4000 platform adapters, 5000 stand-in and load.
+ * <p>Numbers: 1000 frame, 2000 router, 3000 coordinator, 4000 platform adapters, 5000 stand-in and load,
+ * 6000 node.
  */
 public interface Event {
     /** Returns number, severity and message. */
