--- a/backends/src/main/java/io/persimmonstack/backends/http/ConnectionPool.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ConnectionPool.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 
@@ -36,14 +37,25 @@
         return Optional.empty();
     }
 
-    void release(PooledConnection connection) {
+    /**
+     * Keeps a connection for the next request.
+     *
+     * @param connection connection without work
+     * @param statedIdleMs time for which the other side says that it keeps it, absent where it says nothing
+     */
+    void release(PooledConnection connection, OptionalInt statedIdleMs) {
+        int idleMs = Math.min(options.idleMs(), statedIdleMs.orElse(options.idleMs()));
         if (!connection.isOpen()) {
             return;
         }
+        if (idleMs <= 0) {
+            connection.close(CloseCause.IDLE);
+            return;
+        }
         Deque<PooledConnection> connections =
                 idle.computeIfAbsent(connection.target(), target -> new ConcurrentLinkedDeque<>());
         connections.addFirst(connection);
-        connection.expireAfter(options.idleMs(), () -> expire(connections, connection));
+        connection.expireAfter(idleMs, () -> expire(connections, connection));
         if (closed) {
             close();
         } else if (connections.size() > options.maxIdlePerTarget()) {
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
@@ -205,7 +205,7 @@
             return;
         }
         if (driver.requestComplete() && keepsAlive()) {
-            pool.release(connection);
+            pool.release(connection, KeepAlive.idleMs(head.getResponseHeaders().getFirst("Keep-Alive")));
         } else {
             connection.close(CloseCause.LAST);
         }
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -56,7 +56,7 @@
     /** The filters met an unexpected error. */
     REQUEST_ERROR(6106, Level.ERROR, "request-error id={} cause={}"),
     /** An order was given to a runner. */
-    ORDER(6201, Level.INFO, "order runner={} order={} term={} expected={} outcome={} reason={}"),
+    ORDER(6201, Level.INFO, "order runner={} order={} term={} expected={} outcome={} reason={} source={}"),
     /** An order is done. */
     ORDER_DONE(6202, Level.INFO, "order-done runner={} order={} ms={} outcome={}"),
     /** A runner gave no report. */
--- a/node/src/main/java/io/persimmonstack/node/NodeMetrics.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeMetrics.java
@@ -17,7 +17,7 @@
     }
 
     /** Counts a request that a runner answered. */
-    public void served(String route, long totalMs, long firstMs) {
+    public void served(long totalMs, long firstMs) {
         registry.counter("requests.served").inc();
         registry.timer("requests.time").update(totalMs, TimeUnit.MILLISECONDS);
         if (firstMs >= 0) {
@@ -26,12 +26,12 @@
     }
 
     /** Counts a request that the node answered by itself. */
-    public void refused(String route, String reason) {
+    public void refused(String reason) {
         registry.counter("requests.refused." + reason).inc();
     }
 
     /** Counts a request whose caller left. */
-    public void callerLeft(String route) {
+    public void callerLeft() {
         registry.counter("requests.caller-left").inc();
     }
 
--- a/node/src/main/java/io/persimmonstack/node/callers/Directory.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/Directory.java
@@ -4,9 +4,11 @@
 import io.persimmonstack.node.fleet.Peer;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 /** Says which addresses a caller may use. */
 public final class Directory {
@@ -29,10 +31,19 @@
      * @param random source of the order
      */
     public List<PeerAddress> addresses(String zone, Random random) {
-        List<Peer> peers = new ArrayList<>(fleet.current().peers().values());
+        List<Peer> peers = new ArrayList<>(heard());
         Collections.shuffle(peers, random);
         peers.sort((one, other) ->
                 Boolean.compare(other.zone().equals(zone), one.zone().equals(zone)));
         return peers.stream().limit(MAX_ADDRESSES).map(Peer::callers).toList();
     }
+
+    /** Returns the listed nodes but for those that have fallen silent, unless none would be left. */
+    private Collection<Peer> heard() {
+        Collection<Peer> listed = fleet.current().peers().values();
+        Set<String> silent = fleet.silentNodes();
+        List<Peer> heard =
+                listed.stream().filter(peer -> !silent.contains(peer.node())).toList();
+        return heard.isEmpty() ? listed : heard;
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -79,7 +79,7 @@
             refuse(trace, e.refusal(), reply);
         } catch (CallerGoneException e) {
             reply.abort();
-            metrics.callerLeft(trace.route());
+            metrics.callerLeft();
             LOG.write(NodeEvent.CALLER_LEFT, trace.id(), trace.route(), trace.model(), e.getMessage(), trace.ms());
         } catch (RuntimeException e) {
             reply.abort();
@@ -109,7 +109,7 @@
     }
 
     private void logServed(RequestTrace trace, Served served) {
-        metrics.served(trace.route(), trace.ms(), served.firstMs());
+        metrics.served(trace.ms(), served.firstMs());
         LOG.write(
                 NodeEvent.SERVED,
                 trace.id(),
@@ -123,7 +123,7 @@
     }
 
     private void refuse(RequestTrace trace, Refusal refusal, Reply reply) {
-        metrics.refused(trace.route(), refusal.reason());
+        metrics.refused(refusal.reason());
         LOG.write(
                 NodeEvent.REFUSED,
                 trace.id(),
--- a/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.node.fleet;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
@@ -10,6 +11,8 @@
     private final AtomicReference<Fleet> current = new AtomicReference<>(Fleet.unknown());
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
+    private volatile Set<String> silentNodes = Set.of();
+
     private FleetView() {}
 
     /** Returns a view of a fleet of which nothing is known. */
@@ -32,6 +35,16 @@
         listeners.forEach(Runnable::run);
     }
 
+    /** Returns the nodes that are listed and have fallen silent. */
+    public Set<String> silentNodes() {
+        return silentNodes;
+    }
+
+    /** Takes the nodes that have fallen silent. */
+    public void silentNodes(Set<String> nodes) {
+        silentNodes = Set.copyOf(nodes);
+    }
+
     /** Adds an action to run after each change; it must not block. */
     public void onChange(Runnable listener) {
         listeners.add(listener);
--- a/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
@@ -44,7 +44,9 @@
         if (term.isEmpty()) {
             throw new WireRefusal(NOT_LEADING, "this node does not lead");
         }
-        reports.take(load.getNode(), LoadMessages.uses(load), LoadMessages.demands(load), System.nanoTime());
-        return LoadMessages.answer(term.getAsLong(), fleet.current(), planner.reportsFor(load.getNode()));
+        long now = System.nanoTime();
+        reports.take(load.getNode(), LoadMessages.uses(load), LoadMessages.demands(load), now);
+        return LoadMessages.answer(
+                term.getAsLong(), fleet.current(), planner.reportsFor(load.getNode()), reports.silent(now));
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** Conversion between the node's types and the messages of the protocol. */
 final class LoadMessages {
@@ -30,13 +31,14 @@
                 demands.stream().map(LoadMessages::need).toList());
     }
 
-    static FleetLoad answer(long term, Fleet known, List<RunnerReport> reports) {
+    static FleetLoad answer(long term, Fleet known, List<RunnerReport> reports, Set<String> silentNodes) {
         return new FleetLoad(
                 term,
                 known.routing().map(RoutingTable::version).orElse(0L),
                 known.runnersRevision(),
                 reports.stream().map(LoadMessages::holding).toList(),
-                new ArrayList<>());
+                new ArrayList<>(),
+                new ArrayList<>(silentNodes));
     }
 
     static List<RunnerUsage> uses(NodeLoad load) {
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -12,7 +12,9 @@
 import io.persimmonstack.wire.gen.NodeLink;
 import io.persimmonstack.wire.gen.NodeLoad;
 import io.persimmonstack.wire.gen.WireRefusal;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
@@ -23,7 +25,7 @@
     private static final int WAITING_MS = 50;
     private static final int LEAST_MS = 10;
     private static final int CALL_MS = 500;
-    private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     private final String node;
     private final FleetView fleet;
     private final Placer placer;
@@ -106,6 +108,7 @@
     private void take(FleetLoad answer) {
         answeredNanos = System.nanoTime();
         silent = false;
+        fleet.silentNodes(new HashSet<>(answer.getSilentNodes()));
         placer.takeReports(LoadMessages.reports(answer));
         answer.getUnserved()
                 .forEach(model ->
@@ -116,6 +119,7 @@
         if (!silent && System.nanoTime() - answeredNanos > SILENT_NANOS) {
             silent = true;
             LOG.write(NodeEvent.LEADER_SILENT, leader, cause);
+            fleet.silentNodes(leader.equals(node) ? Set.of() : Set.of(leader));
             placer.forgetReports();
         }
     }
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -6,6 +6,7 @@
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.Refusal;
 import io.persimmonstack.node.request.RefusedException;
+import io.persimmonstack.router.request.Jitter;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -117,7 +118,7 @@
         ActiveRequest request = waiter.request();
         String detail =
                 request.caller().model().map(model -> "no runner with " + model).orElse("no runner") + " in time";
-        throw new RefusedException(Refusal.notRun("no-place", detail, RETRY_AFTER_MS));
+        throw new RefusedException(Refusal.notRun("no-place", detail, Jitter.spread(RETRY_AFTER_MS)));
     }
 
     private void withdraw(Waiter waiter) {
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerBook.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerBook.java
@@ -16,9 +16,9 @@
  * that the leader reports. Not thread-safe; {@link Placer} guards it.
  */
 final class RunnerBook {
-    private static final long LACKS_NANOS = 1_000_000_000L;
+    private static final long LACKS_NANOS = 200_000_000L;
     private static final long FAILURE_WINDOW_NANOS = 3_000_000_000L;
-    private static final long FULL_NANOS = 50_000_000L;
+    private static final long FULL_NANOS = 100_000_000L;
     private static final long UNREACHABLE_NANOS = 1_000_000_000L;
     private final Map<ModelRef, RunnerUsage> usage = new HashMap<>();
     private final Map<ModelRef, Long> lacksUntil = new HashMap<>();
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -24,6 +24,7 @@
     private static final double IN_USE_MS = 1_500;
     private static final double SPARE_REPLICA_MS = 20;
     private static final long PATIENT_MS = 1_500;
+    private static final long COPY_PATIENCE_MS = 5_000;
     private static final double LAST_REPLICA_FACTOR = 4;
     private static final double IDLE_PER_SECOND = 0.05;
     private static final double LEAST_PER_SECOND = 0.01;
@@ -111,9 +112,18 @@
                 .flatMap(Optional::stream)
                 .filter(option -> option.victims().stream().allMatch(victim -> mayYield(option, victim, need)))
                 .min(Comparator.comparingDouble(Option::costMs))
+                .filter(option -> option.runner().hasCopy(model) || !awaitsCopy(need))
                 .ifPresent(option -> carryOut(model, option, need.cold() ? "waiting" : "crowded"));
     }
 
+    /** Returns whether a runner with a copy, busy now, will serve sooner than a load from the store would. */
+    private boolean awaitsCopy(Need need) {
+        String model = need.demand().model().model();
+        boolean copied = state.runners().stream()
+                .anyMatch(runner -> !runner.leaving() && !runner.holds(model) && runner.hasCopy(model));
+        return copied && need.demand().oldestMs() < COPY_PATIENCE_MS;
+    }
+
     private boolean isOpen(RunnerState runner, String model) {
         return runner.known()
                 && runner.idle()
--- a/node/src/main/java/io/persimmonstack/node/planning/NodeReports.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/NodeReports.java
@@ -8,12 +8,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /** Latest reports of all nodes to the leader; one of a node that has fallen silent counts no more. */
 public final class NodeReports {
     private static final long VALID_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+    private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(10);
     private final Map<String, Report> reports = new HashMap<>();
+    private final Map<String, Long> heardNanos = new HashMap<>();
     private final Map<DemandKey, RateMeter> meters = new HashMap<>();
 
     private record Report(long receivedNanos, List<RunnerUsage> uses, List<ModelDemand> demands) {}
@@ -36,6 +41,7 @@
      * @param nowNanos monotonic time
      */
     public synchronized void take(String node, List<RunnerUsage> uses, List<ModelDemand> demands, long nowNanos) {
+        heardNanos.put(node, nowNanos);
         reports.put(node, new Report(nowNanos, List.copyOf(uses), List.copyOf(demands)));
         for (ModelDemand demand : demands) {
             meters.computeIfAbsent(new DemandKey(demand.service(), demand.model()), key -> new RateMeter())
@@ -43,6 +49,15 @@
         }
     }
 
+    /** Returns the nodes that have reported and have stopped. */
+    public synchronized Set<String> silent(long nowNanos) {
+        heardNanos.values().removeIf(heard -> nowNanos - heard > FORGET_NANOS);
+        return heardNanos.entrySet().stream()
+                .filter(entry -> nowNanos - entry.getValue() > SILENT_NANOS)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the requests in progress at each runner by the reports of all nodes but one, empty name for none. */
     synchronized List<RunnerUsage> usesExcept(String node, long nowNanos) {
         reports.values().removeIf(report -> nowNanos - report.receivedNanos() > VALID_NANOS);
--- a/node/src/main/java/io/persimmonstack/node/planning/OrderDesk.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderDesk.java
@@ -102,7 +102,8 @@
             long sequence = ledger.sequence();
             OrderAnswer answer = control.order(runner, order, new OrderTicket(node, term, sequence));
             metrics.order(answer.name().toLowerCase(Locale.ROOT));
-            LOG.write(NodeEvent.ORDER, runner.id(), order, term, sequence, answer, reason);
+            LOG.write(
+                    NodeEvent.ORDER, runner.id(), order, term, sequence, answer, reason, ledger.source(order.model()));
             if (answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY) {
                 ledger.accepted(System.nanoTime());
             }
@@ -136,6 +137,7 @@
             try {
                 RunnerStatus status = control.status(ledger.runner());
                 if (status.shows(order)) {
+                    ledger.takeCopies(status);
                     return true;
                 }
                 if (!status.busy() && status.sequence() > ledger.sequence()) {
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
@@ -171,11 +171,17 @@
 
     private void loaded(String model) {
         models.put(model, new HeldModel(model, UNKNOWN_VERSION, Set.of()));
+        inMemory.clear();
         inMemory.add(model);
         onDisk.add(model);
         changed = true;
     }
 
+    /** Takes the copies by a report of after a load from the store, which evicts older ones. */
+    synchronized void takeCopies(RunnerStatus status) {
+        copies(status);
+    }
+
     private void adapters(String model, String adapter, boolean present) {
         HeldModel held = models.get(model);
         if (held == null) {
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -135,6 +135,9 @@
                 if (!reply.begun()) {
                     reply.begin(call.status(), Hop.forReply(call.headers()));
                 }
+                if (request.route().resumable()) {
+                    call.progressWithin(Dispatch.NEXT_EVENT_MS);
+                }
                 reply.write(event.get().bytes());
                 progress.delivered(event.get());
             }
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatch.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatch.java
@@ -8,10 +8,10 @@
 
 /** Attempts at one request so far, and whether another may follow. Pure: the time comes in as an argument. */
 final class Dispatch {
-    private static final int MAX_SENDS = 4;
+    private static final int MAX_SENDS = 6;
     private static final int LEAST_LEFT_MS = 20;
     private static final int MS_PER_OUTPUT_TOKEN = 7;
-    private static final int NEXT_EVENT_MS = 1_000;
+    static final int NEXT_EVENT_MS = 1_000;
     private static final int LEAST_SAFE_SILENCE_MS = 250;
     private static final double PATIENCE_SHARE = 0.9;
     /** Leaves a refused caller time to come back. */
--- a/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
@@ -25,10 +25,10 @@
  */
 public final class StoreSession implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(StoreSession.class);
-    private static final int TTL_MS = 4_000;
-    private static final int RENEW_MS = 1_000;
+    private static final int TTL_MS = 2_500;
+    private static final int RENEW_MS = 700;
     private static final int TICK_MS = 100;
-    private static final int MARGIN_MS = 500;
+    private static final int MARGIN_MS = 400;
     private static final long UNLISTED_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final int CANDIDACY_SPREAD_MS = 150;
     private final LeasedKvStore store;
--- a/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
@@ -134,4 +134,18 @@
         assertTrue(ModelPolicy.plan(Fleets.state(ENGINE, List.of(unknown), Fleets.waiting("c", 1)))
                 .isEmpty());
     }
+
+    @Test
+    void requestWaitsForABusyRunnerWithACopyInsteadOfALoadFromTheStore() {
+        RunnerState idle = Fleets.runner("r1");
+        RunnerState busy = Fleets.loading(Fleets.withCopies(Fleets.runner("r2"), "c"), "d");
+        RunnerState copies = Fleets.loading(Fleets.withCopies(Fleets.runner("r3"), "a", "b", "d", "e"), "e");
+        List<RunnerState> runners = List.of(idle, busy, copies);
+        assertTrue(ModelPolicy.plan(Fleets.state(ENGINE, runners, Fleets.waiting("c", 1)))
+                .isEmpty());
+        DemandState old = new DemandState(new ModelRef("c", ""), 1, 6_000, 3_000, 0.1);
+        assertEquals(
+                "r1",
+                ModelPolicy.plan(Fleets.state(ENGINE, runners, old)).getFirst().runner());
+    }
 }
--- a/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField RUNNERS_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("runnersRevision", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField RUNNERS_FIELD_DESC = new org.apache.thrift.protocol.TField("runners", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField UNSERVED_FIELD_DESC = new org.apache.thrift.protocol.TField("unserved", org.apache.thrift.protocol.TType.LIST, (short)5);
+  private static final org.apache.thrift.protocol.TField SILENT_NODES_FIELD_DESC = new org.apache.thrift.protocol.TField("silentNodes", org.apache.thrift.protocol.TType.LIST, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FleetLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FleetLoadTupleSchemeFactory();
@@ -27,6 +28,7 @@
   private long runnersRevision; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerHolding> runners; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<UnservedModel> unserved; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> silentNodes; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,8 @@
     CONFIGURATION_VERSION((short)2, "configurationVersion"),
     RUNNERS_REVISION((short)3, "runnersRevision"),
     RUNNERS((short)4, "runners"),
-    UNSERVED((short)5, "unserved");
+    UNSERVED((short)5, "unserved"),
+    SILENT_NODES((short)6, "silentNodes");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -60,6 +63,8 @@
           return RUNNERS;
         case 5: // UNSERVED
           return UNSERVED;
+        case 6: // SILENT_NODES
+          return SILENT_NODES;
         default:
           return null;
       }
@@ -122,6 +127,9 @@
     tmpMap.put(_Fields.UNSERVED, new org.apache.thrift.meta_data.FieldMetaData("unserved", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UnservedModel.class))));
+    tmpMap.put(_Fields.SILENT_NODES, new org.apache.thrift.meta_data.FieldMetaData("silentNodes", org.apache.thrift.TFieldRequirementType.REQUIRED,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FleetLoad.class, metaDataMap);
   }
@@ -134,7 +142,8 @@
     long configurationVersion,
     long runnersRevision,
     java.util.List<RunnerHolding> runners,
-    java.util.List<UnservedModel> unserved)
+    java.util.List<UnservedModel> unserved,
+    java.util.List<java.lang.String> silentNodes)
   {
     this();
     this.term = term;
@@ -145,6 +154,7 @@
     setRunnersRevisionIsSet(true);
     this.runners = runners;
     this.unserved = unserved;
+    this.silentNodes = silentNodes;
   }
 
   /**
@@ -169,6 +179,10 @@
       }
       this.unserved = __this__unserved;
     }
+    if (other.isSetSilentNodes()) {
+      java.util.List<java.lang.String> __this__silentNodes = new java.util.ArrayList<java.lang.String>(other.silentNodes);
+      this.silentNodes = __this__silentNodes;
+    }
   }
 
   @Override
@@ -186,6 +200,7 @@
     this.runnersRevision = 0;
     this.runners = null;
     this.unserved = null;
+    this.silentNodes = null;
   }
 
   public long getTerm() {
@@ -339,6 +354,47 @@
     }
   }
 
+  public int getSilentNodesSize() {
+    return (this.silentNodes == null) ? 0 : this.silentNodes.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getSilentNodesIterator() {
+    return (this.silentNodes == null) ? null : this.silentNodes.iterator();
+  }
+
+  public void addToSilentNodes(java.lang.String elem) {
+    if (this.silentNodes == null) {
+      this.silentNodes = new java.util.ArrayList<java.lang.String>();
+    }
+    this.silentNodes.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getSilentNodes() {
+    return this.silentNodes;
+  }
+
+  public FleetLoad setSilentNodes(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> silentNodes) {
+    this.silentNodes = silentNodes;
+    return this;
+  }
+
+  public void unsetSilentNodes() {
+    this.silentNodes = null;
+  }
+
+  /** Returns true if field silentNodes is set (has been assigned a value) and false otherwise */
+  public boolean isSetSilentNodes() {
+    return this.silentNodes != null;
+  }
+
+  public void setSilentNodesIsSet(boolean value) {
+    if (!value) {
+      this.silentNodes = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -382,6 +438,14 @@
       }
       break;
 
+    case SILENT_NODES:
+      if (value == null) {
+        unsetSilentNodes();
+      } else {
+        setSilentNodes((java.util.List<java.lang.String>)value);
+      }
+      break;
+
     }
   }
 
@@ -404,6 +468,9 @@
     case UNSERVED:
       return getUnserved();
 
+    case SILENT_NODES:
+      return getSilentNodes();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -426,6 +493,8 @@
       return isSetRunners();
     case UNSERVED:
       return isSetUnserved();
+    case SILENT_NODES:
+      return isSetSilentNodes();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -488,6 +557,15 @@
         return false;
     }
 
+    boolean this_present_silentNodes = true && this.isSetSilentNodes();
+    boolean that_present_silentNodes = true && that.isSetSilentNodes();
+    if (this_present_silentNodes || that_present_silentNodes) {
+      if (!(this_present_silentNodes && that_present_silentNodes))
+        return false;
+      if (!this.silentNodes.equals(that.silentNodes))
+        return false;
+    }
+
     return true;
   }
 
@@ -509,6 +587,10 @@
     if (isSetUnserved())
       hashCode = hashCode * 8191 + unserved.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSilentNodes()) ? 131071 : 524287);
+    if (isSetSilentNodes())
+      hashCode = hashCode * 8191 + silentNodes.hashCode();
+
     return hashCode;
   }
 
@@ -570,6 +652,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSilentNodes(), other.isSetSilentNodes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSilentNodes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.silentNodes, other.silentNodes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -621,6 +713,14 @@
       sb.append(this.unserved);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("silentNodes:");
+    if (this.silentNodes == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.silentNodes);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -636,6 +736,9 @@
     if (unserved == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'unserved' was not present! Struct: " + toString());
     }
+    if (silentNodes == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'silentNodes' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -739,6 +842,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // SILENT_NODES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list214 = iprot.readListBegin();
+                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list214.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem215;
+                for (int _i216 = 0; _i216 < _list214.size; ++_i216)
+                {
+                  _elem215 = iprot.readString();
+                  struct.silentNodes.add(_elem215);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSilentNodesIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -777,9 +898,9 @@
         oprot.writeFieldBegin(RUNNERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.runners.size()));
-          for (RunnerHolding _iter214 : struct.runners)
+          for (RunnerHolding _iter217 : struct.runners)
           {
-            _iter214.write(oprot);
+            _iter217.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -789,9 +910,21 @@
         oprot.writeFieldBegin(UNSERVED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.unserved.size()));
-          for (UnservedModel _iter215 : struct.unserved)
+          for (UnservedModel _iter218 : struct.unserved)
+          {
+            _iter218.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.silentNodes != null) {
+        oprot.writeFieldBegin(SILENT_NODES_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.silentNodes.size()));
+          for (java.lang.String _iter219 : struct.silentNodes)
           {
-            _iter215.write(oprot);
+            oprot.writeString(_iter219);
           }
           oprot.writeListEnd();
         }
@@ -820,16 +953,23 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.runners.size());
-        for (RunnerHolding _iter216 : struct.runners)
+        for (RunnerHolding _iter220 : struct.runners)
         {
-          _iter216.write(oprot);
+          _iter220.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.unserved.size());
-        for (UnservedModel _iter217 : struct.unserved)
+        for (UnservedModel _iter221 : struct.unserved)
+        {
+          _iter221.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.silentNodes.size());
+        for (java.lang.String _iter222 : struct.silentNodes)
         {
-          _iter217.write(oprot);
+          oprot.writeString(_iter222);
         }
       }
     }
@@ -844,29 +984,40 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list218 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.runners = new java.util.ArrayList<RunnerHolding>(_list218.size);
-        @org.apache.thrift.annotation.Nullable RunnerHolding _elem219;
-        for (int _i220 = 0; _i220 < _list218.size; ++_i220)
+        org.apache.thrift.protocol.TList _list223 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.runners = new java.util.ArrayList<RunnerHolding>(_list223.size);
+        @org.apache.thrift.annotation.Nullable RunnerHolding _elem224;
+        for (int _i225 = 0; _i225 < _list223.size; ++_i225)
         {
-          _elem219 = new RunnerHolding();
-          _elem219.read(iprot);
-          struct.runners.add(_elem219);
+          _elem224 = new RunnerHolding();
+          _elem224.read(iprot);
+          struct.runners.add(_elem224);
         }
       }
       struct.setRunnersIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list221 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.unserved = new java.util.ArrayList<UnservedModel>(_list221.size);
-        @org.apache.thrift.annotation.Nullable UnservedModel _elem222;
-        for (int _i223 = 0; _i223 < _list221.size; ++_i223)
+        org.apache.thrift.protocol.TList _list226 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.unserved = new java.util.ArrayList<UnservedModel>(_list226.size);
+        @org.apache.thrift.annotation.Nullable UnservedModel _elem227;
+        for (int _i228 = 0; _i228 < _list226.size; ++_i228)
         {
-          _elem222 = new UnservedModel();
-          _elem222.read(iprot);
-          struct.unserved.add(_elem222);
+          _elem227 = new UnservedModel();
+          _elem227.read(iprot);
+          struct.unserved.add(_elem227);
         }
       }
       struct.setUnservedIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list229 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list229.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem230;
+        for (int _i231 = 0; _i231 < _list229.size; ++_i231)
+        {
+          _elem230 = iprot.readString();
+          struct.silentNodes.add(_elem230);
+        }
+      }
+      struct.setSilentNodesIsSet(true);
     }
   }
 
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -352,6 +352,7 @@
   3: required i64 runnersRevision
   4: required list<RunnerHolding> runners
   5: required list<UnservedModel> unserved
+  6: required list<string> silentNodes      // nodes that have reported to this leader and have stopped
 }
 
 service NodeLink {
