planner: only victims that make room; no copies ahead before all runners are known; no order without the lead

The leader now checks its lead before each order, and starts from the runners' entries in the store.

--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -64,7 +64,9 @@
     static List<Directive> plan(ServiceState state) {
         ModelPolicy policy = new ModelPolicy(state);
         policy.serveNeeds();
-        policy.copyAhead();
+        if (state.settled()) {
+            policy.copyAhead();
+        }
         return policy.directives;
     }
 
@@ -144,25 +146,56 @@
     /** Returns the cheapest way to bring a model to a runner, empty where it cannot make room. */
     private Optional<Option> option(RunnerState runner, String model) {
         Model wanted = engine().models().get(model);
-        double free = engine().weightsRoomMb() - ModelDemands.weightsMb(engine(), runner);
-        List<String> victims = new ArrayList<>();
+        Optional<List<String>> victims = victims(runner, wanted.weightsMb());
+        if (victims.isEmpty()) {
+            return Optional.empty();
+        }
         double loadMs = loadMs(runner, wanted);
-        double cost = loadMs + LOAD_MS_OF_FULL_RUNNER * runner.load();
+        boolean waits = victims.get().stream().anyMatch(victim -> runner.requestsOf(victim) > 0);
+        double cost = loadMs
+                + LOAD_MS_OF_FULL_RUNNER * runner.load()
+                + blockingCost(runner, waits ? loadMs + IN_USE_MS : loadMs)
+                + victims.get().stream()
+                        .mapToDouble(victim -> victimCost(runner, victim))
+                        .sum();
+        return Optional.of(new Option(runner, victims.get(), cost));
+    }
+
+    /** Returns the models that make room at the least cost, none needlessly; empty where no room can be made. */
+    private Optional<List<String>> victims(RunnerState runner, double weightsMb) {
+        double missing = weightsMb - (engine().weightsRoomMb() - ModelDemands.weightsMb(engine(), runner));
         List<String> byCost = runner.models().keySet().stream()
                 .filter(held -> engine().models().containsKey(held))
                 .sorted(Comparator.comparingDouble(held -> victimCost(runner, held)))
                 .toList();
+        List<String> victims = new ArrayList<>();
         for (String victim : byCost) {
-            if (free >= wanted.weightsMb()) {
-                break;
+            if (missing > 0) {
+                victims.add(victim);
+                missing -= weightsMb(victim);
             }
-            free += engine().models().get(victim).weightsMb();
-            cost += victimCost(runner, victim);
-            victims.add(victim);
         }
-        boolean waits = victims.stream().anyMatch(victim -> runner.requestsOf(victim) > 0);
-        cost += blockingCost(runner, waits ? loadMs + IN_USE_MS : loadMs);
-        return free < wanted.weightsMb() ? Optional.empty() : Optional.of(new Option(runner, victims, cost));
+        if (missing > 0) {
+            return Optional.empty();
+        }
+        return Optional.of(withoutCheaperOnes(victims, missing));
+    }
+
+    /** Drops the victims that turned out not to be needed beside a larger one, cheapest first. */
+    private List<String> withoutCheaperOnes(List<String> victims, double missing) {
+        List<String> needed = new ArrayList<>(victims);
+        double spare = -missing;
+        for (String victim : victims) {
+            if (needed.size() > 1 && weightsMb(victim) <= spare) {
+                needed.remove(victim);
+                spare -= weightsMb(victim);
+            }
+        }
+        return needed;
+    }
+
+    private double weightsMb(String model) {
+        return engine().models().get(model).weightsMb();
     }
 
     private double loadMs(RunnerState runner, Model model) {
--- a/node/src/main/java/io/persimmonstack/node/planning/OrderDesk.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderDesk.java
@@ -7,6 +7,7 @@
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Gives the orders of one directive to its runner, one after the other, and waits until they are carried out. */
@@ -49,12 +50,13 @@
      * @param directive orders
      * @param term fencing number
      * @param engine how long loads take
+     * @param leads whether this node still leads in that term; no order is given once it does not
      */
-    void carryOut(RunnerLedger ledger, Directive directive, long term, Engine engine) {
+    void carryOut(RunnerLedger ledger, Directive directive, long term, Engine engine, BooleanSupplier leads) {
         long begunNanos = System.nanoTime();
         boolean done = false;
         try {
-            done = allDone(ledger, directive, term, engine);
+            done = allDone(ledger, directive, term, engine, leads);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
@@ -67,12 +69,12 @@
         LOG.write(NodeEvent.ORDER_DONE, ledger.runner().id(), directive.orders(), ms, done ? "done" : "not-done");
     }
 
-    private boolean allDone(RunnerLedger ledger, Directive directive, long term, Engine engine)
+    private boolean allDone(RunnerLedger ledger, Directive directive, long term, Engine engine, BooleanSupplier leads)
             throws InterruptedException {
         boolean first = true;
         for (PlacementOrder order : directive.orders()) {
             long limitNanos = first ? 0 : UNLOAD_LIMIT_NANOS;
-            if (!give(ledger, order, term, directive.reason(), limitNanos) || !await(ledger, order, engine)) {
+            if (!give(ledger, order, term, directive.reason(), limitNanos, leads) || !await(ledger, order, engine)) {
                 return false;
             }
             first = false;
@@ -81,11 +83,15 @@
     }
 
     /** Gives an order; while the one before it is in progress, again and again. */
-    private boolean give(RunnerLedger ledger, PlacementOrder order, long term, String reason, long limitNanos)
+    private boolean give(
+            RunnerLedger ledger, PlacementOrder order, long term, String reason, long limitNanos, BooleanSupplier leads)
             throws InterruptedException {
         long begunNanos = System.nanoTime();
+        if (!leads.getAsBoolean()) {
+            return false;
+        }
         OrderAnswer answer = order(ledger, order, term, reason);
-        while (answer == OrderAnswer.CONFLICT && System.nanoTime() - begunNanos < limitNanos) {
+        while (answer == OrderAnswer.CONFLICT && System.nanoTime() - begunNanos < limitNanos && leads.getAsBoolean()) {
             TimeUnit.MILLISECONDS.sleep(RETRY_MS);
             answer = order(ledger, order, term, reason);
         }
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -29,6 +29,7 @@
     private static final int TICK_MS = 30;
     private static final long STORE_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(5);
     private static final double STORE_WINDOW_SECONDS = 5;
+    private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
     private final FleetView fleet;
     private final NodeReports reports;
     private final Supplier<OptionalLong> leadTerm;
@@ -39,6 +40,7 @@
     private final Deque<Long> storeLoads = new ArrayDeque<>();
     private final Thread thread = Thread.ofVirtual().name("planner").unstarted(this::run);
     private OptionalLong term = OptionalLong.empty();
+    private long runnersChangedNanos = System.nanoTime();
 
     private Planner(
             FleetView fleet,
@@ -139,6 +141,9 @@
                         .flatMap(Service::engine)
                         .isPresent())
                 .forEach(runner -> runners.put(runner.id(), runner));
+        if (!ledgers.keySet().equals(runners.keySet())) {
+            runnersChangedNanos = System.nanoTime();
+        }
         ledgers.entrySet().removeIf(entry -> {
             Runner runner = runners.get(entry.getKey());
             return runner == null || !runner.isSameProcess(entry.getValue().runner());
@@ -172,8 +177,13 @@
                 .toList();
         int loading = (int)
                 ledgers.values().stream().filter(RunnerLedger::loadsFromStore).count();
-        ServiceState state =
-                new ServiceState(engine, states, reports.demands(service, now), loading, storeLoadAllowed(engine, now));
+        ServiceState state = new ServiceState(
+                engine,
+                states,
+                reports.demands(service, now),
+                loading,
+                storeLoadAllowed(engine, now),
+                now - runnersChangedNanos > SETTLE_NANOS);
         ModelPolicy.plan(state).forEach(directive -> execute(directive, engine));
         AdapterPolicy.plan(state).forEach(directive -> execute(directive, engine));
     }
@@ -194,7 +204,12 @@
             storeLoads.addLast(System.nanoTime());
         }
         long orderTerm = term.getAsLong();
-        threads.execute(() -> desk.carryOut(ledger, directive, orderTerm, engine));
+        threads.execute(() -> desk.carryOut(ledger, directive, orderTerm, engine, () -> leads(orderTerm)));
+    }
+
+    private boolean leads(long orderTerm) {
+        OptionalLong current = leadTerm.get();
+        return current.isPresent() && current.getAsLong() == orderTerm;
     }
 
     @Override
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
@@ -42,6 +42,9 @@
 
     RunnerLedger(Runner runner) {
         this.runner = runner;
+        runner.models().forEach(model -> models.put(model.name(), model));
+        inMemory.addAll(runner.inMemory());
+        onDisk.addAll(runner.onDisk());
         this.askedNanos = System.nanoTime() - RETRY_NANOS;
         this.orderedNanos = System.nanoTime() - REPORT_LAG_NANOS;
     }
@@ -91,17 +94,19 @@
         known = true;
         statusNanos = nowNanos;
         sequence = status.sequence();
-        models.clear();
-        status.models().forEach(model -> models.put(model.name(), model));
-        copies(status);
+        take(status);
     }
 
     /** An order takes longer than expected: what it was to load is not there yet. */
     private void keepShown(RunnerStatus status) {
         known = false;
-        models.keySet()
-                .removeIf(model ->
-                        status.models().stream().noneMatch(held -> held.name().equals(model)));
+        take(status);
+    }
+
+    private void take(RunnerStatus status) {
+        models.clear();
+        status.models().forEach(model -> models.put(model.name(), model));
+        copies(status);
     }
 
     private void copies(RunnerStatus status) {
@@ -210,7 +215,7 @@
 
     /** Returns the models that requests may be sent for. */
     synchronized List<HeldModel> serving() {
-        return statusNanos == 0 ? runner.models() : List.copyOf(models.values());
+        return List.copyOf(models.values());
     }
 
     synchronized RunnerState state(List<RunnerUsage> uses, Engine engine) {
--- a/node/src/main/java/io/persimmonstack/node/planning/ServiceState.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ServiceState.java
@@ -11,10 +11,12 @@
  * @param demands demand by model and adapter
  * @param storeLoads loads from the weight store in progress over all runners
  * @param storeLoadAllowed whether the rate of the weight store allows one more load now
+ * @param settled whether the runners have been the same for a while, so that all copies are known
  */
 record ServiceState(
         Engine engine,
         List<RunnerState> runners,
         List<DemandState> demands,
         int storeLoads,
-        boolean storeLoadAllowed) {}
+        boolean storeLoadAllowed,
+        boolean settled) {}
--- a/node/src/test/java/io/persimmonstack/node/planning/Fleets.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/Fleets.java
@@ -110,6 +110,6 @@
     }
 
     static ServiceState state(Engine engine, List<RunnerState> runners, DemandState... demands) {
-        return new ServiceState(engine, runners, List.of(demands), 0, true);
+        return new ServiceState(engine, runners, List.of(demands), 0, true, true);
     }
 }
--- a/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.persimmonstack.node.config.Engine;
+import io.persimmonstack.node.config.Model;
 import io.persimmonstack.node.request.ModelRef;
 import java.util.List;
 import java.util.Map;
@@ -93,9 +94,9 @@
     @Test
     void noMoreLoadsFromTheStoreThanItServesAtFullSpeed() {
         List<RunnerState> runners = List.of(Fleets.runner("r1"), Fleets.runner("r2"));
-        ServiceState busyStore = new ServiceState(ENGINE, runners, List.of(Fleets.waiting("a", 1)), 4, true);
+        ServiceState busyStore = new ServiceState(ENGINE, runners, List.of(Fleets.waiting("a", 1)), 4, true, true);
         assertTrue(ModelPolicy.plan(busyStore).isEmpty());
-        ServiceState spentRate = new ServiceState(ENGINE, runners, List.of(Fleets.waiting("a", 1)), 0, false);
+        ServiceState spentRate = new ServiceState(ENGINE, runners, List.of(Fleets.waiting("a", 1)), 0, false, true);
         assertTrue(ModelPolicy.plan(spentRate).isEmpty());
     }
 
@@ -148,4 +149,26 @@
                 "r1",
                 ModelPolicy.plan(Fleets.state(ENGINE, runners, old)).getFirst().runner());
     }
+
+    @Test
+    void smallModelStaysWhereALargeOneMustMakeWayAnyhow() {
+        Map<String, Model> models = Map.of(
+                "small", new Model("small", 20_000, 6_000, 1_000, 400, 0),
+                "large", new Model("large", 40_000, 6_000, 1_000, 400, 0),
+                "wanted", new Model("wanted", 40_000, 6_000, 1_000, 400, 0));
+        Engine engine = new Engine(Fleets.SLOTS, 100_000, 60_000, 0, 3, models);
+        RunnerState runner = Fleets.runner("r1", Fleets.held("small"), Fleets.held("large"));
+        List<Directive> plan = ModelPolicy.plan(
+                Fleets.state(engine, List.of(runner), Fleets.waiting("wanted", 1), Fleets.asked("large", 0.5)));
+        assertEquals(
+                List.of(new PlacementOrder.UnloadModel("large"), new PlacementOrder.LoadModel("wanted")),
+                plan.getFirst().orders());
+    }
+
+    @Test
+    void noCopiesAreMadeAheadBeforeAllRunnersAreKnown() {
+        RunnerState one = Fleets.runner("r1", Fleets.held("a"));
+        assertTrue(ModelPolicy.plan(new ServiceState(ENGINE, List.of(one), List.of(), 0, true, false))
+                .isEmpty());
+    }
 }
