--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -20,6 +20,8 @@
     CONFIGURATION_UNREADABLE(6006, Level.ERROR, "configuration-unreadable revision={} cause={}"),
     /** The settings file was read again. */
     SETTINGS_READ(6007, Level.INFO, "settings-read outcome={}"),
+    /** The settings file cannot be used, and the process ends. */
+    SETTINGS_REFUSED(6008, Level.ERROR, "settings-refused file={} cause={}"),
     /** The store gave no answer. */
     STORE_LOST(6010, Level.WARN, "store-lost follows={} cause={}"),
     /** The store answers again. */
@@ -56,7 +58,7 @@
     /** The filters met an unexpected error. */
     REQUEST_ERROR(6106, Level.ERROR, "request-error id={} cause={}"),
     /** An order was given to a runner. */
-    ORDER(6201, Level.INFO, "order runner={} order={} term={} expected={} outcome={} reason={} source={}"),
+    ORDER(6201, Level.INFO, "order runner={} order={} term={} sequence={} outcome={} reason={} source={}"),
     /** An order is done. */
     ORDER_DONE(6202, Level.INFO, "order-done runner={} order={} ms={} outcome={}"),
     /** A runner gave no report. */
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -165,7 +165,8 @@
     private Optional<List<String>> victims(RunnerState runner, double weightsMb) {
         double missing = weightsMb - (engine().weightsRoomMb() - ModelDemands.weightsMb(engine(), runner));
         List<String> byCost = runner.models().keySet().stream()
-                .filter(held -> engine().models().containsKey(held))
+                .filter(held ->
+                        engine().models().containsKey(held) && !runner.fresh().contains(held))
                 .sorted(Comparator.comparingDouble(held -> victimCost(runner, held)))
                 .toList();
         List<String> victims = new ArrayList<>();
--- a/node/src/main/java/io/persimmonstack/node/planning/OrderDesk.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderDesk.java
@@ -3,11 +3,9 @@
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.node.NodeMetrics;
 import io.persimmonstack.node.config.Engine;
-import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Gives the orders of one directive to its runner, one after the other, and waits until they are carried out. */
@@ -43,20 +41,14 @@
         return new OrderDesk(node, control, metrics, onFenced);
     }
 
-    /**
-     * Carries a directive out.
-     *
-     * @param ledger runner, on whose ledger the directive has begun
-     * @param directive orders
-     * @param term fencing number
-     * @param engine how long loads take
-     * @param leads whether this node still leads in that term; no order is given once it does not
-     */
-    void carryOut(RunnerLedger ledger, Directive directive, long term, Engine engine, BooleanSupplier leads) {
+    /** Carries a directive out and ends it on its runner's ledger. */
+    void carryOut(Assignment assignment) {
+        RunnerLedger ledger = assignment.ledger();
+        Directive directive = assignment.directive();
         long begunNanos = System.nanoTime();
         boolean done = false;
         try {
-            done = allDone(ledger, directive, term, engine, leads);
+            done = allDone(assignment);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
@@ -69,47 +61,47 @@
         LOG.write(NodeEvent.ORDER_DONE, ledger.runner().id(), directive.orders(), ms, done ? "done" : "not-done");
     }
 
-    private boolean allDone(RunnerLedger ledger, Directive directive, long term, Engine engine, BooleanSupplier leads)
-            throws InterruptedException {
-        boolean first = true;
-        for (PlacementOrder order : directive.orders()) {
-            long limitNanos = first ? 0 : UNLOAD_LIMIT_NANOS;
-            if (!give(ledger, order, term, directive.reason(), limitNanos, leads) || !await(ledger, order, engine)) {
+    private boolean allDone(Assignment assignment) throws InterruptedException {
+        long limitNanos = 0;
+        for (PlacementOrder order : assignment.directive().orders()) {
+            if (!give(assignment, order, limitNanos) || !await(assignment.ledger(), order, assignment.engine())) {
                 return false;
             }
-            first = false;
+            limitNanos = UNLOAD_LIMIT_NANOS;
         }
         return true;
     }
 
     /** Gives an order; while the one before it is in progress, again and again. */
-    private boolean give(
-            RunnerLedger ledger, PlacementOrder order, long term, String reason, long limitNanos, BooleanSupplier leads)
-            throws InterruptedException {
-        long begunNanos = System.nanoTime();
-        if (!leads.getAsBoolean()) {
+    private boolean give(Assignment assignment, PlacementOrder order, long limitNanos) throws InterruptedException {
+        if (!assignment.leads().getAsBoolean()) {
             return false;
         }
-        OrderAnswer answer = order(ledger, order, term, reason);
-        while (answer == OrderAnswer.CONFLICT && System.nanoTime() - begunNanos < limitNanos && leads.getAsBoolean()) {
+        long begunNanos = System.nanoTime();
+        OrderAnswer answer = order(assignment, order);
+        log(assignment, order, answer);
+        while (answer == OrderAnswer.CONFLICT
+                && System.nanoTime() - begunNanos < limitNanos
+                && assignment.leads().getAsBoolean()) {
             TimeUnit.MILLISECONDS.sleep(RETRY_MS);
-            answer = order(ledger, order, term, reason);
+            answer = order(assignment, order);
+            if (answer != OrderAnswer.CONFLICT) {
+                log(assignment, order, answer);
+            }
         }
         if (answer == OrderAnswer.FENCED) {
-            onFenced.accept("runner " + ledger.runner().id() + " has seen a later term");
+            onFenced.accept("runner " + assignment.ledger().runner().id() + " has seen a later term");
         }
         return answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY;
     }
 
-    private OrderAnswer order(RunnerLedger ledger, PlacementOrder order, long term, String reason) {
+    private OrderAnswer order(Assignment assignment, PlacementOrder order) {
+        RunnerLedger ledger = assignment.ledger();
         ledger.orderTurn().lock();
         try {
-            Runner runner = ledger.runner();
-            long sequence = ledger.sequence();
-            OrderAnswer answer = control.order(runner, order, new OrderTicket(node, term, sequence));
+            OrderTicket ticket = new OrderTicket(node, assignment.term(), ledger.sequence());
+            OrderAnswer answer = control.order(ledger.runner(), order, ticket);
             metrics.order(answer.name().toLowerCase(Locale.ROOT));
-            LOG.write(
-                    NodeEvent.ORDER, runner.id(), order, term, sequence, answer, reason, ledger.source(order.model()));
             if (answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY) {
                 ledger.accepted(System.nanoTime());
             }
@@ -119,6 +111,19 @@
         }
     }
 
+    private static void log(Assignment assignment, PlacementOrder order, OrderAnswer answer) {
+        RunnerLedger ledger = assignment.ledger();
+        LOG.write(
+                NodeEvent.ORDER,
+                ledger.runner().id(),
+                order,
+                assignment.term(),
+                ledger.sequence(),
+                answer,
+                assignment.directive().reason(),
+                ledger.source(order.model()));
+    }
+
     private boolean await(RunnerLedger ledger, PlacementOrder order, Engine engine) throws InterruptedException {
         switch (order) {
             case PlacementOrder.LoadModel load -> {
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -204,7 +204,8 @@
             storeLoads.addLast(System.nanoTime());
         }
         long orderTerm = term.getAsLong();
-        threads.execute(() -> desk.carryOut(ledger, directive, orderTerm, engine, () -> leads(orderTerm)));
+        Assignment assignment = new Assignment(ledger, directive, orderTerm, engine, () -> leads(orderTerm));
+        threads.execute(() -> desk.carryOut(assignment));
     }
 
     private boolean leads(long orderTerm) {
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
@@ -22,10 +22,12 @@
     private static final long REPORT_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     private static final long REPORT_VALID_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
     private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+    private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     private static final long UNKNOWN_VERSION = 0;
     private final Map<String, HeldModel> models = new HashMap<>();
     private final Set<String> inMemory = new HashSet<>();
     private final Set<String> onDisk = new HashSet<>();
+    private final Map<String, Long> loadedNanos = new HashMap<>();
     private final Set<ModelRef> adaptersComing = new HashSet<>();
     private final ReentrantLock orderTurn = new ReentrantLock();
     private Runner runner;
@@ -176,6 +178,7 @@
 
     private void loaded(String model) {
         models.put(model, new HeldModel(model, UNKNOWN_VERSION, Set.of()));
+        loadedNanos.put(model, System.nanoTime());
         inMemory.clear();
         inMemory.add(model);
         onDisk.add(model);
@@ -218,6 +221,11 @@
         return List.copyOf(models.values());
     }
 
+    private Set<String> fresh(long nowNanos) {
+        loadedNanos.values().removeIf(loaded -> nowNanos - loaded > FRESH_NANOS);
+        return Set.copyOf(loadedNanos.keySet());
+    }
+
     synchronized RunnerState state(List<RunnerUsage> uses, Engine engine) {
         Map<ModelRef, Integer> used = new HashMap<>();
         uses.stream()
@@ -230,6 +238,7 @@
                 modelDirective.isEmpty(),
                 runner.leaving(),
                 Map.copyOf(models),
+                fresh(System.nanoTime()),
                 coming,
                 Set.copyOf(adaptersComing),
                 Set.copyOf(inMemory),
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
@@ -15,6 +15,7 @@
  * @param idle whether it is loading and unloading no model
  * @param leaving whether it takes no new work
  * @param models models that it holds, by name
+ * @param fresh models loaded so lately that their waiting requests may not have begun
  * @param coming model that it is loading
  * @param adaptersComing adapters that it is loading
  * @param inMemory models with a copy in its host memory
@@ -29,6 +30,7 @@
         boolean idle,
         boolean leaving,
         Map<String, HeldModel> models,
+        Set<String> fresh,
         Optional<String> coming,
         Set<ModelRef> adaptersComing,
         Set<String> inMemory,
--- a/node/src/test/java/io/persimmonstack/node/planning/Fleets.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/Fleets.java
@@ -45,6 +45,7 @@
                 true,
                 false,
                 byName,
+                Set.of(),
                 Optional.empty(),
                 Set.of(),
                 byName.keySet(),
@@ -61,6 +62,7 @@
                 runner.idle(),
                 runner.leaving(),
                 runner.models(),
+                runner.fresh(),
                 runner.coming(),
                 runner.adaptersComing(),
                 runner.inMemory(),
@@ -77,6 +79,7 @@
                 runner.idle(),
                 runner.leaving(),
                 runner.models(),
+                runner.fresh(),
                 runner.coming(),
                 runner.adaptersComing(),
                 Set.of(),
@@ -93,6 +96,7 @@
                 false,
                 runner.leaving(),
                 runner.models(),
+                runner.fresh(),
                 Optional.of(model),
                 runner.adaptersComing(),
                 runner.inMemory(),
@@ -112,4 +116,21 @@
     static ServiceState state(Engine engine, List<RunnerState> runners, DemandState... demands) {
         return new ServiceState(engine, runners, List.of(demands), 0, true, true);
     }
+
+    static RunnerState withFresh(RunnerState runner, String... models) {
+        return new RunnerState(
+                runner.id(),
+                runner.zone(),
+                runner.known(),
+                runner.idle(),
+                runner.leaving(),
+                runner.models(),
+                Set.of(models),
+                runner.coming(),
+                runner.adaptersComing(),
+                runner.inMemory(),
+                runner.onDisk(),
+                runner.uses(),
+                runner.slots());
+    }
 }
--- a/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
@@ -126,6 +126,7 @@
                 true,
                 false,
                 known.models(),
+                known.fresh(),
                 known.coming(),
                 known.adaptersComing(),
                 known.inMemory(),
@@ -171,4 +172,11 @@
         assertTrue(ModelPolicy.plan(new ServiceState(ENGINE, List.of(one), List.of(), 0, true, false))
                 .isEmpty());
     }
+
+    @Test
+    void modelThatHasJustBeenLoadedStaysUntilItsRequestsHaveBegun() {
+        RunnerState runner = Fleets.withFresh(Fleets.runner("r1", Fleets.held("a"), Fleets.held("b")), "a", "b");
+        DemandState old = new DemandState(new ModelRef("c", ""), 3, 4_000, 3_000, 0.5);
+        assertTrue(ModelPolicy.plan(Fleets.state(ENGINE, List.of(runner), old)).isEmpty());
+    }
 }
--- a/node/src/test/java/io/persimmonstack/node/planning/RareModelsTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RareModelsTest.java
@@ -131,6 +131,7 @@
                 runner.coming == null,
                 false,
                 models,
+                Set.of(),
                 Optional.ofNullable(runner.coming),
                 Set.of(),
                 Set.of(),
