--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -43,16 +43,14 @@
     /** The node's entry in the store was written. */
     REGISTERED(6019, Level.INFO, "registered node={} lease={}"),
     /** A request was answered by a runner. */
-    SERVED(6101, Level.INFO, "request-served id={} route={} model={} runner={} status={} sends={} first-ms={} ms={}"),
+    SERVED(6101, Level.INFO, "request-served id={} route={} model={} runner={} sends={} first-ms={} ms={}"),
     /** A request was answered by the node itself. */
     REFUSED(
             6102,
             Level.INFO,
             "request-refused id={} route={} model={} status={} reason={} retry-after-ms={} sends={} ms={} detail={}"),
-    /** An answer was broken off after it had begun. */
-    BROKEN_OFF(6103, Level.WARN, "request-broken-off id={} route={} model={} runner={} sends={} ms={} detail={}"),
     /** The caller left before its answer was complete. */
-    CALLER_LEFT(6104, Level.INFO, "caller-left id={} route={} model={} sends={} ms={}"),
+    CALLER_LEFT(6104, Level.INFO, "caller-left id={} route={} model={} runner={} sends={} ms={}"),
     /** An attempt at a runner brought no whole answer. */
     ATTEMPT_FAILED(6105, Level.INFO, "attempt-failed id={} runner={} sends={} cause={} repeat={}"),
     /** The filters met an unexpected error. */
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -14,6 +14,7 @@
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.node.sending.Dispatcher;
 import io.persimmonstack.node.sending.RunnerProtocol;
+import io.persimmonstack.node.sending.Sends;
 import io.persimmonstack.node.sending.Served;
 import io.persimmonstack.router.request.CallerGoneException;
 import io.persimmonstack.router.request.Reply;
@@ -73,14 +74,21 @@
             CallerRequest caller = protocol.decode(raw);
             trace.caller = caller;
             ActiveRequest request = activate(caller, receivedNanos, trace);
-            Served served = dispatcher.serve(request, reply);
+            Served served = dispatcher.serve(request, reply, trace.sends);
             logServed(trace, served);
         } catch (RefusedException e) {
             refuse(trace, e.refusal(), reply);
         } catch (CallerGoneException e) {
             reply.abort();
             metrics.callerLeft();
-            LOG.write(NodeEvent.CALLER_LEFT, trace.id(), trace.route(), trace.model(), e.getMessage(), trace.ms());
+            LOG.write(
+                    NodeEvent.CALLER_LEFT,
+                    trace.id(),
+                    trace.route(),
+                    trace.model(),
+                    trace.sends.lastRunner(),
+                    trace.sends.count(),
+                    trace.ms());
         } catch (RuntimeException e) {
             reply.abort();
             LOG.write(NodeEvent.REQUEST_ERROR, trace.id(), e.toString(), e);
@@ -115,9 +123,8 @@
                 trace.id(),
                 trace.route(),
                 trace.model(),
-                served.runner(),
-                "ok",
-                served.sends(),
+                trace.sends.lastRunner(),
+                trace.sends.count(),
                 served.firstMs(),
                 trace.ms());
     }
@@ -132,7 +139,7 @@
                 refusal.status(),
                 refusal.reason(),
                 refusal.retryAfterMs().orElse(-1),
-                "-",
+                trace.sends.count(),
                 trace.ms(),
                 refusal.detail());
         if (reply.begun()) {
@@ -163,6 +170,7 @@
     /** What is known of a request when its end is logged. */
     private static final class RequestTrace {
         private final long receivedNanos;
+        private final Sends sends = Sends.none();
         private CallerRequest caller;
         private Route route;
 
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatch.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatch.java
@@ -18,21 +18,22 @@
     private static final double WAIT_SHARE = 0.7;
 
     private final ActiveRequest request;
+    private final Sends sends;
     private final Set<String> excluded = new HashSet<>();
-    private int sends;
     private int runs;
     private boolean mayHaveRun;
 
-    Dispatch(ActiveRequest request) {
+    Dispatch(ActiveRequest request, Sends sends) {
         this.request = request;
+        this.sends = sends;
     }
 
-    void sent() {
-        sends++;
+    void sentTo(Runner runner) {
+        sends.sentTo(runner.id());
     }
 
     int sends() {
-        return sends;
+        return sends.count();
     }
 
     /** Returns whether a runner may have worked on the request. */
@@ -63,7 +64,7 @@
         }
         boolean allowed =
                 !ran || request.route().isIdempotent() && runs < request.route().maxAttempts();
-        return allowed && sends < MAX_SENDS && request.leftMs(nowNanos) > LEAST_LEFT_MS;
+        return allowed && sends.count() < MAX_SENDS && request.leftMs(nowNanos) > LEAST_LEFT_MS;
     }
 
     /** Returns the time after which starting the request at a runner is in vain, by the monotonic clock. */
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -55,25 +55,26 @@
      *
      * @param request request to serve
      * @param reply way back to the caller
+     * @param sends counts the attempts
      * @return what became of it
      * @throws RefusedException if the node answers by itself
      * @throws CallerGoneException if the caller has left
      */
-    public Served serve(ActiveRequest request, Reply reply) throws RefusedException, CallerGoneException {
+    public Served serve(ActiveRequest request, Reply reply, Sends sends) throws RefusedException, CallerGoneException {
         budget.request(request.service().name(), System.nanoTime());
-        Dispatch dispatch = new Dispatch(request);
+        Dispatch dispatch = new Dispatch(request, sends);
         StreamProgress progress = StreamProgress.after(request.caller().lastEventId(), request.receivedNanos());
         while (true) {
             Placement placement = place(request, dispatch, reply);
             Runner runner = placement.runner();
-            dispatch.sent();
+            dispatch.sentTo(runner);
             Outcome outcome;
             try (placement) {
                 outcome = Attempt.of(connector, protocol, request, progress, reply, runner)
                         .run(dispatch.silenceMs(progress.begun()));
             }
             if (outcome instanceof Outcome.Delivered) {
-                return new Served(runner.id(), dispatch.sends(), progress.firstMs());
+                return new Served(progress.firstMs());
             }
             observe(runner, request, outcome);
             boolean repeat = dispatch.mayRepeat(runner, outcome, System.nanoTime())
@@ -134,7 +135,7 @@
             case Outcome.RanWithError error -> {
                 WholeAnswer answer = error.answer();
                 reply.whole(answer.status(), answer.headers(), answer.body());
-                return new Served(runner.id(), dispatch.sends(), progress.firstMs());
+                return new Served(progress.firstMs());
             }
             case Outcome.NotRun notRun -> {
                 if (dispatch.mayHaveRun()) {
--- a/node/src/test/java/io/persimmonstack/node/sending/DispatchTest.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/DispatchTest.java
@@ -20,8 +20,8 @@
     private static final Outcome FULL = new Outcome.NotRun(Outcome.Cause.FULL, "no room");
 
     private static Dispatch sentOnce(RouteKind kind, boolean resumable, int maxAttempts) {
-        Dispatch dispatch = new Dispatch(Requests.of(kind, resumable, maxAttempts));
-        dispatch.sent();
+        Dispatch dispatch = new Dispatch(Requests.of(kind, resumable, maxAttempts), Sends.none());
+        dispatch.sentTo(RUNNER);
         return dispatch;
     }
 
@@ -48,7 +48,7 @@
     void idempotentRequestRunsAtMostAsOftenAsItsRouteAllows() {
         Dispatch dispatch = sentOnce(RouteKind.SAFE, false, 2);
         assertTrue(dispatch.mayRepeat(RUNNER, LOST, 0));
-        dispatch.sent();
+        dispatch.sentTo(RUNNER);
         assertFalse(dispatch.mayRepeat(RUNNER, LOST, 0));
     }
 
