--- a/coordination/src/main/java/io/persimmonstack/coordination/claim/ClaimQueue.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/claim/ClaimQueue.java
@@ -15,6 +15,16 @@
     private static final int MAX_SEGMENT_BYTES = 256 * 1024;
 
     private final Deque<QueuedEntry> waiting = new ArrayDeque<>();
+    private final int maxClaims;
+
+    private ClaimQueue(int maxClaims) {
+        this.maxClaims = maxClaims;
+    }
+
+    /** Returns an empty queue in front of a table that may hold so many claims. */
+    static ClaimQueue holdingAtMost(int maxClaims) {
+        return new ClaimQueue(maxClaims);
+    }
 
     synchronized boolean offer(QueuedEntry entry) {
         return waiting.size() < MAX_QUEUED_ENTRIES && waiting.add(entry);
@@ -63,6 +73,12 @@
             if (answeredBy(table, entry, settled)) {
                 continue;
             }
+            boolean newKey =
+                    !entry.isOutcome() && !claimedKeys.contains(entry.claim().key());
+            if (newKey && table.size() + taken.size() >= maxClaims) {
+                entry.complete(new ClaimResult.NotClaimed(maxClaims + " claims are held, the most allowed"));
+                continue;
+            }
             bytes += entry.estimatedBytes();
             if (bytes > MAX_SEGMENT_BYTES && !taken.isEmpty()) {
                 waiting.addFirst(entry);
--- a/coordination/src/main/java/io/persimmonstack/coordination/claim/ClaimShard.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/claim/ClaimShard.java
@@ -45,7 +45,7 @@
     private final Supplier<String> batchIds;
     private final long retentionNanos;
     private final ClaimKeys keys;
-    private final ClaimQueue queue = new ClaimQueue();
+    private final ClaimQueue queue;
     private final ReentrantLock flushLock = new ReentrantLock();
     private Optional<ClaimTable> table = Optional.empty();
     private volatile Optional<ClaimBatch> pending = Optional.empty();
@@ -60,6 +60,7 @@
         this.batchIds = options.batchIds();
         this.retentionNanos = options.retention().toNanos();
         this.keys = new ClaimKeys(shard);
+        this.queue = ClaimQueue.holdingAtMost(options.maxClaims());
     }
 
     /**
--- a/coordination/src/test/java/io/persimmonstack/coordination/claim/ClaimShardTest.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/claim/ClaimShardTest.java
@@ -198,6 +198,26 @@
         assertInstanceOf(ClaimResult.AlreadyClaimed.class, stale.join());
     }
 
+    @Test
+    void claimBeyondTheBoundIsRefusedAndKnownKeysAreStillAnswered() throws KvException {
+        ClaimShard bounded = writer("bounded", 2);
+        CompletableFuture<ClaimResult> one = bounded.submit(claim("one", "a"), WAIT_MS);
+        CompletableFuture<ClaimResult> two = bounded.submit(claim("two", "a"), WAIT_MS);
+        CompletableFuture<ClaimResult> three = bounded.submit(claim("three", "a"), WAIT_MS);
+        CompletableFuture<ClaimResult> again = bounded.submit(claim("one", "b"), WAIT_MS);
+        bounded.flush();
+        bounded.flush();
+        assertInstanceOf(ClaimResult.Claimed.class, one.join());
+        assertInstanceOf(ClaimResult.Claimed.class, two.join());
+        assertInstanceOf(ClaimResult.NotClaimed.class, three.join());
+        assertInstanceOf(ClaimResult.AlreadyClaimed.class, again.join());
+        pass(RETENTION);
+        bounded.trim();
+        CompletableFuture<ClaimResult> later = bounded.submit(claim("three", "a"), WAIT_MS);
+        bounded.flush();
+        assertInstanceOf(ClaimResult.Claimed.class, later.join());
+    }
+
     private void warmUp(ClaimShard... shards) {
         for (ClaimShard shard : shards) {
             shard.submit(claim("warm-up-" + batches.get(), "w"), WAIT_MS);
@@ -206,6 +226,10 @@
     }
 
     private ClaimShard writer(String name) {
+        return writer(name, Integer.MAX_VALUE);
+    }
+
+    private ClaimShard writer(String name, int maxClaims) {
         TimeSource time = new TimeSource() {
             @Override
             public long nanoTime() {
@@ -222,7 +246,8 @@
                 name,
                 store,
                 codec,
-                ClaimShardOptions.of(time, () -> "batch-" + batches.incrementAndGet(), RETENTION));
+                ClaimShardOptions.of(time, () -> "batch-" + batches.incrementAndGet(), RETENTION)
+                        .withMaxClaims(maxClaims));
     }
 
     private void pass(Duration duration) {
--- a/router/src/main/java/io/persimmonstack/router/Router.java
+++ b/router/src/main/java/io/persimmonstack/router/Router.java
@@ -105,7 +105,8 @@
                 settings.node() + '-' + incarnation,
                 store,
                 Duration.ofMinutes(settings.claims().retentionMinutes()),
-                settings.claims().batchIntervalMs()));
+                settings.claims().batchIntervalMs(),
+                settings.claims().maxHeld()));
         PeerSecurity security = PeerTrust.of(settings.peerTls(), closer);
         ThriftServer peers = closer.add(startPeers(local, security));
         SelfDescription self = new SelfDescription(
--- a/router/src/main/java/io/persimmonstack/router/claim/LocalClaims.java
+++ b/router/src/main/java/io/persimmonstack/router/claim/LocalClaims.java
@@ -31,10 +31,13 @@
     private final KvStore store;
     private final Duration retention;
     private final long batchIntervalMs;
+    private final int maxHeld;
     private final Map<Integer, Writer> writers = new ConcurrentHashMap<>();
     private volatile boolean closed;
 
-    private LocalClaims(ClaimShards shards, String writer, KvStore store, Duration retention, long batchIntervalMs) {
+    private LocalClaims(
+            ClaimShards shards, String writer, KvStore store, Duration retention, long batchIntervalMs, int maxHeld) {
+        this.maxHeld = maxHeld;
         this.shards = shards;
         this.writer = writer;
         this.store = store;
@@ -50,11 +53,12 @@
      * @param store key-value service
      * @param retention how long claims are kept
      * @param batchIntervalMs shortest time between two segments of a shard
+     * @param maxHeld claims held in memory over all shards
      * @return the writers
      */
     public static LocalClaims of(
-            ClaimShards shards, String writer, KvStore store, Duration retention, long batchIntervalMs) {
-        return new LocalClaims(shards, writer, store, retention, batchIntervalMs);
+            ClaimShards shards, String writer, KvStore store, Duration retention, long batchIntervalMs, int maxHeld) {
+        return new LocalClaims(shards, writer, store, retention, batchIntervalMs, maxHeld);
     }
 
     /**
@@ -102,7 +106,8 @@
 
         private Writer(int number) {
             ClaimShardOptions options = ClaimShardOptions.of(
-                    TimeSource.system(), () -> UUID.randomUUID().toString(), retention);
+                            TimeSource.system(), () -> UUID.randomUUID().toString(), retention)
+                    .withMaxClaims(Math.max(1, maxHeld / shards.count()));
             this.log = ClaimShard.create(number, writer, store, ClaimSegmentCodec.create(), options);
             this.thread = Thread.ofVirtual().name("claim-shard-" + number).start(this::run);
         }
