budget of repeats: nodes that a node does not see any more still count

Cause: the slack was divided by the nodes listed now; in an outage of the store entries lapse, and each node would have taken the whole slack. Divided by the most nodes ever listed, and by six at least, since a node that has just started knows none. FleetViewTest fails without it.

--- a/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
 
@@ -11,6 +12,7 @@
     private final AtomicReference<Fleet> current = new AtomicReference<>(Fleet.unknown());
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
+    private final AtomicInteger mostPeers = new AtomicInteger();
     private volatile Set<String> silentNodes = Set.of();
 
     private FleetView() {}
@@ -31,10 +33,16 @@
      * @param change computes the new state from the current one; may run more than once
      */
     public void update(UnaryOperator<Fleet> change) {
-        current.updateAndGet(change);
+        Fleet now = current.updateAndGet(change);
+        mostPeers.accumulateAndGet(now.peers().size(), Math::max);
         listeners.forEach(Runnable::run);
     }
 
+    /** Returns the most nodes that were ever listed at once; those that are listed no more may still be at work. */
+    public int mostPeers() {
+        return mostPeers.get();
+    }
+
     /** Returns the nodes that are listed and have fallen silent. */
     public Set<String> silentNodes() {
         return silentNodes;
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -21,6 +21,9 @@
 public final class Dispatcher {
     private static final BoundedLog LOG = BoundedLog.over(EventLog.of(Dispatcher.class));
     private static final long RETRY_AFTER_MS = 300;
+    /** A node that has just started may not know of the others yet. */
+    private static final int LEAST_NODES = 6;
+
     private final FleetView fleet;
     private final Placer placer;
     private final RepeatBudget budget;
@@ -101,8 +104,9 @@
         }
     }
 
+    /** Returns how many nodes may spend from the budget, also such as this one does not see. */
     private int nodes() {
-        return Math.max(1, fleet.current().peers().size());
+        return Math.max(LEAST_NODES, fleet.mostPeers());
     }
 
     private void observe(Runner runner, ActiveRequest request, Outcome outcome) {
