--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -114,8 +114,8 @@
     private void startPlanning(NodePorts ports, ExecutorService threads, NodeMetrics metrics) throws ProgramException {
         Supplier<OptionalLong> leadTerm = session::leadTerm;
         NodeReports reports = NodeReports.none();
-        Planner planner = closer.add(Planner.start(
-                fleet, reports, leadTerm, options.name(), ports.control(), threads, metrics, session::depose));
+        Planner planner = closer.add(
+                Planner.start(fleet, reports, leadTerm, options, ports.control(), threads, metrics, session::depose));
         LeaderHandler leader = LeaderHandler.of(fleet, reports, planner, leadTerm);
         try {
             closer.add(ThriftServer.start(options.link(), new NodeLink.Processor<>(leader)));
--- a/node/src/main/java/io/persimmonstack/node/NodeOptions.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeOptions.java
@@ -13,6 +13,8 @@
  * @param routingKey key of the configuration in the store
  * @param runnersPrefix beginning of the runners' keys in the store
  * @param budget bounds of repeats
+ * @param orderPauseMs time that a new leader waits before its first order, in milliseconds; 0 where runners refuse
+ *     orders of an earlier term by themselves
  * @param graceMs time from the request to stop until the process is killed, in milliseconds
  */
 public record NodeOptions(
@@ -23,4 +25,5 @@
         String routingKey,
         String runnersPrefix,
         RepeatBudgetOptions budget,
+        long orderPauseMs,
         long graceMs) {}
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
@@ -37,7 +37,6 @@
                 known.routing().map(RoutingTable::version).orElse(0L),
                 known.runnersRevision(),
                 reports.stream().map(LoadMessages::holding).toList(),
-                new ArrayList<>(),
                 new ArrayList<>(silentNodes));
     }
 
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -110,9 +110,6 @@
         silent = false;
         fleet.silentNodes(new HashSet<>(answer.getSilentNodes()));
         placer.takeReports(LoadMessages.reports(answer));
-        answer.getUnserved()
-                .forEach(model ->
-                        placer.refuseWaiting(model.getServiceName(), model.getModel(), model.getRetryAfterMs()));
     }
 
     private void checkSilence(String leader, String cause) {
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -233,32 +233,6 @@
         }
     }
 
-    /**
-     * Refuses all requests that wait for a model.
-     *
-     * @param service service of the model
-     * @param model name of the model
-     * @param retryAfterMs when to come back, in milliseconds
-     */
-    public void refuseWaiting(String service, String model, long retryAfterMs) {
-        lock.lock();
-        try {
-            List<Waiter> refused = waiters.stream()
-                    .filter(waiter -> waiter.request().service().name().equals(service))
-                    .filter(waiter -> waiter.request()
-                            .caller()
-                            .model()
-                            .filter(ref -> ref.model().equals(model))
-                            .isPresent())
-                    .toList();
-            waiters.removeAll(refused);
-            refused.forEach(waiter -> waiter.refuse(new RefusedException(
-                    Refusal.notRun("no-room", "no runner will hold " + model + " in time", retryAfterMs))));
-        } finally {
-            lock.unlock();
-        }
-    }
-
     /**
      * Refuses the waiting requests that a leaving node does not take any more.
      *
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.node.NodeMetrics;
+import io.persimmonstack.node.NodeOptions;
 import io.persimmonstack.node.config.Engine;
 import io.persimmonstack.node.config.RoutingTable;
 import io.persimmonstack.node.config.Service;
@@ -36,10 +37,12 @@
     private final OrderDesk desk;
     private final RunnerControl control;
     private final ExecutorService threads;
+    private final long orderPauseNanos;
     private final Map<String, RunnerLedger> ledgers = new HashMap<>();
     private final Deque<Long> storeLoads = new ArrayDeque<>();
     private final Thread thread = Thread.ofVirtual().name("planner").unstarted(this::run);
     private OptionalLong term = OptionalLong.empty();
+    private long electedNanos;
     private long runnersChangedNanos = System.nanoTime();
 
     private Planner(
@@ -48,7 +51,9 @@
             Supplier<OptionalLong> leadTerm,
             OrderDesk desk,
             RunnerControl control,
-            ExecutorService threads) {
+            ExecutorService threads,
+            long orderPauseNanos) {
+        this.orderPauseNanos = orderPauseNanos;
         this.fleet = fleet;
         this.reports = reports;
         this.leadTerm = leadTerm;
@@ -63,7 +68,7 @@
      * @param fleet runners and configuration
      * @param reports demand of all nodes
      * @param leadTerm term of this node's lead, empty while it does not lead
-     * @param node name of this node
+     * @param options name of this node, and how long it waits before its first order
      * @param control calls to runners
      * @param threads starts a virtual thread for each call
      * @param metrics counts orders
@@ -73,13 +78,14 @@
             FleetView fleet,
             NodeReports reports,
             Supplier<OptionalLong> leadTerm,
-            String node,
+            NodeOptions options,
             RunnerControl control,
             ExecutorService threads,
             NodeMetrics metrics,
             Consumer<String> onFenced) {
-        OrderDesk desk = OrderDesk.of(node, control, metrics, onFenced);
-        Planner planner = new Planner(fleet, reports, leadTerm, desk, control, threads);
+        OrderDesk desk = OrderDesk.of(options.name(), control, metrics, onFenced);
+        long pauseNanos = TimeUnit.MILLISECONDS.toNanos(options.orderPauseMs());
+        Planner planner = new Planner(fleet, reports, leadTerm, desk, control, threads, pauseNanos);
         planner.thread.start();
         return planner;
     }
@@ -121,6 +127,7 @@
         if (!current.equals(term)) {
             ledgers.clear();
             term = current;
+            electedNanos = System.nanoTime();
         }
         Fleet known = fleet.current();
         if (term.isEmpty() || known.routing().isEmpty()) {
@@ -129,6 +136,9 @@
         RoutingTable routing = known.routing().get();
         followRunners(known, routing);
         ledgers.values().forEach(this::askStatus);
+        if (System.nanoTime() - electedNanos < orderPauseNanos) {
+            return;
+        }
         for (Service service : routing.services()) {
             service.engine().ifPresent(engine -> plan(service.name(), engine));
         }
--- a/node/src/main/java/io/persimmonstack/node/sending/EventReader.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/EventReader.java
@@ -64,11 +64,6 @@
         return Optional.empty();
     }
 
-    /** Returns whether an event is already here, so that reading it does not wait. */
-    boolean hasMore() {
-        return position < limit;
-    }
-
     private boolean fill() throws IOException {
         position = 0;
         limit = Math.max(0, body.read(part, 0, part.length));
--- a/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
@@ -8597,15 +8597,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map232 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map232.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key233;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val234;
-                  for (int _i235 = 0; _i235 < _map232.size; ++_i235)
+                  org.apache.thrift.protocol.TMap _map224 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map224.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key225;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val226;
+                  for (int _i227 = 0; _i227 < _map224.size; ++_i227)
                   {
-                    _key233 = iprot.readString();
-                    _val234 = iprot.readString();
-                    struct.trace.put(_key233, _val234);
+                    _key225 = iprot.readString();
+                    _val226 = iprot.readString();
+                    struct.trace.put(_key225, _val226);
                   }
                   iprot.readMapEnd();
                 }
@@ -8639,10 +8639,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter236 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter228 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter236.getKey());
-              oprot.writeString(_iter236.getValue());
+              oprot.writeString(_iter228.getKey());
+              oprot.writeString(_iter228.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -8680,10 +8680,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter237 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter229 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter237.getKey());
-              oprot.writeString(_iter237.getValue());
+              oprot.writeString(_iter229.getKey());
+              oprot.writeString(_iter229.getValue());
             }
           }
         }
@@ -8700,15 +8700,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map238 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map238.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key239;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val240;
-            for (int _i241 = 0; _i241 < _map238.size; ++_i241)
+            org.apache.thrift.protocol.TMap _map230 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map230.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key231;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val232;
+            for (int _i233 = 0; _i233 < _map230.size; ++_i233)
             {
-              _key239 = iprot.readString();
-              _val240 = iprot.readString();
-              struct.trace.put(_key239, _val240);
+              _key231 = iprot.readString();
+              _val232 = iprot.readString();
+              struct.trace.put(_key231, _val232);
             }
           }
           struct.setTraceIsSet(true);
@@ -9620,14 +9620,14 @@
             case 1: // USES
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list242 = iprot.readListBegin();
-                  struct.uses = new java.util.ArrayList<ModelUse>(_list242.size);
-                  @org.apache.thrift.annotation.Nullable ModelUse _elem243;
-                  for (int _i244 = 0; _i244 < _list242.size; ++_i244)
+                  org.apache.thrift.protocol.TList _list234 = iprot.readListBegin();
+                  struct.uses = new java.util.ArrayList<ModelUse>(_list234.size);
+                  @org.apache.thrift.annotation.Nullable ModelUse _elem235;
+                  for (int _i236 = 0; _i236 < _list234.size; ++_i236)
                   {
-                    _elem243 = new ModelUse();
-                    _elem243.read(iprot);
-                    struct.uses.add(_elem243);
+                    _elem235 = new ModelUse();
+                    _elem235.read(iprot);
+                    struct.uses.add(_elem235);
                   }
                   iprot.readListEnd();
                 }
@@ -9664,9 +9664,9 @@
           oprot.writeFieldBegin(USES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-            for (ModelUse _iter245 : struct.uses)
+            for (ModelUse _iter237 : struct.uses)
             {
-              _iter245.write(oprot);
+              _iter237.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -9704,9 +9704,9 @@
         if (struct.isSetUses()) {
           {
             oprot.writeI32(struct.uses.size());
-            for (ModelUse _iter246 : struct.uses)
+            for (ModelUse _iter238 : struct.uses)
             {
-              _iter246.write(oprot);
+              _iter238.write(oprot);
             }
           }
         }
@@ -9721,14 +9721,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list247 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.uses = new java.util.ArrayList<ModelUse>(_list247.size);
-            @org.apache.thrift.annotation.Nullable ModelUse _elem248;
-            for (int _i249 = 0; _i249 < _list247.size; ++_i249)
+            org.apache.thrift.protocol.TList _list239 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.uses = new java.util.ArrayList<ModelUse>(_list239.size);
+            @org.apache.thrift.annotation.Nullable ModelUse _elem240;
+            for (int _i241 = 0; _i241 < _list239.size; ++_i241)
             {
-              _elem248 = new ModelUse();
-              _elem248.read(iprot);
-              struct.uses.add(_elem248);
+              _elem240 = new ModelUse();
+              _elem240.read(iprot);
+              struct.uses.add(_elem240);
             }
           }
           struct.setUsesIsSet(true);
@@ -14385,14 +14385,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list250 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StatusLine>(_list250.size);
-                  @org.apache.thrift.annotation.Nullable StatusLine _elem251;
-                  for (int _i252 = 0; _i252 < _list250.size; ++_i252)
+                  org.apache.thrift.protocol.TList _list242 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StatusLine>(_list242.size);
+                  @org.apache.thrift.annotation.Nullable StatusLine _elem243;
+                  for (int _i244 = 0; _i244 < _list242.size; ++_i244)
                   {
-                    _elem251 = new StatusLine();
-                    _elem251.read(iprot);
-                    struct.success.add(_elem251);
+                    _elem243 = new StatusLine();
+                    _elem243.read(iprot);
+                    struct.success.add(_elem243);
                   }
                   iprot.readListEnd();
                 }
@@ -14430,9 +14430,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StatusLine _iter253 : struct.success)
+            for (StatusLine _iter245 : struct.success)
             {
-              _iter253.write(oprot);
+              _iter245.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -14472,9 +14472,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StatusLine _iter254 : struct.success)
+            for (StatusLine _iter246 : struct.success)
             {
-              _iter254.write(oprot);
+              _iter246.write(oprot);
             }
           }
         }
@@ -14489,14 +14489,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list255 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StatusLine>(_list255.size);
-            @org.apache.thrift.annotation.Nullable StatusLine _elem256;
-            for (int _i257 = 0; _i257 < _list255.size; ++_i257)
+            org.apache.thrift.protocol.TList _list247 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StatusLine>(_list247.size);
+            @org.apache.thrift.annotation.Nullable StatusLine _elem248;
+            for (int _i249 = 0; _i249 < _list247.size; ++_i249)
             {
-              _elem256 = new StatusLine();
-              _elem256.read(iprot);
-              struct.success.add(_elem256);
+              _elem248 = new StatusLine();
+              _elem248.read(iprot);
+              struct.success.add(_elem248);
             }
           }
           struct.setSuccessIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
@@ -17,8 +17,7 @@
   private static final org.apache.thrift.protocol.TField CONFIGURATION_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationVersion", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField RUNNERS_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("runnersRevision", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField RUNNERS_FIELD_DESC = new org.apache.thrift.protocol.TField("runners", org.apache.thrift.protocol.TType.LIST, (short)4);
-  private static final org.apache.thrift.protocol.TField UNSERVED_FIELD_DESC = new org.apache.thrift.protocol.TField("unserved", org.apache.thrift.protocol.TType.LIST, (short)5);
-  private static final org.apache.thrift.protocol.TField SILENT_NODES_FIELD_DESC = new org.apache.thrift.protocol.TField("silentNodes", org.apache.thrift.protocol.TType.LIST, (short)6);
+  private static final org.apache.thrift.protocol.TField SILENT_NODES_FIELD_DESC = new org.apache.thrift.protocol.TField("silentNodes", org.apache.thrift.protocol.TType.LIST, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FleetLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FleetLoadTupleSchemeFactory();
@@ -27,7 +26,6 @@
   private long configurationVersion; // required
   private long runnersRevision; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerHolding> runners; // required
-  private @org.apache.thrift.annotation.Nullable java.util.List<UnservedModel> unserved; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> silentNodes; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
@@ -36,8 +34,7 @@
     CONFIGURATION_VERSION((short)2, "configurationVersion"),
     RUNNERS_REVISION((short)3, "runnersRevision"),
     RUNNERS((short)4, "runners"),
-    UNSERVED((short)5, "unserved"),
-    SILENT_NODES((short)6, "silentNodes");
+    SILENT_NODES((short)5, "silentNodes");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -61,9 +58,7 @@
           return RUNNERS_REVISION;
         case 4: // RUNNERS
           return RUNNERS;
-        case 5: // UNSERVED
-          return UNSERVED;
-        case 6: // SILENT_NODES
+        case 5: // SILENT_NODES
           return SILENT_NODES;
         default:
           return null;
@@ -124,9 +119,6 @@
     tmpMap.put(_Fields.RUNNERS, new org.apache.thrift.meta_data.FieldMetaData("runners", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RunnerHolding.class))));
-    tmpMap.put(_Fields.UNSERVED, new org.apache.thrift.meta_data.FieldMetaData("unserved", org.apache.thrift.TFieldRequirementType.REQUIRED,
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UnservedModel.class))));
     tmpMap.put(_Fields.SILENT_NODES, new org.apache.thrift.meta_data.FieldMetaData("silentNodes", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
@@ -142,7 +134,6 @@
     long configurationVersion,
     long runnersRevision,
     java.util.List<RunnerHolding> runners,
-    java.util.List<UnservedModel> unserved,
     java.util.List<java.lang.String> silentNodes)
   {
     this();
@@ -153,7 +144,6 @@
     this.runnersRevision = runnersRevision;
     setRunnersRevisionIsSet(true);
     this.runners = runners;
-    this.unserved = unserved;
     this.silentNodes = silentNodes;
   }
 
@@ -172,13 +162,6 @@
       }
       this.runners = __this__runners;
     }
-    if (other.isSetUnserved()) {
-      java.util.List<UnservedModel> __this__unserved = new java.util.ArrayList<UnservedModel>(other.unserved.size());
-      for (UnservedModel other_element : other.unserved) {
-        __this__unserved.add(new UnservedModel(other_element));
-      }
-      this.unserved = __this__unserved;
-    }
     if (other.isSetSilentNodes()) {
       java.util.List<java.lang.String> __this__silentNodes = new java.util.ArrayList<java.lang.String>(other.silentNodes);
       this.silentNodes = __this__silentNodes;
@@ -199,7 +182,6 @@
     setRunnersRevisionIsSet(false);
     this.runnersRevision = 0;
     this.runners = null;
-    this.unserved = null;
     this.silentNodes = null;
   }
 
@@ -313,47 +295,6 @@
     }
   }
 
-  public int getUnservedSize() {
-    return (this.unserved == null) ? 0 : this.unserved.size();
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<UnservedModel> getUnservedIterator() {
-    return (this.unserved == null) ? null : this.unserved.iterator();
-  }
-
-  public void addToUnserved(UnservedModel elem) {
-    if (this.unserved == null) {
-      this.unserved = new java.util.ArrayList<UnservedModel>();
-    }
-    this.unserved.add(elem);
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<UnservedModel> getUnserved() {
-    return this.unserved;
-  }
-
-  public FleetLoad setUnserved(@org.apache.thrift.annotation.Nullable java.util.List<UnservedModel> unserved) {
-    this.unserved = unserved;
-    return this;
-  }
-
-  public void unsetUnserved() {
-    this.unserved = null;
-  }
-
-  /** Returns true if field unserved is set (has been assigned a value) and false otherwise */
-  public boolean isSetUnserved() {
-    return this.unserved != null;
-  }
-
-  public void setUnservedIsSet(boolean value) {
-    if (!value) {
-      this.unserved = null;
-    }
-  }
-
   public int getSilentNodesSize() {
     return (this.silentNodes == null) ? 0 : this.silentNodes.size();
   }
@@ -430,14 +371,6 @@
       }
       break;
 
-    case UNSERVED:
-      if (value == null) {
-        unsetUnserved();
-      } else {
-        setUnserved((java.util.List<UnservedModel>)value);
-      }
-      break;
-
     case SILENT_NODES:
       if (value == null) {
         unsetSilentNodes();
@@ -465,9 +398,6 @@
     case RUNNERS:
       return getRunners();
 
-    case UNSERVED:
-      return getUnserved();
-
     case SILENT_NODES:
       return getSilentNodes();
 
@@ -491,8 +421,6 @@
       return isSetRunnersRevision();
     case RUNNERS:
       return isSetRunners();
-    case UNSERVED:
-      return isSetUnserved();
     case SILENT_NODES:
       return isSetSilentNodes();
     }
@@ -548,15 +476,6 @@
         return false;
     }
 
-    boolean this_present_unserved = true && this.isSetUnserved();
-    boolean that_present_unserved = true && that.isSetUnserved();
-    if (this_present_unserved || that_present_unserved) {
-      if (!(this_present_unserved && that_present_unserved))
-        return false;
-      if (!this.unserved.equals(that.unserved))
-        return false;
-    }
-
     boolean this_present_silentNodes = true && this.isSetSilentNodes();
     boolean that_present_silentNodes = true && that.isSetSilentNodes();
     if (this_present_silentNodes || that_present_silentNodes) {
@@ -583,10 +502,6 @@
     if (isSetRunners())
       hashCode = hashCode * 8191 + runners.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetUnserved()) ? 131071 : 524287);
-    if (isSetUnserved())
-      hashCode = hashCode * 8191 + unserved.hashCode();
-
     hashCode = hashCode * 8191 + ((isSetSilentNodes()) ? 131071 : 524287);
     if (isSetSilentNodes())
       hashCode = hashCode * 8191 + silentNodes.hashCode();
@@ -642,16 +557,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetUnserved(), other.isSetUnserved());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetUnserved()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.unserved, other.unserved);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     lastComparison = java.lang.Boolean.compare(isSetSilentNodes(), other.isSetSilentNodes());
     if (lastComparison != 0) {
       return lastComparison;
@@ -706,14 +611,6 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("unserved:");
-    if (this.unserved == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.unserved);
-    }
-    first = false;
-    if (!first) sb.append(", ");
     sb.append("silentNodes:");
     if (this.silentNodes == null) {
       sb.append("null");
@@ -733,9 +630,6 @@
     if (runners == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'runners' was not present! Struct: " + toString());
     }
-    if (unserved == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'unserved' was not present! Struct: " + toString());
-    }
     if (silentNodes == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'silentNodes' was not present! Struct: " + toString());
     }
@@ -823,35 +717,16 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // UNSERVED
+          case 5: // SILENT_NODES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list211 = iprot.readListBegin();
-                struct.unserved = new java.util.ArrayList<UnservedModel>(_list211.size);
-                @org.apache.thrift.annotation.Nullable UnservedModel _elem212;
+                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list211.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem212;
                 for (int _i213 = 0; _i213 < _list211.size; ++_i213)
                 {
-                  _elem212 = new UnservedModel();
-                  _elem212.read(iprot);
-                  struct.unserved.add(_elem212);
-                }
-                iprot.readListEnd();
-              }
-              struct.setUnservedIsSet(true);
-            } else {
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 6: // SILENT_NODES
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list214 = iprot.readListBegin();
-                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list214.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem215;
-                for (int _i216 = 0; _i216 < _list214.size; ++_i216)
-                {
-                  _elem215 = iprot.readString();
-                  struct.silentNodes.add(_elem215);
+                  _elem212 = iprot.readString();
+                  struct.silentNodes.add(_elem212);
                 }
                 iprot.readListEnd();
               }
@@ -898,21 +773,9 @@
         oprot.writeFieldBegin(RUNNERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.runners.size()));
-          for (RunnerHolding _iter217 : struct.runners)
-          {
-            _iter217.write(oprot);
-          }
-          oprot.writeListEnd();
-        }
-        oprot.writeFieldEnd();
-      }
-      if (struct.unserved != null) {
-        oprot.writeFieldBegin(UNSERVED_FIELD_DESC);
-        {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.unserved.size()));
-          for (UnservedModel _iter218 : struct.unserved)
+          for (RunnerHolding _iter214 : struct.runners)
           {
-            _iter218.write(oprot);
+            _iter214.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -922,9 +785,9 @@
         oprot.writeFieldBegin(SILENT_NODES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.silentNodes.size()));
-          for (java.lang.String _iter219 : struct.silentNodes)
+          for (java.lang.String _iter215 : struct.silentNodes)
           {
-            oprot.writeString(_iter219);
+            oprot.writeString(_iter215);
           }
           oprot.writeListEnd();
         }
@@ -953,23 +816,16 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.runners.size());
-        for (RunnerHolding _iter220 : struct.runners)
-        {
-          _iter220.write(oprot);
-        }
-      }
-      {
-        oprot.writeI32(struct.unserved.size());
-        for (UnservedModel _iter221 : struct.unserved)
+        for (RunnerHolding _iter216 : struct.runners)
         {
-          _iter221.write(oprot);
+          _iter216.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.silentNodes.size());
-        for (java.lang.String _iter222 : struct.silentNodes)
+        for (java.lang.String _iter217 : struct.silentNodes)
         {
-          oprot.writeString(_iter222);
+          oprot.writeString(_iter217);
         }
       }
     }
@@ -984,37 +840,25 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list223 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.runners = new java.util.ArrayList<RunnerHolding>(_list223.size);
-        @org.apache.thrift.annotation.Nullable RunnerHolding _elem224;
-        for (int _i225 = 0; _i225 < _list223.size; ++_i225)
+        org.apache.thrift.protocol.TList _list218 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.runners = new java.util.ArrayList<RunnerHolding>(_list218.size);
+        @org.apache.thrift.annotation.Nullable RunnerHolding _elem219;
+        for (int _i220 = 0; _i220 < _list218.size; ++_i220)
         {
-          _elem224 = new RunnerHolding();
-          _elem224.read(iprot);
-          struct.runners.add(_elem224);
+          _elem219 = new RunnerHolding();
+          _elem219.read(iprot);
+          struct.runners.add(_elem219);
         }
       }
       struct.setRunnersIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list226 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.unserved = new java.util.ArrayList<UnservedModel>(_list226.size);
-        @org.apache.thrift.annotation.Nullable UnservedModel _elem227;
-        for (int _i228 = 0; _i228 < _list226.size; ++_i228)
-        {
-          _elem227 = new UnservedModel();
-          _elem227.read(iprot);
-          struct.unserved.add(_elem227);
-        }
-      }
-      struct.setUnservedIsSet(true);
-      {
-        org.apache.thrift.protocol.TList _list229 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list229.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem230;
-        for (int _i231 = 0; _i231 < _list229.size; ++_i231)
+        org.apache.thrift.protocol.TList _list221 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list221.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem222;
+        for (int _i223 = 0; _i223 < _list221.size; ++_i223)
         {
-          _elem230 = iprot.readString();
-          struct.silentNodes.add(_elem230);
+          _elem222 = iprot.readString();
+          struct.silentNodes.add(_elem222);
         }
       }
       struct.setSilentNodesIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
@@ -947,15 +947,15 @@
             case 3: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map258 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map258.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key259;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val260;
-                  for (int _i261 = 0; _i261 < _map258.size; ++_i261)
+                  org.apache.thrift.protocol.TMap _map250 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map250.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key251;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val252;
+                  for (int _i253 = 0; _i253 < _map250.size; ++_i253)
                   {
-                    _key259 = iprot.readString();
-                    _val260 = iprot.readString();
-                    struct.trace.put(_key259, _val260);
+                    _key251 = iprot.readString();
+                    _val252 = iprot.readString();
+                    struct.trace.put(_key251, _val252);
                   }
                   iprot.readMapEnd();
                 }
@@ -992,10 +992,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter262 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter254 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter262.getKey());
-              oprot.writeString(_iter262.getValue());
+              oprot.writeString(_iter254.getKey());
+              oprot.writeString(_iter254.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1039,10 +1039,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter263 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter255 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter263.getKey());
-              oprot.writeString(_iter263.getValue());
+              oprot.writeString(_iter255.getKey());
+              oprot.writeString(_iter255.getValue());
             }
           }
         }
@@ -1063,15 +1063,15 @@
         }
         if (incoming.get(2)) {
           {
-            org.apache.thrift.protocol.TMap _map264 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map264.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key265;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val266;
-            for (int _i267 = 0; _i267 < _map264.size; ++_i267)
+            org.apache.thrift.protocol.TMap _map256 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map256.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key257;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val258;
+            for (int _i259 = 0; _i259 < _map256.size; ++_i259)
             {
-              _key265 = iprot.readString();
-              _val266 = iprot.readString();
-              struct.trace.put(_key265, _val266);
+              _key257 = iprot.readString();
+              _val258 = iprot.readString();
+              struct.trace.put(_key257, _val258);
             }
           }
           struct.setTraceIsSet(true);
@@ -1991,15 +1991,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map268 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map268.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key269;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val270;
-                  for (int _i271 = 0; _i271 < _map268.size; ++_i271)
+                  org.apache.thrift.protocol.TMap _map260 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map260.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key261;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val262;
+                  for (int _i263 = 0; _i263 < _map260.size; ++_i263)
                   {
-                    _key269 = iprot.readString();
-                    _val270 = iprot.readString();
-                    struct.trace.put(_key269, _val270);
+                    _key261 = iprot.readString();
+                    _val262 = iprot.readString();
+                    struct.trace.put(_key261, _val262);
                   }
                   iprot.readMapEnd();
                 }
@@ -2033,10 +2033,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter272 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter264 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter272.getKey());
-              oprot.writeString(_iter272.getValue());
+              oprot.writeString(_iter264.getKey());
+              oprot.writeString(_iter264.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -2074,10 +2074,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter273 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter265 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter273.getKey());
-              oprot.writeString(_iter273.getValue());
+              oprot.writeString(_iter265.getKey());
+              oprot.writeString(_iter265.getValue());
             }
           }
         }
@@ -2094,15 +2094,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map274 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map274.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key275;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val276;
-            for (int _i277 = 0; _i277 < _map274.size; ++_i277)
+            org.apache.thrift.protocol.TMap _map266 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map266.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key267;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val268;
+            for (int _i269 = 0; _i269 < _map266.size; ++_i269)
             {
-              _key275 = iprot.readString();
-              _val276 = iprot.readString();
-              struct.trace.put(_key275, _val276);
+              _key267 = iprot.readString();
+              _val268 = iprot.readString();
+              struct.trace.put(_key267, _val268);
             }
           }
           struct.setTraceIsSet(true);
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -338,21 +338,13 @@
   5: required i64 tokensElsewhere
 }
 
-/** Model that no runner will hold soon, so that waiting for it is in vain. */
-struct UnservedModel {
-  1: required string serviceName
-  2: required string model
-  3: required i64 retryAfterMs
-}
-
 /** Answer of the leader to a report. */
 struct FleetLoad {
   1: required i64 term                      // store revision at which the leader was elected
   2: required i64 configurationVersion
   3: required i64 runnersRevision
   4: required list<RunnerHolding> runners
-  5: required list<UnservedModel> unserved
-  6: required list<string> silentNodes      // nodes that have reported to this leader and have stopped
+  5: required list<string> silentNodes      // nodes that have reported to this leader and have stopped
 }
 
 service NodeLink {
