--- a/coordinator/src/main/java/io/persimmonstack/coordinator/load/LoadDesk.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/load/LoadDesk.java
@@ -204,15 +204,20 @@
         while (true) {
             int fullBefore = full.size();
             LoadAnswer answer = carryOut(request, demand.key(), LoadPlanner.plan(demand, known, cap), full);
-            if (answer.getResult() != LoadResult.REFUSED_MEMORY || full.size() == fullBefore) {
+            if (LoadAnswers.isTaken(answer) || full.size() == fullBefore) {
                 return answer;
             }
             known = fleet.stream()
-                    .map(runner -> full.contains(runner.runner()) ? runner.withoutRoom() : runner)
+                    .map(runner -> full.contains(runner.runner()) ? withoutRoom(runner, demand) : runner)
                     .toList();
         }
     }
 
+    /** A runner without room has got a slot of the model before that was seen, and keeps it until it is moved on. */
+    private static RunnerView withoutRoom(RunnerView runner, Demand demand) {
+        return runner.withoutRoom().withSlot(demand.key().model());
+    }
+
     private LoadAnswer carryOut(LoadRequest request, LoadKey key, LoadPlan plan, Set<String> full) {
         return switch (plan) {
             case LoadPlan.Ready ready ->
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/load/RunnerView.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/load/RunnerView.java
@@ -54,6 +54,16 @@
         return new RunnerView(full, leaving, ownerLive);
     }
 
+    /** Returns the runner with a slot of the model version that its owner has not announced yet. */
+    public RunnerView withSlot(ModelVersion model) {
+        if (hasSlot(model)) {
+            return this;
+        }
+        RunnerStatus granted = new RunnerStatus(status);
+        granted.addToSlots(model.toString());
+        return new RunnerView(granted, leaving, ownerLive);
+    }
+
     /** Returns the memory that is neither loaded nor loading. */
     public long freeBytes() {
         return status.getMemoryBytes() - usedBytes();
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/load/LoadDeskTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/load/LoadDeskTest.java
@@ -65,6 +65,9 @@
     private final ThriftPeers<Coordinator.Client> peers = ThriftPeers.of(new Coordinator.Client.Factory(), 1_000);
     private final Queue<LoadRequest> asked = new ConcurrentLinkedQueue<>();
     private final RunnerGrants owner = RunnerGrants.create(NodeIdentity.of("entry-2", 2), platform.kv, CODECS);
+    /** The one slot, as the owners know it; absent where owners give and release slots at will. */
+    private volatile Optional<Slot> slot = Optional.empty();
+
     private final Queue<String> released = new ConcurrentLinkedQueue<>();
     private final Set<String> full = ConcurrentHashMap.newKeySet();
     private volatile LoadAnswer ownersAnswer = new LoadAnswer(LoadResult.LOADING);
@@ -72,16 +75,38 @@
     private Membership<NodeAttributes, RunnerStatus> membership;
     private LoadDesk desk;
 
+    private static final class Slot {
+        private String runner;
+
+        private Slot(String runner) {
+            this.runner = runner;
+        }
+
+        private synchronized boolean release(String from) {
+            boolean held = runner.equals(from);
+            runner = held ? "" : runner;
+            return held;
+        }
+
+        private synchronized boolean take(String to) {
+            runner = runner.isEmpty() ? to : runner;
+            return runner.equals(to);
+        }
+    }
+
     @BeforeEach
     void start() throws Exception {
         Coordinator.Iface ownersService = (Coordinator.Iface) Proxy.newProxyInstance(
                 getClass().getClassLoader(), new Class<?>[] {Coordinator.Iface.class}, (proxy, method, arguments) -> {
                     if (method.getName().equals("releaseSlot")) {
                         released.add((String) arguments[0]);
-                        return true;
+                        return slot.isEmpty() || slot.get().release((String) arguments[0]);
                     }
                     LoadRequest request = (LoadRequest) arguments[0];
                     asked.add(request);
+                    if (slot.isPresent() && !slot.get().take(request.getRunner())) {
+                        return new LoadAnswer(LoadResult.REFUSED_CAP);
+                    }
                     return new LoadAnswer(full.contains(request.getRunner()) ? NO_ROOM : ownersAnswer);
                 });
         ownersServer = ThriftServer.start(PeerAddress.parse("127.0.0.1:0"), new Coordinator.Processor<>(ownersService));
@@ -199,6 +224,20 @@
         assertEquals(List.of(RUNNER), List.copyOf(released));
     }
 
+    @Test
+    void slotThatWasMovedToARunnerWithoutRoomIsMovedOn() {
+        RunnerStatus holder = status(RUNNER, 2, 2, List.of(MODEL.toString()));
+        holder.setUsedBytes(holder.getMemoryBytes());
+        membership.announce(GossipMapping.announcement(holder));
+        membership.announce(GossipMapping.announcement(status("runner-3", 2, 1, List.of())));
+        slot = Optional.of(new Slot(RUNNER));
+        full.add("runner-2");
+        full.add("runner-2");
+        LoadResult got = load();
+        assertEquals(LoadResult.LOADING, got, () -> "asked " + asked + ", released " + released);
+        assertEquals("runner-3", slot.get().runner);
+    }
+
     @Test
     void demandIsRefusedOnceEveryRunnerTurnsOutToHaveNoRoom() {
         membership.announce(GossipMapping.announcement(status(RUNNER, 2, 2, List.of(MODEL.toString()))));
