placer: a refusal of a leaving node that meets the end of a wait is answered as such

Cause: Placer read the waiter's future with getNow, which throws a CompletionException where the future was refused. It met that where a leaving node refuses a request in the instant in which its wait ends or its caller leaves; the caller's connection was closed without the 503. Change: Waiter tells place and refusal apart; Placer takes the waiter out of the queue first and then looks.

--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -94,10 +94,8 @@
         } catch (TimeoutException e) {
             return lastMoment(waiter);
         } catch (ExecutionException e) {
-            if (e.getCause() instanceof RefusedException refused) {
-                throw refused;
-            }
-            throw new IllegalStateException("waiters end with a place or a refusal", e);
+            throw waiter.refusal()
+                    .orElseThrow(() -> new IllegalStateException("waiters end with a place or a refusal", e));
         } catch (InterruptedException e) {
             withdraw(waiter);
             throw e;
@@ -105,15 +103,12 @@
     }
 
     private Placement lastMoment(Waiter waiter) throws RefusedException {
-        lock.lock();
-        try {
-            waiters.remove(waiter);
-            Placement placed = waiter.placed().getNow(null);
-            if (placed != null) {
-                return placed;
-            }
-        } finally {
-            lock.unlock();
+        remove(waiter);
+        if (waiter.refusal().isPresent()) {
+            throw waiter.refusal().get();
+        }
+        if (waiter.placement().isPresent()) {
+            return waiter.placement().get();
         }
         ActiveRequest request = waiter.request();
         String detail =
@@ -122,13 +117,15 @@
     }
 
     private void withdraw(Waiter waiter) {
+        remove(waiter);
+        waiter.placement().ifPresent(Placement::close);
+    }
+
+    /** Ends a wait; after this the request gets neither a place nor a refusal that it has not got yet. */
+    private void remove(Waiter waiter) {
         lock.lock();
         try {
             waiters.remove(waiter);
-            Placement placed = waiter.placed().getNow(null);
-            if (placed != null) {
-                placed.close();
-            }
         } finally {
             lock.unlock();
         }
--- a/node/src/main/java/io/persimmonstack/node/placing/Waiter.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Waiter.java
@@ -2,8 +2,10 @@
 
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.RefusedException;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 
 /** Request that waits for a runner. */
 final class Waiter implements Comparable<Waiter> {
@@ -32,6 +34,18 @@
         placed.completeExceptionally(refusal);
     }
 
+    /** Returns the place that it was given, empty while it waits and where it was refused. */
+    Optional<Placement> placement() {
+        return placed.state() == Future.State.SUCCESS ? Optional.of(placed.resultNow()) : Optional.empty();
+    }
+
+    /** Returns why it was refused, empty where it was not. */
+    Optional<RefusedException> refusal() {
+        return placed.state() == Future.State.FAILED && placed.exceptionNow() instanceof RefusedException refused
+                ? Optional.of(refused)
+                : Optional.empty();
+    }
+
     /** Orders by rank, then by age. */
     @Override
     public int compareTo(Waiter other) {
--- a/node/src/test/java/io/persimmonstack/node/sending/Requests.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/Requests.java
@@ -13,11 +13,11 @@
 import java.util.OptionalLong;
 
 /** Requests for tests. */
-final class Requests {
+public final class Requests {
     private Requests() {}
 
     /** Returns a request received at time 0 whose caller waits for a second. */
-    static ActiveRequest of(RouteKind kind, boolean resumable, int maxAttempts) {
+    public static ActiveRequest of(RouteKind kind, boolean resumable, int maxAttempts) {
         Route route = new Route(
                 "r",
                 "host",
