node: one watch of the store for all keys in place of three

Cause: each call to the store is priced, a waiting watch too. Change: StoreFollower reads the three prefixes and follows all keys by one watch (an empty prefix is accepted); each listener gets the changes that its own read has not shown. Changes gather 20 ms for each node, 500 ms at least and half of the time in which they must take effect at most. Ruled out: longer waits a watch (a connection that fell silent would be found later than a configuration must be in force). Test: StoreFollowerTest.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -17,9 +17,9 @@
 import io.persimmonstack.node.sending.Dispatcher;
 import io.persimmonstack.node.store.NodeKeys;
 import io.persimmonstack.node.store.PeerFollower;
-import io.persimmonstack.node.store.PrefixFollower;
 import io.persimmonstack.node.store.RoutingFollower;
 import io.persimmonstack.node.store.RunnerFollower;
+import io.persimmonstack.node.store.StoreFollower;
 import io.persimmonstack.node.store.StoreSession;
 import io.persimmonstack.runtime.Closer;
 import io.persimmonstack.runtime.ProgramException;
@@ -30,6 +30,7 @@
 import io.persimmonstack.wire.WireException;
 import io.persimmonstack.wire.gen.NodeLink;
 import io.undertow.server.HttpHandler;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -41,6 +42,8 @@
     private static final EventLog LOG = EventLog.of(Node.class);
     private static final int CONNECT_MS = 400;
     private static final int POLL_MS = 50;
+    private static final int GATHER_MS_PER_NODE = 20;
+    private static final int LEAST_GATHER_MS = 500;
     private static final int HOUSEKEEPING_MS = 200;
     private static final long LINGER_MS = 3_200;
     private static final long EXIT_MS = 400;
@@ -92,13 +95,21 @@
         RunnerFollower runners = RunnerFollower.of(options.runnersPrefix(), ports.runners(), fleet);
         PeerFollower peers = PeerFollower.of(fleet);
         RoutingFollower routing = RoutingFollower.of(options.routingKey(), ports.routing(), fleet);
-        closer.add(PrefixFollower.start(ports.store(), options.routingKey(), routing));
-        closer.add(PrefixFollower.start(ports.store(), options.runnersPrefix(), runners));
-        closer.add(PrefixFollower.start(ports.store(), NodeKeys.PREFIX, peers));
+        List<StoreFollower.Subject> subjects = List.of(
+                new StoreFollower.Subject(options.routingKey(), routing),
+                new StoreFollower.Subject(options.runnersPrefix(), runners),
+                new StoreFollower.Subject(NodeKeys.PREFIX, peers));
+        closer.add(StoreFollower.start(ports.store(), subjects, this::gatherMs));
         Thread housekeeping = Thread.ofVirtual().name("housekeeping").start(() -> keepHouse(runners, peers));
         closer.add(housekeeping::interrupt);
     }
 
+    /** Returns how long changes in the store may gather: the more nodes ask for them, the less often each one does. */
+    private int gatherMs() {
+        int nodes = fleet.current().peers().size();
+        return Math.clamp((long) GATHER_MS_PER_NODE * nodes, LEAST_GATHER_MS, options.applyMs() / 2);
+    }
+
     private void keepHouse(RunnerFollower runners, PeerFollower peers) {
         try {
             while (true) {
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -23,9 +23,9 @@
     /** The settings file cannot be used, and the process ends. */
     SETTINGS_REFUSED(6008, Level.ERROR, "settings-refused file={} cause={}"),
     /** The store gave no answer. */
-    STORE_LOST(6010, Level.WARN, "store-lost follows={} cause={}"),
+    STORE_LOST(6010, Level.WARN, "store-lost cause={}"),
     /** The store answers again. */
-    STORE_REGAINED(6011, Level.INFO, "store-regained follows={} revision={} lost-ms={}"),
+    STORE_REGAINED(6011, Level.INFO, "store-regained revision={} lost-ms={}"),
     /** A runner was added or changed. */
     RUNNER_CHANGED(6012, Level.INFO, "runner-changed runner={} service={} address={} leaving={} models={} revision={}"),
     /** A runner is gone. */
--- a/node/src/main/java/io/persimmonstack/node/NodeOptions.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeOptions.java
@@ -15,6 +15,7 @@
  * @param budget bounds of repeats
  * @param orderPauseMs time that a new leader waits before its first order, in milliseconds; 0 where runners refuse
  *     orders of an earlier term by themselves
+ * @param applyMs time within which a change in the store must take effect, in milliseconds
  * @param graceMs time from the request to stop until the process is killed, in milliseconds
  */
 public record NodeOptions(
@@ -26,4 +27,5 @@
         String runnersPrefix,
         RepeatBudgetOptions budget,
         long orderPauseMs,
+        int applyMs,
         long graceMs) {}
--- a/node/src/main/java/io/persimmonstack/node/store/PeerFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/PeerFollower.java
@@ -16,7 +16,7 @@
 import java.util.stream.Collectors;
 
 /** Keeps the nodes and the leader of the fleet view as the store lists them. */
-public final class PeerFollower implements PrefixFollower.Listener {
+public final class PeerFollower implements StoreFollower.Listener {
     private static final EventLog LOG = EventLog.of(PeerFollower.class);
     private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(3);
     private final FleetView fleet;
--- a/node/src/main/java/io/persimmonstack/node/store/RoutingFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RoutingFollower.java
@@ -9,7 +9,7 @@
 import io.persimmonstack.runtime.event.EventLog;
 
 /** Puts each newer configuration into force; an older or unreadable one changes nothing. */
-public final class RoutingFollower implements PrefixFollower.Listener {
+public final class RoutingFollower implements StoreFollower.Listener {
     private static final EventLog LOG = EventLog.of(RoutingFollower.class);
     private final String key;
     private final RoutingDecoder decoder;
--- a/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
@@ -13,12 +13,9 @@
 import java.util.stream.Collectors;
 
 /** Keeps the runners of the fleet view as the store lists them. */
-public final class RunnerFollower implements PrefixFollower.Listener {
+public final class RunnerFollower implements StoreFollower.Listener {
     private static final EventLog LOG = EventLog.of(RunnerFollower.class);
     private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
-    /** Well below the time within which a leaving runner must get no more work. */
-    private static final int GATHER_MS = 500;
-
     private final String prefix;
     private final RunnerDecoder decoder;
     private final FleetView fleet;
@@ -70,11 +67,6 @@
         publish();
     }
 
-    @Override
-    public int gatherMs() {
-        return GATHER_MS;
-    }
-
     @Override
     public synchronized void lost() {
         list.lost(System.nanoTime());
--- a/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
@@ -234,7 +234,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (KvException e) {
-            LOG.write(NodeEvent.STORE_LOST, "lease " + self.node(), e.getMessage());
+            LOG.write(NodeEvent.STORE_LOST, "lease of " + self.node() + ": " + e.getMessage());
         }
     }
 }
--- a/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
@@ -63,7 +63,7 @@
                 List.of(new ModelDemand("s", new ModelRef("a", ""), 1, 1, 0, 3_000)),
                 System.nanoTime());
         RepeatBudgetOptions budget = new RepeatBudgetOptions(0.2, 50, 1);
-        NodeOptions options = new NodeOptions("n1", "z", ADDRESS, ADDRESS, "c", "r/", budget, PAUSE_MS, 1_000);
+        NodeOptions options = new NodeOptions("n1", "z", ADDRESS, ADDRESS, "c", "r/", budget, PAUSE_MS, 2_000, 1_000);
         long begunNanos = System.nanoTime();
         try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
                 Planner planner = Planner.start(
--- /dev/null
+++ b/node/src/test/java/io/persimmonstack/node/store/StoreFollowerTest.java
@@ -0,0 +1,129 @@
+package io.persimmonstack.node.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.persimmonstack.coordination.kv.Expectation;
+import io.persimmonstack.coordination.kv.InMemoryKvStore;
+import io.persimmonstack.coordination.kv.KvChange;
+import io.persimmonstack.coordination.kv.KvException;
+import io.persimmonstack.coordination.kv.KvRange;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** One watch for the keys of several listeners. */
+class StoreFollowerTest {
+    private static final long WAIT_SECONDS = 10;
+    private final InMemoryKvStore store = InMemoryKvStore.create();
+    private final Seen a = new Seen();
+    private final Seen b = new Seen();
+    private StoreFollower follower;
+
+    @AfterEach
+    void stop() {
+        follower.close();
+    }
+
+    @Test
+    void eachListenerGetsItsOwnKeysOnce() throws Exception {
+        write("a/1", "old");
+        start();
+        assertEquals("read a/1=old", a.next());
+        assertEquals("read", b.next());
+        write("b/1", "new");
+        write("c/1", "of nobody");
+        write("a/1", "newer");
+        assertEquals("written b/1=new", b.next());
+        assertEquals("written a/1=newer", a.next());
+    }
+
+    @Test
+    void changeThatALaterReadHasShownIsNotToldAgain() throws Exception {
+        store.intercept((call, key) -> {
+            if (call == InMemoryKvStore.Call.LIST && key.equals("b/")) {
+                store.intercept((other, ignored) -> {});
+                write("b/1", "before the read of b");
+                write("a/1", "after the read of a");
+            }
+        });
+        start();
+        assertEquals("read", a.next());
+        assertEquals("read b/1=before the read of b", b.next());
+        assertEquals("written a/1=after the read of a", a.next());
+        write("b/2", "next");
+        assertEquals("written b/2=next", b.next());
+    }
+
+    @Test
+    void everythingIsReadAnewWhenTheWatchEnds() throws Exception {
+        start();
+        assertEquals("read", a.next());
+        assertEquals("read", b.next());
+        write("a/1", "x");
+        assertEquals("written a/1=x", a.next());
+        store.endWatches();
+        assertEquals("read a/1=x", a.next());
+        assertEquals("read", b.next());
+    }
+
+    @Test
+    void listenersLearnOfAnOutage() throws Exception {
+        store.unavailable(true);
+        start();
+        assertEquals("lost", a.next());
+        assertEquals("lost", b.next());
+        store.unavailable(false);
+        while (!b.next().equals("read")) {
+            continue;
+        }
+    }
+
+    private void start() {
+        follower = StoreFollower.start(
+                store, List.of(new StoreFollower.Subject("a/", a), new StoreFollower.Subject("b/", b)), () -> 0);
+    }
+
+    private void write(String key, String value) throws KvException {
+        store.put(
+                key,
+                value.getBytes(),
+                store.get(key)
+                        .map(entry -> Expectation.atRevision(entry.revision()))
+                        .orElseGet(Expectation::absent));
+    }
+
+    private static final class Seen implements StoreFollower.Listener {
+        private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+
+        private String next() throws InterruptedException {
+            return String.valueOf(told.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+        }
+
+        @Override
+        public void read(KvRange range) {
+            StringBuilder text = new StringBuilder("read");
+            range.entries()
+                    .forEach(entry ->
+                            text.append(' ').append(entry.key()).append('=').append(new String(entry.value())));
+            told.add(text.toString());
+        }
+
+        @Override
+        public void changed(KvChange change) {
+            switch (change) {
+                case KvChange.Written written ->
+                    told.add("written " + written.entry().key() + "="
+                            + new String(written.entry().value()));
+                case KvChange.Deleted deleted -> told.add("deleted " + deleted.key());
+            }
+        }
+
+        @Override
+        public void lost() {
+            told.add("lost");
+        }
+    }
+}
