placer: requests whose model cannot be there in time are refused at once, with the time to come back

Change: the leader tells the nodes when models that requests wait for can be there at the earliest (what is left of a load in progress, else a load from the nearest copy); a node refuses those that cannot wait so long, says when to come back, and counts their demand until then, while no runner holds the model.

--- a/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
@@ -47,6 +47,10 @@
         long now = System.nanoTime();
         reports.take(load.getNode(), LoadMessages.uses(load), LoadMessages.demands(load), now);
         return LoadMessages.answer(
-                term.getAsLong(), fleet.current(), planner.reportsFor(load.getNode()), reports.silent(now));
+                term.getAsLong(),
+                fleet.current(),
+                planner.reportsFor(load.getNode()),
+                reports.silent(now),
+                planner.arrivals());
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.node.config.RoutingTable;
 import io.persimmonstack.node.fleet.Fleet;
+import io.persimmonstack.node.placing.ModelArrival;
 import io.persimmonstack.node.placing.ModelDemand;
 import io.persimmonstack.node.placing.RunnerReport;
 import io.persimmonstack.node.placing.RunnerUsage;
@@ -31,13 +32,15 @@
                 demands.stream().map(LoadMessages::need).toList());
     }
 
-    static FleetLoad answer(long term, Fleet known, List<RunnerReport> reports, Set<String> silentNodes) {
+    static FleetLoad answer(
+            long term, Fleet known, List<RunnerReport> reports, Set<String> silentNodes, List<ModelArrival> arrivals) {
         return new FleetLoad(
                 term,
                 known.routing().map(RoutingTable::version).orElse(0L),
                 known.runnersRevision(),
                 reports.stream().map(LoadMessages::holding).toList(),
-                new ArrayList<>(silentNodes));
+                new ArrayList<>(silentNodes),
+                arrivals.stream().map(LoadMessages::arrival).toList());
     }
 
     static List<RunnerUsage> uses(NodeLoad load) {
@@ -73,6 +76,16 @@
                 .toList();
     }
 
+    static List<ModelArrival> arrivals(FleetLoad load) {
+        return load.getArrivals().stream()
+                .map(arrival -> new ModelArrival(arrival.getServiceName(), arrival.getModel(), arrival.getEarliestMs()))
+                .toList();
+    }
+
+    private static io.persimmonstack.wire.gen.ModelArrival arrival(ModelArrival arrival) {
+        return new io.persimmonstack.wire.gen.ModelArrival(arrival.service(), arrival.model(), arrival.earliestMs());
+    }
+
     private static RunnerUse use(RunnerUsage usage) {
         return new RunnerUse(
                 usage.runner(), usage.model().model(), usage.model().adapter(), usage.requests(), usage.tokens());
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -110,6 +110,7 @@
         silent = false;
         fleet.silentNodes(new HashSet<>(answer.getSilentNodes()));
         placer.takeReports(LoadMessages.reports(answer));
+        placer.takeArrivals(LoadMessages.arrivals(answer));
     }
 
     private void checkSilence(String leader, String cause) {
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -32,6 +32,7 @@
     private final PriorityQueue<Waiter> waiters = new PriorityQueue<>();
     private final Map<DemandKey, Integer> arrivals = new HashMap<>();
     private final PromptKeepers keepers = new PromptKeepers();
+    private final ArrivalBoard arrivalBoard = new ArrivalBoard();
     private final FleetView fleet;
     private final String zone;
     private volatile Runnable onWait = () -> {};
@@ -72,7 +73,7 @@
      */
     public Placement place(ActiveRequest request, Set<String> excluded, long untilNanos)
             throws RefusedException, InterruptedException {
-        Waiter waiter = new Waiter(request, excluded);
+        Waiter waiter = new Waiter(request, excluded, untilNanos);
         lock.lock();
         try {
             countArrival(request);
@@ -80,17 +81,21 @@
             if (placed.isPresent()) {
                 return placed.get();
             }
+            refuseInVain(waiter);
+            if (waiter.refusal().isPresent()) {
+                throw waiter.refusal().get();
+            }
             waiters.add(waiter);
         } finally {
             lock.unlock();
         }
         onWait.run();
-        return await(waiter, untilNanos);
+        return await(waiter);
     }
 
-    private Placement await(Waiter waiter, long untilNanos) throws RefusedException, InterruptedException {
+    private Placement await(Waiter waiter) throws RefusedException, InterruptedException {
         try {
-            return waiter.placed().get(untilNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
+            return waiter.placed().get(waiter.untilNanos() - System.nanoTime(), TimeUnit.NANOSECONDS);
         } catch (TimeoutException e) {
             return lastMoment(waiter);
         } catch (ExecutionException e) {
@@ -219,6 +224,34 @@
         }
     }
 
+    /**
+     * Takes when models may arrive, and refuses the requests that would wait for them in vain.
+     *
+     * @param expected models that requests wait for and that no runner holds
+     */
+    public void takeArrivals(List<ModelArrival> expected) {
+        lock.lock();
+        try {
+            arrivalBoard.take(expected, System.nanoTime());
+            List.copyOf(waiters).forEach(this::refuseInVain);
+            waiters.removeIf(waiter -> waiter.refusal().isPresent());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Refuses a request whose model cannot be there in time; its caller is told when it may be. */
+    private void refuseInVain(Waiter waiter) {
+        ActiveRequest request = waiter.request();
+        long now = System.nanoTime();
+        arrivalBoard.inVainMs(request, waiter.untilNanos(), now).ifPresent(earliestMs -> {
+            long retryAfterMs = Jitter.spread(earliestMs);
+            arrivalBoard.refused(request, retryAfterMs, now);
+            String detail = request.caller().model().orElse(NO_MODEL) + " is loaded in " + earliestMs + " ms or later";
+            waiter.refuse(new RefusedException(Refusal.notRun("model-not-loaded", detail, retryAfterMs)));
+        });
+    }
+
     /** Falls back on the runners' own descriptions, for the leader has fallen silent. */
     public void forgetReports() {
         lock.lock();
@@ -317,20 +350,16 @@
     public List<ModelDemand> takeDemand() {
         lock.lock();
         try {
-            Map<DemandKey, List<Waiter>> waiting = new HashMap<>();
-            for (Waiter waiter : waiters) {
-                waiter.request()
-                        .caller()
-                        .model()
-                        .ifPresent(model -> waiting.computeIfAbsent(
-                                        new DemandKey(waiter.request().service().name(), model),
-                                        key -> new ArrayList<>())
-                                .add(waiter));
-            }
-            arrivals.keySet().forEach(key -> waiting.computeIfAbsent(key, ignored -> List.of()));
             long now = System.nanoTime();
+            Map<DemandKey, List<ActiveRequest>> wanted = new HashMap<>();
+            arrivals.keySet().forEach(key -> wanted.put(key, new ArrayList<>()));
+            waiters.forEach(waiter ->
+                    waiter.request().caller().model().ifPresent(model -> addTo(wanted, waiter.request(), model)));
+            arrivalBoard.returning(now).stream()
+                    .filter(returning -> !isHeld(returning, now))
+                    .forEach(returning -> addTo(wanted, returning.request(), returning.model()));
             List<ModelDemand> demand = new ArrayList<>();
-            waiting.forEach((key, list) -> demand.add(demand(key, list, now)));
+            wanted.forEach((key, requests) -> demand.add(demand(key, requests, now)));
             arrivals.clear();
             return demand;
         } finally {
@@ -338,13 +367,23 @@
         }
     }
 
-    private ModelDemand demand(DemandKey key, List<Waiter> waiting, long now) {
-        Optional<ActiveRequest> oldest =
-                waiting.stream().map(Waiter::request).min(Comparator.comparingLong(ActiveRequest::receivedNanos));
+    /** Returns whether callers that come back would find their model; what nobody waits for may make way for others. */
+    private boolean isHeld(ArrivalBoard.Returning returning, long nowNanos) {
+        return booksOf(returning.request().service().name()).stream()
+                .anyMatch(book -> !book.runner().leaving() && book.holds(returning.model(), nowNanos));
+    }
+
+    private static void addTo(Map<DemandKey, List<ActiveRequest>> wanted, ActiveRequest request, ModelRef model) {
+        DemandKey key = new DemandKey(request.service().name(), model);
+        wanted.computeIfAbsent(key, ignored -> new ArrayList<>()).add(request);
+    }
+
+    private ModelDemand demand(DemandKey key, List<ActiveRequest> requests, long now) {
+        Optional<ActiveRequest> oldest = requests.stream().min(Comparator.comparingLong(ActiveRequest::receivedNanos));
         return new ModelDemand(
                 key.service(),
                 key.model(),
-                waiting.size(),
+                requests.size(),
                 arrivals.getOrDefault(key, 0),
                 oldest.map(request -> TimeUnit.NANOSECONDS.toMillis(now - request.receivedNanos()))
                         .orElse(0L),
--- a/node/src/main/java/io/persimmonstack/node/placing/Waiter.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Waiter.java
@@ -11,11 +11,13 @@
 final class Waiter implements Comparable<Waiter> {
     private final ActiveRequest request;
     private final Set<String> excluded;
+    private final long untilNanos;
     private final CompletableFuture<Placement> placed = new CompletableFuture<>();
 
-    Waiter(ActiveRequest request, Set<String> excluded) {
+    Waiter(ActiveRequest request, Set<String> excluded, long untilNanos) {
         this.request = request;
         this.excluded = excluded;
+        this.untilNanos = untilNanos;
     }
 
     ActiveRequest request() {
@@ -26,6 +28,11 @@
         return excluded;
     }
 
+    /** Returns when waiting is in vain, by the monotonic clock. */
+    long untilNanos() {
+        return untilNanos;
+    }
+
     CompletableFuture<Placement> placed() {
         return placed;
     }
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/planning/ArrivalEstimate.java
@@ -0,0 +1,48 @@
+package io.persimmonstack.node.planning;
+
+import io.persimmonstack.node.config.Model;
+import io.persimmonstack.node.placing.ModelArrival;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Estimates when models that requests wait for can be held by a runner, at the earliest: what is left of a load in
+ * progress, or the time of a load from the nearest copy. Pure.
+ */
+final class ArrivalEstimate {
+    private ArrivalEstimate() {}
+
+    /**
+     * Estimates.
+     *
+     * @param service name of the service
+     * @param state its runners and demand
+     * @param comingMs time that is left of loads in progress by model, in milliseconds
+     * @return models that requests wait for and that no runner holds
+     */
+    static List<ModelArrival> of(String service, ServiceState state, Map<String, Long> comingMs) {
+        List<ModelArrival> arrivals = new ArrayList<>();
+        ModelDemands.byModel(state).forEach((name, demand) -> {
+            Model model = state.engine().models().get(name);
+            if (model != null && demand.waiting() > 0 && !isHeld(state, name)) {
+                long loadMs = comingMs.getOrDefault(name, loadMs(state, model));
+                arrivals.add(new ModelArrival(service, name, loadMs));
+            }
+        });
+        return arrivals;
+    }
+
+    private static boolean isHeld(ServiceState state, String model) {
+        return state.runners().stream().anyMatch(runner -> !runner.leaving() && runner.holds(model));
+    }
+
+    private static long loadMs(ServiceState state, Model model) {
+        return state.runners().stream()
+                .filter(runner -> !runner.leaving())
+                .map(runner -> LoadSource.of(model.name(), runner.inMemory(), runner.onDisk()))
+                .mapToLong(source -> source.loadMs(model))
+                .min()
+                .orElse(model.storeLoadMs());
+    }
+}
--- a/node/src/main/java/io/persimmonstack/node/planning/LoadSource.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/LoadSource.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.node.planning;
 
 import io.persimmonstack.node.config.Model;
+import java.util.Set;
 
 /** Where the weights of a load come from. */
 enum LoadSource {
@@ -11,6 +12,14 @@
     /** The weight store, whose rate all runners share. */
     STORE;
 
+    /** Returns where a load comes from, by the copies that a runner keeps. */
+    static LoadSource of(String model, Set<String> inMemory, Set<String> onDisk) {
+        if (inMemory.contains(model)) {
+            return MEMORY;
+        }
+        return onDisk.contains(model) ? DISK : STORE;
+    }
+
     /** Returns how long a load takes, in milliseconds. */
     long loadMs(Model model) {
         return switch (this) {
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -200,13 +200,9 @@
     }
 
     private double loadMs(RunnerState runner, Model model) {
-        if (runner.inMemory().contains(model.name())) {
-            return model.memoryLoadMs();
-        }
-        if (runner.onDisk().contains(model.name())) {
-            return model.diskLoadMs();
-        }
-        return model.storeLoadMs() * Math.max(1, (storeLoads + 1.0) / MAX_STORE_LOADS);
+        LoadSource source = LoadSource.of(model.name(), runner.inMemory(), runner.onDisk());
+        double slowdown = source == LoadSource.STORE ? (storeLoads + 1.0) / MAX_STORE_LOADS : 1;
+        return source.loadMs(model) * Math.max(1, slowdown);
     }
 
     /** Returns what it costs that a runner takes no order for an adapter while it loads a model. */
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -9,10 +9,12 @@
 import io.persimmonstack.node.fleet.Fleet;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.placing.ModelArrival;
 import io.persimmonstack.node.placing.RunnerReport;
 import io.persimmonstack.node.placing.RunnerUsage;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -42,6 +44,7 @@
     private final Deque<Long> storeLoads = new ArrayDeque<>();
     private final Thread thread = Thread.ofVirtual().name("planner").unstarted(this::run);
     private OptionalLong term = OptionalLong.empty();
+    private volatile List<ModelArrival> arrivals = List.of();
     private long electedNanos;
     private long runnersChangedNanos = System.nanoTime();
 
@@ -102,6 +105,11 @@
         }
     }
 
+    /** Returns the models that requests wait for and that no runner holds. */
+    public List<ModelArrival> arrivals() {
+        return arrivals;
+    }
+
     private static RunnerReport report(RunnerLedger ledger, List<RunnerUsage> uses) {
         return new RunnerReport(
                 ledger.runner().id(),
@@ -126,6 +134,7 @@
         OptionalLong current = leadTerm.get();
         if (!current.equals(term)) {
             ledgers.clear();
+            arrivals = List.of();
             term = current;
             electedNanos = System.nanoTime();
         }
@@ -139,9 +148,11 @@
         if (System.nanoTime() - electedNanos < orderPauseNanos) {
             return;
         }
+        List<ModelArrival> planned = new ArrayList<>();
         for (Service service : routing.services()) {
-            service.engine().ifPresent(engine -> plan(service.name(), engine));
+            service.engine().ifPresent(engine -> planned.addAll(plan(service.name(), engine)));
         }
+        arrivals = List.copyOf(planned);
     }
 
     private void followRunners(Fleet known, RoutingTable routing) {
@@ -178,7 +189,8 @@
         });
     }
 
-    private void plan(String service, Engine engine) {
+    /** Plans for one service; returns when the models that requests wait for may arrive. */
+    private List<ModelArrival> plan(String service, Engine engine) {
         long now = System.nanoTime();
         List<RunnerUsage> uses = reports.usesExcept("", now);
         List<RunnerState> states = ledgers.values().stream()
@@ -196,6 +208,11 @@
                 now - runnersChangedNanos > SETTLE_NANOS);
         ModelPolicy.plan(state).forEach(directive -> execute(directive, engine));
         AdapterPolicy.plan(state).forEach(directive -> execute(directive, engine));
+        Map<String, Long> comingMs = new HashMap<>();
+        ledgers.values().stream()
+                .flatMap(ledger -> ledger.coming(now).stream())
+                .forEach(coming -> comingMs.merge(coming.model(), coming.leftMs(), Math::min));
+        return ArrivalEstimate.of(service, state, comingMs);
     }
 
     private boolean storeLoadAllowed(Engine engine, long nowNanos) {
@@ -207,7 +224,7 @@
 
     private void execute(Directive directive, Engine engine) {
         RunnerLedger ledger = ledgers.get(directive.runner());
-        if (term.isEmpty() || !ledger.begin(directive)) {
+        if (term.isEmpty() || !ledger.begin(directive, engine, System.nanoTime())) {
             return;
         }
         if (!directive.ofAdapters() && ledger.loadsFromStore()) {
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.node.planning;
 
 import io.persimmonstack.node.config.Engine;
+import io.persimmonstack.node.config.Model;
 import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.placing.RunnerUsage;
@@ -33,6 +34,7 @@
     private Runner runner;
     private Optional<Directive> modelDirective = Optional.empty();
     private Optional<String> coming = Optional.empty();
+    private long comingNanos;
     private boolean fromStore;
     private boolean known;
     private boolean asking;
@@ -125,7 +127,7 @@
     }
 
     /** Begins a directive; returns whether the runner can take it. */
-    synchronized boolean begin(Directive directive) {
+    synchronized boolean begin(Directive directive, Engine engine, long nowNanos) {
         if (!known || modelDirective.isPresent()) {
             return false;
         }
@@ -135,6 +137,9 @@
             } else if (order instanceof PlacementOrder.LoadModel load) {
                 coming = Optional.of(load.model());
                 fromStore = source(load.model()) == LoadSource.STORE;
+                Model model = engine.models().get(load.model());
+                comingNanos = nowNanos
+                        + TimeUnit.MILLISECONDS.toNanos(source(load.model()).loadMs(model));
             }
         }
         if (!directive.ofAdapters()) {
@@ -206,12 +211,23 @@
 
     /** Returns where a load of a model would come from. */
     synchronized LoadSource source(String model) {
-        if (inMemory.contains(model)) {
-            return LoadSource.MEMORY;
-        }
-        return onDisk.contains(model) ? LoadSource.DISK : LoadSource.STORE;
+        return LoadSource.of(model, inMemory, onDisk);
+    }
+
+    /** Returns the model that the runner loads and how long that may still take, in milliseconds. */
+    synchronized Optional<Coming> coming(long nowNanos) {
+        return coming.map(
+                model -> new Coming(model, Math.max(0, TimeUnit.NANOSECONDS.toMillis(comingNanos - nowNanos))));
     }
 
+    /**
+     * Model that a runner loads.
+     *
+     * @param model its name
+     * @param leftMs time that the load may still take, in milliseconds
+     */
+    record Coming(String model, long leftMs) {}
+
     synchronized boolean loadsFromStore() {
         return fromStore;
     }
--- a/node/src/test/java/io/persimmonstack/node/placing/PlacerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/PlacerTest.java
@@ -2,12 +2,15 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.persimmonstack.node.config.RouteKind;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.request.ActiveRequest;
+import io.persimmonstack.node.request.Refusal;
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.node.sending.Requests;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -37,9 +40,46 @@
         assertEquals(0, placer.waiting());
     }
 
+    @Test
+    void burstForAModelThatComesTooLateIsRefusedAtOnceAndItsDemandStays() throws InterruptedException {
+        Thread waiting = startWaiting(TimeUnit.MINUTES.toMillis(1), Requests.forModel("m", System.nanoTime()));
+        long inTwoMinutesMs = TimeUnit.MINUTES.toMillis(2);
+        placer.takeArrivals(List.of(new ModelArrival("s", "m", inTwoMinutesMs)));
+        waiting.join();
+        assertRefusedUntil(inTwoMinutesMs);
+        startWaiting(TimeUnit.MINUTES.toMillis(1), Requests.forModel("m", System.nanoTime()))
+                .join();
+        assertRefusedUntil(inTwoMinutesMs);
+        assertEquals(0, placer.waiting());
+        ModelDemand demand = placer.takeDemand().getFirst();
+        assertEquals("m", demand.model().model());
+        assertEquals(2, demand.waiting());
+    }
+
+    @Test
+    void requestThatCanStillBeServedWaits() throws InterruptedException {
+        Thread waiting = startWaiting(TimeUnit.MINUTES.toMillis(1), Requests.forModel("m", System.nanoTime()));
+        placer.takeArrivals(
+                List.of(new ModelArrival("s", "m", 1_000), new ModelArrival("s", "other", Integer.MAX_VALUE)));
+        assertEquals(1, placer.waiting());
+        waiting.interrupt();
+        waiting.join();
+        assertInstanceOf(InterruptedException.class, end.get());
+    }
+
+    private void assertRefusedUntil(long ms) {
+        Refusal refusal =
+                assertInstanceOf(RefusedException.class, end.getAndSet(null)).refusal();
+        assertEquals("model-not-loaded", refusal.reason());
+        assertTrue(refusal.retryAfterMs().orElseThrow() >= ms / 2);
+    }
+
     private Thread startWaiting(long waitMs) throws InterruptedException {
+        return startWaiting(waitMs, Requests.of(RouteKind.STREAM, false, 1));
+    }
+
+    private Thread startWaiting(long waitMs, ActiveRequest request) throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
-        ActiveRequest request = Requests.of(RouteKind.STREAM, false, 1);
         Thread thread = Thread.ofPlatform().start(() -> {
             try {
                 placer.place(request, Set.of(), until);
@@ -47,7 +87,7 @@
                 end.set(e);
             }
         });
-        while (placer.waiting() == 0) {
+        while (placer.waiting() == 0 && thread.isAlive()) {
             Thread.sleep(1);
         }
         return thread;
--- a/node/src/test/java/io/persimmonstack/node/planning/OrderDeskTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/OrderDeskTest.java
@@ -70,7 +70,7 @@
     private void swap(BooleanSupplier leads) {
         Directive directive = new Directive(
                 "r1", List.of(new PlacementOrder.UnloadModel("a"), new PlacementOrder.LoadModel("b")), "waiting");
-        assertTrue(ledger.begin(directive));
+        assertTrue(ledger.begin(directive, ENGINE, System.nanoTime()));
         OrderDesk.of("n1", control, NodeMetrics.in(new MetricRegistry()), fenced::add)
                 .carryOut(new Assignment(ledger, directive, TERM, ENGINE, leads));
     }
@@ -98,7 +98,8 @@
         answers.add(OrderAnswer.CONFLICT);
         swap(() -> true);
         assertEquals(1, tickets.size());
-        assertFalse(ledger.begin(new Directive("r1", List.of(new PlacementOrder.LoadModel("b")), "waiting")));
+        assertFalse(ledger.begin(
+                new Directive("r1", List.of(new PlacementOrder.LoadModel("b")), "waiting"), ENGINE, System.nanoTime()));
     }
 
     @Test
@@ -107,7 +108,8 @@
         answers.add(OrderAnswer.UNKNOWN);
         swap(() -> true);
         assertEquals(1, tickets.size());
-        assertFalse(ledger.begin(new Directive("r1", List.of(new PlacementOrder.LoadModel("b")), "waiting")));
+        assertFalse(ledger.begin(
+                new Directive("r1", List.of(new PlacementOrder.LoadModel("b")), "waiting"), ENGINE, System.nanoTime()));
     }
 
     @Test
@@ -154,7 +156,11 @@
     @Test
     void adapterWaitsForAModelThatIsBeingLoaded() {
         reported(7);
-        assertTrue(ledger.begin(new Directive("r1", List.of(new PlacementOrder.LoadModel("b")), "waiting")));
-        assertFalse(ledger.begin(new Directive("r1", List.of(new PlacementOrder.LoadAdapter("a", "x")), "waiting")));
+        assertTrue(ledger.begin(
+                new Directive("r1", List.of(new PlacementOrder.LoadModel("b")), "waiting"), ENGINE, System.nanoTime()));
+        assertFalse(ledger.begin(
+                new Directive("r1", List.of(new PlacementOrder.LoadAdapter("a", "x")), "waiting"),
+                ENGINE,
+                System.nanoTime()));
     }
 }
--- a/node/src/test/java/io/persimmonstack/node/sending/Requests.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/Requests.java
@@ -6,6 +6,7 @@
 import io.persimmonstack.node.config.ServiceShare;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.CallerRequest;
+import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.TokenCount;
 import java.util.List;
 import java.util.Optional;
@@ -18,6 +19,16 @@
 
     /** Returns a request received at time 0 whose caller waits for a second. */
     public static ActiveRequest of(RouteKind kind, boolean resumable, int maxAttempts) {
+        return of(kind, resumable, maxAttempts, Optional.empty(), 0);
+    }
+
+    /** Returns a request for a model whose caller waits for a second. */
+    public static ActiveRequest forModel(String model, long receivedNanos) {
+        return of(RouteKind.STREAM, false, 1, Optional.of(new ModelRef(model, "")), receivedNanos);
+    }
+
+    private static ActiveRequest of(
+            RouteKind kind, boolean resumable, int maxAttempts, Optional<ModelRef> model, long receivedNanos) {
         Route route = new Route(
                 "r",
                 "host",
@@ -39,10 +50,10 @@
                 List.of(),
                 new byte[0],
                 OptionalInt.of(1_000),
-                Optional.empty(),
+                model,
                 TokenCount.none(),
                 List.of(),
                 OptionalLong.empty());
-        return new ActiveRequest(caller, route, new Service("s", "/health", 10, Optional.empty()), 0);
+        return new ActiveRequest(caller, route, new Service("s", "/health", 10, Optional.empty()), receivedNanos);
     }
 }
--- a/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField RUNNERS_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("runnersRevision", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField RUNNERS_FIELD_DESC = new org.apache.thrift.protocol.TField("runners", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField SILENT_NODES_FIELD_DESC = new org.apache.thrift.protocol.TField("silentNodes", org.apache.thrift.protocol.TType.LIST, (short)5);
+  private static final org.apache.thrift.protocol.TField ARRIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("arrivals", org.apache.thrift.protocol.TType.LIST, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FleetLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FleetLoadTupleSchemeFactory();
@@ -27,6 +28,7 @@
   private long runnersRevision; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerHolding> runners; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> silentNodes; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<ModelArrival> arrivals; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,8 @@
     CONFIGURATION_VERSION((short)2, "configurationVersion"),
     RUNNERS_REVISION((short)3, "runnersRevision"),
     RUNNERS((short)4, "runners"),
-    SILENT_NODES((short)5, "silentNodes");
+    SILENT_NODES((short)5, "silentNodes"),
+    ARRIVALS((short)6, "arrivals");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -60,6 +63,8 @@
           return RUNNERS;
         case 5: // SILENT_NODES
           return SILENT_NODES;
+        case 6: // ARRIVALS
+          return ARRIVALS;
         default:
           return null;
       }
@@ -122,6 +127,9 @@
     tmpMap.put(_Fields.SILENT_NODES, new org.apache.thrift.meta_data.FieldMetaData("silentNodes", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.ARRIVALS, new org.apache.thrift.meta_data.FieldMetaData("arrivals", org.apache.thrift.TFieldRequirementType.REQUIRED,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ModelArrival.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FleetLoad.class, metaDataMap);
   }
@@ -134,7 +142,8 @@
     long configurationVersion,
     long runnersRevision,
     java.util.List<RunnerHolding> runners,
-    java.util.List<java.lang.String> silentNodes)
+    java.util.List<java.lang.String> silentNodes,
+    java.util.List<ModelArrival> arrivals)
   {
     this();
     this.term = term;
@@ -145,6 +154,7 @@
     setRunnersRevisionIsSet(true);
     this.runners = runners;
     this.silentNodes = silentNodes;
+    this.arrivals = arrivals;
   }
 
   /**
@@ -166,6 +176,13 @@
       java.util.List<java.lang.String> __this__silentNodes = new java.util.ArrayList<java.lang.String>(other.silentNodes);
       this.silentNodes = __this__silentNodes;
     }
+    if (other.isSetArrivals()) {
+      java.util.List<ModelArrival> __this__arrivals = new java.util.ArrayList<ModelArrival>(other.arrivals.size());
+      for (ModelArrival other_element : other.arrivals) {
+        __this__arrivals.add(new ModelArrival(other_element));
+      }
+      this.arrivals = __this__arrivals;
+    }
   }
 
   @Override
@@ -183,6 +200,7 @@
     this.runnersRevision = 0;
     this.runners = null;
     this.silentNodes = null;
+    this.arrivals = null;
   }
 
   public long getTerm() {
@@ -336,6 +354,47 @@
     }
   }
 
+  public int getArrivalsSize() {
+    return (this.arrivals == null) ? 0 : this.arrivals.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<ModelArrival> getArrivalsIterator() {
+    return (this.arrivals == null) ? null : this.arrivals.iterator();
+  }
+
+  public void addToArrivals(ModelArrival elem) {
+    if (this.arrivals == null) {
+      this.arrivals = new java.util.ArrayList<ModelArrival>();
+    }
+    this.arrivals.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<ModelArrival> getArrivals() {
+    return this.arrivals;
+  }
+
+  public FleetLoad setArrivals(@org.apache.thrift.annotation.Nullable java.util.List<ModelArrival> arrivals) {
+    this.arrivals = arrivals;
+    return this;
+  }
+
+  public void unsetArrivals() {
+    this.arrivals = null;
+  }
+
+  /** Returns true if field arrivals is set (has been assigned a value) and false otherwise */
+  public boolean isSetArrivals() {
+    return this.arrivals != null;
+  }
+
+  public void setArrivalsIsSet(boolean value) {
+    if (!value) {
+      this.arrivals = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -379,6 +438,14 @@
       }
       break;
 
+    case ARRIVALS:
+      if (value == null) {
+        unsetArrivals();
+      } else {
+        setArrivals((java.util.List<ModelArrival>)value);
+      }
+      break;
+
     }
   }
 
@@ -401,6 +468,9 @@
     case SILENT_NODES:
       return getSilentNodes();
 
+    case ARRIVALS:
+      return getArrivals();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -423,6 +493,8 @@
       return isSetRunners();
     case SILENT_NODES:
       return isSetSilentNodes();
+    case ARRIVALS:
+      return isSetArrivals();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -485,6 +557,15 @@
         return false;
     }
 
+    boolean this_present_arrivals = true && this.isSetArrivals();
+    boolean that_present_arrivals = true && that.isSetArrivals();
+    if (this_present_arrivals || that_present_arrivals) {
+      if (!(this_present_arrivals && that_present_arrivals))
+        return false;
+      if (!this.arrivals.equals(that.arrivals))
+        return false;
+    }
+
     return true;
   }
 
@@ -506,6 +587,10 @@
     if (isSetSilentNodes())
       hashCode = hashCode * 8191 + silentNodes.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetArrivals()) ? 131071 : 524287);
+    if (isSetArrivals())
+      hashCode = hashCode * 8191 + arrivals.hashCode();
+
     return hashCode;
   }
 
@@ -567,6 +652,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetArrivals(), other.isSetArrivals());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetArrivals()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.arrivals, other.arrivals);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -618,6 +713,14 @@
       sb.append(this.silentNodes);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("arrivals:");
+    if (this.arrivals == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.arrivals);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -633,6 +736,9 @@
     if (silentNodes == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'silentNodes' was not present! Struct: " + toString());
     }
+    if (arrivals == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'arrivals' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -735,6 +841,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // ARRIVALS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list214 = iprot.readListBegin();
+                struct.arrivals = new java.util.ArrayList<ModelArrival>(_list214.size);
+                @org.apache.thrift.annotation.Nullable ModelArrival _elem215;
+                for (int _i216 = 0; _i216 < _list214.size; ++_i216)
+                {
+                  _elem215 = new ModelArrival();
+                  _elem215.read(iprot);
+                  struct.arrivals.add(_elem215);
+                }
+                iprot.readListEnd();
+              }
+              struct.setArrivalsIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -773,9 +898,9 @@
         oprot.writeFieldBegin(RUNNERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.runners.size()));
-          for (RunnerHolding _iter214 : struct.runners)
+          for (RunnerHolding _iter217 : struct.runners)
           {
-            _iter214.write(oprot);
+            _iter217.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -785,9 +910,21 @@
         oprot.writeFieldBegin(SILENT_NODES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.silentNodes.size()));
-          for (java.lang.String _iter215 : struct.silentNodes)
+          for (java.lang.String _iter218 : struct.silentNodes)
+          {
+            oprot.writeString(_iter218);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.arrivals != null) {
+        oprot.writeFieldBegin(ARRIVALS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.arrivals.size()));
+          for (ModelArrival _iter219 : struct.arrivals)
           {
-            oprot.writeString(_iter215);
+            _iter219.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -816,16 +953,23 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.runners.size());
-        for (RunnerHolding _iter216 : struct.runners)
+        for (RunnerHolding _iter220 : struct.runners)
         {
-          _iter216.write(oprot);
+          _iter220.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.silentNodes.size());
-        for (java.lang.String _iter217 : struct.silentNodes)
+        for (java.lang.String _iter221 : struct.silentNodes)
+        {
+          oprot.writeString(_iter221);
+        }
+      }
+      {
+        oprot.writeI32(struct.arrivals.size());
+        for (ModelArrival _iter222 : struct.arrivals)
         {
-          oprot.writeString(_iter217);
+          _iter222.write(oprot);
         }
       }
     }
@@ -840,28 +984,40 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list218 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.runners = new java.util.ArrayList<RunnerHolding>(_list218.size);
-        @org.apache.thrift.annotation.Nullable RunnerHolding _elem219;
-        for (int _i220 = 0; _i220 < _list218.size; ++_i220)
+        org.apache.thrift.protocol.TList _list223 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.runners = new java.util.ArrayList<RunnerHolding>(_list223.size);
+        @org.apache.thrift.annotation.Nullable RunnerHolding _elem224;
+        for (int _i225 = 0; _i225 < _list223.size; ++_i225)
         {
-          _elem219 = new RunnerHolding();
-          _elem219.read(iprot);
-          struct.runners.add(_elem219);
+          _elem224 = new RunnerHolding();
+          _elem224.read(iprot);
+          struct.runners.add(_elem224);
         }
       }
       struct.setRunnersIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list221 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list221.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem222;
-        for (int _i223 = 0; _i223 < _list221.size; ++_i223)
+        org.apache.thrift.protocol.TList _list226 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list226.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem227;
+        for (int _i228 = 0; _i228 < _list226.size; ++_i228)
         {
-          _elem222 = iprot.readString();
-          struct.silentNodes.add(_elem222);
+          _elem227 = iprot.readString();
+          struct.silentNodes.add(_elem227);
         }
       }
       struct.setSilentNodesIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list229 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list229.size);
+        @org.apache.thrift.annotation.Nullable ModelArrival _elem230;
+        for (int _i231 = 0; _i231 < _list229.size; ++_i231)
+        {
+          _elem230 = new ModelArrival();
+          _elem230.read(iprot);
+          struct.arrivals.add(_elem230);
+        }
+      }
+      struct.setArrivalsIsSet(true);
     }
   }
 
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -338,6 +338,13 @@
   5: required i64 tokensElsewhere
 }
 
+/** Model that requests wait for and that no runner holds. */
+struct ModelArrival {
+  1: required string serviceName
+  2: required string model
+  3: required i64 earliestMs                // time until a runner can hold it at the earliest
+}
+
 /** Answer of the leader to a report. */
 struct FleetLoad {
   1: required i64 term                      // store revision at which the leader was elected
@@ -345,6 +352,7 @@
   3: required i64 runnersRevision
   4: required list<RunnerHolding> runners
   5: required list<string> silentNodes      // nodes that have reported to this leader and have stopped
+  6: required list<ModelArrival> arrivals
 }
 
 service NodeLink {
