--- a/coordination/src/main/java/io/persimmonstack/coordination/kv/KvWatcher.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/kv/KvWatcher.java
@@ -1,5 +1,7 @@
 package io.persimmonstack.coordination.kv;
 
+import java.util.List;
+
 /** Receiver of changes below a watched prefix. */
 public interface KvWatcher {
     /**
@@ -9,6 +11,15 @@
      */
     void changed(KvChange change);
 
+    /**
+     * Reports changes that came together, in order.
+     *
+     * @param changes what happened to which keys
+     */
+    default void changed(List<KvChange> changes) {
+        changes.forEach(this::changed);
+    }
+
     /**
      * Reports that the subscription ended and must be renewed after a fresh read.
      *
--- a/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
@@ -17,6 +17,7 @@
     private final NodeReports reports;
     private final Planner planner;
     private final Supplier<OptionalLong> leadTerm;
+    private final ToldReports told = new ToldReports();
 
     private LeaderHandler(FleetView fleet, NodeReports reports, Planner planner, Supplier<OptionalLong> leadTerm) {
         this.fleet = fleet;
@@ -46,11 +47,9 @@
         }
         long now = System.nanoTime();
         reports.take(load.getNode(), LoadMessages.uses(load), LoadMessages.demands(load), now);
-        return LoadMessages.answer(
-                term.getAsLong(),
-                fleet.current(),
-                planner.reportsFor(load.getNode()),
-                reports.silent(now),
-                planner.arrivals());
+        planner.suspect(load.getUnreachable());
+        ToldReports.Changes changes = told.changes(
+                load.getNode(), term.getAsLong(), LoadMessages.has(load), planner.reportsFor(load.getNode()));
+        return LoadMessages.answer(fleet.current(), changes, reports.silent(now), planner.arrivals());
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.node.config.RoutingTable;
 import io.persimmonstack.node.fleet.Fleet;
+import io.persimmonstack.node.placing.LocalLoad;
 import io.persimmonstack.node.placing.ModelArrival;
 import io.persimmonstack.node.placing.ModelDemand;
 import io.persimmonstack.node.placing.RunnerReport;
@@ -16,31 +17,44 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** Conversion between the node's types and the messages of the protocol. */
 final class LoadMessages {
     private LoadMessages() {}
 
-    static NodeLoad report(String node, long sequence, Fleet known, List<RunnerUsage> uses, List<ModelDemand> demands) {
+    static NodeLoad report(String node, long sequence, Fleet known, ToldReports.Answer has, LocalLoad load) {
         return new NodeLoad(
                 node,
                 sequence,
                 known.routing().map(RoutingTable::version).orElse(0L),
                 known.runnersRevision(),
-                uses.stream().map(LoadMessages::use).toList(),
-                demands.stream().map(LoadMessages::need).toList());
+                load.uses().stream().map(LoadMessages::use).toList(),
+                load.demands().stream().map(LoadMessages::need).toList(),
+                load.unreachable(),
+                has.term(),
+                has.number());
+    }
+
+    static ToldReports.Answer has(NodeLoad load) {
+        return new ToldReports.Answer(load.getAnswerTerm(), load.getAnswerNumber());
+    }
+
+    static ToldReports.Answer answer(FleetLoad load) {
+        return new ToldReports.Answer(load.getTerm(), load.getNumber());
     }
 
     static FleetLoad answer(
-            long term, Fleet known, List<RunnerReport> reports, Set<String> silentNodes, List<ModelArrival> arrivals) {
+            Fleet known, ToldReports.Changes changes, Set<String> silentNodes, List<ModelArrival> arrivals) {
         return new FleetLoad(
-                term,
+                changes.answer().term(),
                 known.routing().map(RoutingTable::version).orElse(0L),
                 known.runnersRevision(),
-                reports.stream().map(LoadMessages::holding).toList(),
+                changes.reports().stream().map(LoadMessages::holding).toList(),
                 new ArrayList<>(silentNodes),
-                arrivals.stream().map(LoadMessages::arrival).toList());
+                arrivals.stream().map(LoadMessages::arrival).toList(),
+                changes.answer().number());
     }
 
     static List<RunnerUsage> uses(NodeLoad load) {
@@ -70,7 +84,9 @@
                 .map(holding -> new RunnerReport(
                         holding.getRunner(),
                         holding.getStartedMs(),
-                        holding.getModels().stream().map(LoadMessages::held).toList(),
+                        Optional.ofNullable(holding.getModels())
+                                .map(models ->
+                                        models.stream().map(LoadMessages::held).toList()),
                         holding.getRequestsElsewhere(),
                         holding.getTokensElsewhere()))
                 .toList();
@@ -103,12 +119,12 @@
     }
 
     private static RunnerHolding holding(RunnerReport report) {
-        return new RunnerHolding(
-                report.runner(),
-                report.startedMs(),
-                report.models().stream().map(LoadMessages::held).toList(),
-                report.requestsElsewhere(),
-                report.tokensElsewhere());
+        RunnerHolding holding = new RunnerHolding(
+                report.runner(), report.startedMs(), report.requestsElsewhere(), report.tokensElsewhere());
+        report.models()
+                .ifPresent(models -> holding.setModels(
+                        models.stream().map(LoadMessages::held).toList()));
+        return holding;
     }
 
     private static HeldModel held(io.persimmonstack.node.fleet.HeldModel model) {
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -33,6 +33,7 @@
     private final ThriftPeers<NodeLink.Client> peers;
     private final Semaphore wakeUp = new Semaphore(0);
     private final Thread thread = Thread.ofVirtual().name("load-reporter").unstarted(this::run);
+    private ToldReports.Answer has = ToldReports.Answer.NONE;
     private long sequence;
     private long answeredNanos;
     private boolean silent = true;
@@ -90,7 +91,7 @@
             checkSilence("-", "no leader");
             return;
         }
-        NodeLoad load = LoadMessages.report(node, ++sequence, known, placer.usage(), placer.takeDemand());
+        NodeLoad load = LoadMessages.report(node, ++sequence, known, has, placer.takeLoad());
         try {
             take(exchange(leader.get(), load));
         } catch (WireException | WireRefusal e) {
@@ -109,7 +110,8 @@
         answeredNanos = System.nanoTime();
         silent = false;
         fleet.silentNodes(new HashSet<>(answer.getSilentNodes()));
-        placer.takeReports(LoadMessages.reports(answer));
+        boolean complete = placer.takeReports(LoadMessages.reports(answer));
+        has = complete ? LoadMessages.answer(answer) : ToldReports.Answer.NONE;
         placer.takeArrivals(LoadMessages.arrivals(answer));
     }
 
@@ -118,6 +120,7 @@
             silent = true;
             LOG.write(NodeEvent.LEADER_SILENT, leader, cause);
             fleet.silentNodes(leader.equals(node) ? Set.of() : Set.of(leader));
+            has = ToldReports.Answer.NONE;
             placer.forgetReports();
         }
     }
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/placing/LocalLoad.java
@@ -0,0 +1,12 @@
+package io.persimmonstack.node.placing;
+
+import java.util.List;
+
+/**
+ * What one node tells the leader.
+ *
+ * @param uses its requests in progress, by runner and model
+ * @param demands what its callers ask of models since the last time
+ * @param unreachable runners that it could not reach lately
+ */
+public record LocalLoad(List<RunnerUsage> uses, List<ModelDemand> demands, List<String> unreachable) {}
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -207,18 +207,23 @@
     /**
      * Takes what the leader knows of the runners.
      *
-     * @param reports one report for each runner
+     * @param reports reports of the runners that have changed
+     * @return whether all of them are of runner processes that this node knows
      */
-    public void takeReports(List<RunnerReport> reports) {
+    public boolean takeReports(List<RunnerReport> reports) {
         lock.lock();
         try {
+            boolean allKnown = true;
             for (RunnerReport report : reports) {
                 RunnerBook book = books.get(report.runner());
                 if (book != null && book.runner().startedMs() == report.startedMs()) {
-                    book.report(report.models(), report.requestsElsewhere(), report.tokensElsewhere());
+                    book.report(report);
+                } else {
+                    allKnown = false;
                 }
             }
             placeWaiters();
+            return allKnown;
         } finally {
             lock.unlock();
         }
@@ -334,37 +339,36 @@
         }
     }
 
-    /** Returns the requests in progress, by runner. */
-    public List<RunnerUsage> usage() {
+    /** Returns what this node tells the leader, and counts arrivals anew. */
+    public LocalLoad takeLoad() {
         lock.lock();
         try {
-            return books.values().stream()
+            long now = System.nanoTime();
+            List<RunnerUsage> uses = books.values().stream()
                     .flatMap(book -> book.usage().stream())
                     .toList();
+            List<String> unreachable = books.values().stream()
+                    .filter(book -> book.isUnreachable(now))
+                    .map(book -> book.runner().id())
+                    .toList();
+            return new LocalLoad(uses, takeDemand(now), unreachable);
         } finally {
             lock.unlock();
         }
     }
 
-    /** Returns what callers ask of models, and counts arrivals anew. */
-    public List<ModelDemand> takeDemand() {
-        lock.lock();
-        try {
-            long now = System.nanoTime();
-            Map<DemandKey, List<ActiveRequest>> wanted = new HashMap<>();
-            arrivals.keySet().forEach(key -> wanted.put(key, new ArrayList<>()));
-            waiters.forEach(waiter ->
-                    waiter.request().caller().model().ifPresent(model -> addTo(wanted, waiter.request(), model)));
-            arrivalBoard.returning(now).stream()
-                    .filter(returning -> !isHeld(returning, now))
-                    .forEach(returning -> addTo(wanted, returning.request(), returning.model()));
-            List<ModelDemand> demand = new ArrayList<>();
-            wanted.forEach((key, requests) -> demand.add(demand(key, requests, now)));
-            arrivals.clear();
-            return demand;
-        } finally {
-            lock.unlock();
-        }
+    private List<ModelDemand> takeDemand(long now) {
+        Map<DemandKey, List<ActiveRequest>> wanted = new HashMap<>();
+        arrivals.keySet().forEach(key -> wanted.put(key, new ArrayList<>()));
+        waiters.forEach(
+                waiter -> waiter.request().caller().model().ifPresent(model -> addTo(wanted, waiter.request(), model)));
+        arrivalBoard.returning(now).stream()
+                .filter(returning -> !isHeld(returning, now))
+                .forEach(returning -> addTo(wanted, returning.request(), returning.model()));
+        List<ModelDemand> demand = new ArrayList<>();
+        wanted.forEach((key, requests) -> demand.add(demand(key, requests, now)));
+        arrivals.clear();
+        return demand;
     }
 
     /** Returns whether callers that come back would find their model; what nobody waits for may make way for others. */
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerBook.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerBook.java
@@ -30,6 +30,7 @@
     private int requestsElsewhere;
     private long tokensElsewhere;
     private long avoidUntilNanos = Long.MIN_VALUE;
+    private long unreachableUntilNanos = Long.MIN_VALUE;
 
     RunnerBook(Runner runner) {
         this.runner = runner;
@@ -46,14 +47,15 @@
             failures.clear();
             reported = Optional.empty();
             avoidUntilNanos = Long.MIN_VALUE;
+            unreachableUntilNanos = Long.MIN_VALUE;
         }
         runner = newer;
     }
 
-    void report(List<HeldModel> models, int elsewhere, long tokensThere) {
-        reported = Optional.of(models);
-        requestsElsewhere = elsewhere;
-        tokensElsewhere = tokensThere;
+    void report(RunnerReport report) {
+        reported = report.models().or(() -> reported);
+        requestsElsewhere = report.requestsElsewhere();
+        tokensElsewhere = report.tokensElsewhere();
     }
 
     /** Forgets what the leader reported, for it has fallen silent. */
@@ -107,7 +109,8 @@
     }
 
     void unreachable(long nowNanos) {
-        avoidUntilNanos = Math.max(avoidUntilNanos, nowNanos + UNREACHABLE_NANOS);
+        unreachableUntilNanos = nowNanos + UNREACHABLE_NANOS;
+        avoidUntilNanos = Math.max(avoidUntilNanos, unreachableUntilNanos);
         failed(nowNanos);
     }
 
@@ -115,6 +118,10 @@
         failures.addLast(nowNanos);
     }
 
+    boolean isUnreachable(long nowNanos) {
+        return unreachableUntilNanos > nowNanos;
+    }
+
     boolean isAvoided(long nowNanos) {
         return avoidUntilNanos > nowNanos;
     }
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -19,6 +19,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -105,6 +107,12 @@
         }
     }
 
+    /** Asks runners that a node could not reach for their state, at once. */
+    public synchronized void suspect(List<String> runners) {
+        long now = System.nanoTime();
+        runners.stream().map(ledgers::get).filter(Objects::nonNull).forEach(ledger -> ledger.suspect(now));
+    }
+
     /** Returns the models that requests wait for and that no runner holds. */
     public List<ModelArrival> arrivals() {
         return arrivals;
@@ -114,7 +122,7 @@
         return new RunnerReport(
                 ledger.runner().id(),
                 ledger.runner().startedMs(),
-                ledger.serving(),
+                Optional.of(ledger.serving()),
                 uses.stream().mapToInt(RunnerUsage::requests).sum(),
                 uses.stream().mapToLong(RunnerUsage::tokens).sum());
     }
@@ -183,7 +191,7 @@
             try {
                 ledger.answered(control.status(ledger.runner()), System.nanoTime());
             } catch (RunnerControlException e) {
-                ledger.notAnswered();
+                ledger.notAnswered(System.nanoTime());
                 LOG.write(NodeEvent.REPORT_FAILED, ledger.runner().id(), e.getMessage());
             }
         });
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
@@ -24,6 +24,7 @@
     private static final long REPORT_VALID_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
     private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
     private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    private static final long SUSPICION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final long UNKNOWN_VERSION = 0;
     private final Map<String, HeldModel> models = new HashMap<>();
     private final Set<String> inMemory = new HashSet<>();
@@ -43,6 +44,8 @@
     private long statusNanos;
     private long askedNanos;
     private long orderedNanos;
+    private long suspectedUntilNanos = System.nanoTime();
+    private long goneUntilNanos = suspectedUntilNanos;
 
     RunnerLedger(Runner runner) {
         this.runner = runner;
@@ -69,10 +72,11 @@
 
     /** Returns whether its state should be asked for now. */
     synchronized boolean wantsStatus(long nowNanos) {
+        boolean suspected = nowNanos - suspectedUntilNanos < 0;
         boolean due = !known || changed || nowNanos - statusNanos > REPORT_VALID_NANOS;
         boolean settled =
                 modelDirective.isEmpty() && adaptersComing.isEmpty() && nowNanos - orderedNanos > REPORT_LAG_NANOS;
-        return due && settled && !asking && nowNanos - askedNanos > RETRY_NANOS;
+        return due && (settled || suspected) && !asking && nowNanos - askedNanos > RETRY_NANOS;
     }
 
     synchronized void asking(long nowNanos) {
@@ -81,13 +85,25 @@
         changed = false;
     }
 
-    synchronized void notAnswered() {
+    /** It gave no report; if a node cannot reach it either, it is taken for gone for a while. */
+    synchronized void notAnswered(long nowNanos) {
         asking = false;
+        if (nowNanos - suspectedUntilNanos < 0) {
+            goneUntilNanos = nowNanos + SUSPICION_NANOS;
+        }
+    }
+
+    /** A node could not reach the runner: its state is asked for at once. */
+    synchronized void suspect(long nowNanos) {
+        suspectedUntilNanos = nowNanos + SUSPICION_NANOS;
+        changed = true;
     }
 
     /** Takes a report, unless an order has been given since it was asked for. */
     synchronized void answered(RunnerStatus status, long nowNanos) {
         asking = false;
+        suspectedUntilNanos = nowNanos;
+        goneUntilNanos = nowNanos;
         if (modelDirective.isPresent() || orderedNanos - askedNanos > 0) {
             return;
         }
@@ -252,7 +268,7 @@
                 runner.zone(),
                 known,
                 modelDirective.isEmpty(),
-                runner.leaving(),
+                runner.leaving() || System.nanoTime() - goneUntilNanos < 0,
                 Map.copyOf(models),
                 fresh(System.nanoTime()),
                 coming,
--- a/node/src/main/java/io/persimmonstack/node/store/PeerFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/PeerFollower.java
@@ -9,6 +9,7 @@
 import io.persimmonstack.node.fleet.Peer;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -43,11 +44,13 @@
     }
 
     @Override
-    public synchronized void changed(KvChange change) {
+    public synchronized void changed(List<KvChange> changes) {
         Optional<Leader> before = leader;
-        switch (change) {
-            case KvChange.Written written -> take(written.entry());
-            case KvChange.Deleted deleted -> remove(deleted.key());
+        for (KvChange change : changes) {
+            switch (change) {
+                case KvChange.Written written -> take(written.entry());
+                case KvChange.Deleted deleted -> remove(deleted.key());
+            }
         }
         publish(before);
     }
--- a/node/src/main/java/io/persimmonstack/node/store/RoutingFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RoutingFollower.java
@@ -7,6 +7,7 @@
 import io.persimmonstack.node.config.RoutingTable;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.runtime.event.EventLog;
+import java.util.List;
 
 /** Puts each newer configuration into force; an older or unreadable one changes nothing. */
 public final class RoutingFollower implements StoreFollower.Listener {
@@ -38,9 +39,11 @@
     }
 
     @Override
-    public void changed(KvChange change) {
-        if (change instanceof KvChange.Written written) {
-            take(written.entry());
+    public void changed(List<KvChange> changes) {
+        for (KvChange change : changes) {
+            if (change instanceof KvChange.Written written) {
+                take(written.entry());
+            }
         }
     }
 
--- a/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
@@ -50,7 +50,12 @@
     }
 
     @Override
-    public synchronized void changed(KvChange change) {
+    public synchronized void changed(List<KvChange> changes) {
+        changes.forEach(this::take);
+        publish();
+    }
+
+    private void take(KvChange change) {
         switch (change) {
             case KvChange.Written written -> {
                 revision = written.entry().revision();
@@ -64,7 +69,6 @@
                 }
             }
         }
-        publish();
     }
 
     @Override
@@ -87,7 +91,8 @@
             Runner runner = decoder.runner(id, entry.value());
             Runner before = list.entries().get(id);
             boolean ofEarlierProcess = before != null && before.startedMs() > runner.startedMs();
-            if (!ofEarlierProcess && list.put(id, runner)) {
+            boolean news = !ofEarlierProcess && list.put(id, runner);
+            if (news && !differsInModelsAlone(before, runner)) {
                 LOG.write(
                         NodeEvent.RUNNER_CHANGED,
                         id,
@@ -102,6 +107,15 @@
         }
     }
 
+    /** What a runner holds changes often, and the leader's reports are newer than its own description. */
+    private static boolean differsInModelsAlone(Runner before, Runner now) {
+        return before != null
+                && before.isSameProcess(now)
+                && before.leaving() == now.leaving()
+                && before.address().equals(now.address())
+                && before.service().equals(now.service());
+    }
+
     private String id(String key) {
         return key.substring(prefix.length());
     }
--- a/node/src/main/java/io/persimmonstack/node/store/StoreFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoreFollower.java
@@ -36,8 +36,8 @@
         /** All keys as they are now. */
         void read(KvRange range);
 
-        /** One key has changed. */
-        void changed(KvChange change);
+        /** Keys have changed, in this order. */
+        void changed(List<KvChange> changes);
 
         /** The service gave no answer; what is known may be old. */
         default void lost() {}
@@ -103,9 +103,12 @@
 
     /** Keys of a subject, known up to a revision; the watch begins at the lowest of all. */
     private record Cursor(Subject subject, long revision) {
-        private void tell(KvChange change) {
-            if (key(change).startsWith(subject.prefix()) && revision(change) > revision) {
-                subject.listener().changed(change);
+        private void tell(List<KvChange> changes) {
+            List<KvChange> news = changes.stream()
+                    .filter(change -> key(change).startsWith(subject.prefix()) && revision(change) > revision)
+                    .toList();
+            if (!news.isEmpty()) {
+                subject.listener().changed(news);
             }
         }
 
@@ -130,7 +133,12 @@
         KvWatcher watcher = new KvWatcher() {
             @Override
             public void changed(KvChange change) {
-                cursors.forEach(cursor -> cursor.tell(change));
+                changed(List.of(change));
+            }
+
+            @Override
+            public void changed(List<KvChange> changes) {
+                cursors.forEach(cursor -> cursor.tell(changes));
             }
 
             @Override
--- a/node/src/test/java/io/persimmonstack/node/placing/PlacerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/PlacerTest.java
@@ -51,7 +51,7 @@
                 .join();
         assertRefusedUntil(inTwoMinutesMs);
         assertEquals(0, placer.waiting());
-        ModelDemand demand = placer.takeDemand().getFirst();
+        ModelDemand demand = placer.takeLoad().demands().getFirst();
         assertEquals("m", demand.model().model());
         assertEquals(2, demand.waiting());
     }
--- a/node/src/test/java/io/persimmonstack/node/store/StoreFollowerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/store/StoreFollowerTest.java
@@ -112,7 +112,11 @@
         }
 
         @Override
-        public void changed(KvChange change) {
+        public void changed(List<KvChange> changes) {
+            changes.forEach(this::tell);
+        }
+
+        private void tell(KvChange change) {
             switch (change) {
                 case KvChange.Written written ->
                     told.add("written " + written.entry().key() + "="
--- a/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
@@ -19,6 +19,7 @@
   private static final org.apache.thrift.protocol.TField RUNNERS_FIELD_DESC = new org.apache.thrift.protocol.TField("runners", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField SILENT_NODES_FIELD_DESC = new org.apache.thrift.protocol.TField("silentNodes", org.apache.thrift.protocol.TType.LIST, (short)5);
   private static final org.apache.thrift.protocol.TField ARRIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("arrivals", org.apache.thrift.protocol.TType.LIST, (short)6);
+  private static final org.apache.thrift.protocol.TField NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("number", org.apache.thrift.protocol.TType.I64, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FleetLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FleetLoadTupleSchemeFactory();
@@ -29,6 +30,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerHolding> runners; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> silentNodes; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<ModelArrival> arrivals; // required
+  private long number; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +39,8 @@
     RUNNERS_REVISION((short)3, "runnersRevision"),
     RUNNERS((short)4, "runners"),
     SILENT_NODES((short)5, "silentNodes"),
-    ARRIVALS((short)6, "arrivals");
+    ARRIVALS((short)6, "arrivals"),
+    NUMBER((short)7, "number");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -65,6 +68,8 @@
           return SILENT_NODES;
         case 6: // ARRIVALS
           return ARRIVALS;
+        case 7: // NUMBER
+          return NUMBER;
         default:
           return null;
       }
@@ -111,6 +116,7 @@
   private static final int __TERM_ISSET_ID = 0;
   private static final int __CONFIGURATIONVERSION_ISSET_ID = 1;
   private static final int __RUNNERSREVISION_ISSET_ID = 2;
+  private static final int __NUMBER_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -130,6 +136,8 @@
     tmpMap.put(_Fields.ARRIVALS, new org.apache.thrift.meta_data.FieldMetaData("arrivals", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ModelArrival.class))));
+    tmpMap.put(_Fields.NUMBER, new org.apache.thrift.meta_data.FieldMetaData("number", org.apache.thrift.TFieldRequirementType.REQUIRED,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FleetLoad.class, metaDataMap);
   }
@@ -143,7 +151,8 @@
     long runnersRevision,
     java.util.List<RunnerHolding> runners,
     java.util.List<java.lang.String> silentNodes,
-    java.util.List<ModelArrival> arrivals)
+    java.util.List<ModelArrival> arrivals,
+    long number)
   {
     this();
     this.term = term;
@@ -155,6 +164,8 @@
     this.runners = runners;
     this.silentNodes = silentNodes;
     this.arrivals = arrivals;
+    this.number = number;
+    setNumberIsSet(true);
   }
 
   /**
@@ -183,6 +194,7 @@
       }
       this.arrivals = __this__arrivals;
     }
+    this.number = other.number;
   }
 
   @Override
@@ -201,6 +213,8 @@
     this.runners = null;
     this.silentNodes = null;
     this.arrivals = null;
+    setNumberIsSet(false);
+    this.number = 0;
   }
 
   public long getTerm() {
@@ -395,6 +409,29 @@
     }
   }
 
+  public long getNumber() {
+    return this.number;
+  }
+
+  public FleetLoad setNumber(long number) {
+    this.number = number;
+    setNumberIsSet(true);
+    return this;
+  }
+
+  public void unsetNumber() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NUMBER_ISSET_ID);
+  }
+
+  /** Returns true if field number is set (has been assigned a value) and false otherwise */
+  public boolean isSetNumber() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NUMBER_ISSET_ID);
+  }
+
+  public void setNumberIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NUMBER_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -446,6 +483,14 @@
       }
       break;
 
+    case NUMBER:
+      if (value == null) {
+        unsetNumber();
+      } else {
+        setNumber((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -471,6 +516,9 @@
     case ARRIVALS:
       return getArrivals();
 
+    case NUMBER:
+      return getNumber();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -495,6 +543,8 @@
       return isSetSilentNodes();
     case ARRIVALS:
       return isSetArrivals();
+    case NUMBER:
+      return isSetNumber();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -566,6 +616,15 @@
         return false;
     }
 
+    boolean this_present_number = true;
+    boolean that_present_number = true;
+    if (this_present_number || that_present_number) {
+      if (!(this_present_number && that_present_number))
+        return false;
+      if (this.number != that.number)
+        return false;
+    }
+
     return true;
   }
 
@@ -591,6 +650,8 @@
     if (isSetArrivals())
       hashCode = hashCode * 8191 + arrivals.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(number);
+
     return hashCode;
   }
 
@@ -662,6 +723,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetNumber(), other.isSetNumber());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetNumber()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.number, other.number);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -721,6 +792,10 @@
       sb.append(this.arrivals);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("number:");
+    sb.append(this.number);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -739,6 +814,7 @@
     if (arrivals == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'arrivals' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'number' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -807,14 +883,14 @@
           case 4: // RUNNERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list208 = iprot.readListBegin();
-                struct.runners = new java.util.ArrayList<RunnerHolding>(_list208.size);
-                @org.apache.thrift.annotation.Nullable RunnerHolding _elem209;
-                for (int _i210 = 0; _i210 < _list208.size; ++_i210)
+                org.apache.thrift.protocol.TList _list216 = iprot.readListBegin();
+                struct.runners = new java.util.ArrayList<RunnerHolding>(_list216.size);
+                @org.apache.thrift.annotation.Nullable RunnerHolding _elem217;
+                for (int _i218 = 0; _i218 < _list216.size; ++_i218)
                 {
-                  _elem209 = new RunnerHolding();
-                  _elem209.read(iprot);
-                  struct.runners.add(_elem209);
+                  _elem217 = new RunnerHolding();
+                  _elem217.read(iprot);
+                  struct.runners.add(_elem217);
                 }
                 iprot.readListEnd();
               }
@@ -826,13 +902,13 @@
           case 5: // SILENT_NODES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list211 = iprot.readListBegin();
-                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list211.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem212;
-                for (int _i213 = 0; _i213 < _list211.size; ++_i213)
+                org.apache.thrift.protocol.TList _list219 = iprot.readListBegin();
+                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list219.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem220;
+                for (int _i221 = 0; _i221 < _list219.size; ++_i221)
                 {
-                  _elem212 = iprot.readString();
-                  struct.silentNodes.add(_elem212);
+                  _elem220 = iprot.readString();
+                  struct.silentNodes.add(_elem220);
                 }
                 iprot.readListEnd();
               }
@@ -844,14 +920,14 @@
           case 6: // ARRIVALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list214 = iprot.readListBegin();
-                struct.arrivals = new java.util.ArrayList<ModelArrival>(_list214.size);
-                @org.apache.thrift.annotation.Nullable ModelArrival _elem215;
-                for (int _i216 = 0; _i216 < _list214.size; ++_i216)
+                org.apache.thrift.protocol.TList _list222 = iprot.readListBegin();
+                struct.arrivals = new java.util.ArrayList<ModelArrival>(_list222.size);
+                @org.apache.thrift.annotation.Nullable ModelArrival _elem223;
+                for (int _i224 = 0; _i224 < _list222.size; ++_i224)
                 {
-                  _elem215 = new ModelArrival();
-                  _elem215.read(iprot);
-                  struct.arrivals.add(_elem215);
+                  _elem223 = new ModelArrival();
+                  _elem223.read(iprot);
+                  struct.arrivals.add(_elem223);
                 }
                 iprot.readListEnd();
               }
@@ -860,6 +936,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // NUMBER
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.number = iprot.readI64();
+              struct.setNumberIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -877,6 +961,9 @@
       if (!struct.isSetRunnersRevision()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'runnersRevision' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetNumber()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'number' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -898,9 +985,9 @@
         oprot.writeFieldBegin(RUNNERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.runners.size()));
-          for (RunnerHolding _iter217 : struct.runners)
+          for (RunnerHolding _iter225 : struct.runners)
           {
-            _iter217.write(oprot);
+            _iter225.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -910,9 +997,9 @@
         oprot.writeFieldBegin(SILENT_NODES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.silentNodes.size()));
-          for (java.lang.String _iter218 : struct.silentNodes)
+          for (java.lang.String _iter226 : struct.silentNodes)
           {
-            oprot.writeString(_iter218);
+            oprot.writeString(_iter226);
           }
           oprot.writeListEnd();
         }
@@ -922,14 +1009,17 @@
         oprot.writeFieldBegin(ARRIVALS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.arrivals.size()));
-          for (ModelArrival _iter219 : struct.arrivals)
+          for (ModelArrival _iter227 : struct.arrivals)
           {
-            _iter219.write(oprot);
+            _iter227.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(NUMBER_FIELD_DESC);
+      oprot.writeI64(struct.number);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -953,25 +1043,26 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.runners.size());
-        for (RunnerHolding _iter220 : struct.runners)
+        for (RunnerHolding _iter228 : struct.runners)
         {
-          _iter220.write(oprot);
+          _iter228.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.silentNodes.size());
-        for (java.lang.String _iter221 : struct.silentNodes)
+        for (java.lang.String _iter229 : struct.silentNodes)
         {
-          oprot.writeString(_iter221);
+          oprot.writeString(_iter229);
         }
       }
       {
         oprot.writeI32(struct.arrivals.size());
-        for (ModelArrival _iter222 : struct.arrivals)
+        for (ModelArrival _iter230 : struct.arrivals)
         {
-          _iter222.write(oprot);
+          _iter230.write(oprot);
         }
       }
+      oprot.writeI64(struct.number);
     }
 
     @Override
@@ -984,40 +1075,42 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list223 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.runners = new java.util.ArrayList<RunnerHolding>(_list223.size);
-        @org.apache.thrift.annotation.Nullable RunnerHolding _elem224;
-        for (int _i225 = 0; _i225 < _list223.size; ++_i225)
+        org.apache.thrift.protocol.TList _list231 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.runners = new java.util.ArrayList<RunnerHolding>(_list231.size);
+        @org.apache.thrift.annotation.Nullable RunnerHolding _elem232;
+        for (int _i233 = 0; _i233 < _list231.size; ++_i233)
         {
-          _elem224 = new RunnerHolding();
-          _elem224.read(iprot);
-          struct.runners.add(_elem224);
+          _elem232 = new RunnerHolding();
+          _elem232.read(iprot);
+          struct.runners.add(_elem232);
         }
       }
       struct.setRunnersIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list226 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list226.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem227;
-        for (int _i228 = 0; _i228 < _list226.size; ++_i228)
+        org.apache.thrift.protocol.TList _list234 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list234.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem235;
+        for (int _i236 = 0; _i236 < _list234.size; ++_i236)
         {
-          _elem227 = iprot.readString();
-          struct.silentNodes.add(_elem227);
+          _elem235 = iprot.readString();
+          struct.silentNodes.add(_elem235);
         }
       }
       struct.setSilentNodesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list229 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list229.size);
-        @org.apache.thrift.annotation.Nullable ModelArrival _elem230;
-        for (int _i231 = 0; _i231 < _list229.size; ++_i231)
+        org.apache.thrift.protocol.TList _list237 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list237.size);
+        @org.apache.thrift.annotation.Nullable ModelArrival _elem238;
+        for (int _i239 = 0; _i239 < _list237.size; ++_i239)
         {
-          _elem230 = new ModelArrival();
-          _elem230.read(iprot);
-          struct.arrivals.add(_elem230);
+          _elem238 = new ModelArrival();
+          _elem238.read(iprot);
+          struct.arrivals.add(_elem238);
         }
       }
       struct.setArrivalsIsSet(true);
+      struct.number = iprot.readI64();
+      struct.setNumberIsSet(true);
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/HeldModel.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/HeldModel.java
@@ -520,13 +520,13 @@
           case 3: // ADAPTERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list192 = iprot.readListBegin();
-                struct.adapters = new java.util.ArrayList<java.lang.String>(_list192.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem193;
-                for (int _i194 = 0; _i194 < _list192.size; ++_i194)
+                org.apache.thrift.protocol.TList _list200 = iprot.readListBegin();
+                struct.adapters = new java.util.ArrayList<java.lang.String>(_list200.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem201;
+                for (int _i202 = 0; _i202 < _list200.size; ++_i202)
                 {
-                  _elem193 = iprot.readString();
-                  struct.adapters.add(_elem193);
+                  _elem201 = iprot.readString();
+                  struct.adapters.add(_elem201);
                 }
                 iprot.readListEnd();
               }
@@ -566,9 +566,9 @@
         oprot.writeFieldBegin(ADAPTERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.adapters.size()));
-          for (java.lang.String _iter195 : struct.adapters)
+          for (java.lang.String _iter203 : struct.adapters)
           {
-            oprot.writeString(_iter195);
+            oprot.writeString(_iter203);
           }
           oprot.writeListEnd();
         }
@@ -596,9 +596,9 @@
       oprot.writeI64(struct.version);
       {
         oprot.writeI32(struct.adapters.size());
-        for (java.lang.String _iter196 : struct.adapters)
+        for (java.lang.String _iter204 : struct.adapters)
         {
-          oprot.writeString(_iter196);
+          oprot.writeString(_iter204);
         }
       }
     }
@@ -611,13 +611,13 @@
       struct.version = iprot.readI64();
       struct.setVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list197 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.adapters = new java.util.ArrayList<java.lang.String>(_list197.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem198;
-        for (int _i199 = 0; _i199 < _list197.size; ++_i199)
+        org.apache.thrift.protocol.TList _list205 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.adapters = new java.util.ArrayList<java.lang.String>(_list205.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem206;
+        for (int _i207 = 0; _i207 < _list205.size; ++_i207)
         {
-          _elem198 = iprot.readString();
-          struct.adapters.add(_elem198);
+          _elem206 = iprot.readString();
+          struct.adapters.add(_elem206);
         }
       }
       struct.setAdaptersIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
@@ -19,6 +19,9 @@
   private static final org.apache.thrift.protocol.TField RUNNERS_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("runnersRevision", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField USES_FIELD_DESC = new org.apache.thrift.protocol.TField("uses", org.apache.thrift.protocol.TType.LIST, (short)5);
   private static final org.apache.thrift.protocol.TField NEEDS_FIELD_DESC = new org.apache.thrift.protocol.TField("needs", org.apache.thrift.protocol.TType.LIST, (short)6);
+  private static final org.apache.thrift.protocol.TField UNREACHABLE_FIELD_DESC = new org.apache.thrift.protocol.TField("unreachable", org.apache.thrift.protocol.TType.LIST, (short)7);
+  private static final org.apache.thrift.protocol.TField ANSWER_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("answerTerm", org.apache.thrift.protocol.TType.I64, (short)8);
+  private static final org.apache.thrift.protocol.TField ANSWER_NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("answerNumber", org.apache.thrift.protocol.TType.I64, (short)9);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new NodeLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new NodeLoadTupleSchemeFactory();
@@ -29,6 +32,9 @@
   private long runnersRevision; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerUse> uses; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<ModelNeed> needs; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> unreachable; // required
+  private long answerTerm; // required
+  private long answerNumber; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +43,10 @@
     CONFIGURATION_VERSION((short)3, "configurationVersion"),
     RUNNERS_REVISION((short)4, "runnersRevision"),
     USES((short)5, "uses"),
-    NEEDS((short)6, "needs");
+    NEEDS((short)6, "needs"),
+    UNREACHABLE((short)7, "unreachable"),
+    ANSWER_TERM((short)8, "answerTerm"),
+    ANSWER_NUMBER((short)9, "answerNumber");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -65,6 +74,12 @@
           return USES;
         case 6: // NEEDS
           return NEEDS;
+        case 7: // UNREACHABLE
+          return UNREACHABLE;
+        case 8: // ANSWER_TERM
+          return ANSWER_TERM;
+        case 9: // ANSWER_NUMBER
+          return ANSWER_NUMBER;
         default:
           return null;
       }
@@ -111,6 +126,8 @@
   private static final int __SEQUENCE_ISSET_ID = 0;
   private static final int __CONFIGURATIONVERSION_ISSET_ID = 1;
   private static final int __RUNNERSREVISION_ISSET_ID = 2;
+  private static final int __ANSWERTERM_ISSET_ID = 3;
+  private static final int __ANSWERNUMBER_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -129,6 +146,13 @@
     tmpMap.put(_Fields.NEEDS, new org.apache.thrift.meta_data.FieldMetaData("needs", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ModelNeed.class))));
+    tmpMap.put(_Fields.UNREACHABLE, new org.apache.thrift.meta_data.FieldMetaData("unreachable", org.apache.thrift.TFieldRequirementType.REQUIRED,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.ANSWER_TERM, new org.apache.thrift.meta_data.FieldMetaData("answerTerm", org.apache.thrift.TFieldRequirementType.REQUIRED,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ANSWER_NUMBER, new org.apache.thrift.meta_data.FieldMetaData("answerNumber", org.apache.thrift.TFieldRequirementType.REQUIRED,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(NodeLoad.class, metaDataMap);
   }
@@ -142,7 +166,10 @@
     long configurationVersion,
     long runnersRevision,
     java.util.List<RunnerUse> uses,
-    java.util.List<ModelNeed> needs)
+    java.util.List<ModelNeed> needs,
+    java.util.List<java.lang.String> unreachable,
+    long answerTerm,
+    long answerNumber)
   {
     this();
     this.node = node;
@@ -154,6 +181,11 @@
     setRunnersRevisionIsSet(true);
     this.uses = uses;
     this.needs = needs;
+    this.unreachable = unreachable;
+    this.answerTerm = answerTerm;
+    setAnswerTermIsSet(true);
+    this.answerNumber = answerNumber;
+    setAnswerNumberIsSet(true);
   }
 
   /**
@@ -181,6 +213,12 @@
       }
       this.needs = __this__needs;
     }
+    if (other.isSetUnreachable()) {
+      java.util.List<java.lang.String> __this__unreachable = new java.util.ArrayList<java.lang.String>(other.unreachable);
+      this.unreachable = __this__unreachable;
+    }
+    this.answerTerm = other.answerTerm;
+    this.answerNumber = other.answerNumber;
   }
 
   @Override
@@ -199,6 +237,11 @@
     this.runnersRevision = 0;
     this.uses = null;
     this.needs = null;
+    this.unreachable = null;
+    setAnswerTermIsSet(false);
+    this.answerTerm = 0;
+    setAnswerNumberIsSet(false);
+    this.answerNumber = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -377,6 +420,93 @@
     }
   }
 
+  public int getUnreachableSize() {
+    return (this.unreachable == null) ? 0 : this.unreachable.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getUnreachableIterator() {
+    return (this.unreachable == null) ? null : this.unreachable.iterator();
+  }
+
+  public void addToUnreachable(java.lang.String elem) {
+    if (this.unreachable == null) {
+      this.unreachable = new java.util.ArrayList<java.lang.String>();
+    }
+    this.unreachable.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getUnreachable() {
+    return this.unreachable;
+  }
+
+  public NodeLoad setUnreachable(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> unreachable) {
+    this.unreachable = unreachable;
+    return this;
+  }
+
+  public void unsetUnreachable() {
+    this.unreachable = null;
+  }
+
+  /** Returns true if field unreachable is set (has been assigned a value) and false otherwise */
+  public boolean isSetUnreachable() {
+    return this.unreachable != null;
+  }
+
+  public void setUnreachableIsSet(boolean value) {
+    if (!value) {
+      this.unreachable = null;
+    }
+  }
+
+  public long getAnswerTerm() {
+    return this.answerTerm;
+  }
+
+  public NodeLoad setAnswerTerm(long answerTerm) {
+    this.answerTerm = answerTerm;
+    setAnswerTermIsSet(true);
+    return this;
+  }
+
+  public void unsetAnswerTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ANSWERTERM_ISSET_ID);
+  }
+
+  /** Returns true if field answerTerm is set (has been assigned a value) and false otherwise */
+  public boolean isSetAnswerTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ANSWERTERM_ISSET_ID);
+  }
+
+  public void setAnswerTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ANSWERTERM_ISSET_ID, value);
+  }
+
+  public long getAnswerNumber() {
+    return this.answerNumber;
+  }
+
+  public NodeLoad setAnswerNumber(long answerNumber) {
+    this.answerNumber = answerNumber;
+    setAnswerNumberIsSet(true);
+    return this;
+  }
+
+  public void unsetAnswerNumber() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ANSWERNUMBER_ISSET_ID);
+  }
+
+  /** Returns true if field answerNumber is set (has been assigned a value) and false otherwise */
+  public boolean isSetAnswerNumber() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ANSWERNUMBER_ISSET_ID);
+  }
+
+  public void setAnswerNumberIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ANSWERNUMBER_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -428,6 +558,30 @@
       }
       break;
 
+    case UNREACHABLE:
+      if (value == null) {
+        unsetUnreachable();
+      } else {
+        setUnreachable((java.util.List<java.lang.String>)value);
+      }
+      break;
+
+    case ANSWER_TERM:
+      if (value == null) {
+        unsetAnswerTerm();
+      } else {
+        setAnswerTerm((java.lang.Long)value);
+      }
+      break;
+
+    case ANSWER_NUMBER:
+      if (value == null) {
+        unsetAnswerNumber();
+      } else {
+        setAnswerNumber((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -453,6 +607,15 @@
     case NEEDS:
       return getNeeds();
 
+    case UNREACHABLE:
+      return getUnreachable();
+
+    case ANSWER_TERM:
+      return getAnswerTerm();
+
+    case ANSWER_NUMBER:
+      return getAnswerNumber();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -477,6 +640,12 @@
       return isSetUses();
     case NEEDS:
       return isSetNeeds();
+    case UNREACHABLE:
+      return isSetUnreachable();
+    case ANSWER_TERM:
+      return isSetAnswerTerm();
+    case ANSWER_NUMBER:
+      return isSetAnswerNumber();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -548,6 +717,33 @@
         return false;
     }
 
+    boolean this_present_unreachable = true && this.isSetUnreachable();
+    boolean that_present_unreachable = true && that.isSetUnreachable();
+    if (this_present_unreachable || that_present_unreachable) {
+      if (!(this_present_unreachable && that_present_unreachable))
+        return false;
+      if (!this.unreachable.equals(that.unreachable))
+        return false;
+    }
+
+    boolean this_present_answerTerm = true;
+    boolean that_present_answerTerm = true;
+    if (this_present_answerTerm || that_present_answerTerm) {
+      if (!(this_present_answerTerm && that_present_answerTerm))
+        return false;
+      if (this.answerTerm != that.answerTerm)
+        return false;
+    }
+
+    boolean this_present_answerNumber = true;
+    boolean that_present_answerNumber = true;
+    if (this_present_answerNumber || that_present_answerNumber) {
+      if (!(this_present_answerNumber && that_present_answerNumber))
+        return false;
+      if (this.answerNumber != that.answerNumber)
+        return false;
+    }
+
     return true;
   }
 
@@ -573,6 +769,14 @@
     if (isSetNeeds())
       hashCode = hashCode * 8191 + needs.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetUnreachable()) ? 131071 : 524287);
+    if (isSetUnreachable())
+      hashCode = hashCode * 8191 + unreachable.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(answerTerm);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(answerNumber);
+
     return hashCode;
   }
 
@@ -644,6 +848,36 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetUnreachable(), other.isSetUnreachable());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetUnreachable()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.unreachable, other.unreachable);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAnswerTerm(), other.isSetAnswerTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAnswerTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.answerTerm, other.answerTerm);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAnswerNumber(), other.isSetAnswerNumber());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAnswerNumber()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.answerNumber, other.answerNumber);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -703,6 +937,22 @@
       sb.append(this.needs);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("unreachable:");
+    if (this.unreachable == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.unreachable);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("answerTerm:");
+    sb.append(this.answerTerm);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("answerNumber:");
+    sb.append(this.answerNumber);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -721,6 +971,11 @@
     if (needs == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'needs' was not present! Struct: " + toString());
     }
+    if (unreachable == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'unreachable' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'answerTerm' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'answerNumber' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -832,6 +1087,40 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // UNREACHABLE
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list182 = iprot.readListBegin();
+                struct.unreachable = new java.util.ArrayList<java.lang.String>(_list182.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem183;
+                for (int _i184 = 0; _i184 < _list182.size; ++_i184)
+                {
+                  _elem183 = iprot.readString();
+                  struct.unreachable.add(_elem183);
+                }
+                iprot.readListEnd();
+              }
+              struct.setUnreachableIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 8: // ANSWER_TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.answerTerm = iprot.readI64();
+              struct.setAnswerTermIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 9: // ANSWER_NUMBER
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.answerNumber = iprot.readI64();
+              struct.setAnswerNumberIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -849,6 +1138,12 @@
       if (!struct.isSetRunnersRevision()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'runnersRevision' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetAnswerTerm()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'answerTerm' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetAnswerNumber()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'answerNumber' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -875,9 +1170,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (RunnerUse _iter182 : struct.uses)
+          for (RunnerUse _iter185 : struct.uses)
           {
-            _iter182.write(oprot);
+            _iter185.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -887,14 +1182,32 @@
         oprot.writeFieldBegin(NEEDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.needs.size()));
-          for (ModelNeed _iter183 : struct.needs)
+          for (ModelNeed _iter186 : struct.needs)
           {
-            _iter183.write(oprot);
+            _iter186.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.unreachable != null) {
+        oprot.writeFieldBegin(UNREACHABLE_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.unreachable.size()));
+          for (java.lang.String _iter187 : struct.unreachable)
+          {
+            oprot.writeString(_iter187);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(ANSWER_TERM_FIELD_DESC);
+      oprot.writeI64(struct.answerTerm);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ANSWER_NUMBER_FIELD_DESC);
+      oprot.writeI64(struct.answerNumber);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -919,18 +1232,27 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.uses.size());
-        for (RunnerUse _iter184 : struct.uses)
+        for (RunnerUse _iter188 : struct.uses)
         {
-          _iter184.write(oprot);
+          _iter188.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.needs.size());
-        for (ModelNeed _iter185 : struct.needs)
+        for (ModelNeed _iter189 : struct.needs)
+        {
+          _iter189.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.unreachable.size());
+        for (java.lang.String _iter190 : struct.unreachable)
         {
-          _iter185.write(oprot);
+          oprot.writeString(_iter190);
         }
       }
+      oprot.writeI64(struct.answerTerm);
+      oprot.writeI64(struct.answerNumber);
     }
 
     @Override
@@ -945,29 +1267,44 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list186 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.uses = new java.util.ArrayList<RunnerUse>(_list186.size);
-        @org.apache.thrift.annotation.Nullable RunnerUse _elem187;
-        for (int _i188 = 0; _i188 < _list186.size; ++_i188)
+        org.apache.thrift.protocol.TList _list191 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.uses = new java.util.ArrayList<RunnerUse>(_list191.size);
+        @org.apache.thrift.annotation.Nullable RunnerUse _elem192;
+        for (int _i193 = 0; _i193 < _list191.size; ++_i193)
         {
-          _elem187 = new RunnerUse();
-          _elem187.read(iprot);
-          struct.uses.add(_elem187);
+          _elem192 = new RunnerUse();
+          _elem192.read(iprot);
+          struct.uses.add(_elem192);
         }
       }
       struct.setUsesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list189 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.needs = new java.util.ArrayList<ModelNeed>(_list189.size);
-        @org.apache.thrift.annotation.Nullable ModelNeed _elem190;
-        for (int _i191 = 0; _i191 < _list189.size; ++_i191)
+        org.apache.thrift.protocol.TList _list194 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.needs = new java.util.ArrayList<ModelNeed>(_list194.size);
+        @org.apache.thrift.annotation.Nullable ModelNeed _elem195;
+        for (int _i196 = 0; _i196 < _list194.size; ++_i196)
         {
-          _elem190 = new ModelNeed();
-          _elem190.read(iprot);
-          struct.needs.add(_elem190);
+          _elem195 = new ModelNeed();
+          _elem195.read(iprot);
+          struct.needs.add(_elem195);
         }
       }
       struct.setNeedsIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list197 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.unreachable = new java.util.ArrayList<java.lang.String>(_list197.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem198;
+        for (int _i199 = 0; _i199 < _list197.size; ++_i199)
+        {
+          _elem198 = iprot.readString();
+          struct.unreachable.add(_elem198);
+        }
+      }
+      struct.setUnreachableIsSet(true);
+      struct.answerTerm = iprot.readI64();
+      struct.setAnswerTermIsSet(true);
+      struct.answerNumber = iprot.readI64();
+      struct.setAnswerNumberIsSet(true);
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RunnerHolding.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RunnerHolding.java
@@ -24,7 +24,7 @@
 
   private @org.apache.thrift.annotation.Nullable java.lang.String runner; // required
   private long startedMs; // required
-  private @org.apache.thrift.annotation.Nullable java.util.List<HeldModel> models; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<HeldModel> models; // optional
   private int requestsElsewhere; // required
   private long tokensElsewhere; // required
 
@@ -107,6 +107,7 @@
   private static final int __REQUESTSELSEWHERE_ISSET_ID = 1;
   private static final int __TOKENSELSEWHERE_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.MODELS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -114,7 +115,7 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.STARTED_MS, new org.apache.thrift.meta_data.FieldMetaData("startedMs", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.MODELS, new org.apache.thrift.meta_data.FieldMetaData("models", org.apache.thrift.TFieldRequirementType.REQUIRED,
+    tmpMap.put(_Fields.MODELS, new org.apache.thrift.meta_data.FieldMetaData("models", org.apache.thrift.TFieldRequirementType.OPTIONAL,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, HeldModel.class))));
     tmpMap.put(_Fields.REQUESTS_ELSEWHERE, new org.apache.thrift.meta_data.FieldMetaData("requestsElsewhere", org.apache.thrift.TFieldRequirementType.REQUIRED,
@@ -131,7 +132,6 @@
   public RunnerHolding(
     java.lang.String runner,
     long startedMs,
-    java.util.List<HeldModel> models,
     int requestsElsewhere,
     long tokensElsewhere)
   {
@@ -139,7 +139,6 @@
     this.runner = runner;
     this.startedMs = startedMs;
     setStartedMsIsSet(true);
-    this.models = models;
     this.requestsElsewhere = requestsElsewhere;
     setRequestsElsewhereIsSet(true);
     this.tokensElsewhere = tokensElsewhere;
@@ -584,14 +583,16 @@
     sb.append("startedMs:");
     sb.append(this.startedMs);
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("models:");
-    if (this.models == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.models);
+    if (isSetModels()) {
+      if (!first) sb.append(", ");
+      sb.append("models:");
+      if (this.models == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.models);
+      }
+      first = false;
     }
-    first = false;
     if (!first) sb.append(", ");
     sb.append("requestsElsewhere:");
     sb.append(this.requestsElsewhere);
@@ -610,9 +611,6 @@
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'runner' was not present! Struct: " + toString());
     }
     // alas, we cannot check 'startedMs' because it's a primitive and you chose the non-beans generator.
-    if (models == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'models' was not present! Struct: " + toString());
-    }
     // alas, we cannot check 'requestsElsewhere' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'tokensElsewhere' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
@@ -675,14 +673,14 @@
           case 3: // MODELS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list200 = iprot.readListBegin();
-                struct.models = new java.util.ArrayList<HeldModel>(_list200.size);
-                @org.apache.thrift.annotation.Nullable HeldModel _elem201;
-                for (int _i202 = 0; _i202 < _list200.size; ++_i202)
+                org.apache.thrift.protocol.TList _list208 = iprot.readListBegin();
+                struct.models = new java.util.ArrayList<HeldModel>(_list208.size);
+                @org.apache.thrift.annotation.Nullable HeldModel _elem209;
+                for (int _i210 = 0; _i210 < _list208.size; ++_i210)
                 {
-                  _elem201 = new HeldModel();
-                  _elem201.read(iprot);
-                  struct.models.add(_elem201);
+                  _elem209 = new HeldModel();
+                  _elem209.read(iprot);
+                  struct.models.add(_elem209);
                 }
                 iprot.readListEnd();
               }
@@ -741,16 +739,18 @@
       oprot.writeI64(struct.startedMs);
       oprot.writeFieldEnd();
       if (struct.models != null) {
-        oprot.writeFieldBegin(MODELS_FIELD_DESC);
-        {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.models.size()));
-          for (HeldModel _iter203 : struct.models)
+        if (struct.isSetModels()) {
+          oprot.writeFieldBegin(MODELS_FIELD_DESC);
           {
-            _iter203.write(oprot);
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.models.size()));
+            for (HeldModel _iter211 : struct.models)
+            {
+              _iter211.write(oprot);
+            }
+            oprot.writeListEnd();
           }
-          oprot.writeListEnd();
+          oprot.writeFieldEnd();
         }
-        oprot.writeFieldEnd();
       }
       oprot.writeFieldBegin(REQUESTS_ELSEWHERE_FIELD_DESC);
       oprot.writeI32(struct.requestsElsewhere);
@@ -778,15 +778,22 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeString(struct.runner);
       oprot.writeI64(struct.startedMs);
-      {
-        oprot.writeI32(struct.models.size());
-        for (HeldModel _iter204 : struct.models)
+      oprot.writeI32(struct.requestsElsewhere);
+      oprot.writeI64(struct.tokensElsewhere);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetModels()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetModels()) {
         {
-          _iter204.write(oprot);
+          oprot.writeI32(struct.models.size());
+          for (HeldModel _iter212 : struct.models)
+          {
+            _iter212.write(oprot);
+          }
         }
       }
-      oprot.writeI32(struct.requestsElsewhere);
-      oprot.writeI64(struct.tokensElsewhere);
     }
 
     @Override
@@ -796,22 +803,25 @@
       struct.setRunnerIsSet(true);
       struct.startedMs = iprot.readI64();
       struct.setStartedMsIsSet(true);
-      {
-        org.apache.thrift.protocol.TList _list205 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.models = new java.util.ArrayList<HeldModel>(_list205.size);
-        @org.apache.thrift.annotation.Nullable HeldModel _elem206;
-        for (int _i207 = 0; _i207 < _list205.size; ++_i207)
-        {
-          _elem206 = new HeldModel();
-          _elem206.read(iprot);
-          struct.models.add(_elem206);
-        }
-      }
-      struct.setModelsIsSet(true);
       struct.requestsElsewhere = iprot.readI32();
       struct.setRequestsElsewhereIsSet(true);
       struct.tokensElsewhere = iprot.readI64();
       struct.setTokensElsewhereIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TList _list213 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.models = new java.util.ArrayList<HeldModel>(_list213.size);
+          @org.apache.thrift.annotation.Nullable HeldModel _elem214;
+          for (int _i215 = 0; _i215 < _list213.size; ++_i215)
+          {
+            _elem214 = new HeldModel();
+            _elem214.read(iprot);
+            struct.models.add(_elem214);
+          }
+        }
+        struct.setModelsIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -320,6 +320,9 @@
   4: required i64 runnersRevision           // store revision up to which the node knows the runners
   5: required list<RunnerUse> uses
   6: required list<ModelNeed> needs
+  7: required list<string> unreachable      // runners that refused or gave no connection within the last second
+  8: required i64 answerTerm                // term and number of the last answer that the node has taken; 0 for none
+  9: required i64 answerNumber
 }
 
 /** Model that a runner holds, with the adapters loaded for it. */
@@ -333,7 +336,7 @@
 struct RunnerHolding {
   1: required string runner
   2: required i64 startedMs                 // start of the runner's process, by its own clock
-  3: required list<HeldModel> models
+  3: optional list<HeldModel> models        // absent where they have not changed since the answer that the node has
   4: required i32 requestsElsewhere         // requests in progress there from other nodes
   5: required i64 tokensElsewhere
 }
@@ -350,9 +353,10 @@
   1: required i64 term                      // store revision at which the leader was elected
   2: required i64 configurationVersion
   3: required i64 runnersRevision
-  4: required list<RunnerHolding> runners
+  4: required list<RunnerHolding> runners   // those that have changed since the answer that the node has, or all
   5: required list<string> silentNodes      // nodes that have reported to this leader and have stopped
   6: required list<ModelArrival> arrivals
+  7: required i64 number                    // rises with each answer to a node
 }
 
 service NodeLink {
