planner: adapters in transit take their place and their memory

Found by reading: the adapters that a runner reports as coming, such as those of an order that was carried out late, were decoded and dropped, and adapters in transit counted against the places but not against the memory. An order that relied on either may overfill the runner. Tests: RunnerLedgerTest#adapterOfALateOrderTakesAPlaceWhileItIsInTransit, AdapterPolicyTest#adapterInTransitTakesItsMemory; both failed before.

--- a/node/src/main/java/io/persimmonstack/node/planning/ModelDemands.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelDemands.java
@@ -2,7 +2,6 @@
 
 import io.persimmonstack.node.config.Engine;
 import io.persimmonstack.node.config.Model;
-import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.request.ModelRef;
 import java.util.HashMap;
 import java.util.Map;
@@ -46,12 +45,16 @@
         return counted ? held : held + weightsMb(engine, runner.coming().get());
     }
 
-    /** Returns the accelerator memory of a runner's weights and adapters, in megabytes. */
+    /** Returns the accelerator memory of a runner's weights and adapters, also those in transit, in megabytes. */
     static double usedMb(Engine engine, RunnerState runner) {
-        double adapters = runner.models().values().stream()
-                .mapToDouble(model -> adaptersMb(engine, model))
+        double held = runner.models().values().stream()
+                .mapToDouble(model ->
+                        adapterMb(engine, model.name()) * model.adapters().size())
                 .sum();
-        return weightsMb(engine, runner) + adapters;
+        double coming = runner.adaptersComing().stream()
+                .mapToDouble(adapter -> adapterMb(engine, adapter.model()))
+                .sum();
+        return weightsMb(engine, runner) + held + coming;
     }
 
     /** Returns the weights of a model; a whole runner's memory for one that is not configured. */
@@ -60,8 +63,8 @@
         return model == null ? engine.memoryMb() : model.weightsMb();
     }
 
-    private static double adaptersMb(Engine engine, HeldModel held) {
-        Model model = engine.models().get(held.name());
-        return model == null ? 0 : held.adapters().size() * model.adapterMb();
+    private static double adapterMb(Engine engine, String name) {
+        Model model = engine.models().get(name);
+        return model == null ? 0 : model.adapterMb();
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerLedger.java
@@ -31,6 +31,9 @@
     private final Set<String> onDisk = new HashSet<>();
     private final Map<String, Long> loadedNanos = new HashMap<>();
     private final Set<ModelRef> adaptersComing = new HashSet<>();
+    /** Adapters in transit by the last report, such as those of orders that were carried out late. */
+    private final Set<ModelRef> reportedComing = new HashSet<>();
+
     private final ReentrantLock orderTurn = new ReentrantLock();
     private Runner runner;
     private Optional<Directive> modelDirective = Optional.empty();
@@ -73,7 +76,7 @@
     /** Returns whether its state should be asked for now. */
     synchronized boolean wantsStatus(long nowNanos) {
         boolean suspected = nowNanos - suspectedUntilNanos < 0;
-        boolean due = !known || changed || nowNanos - statusNanos > REPORT_VALID_NANOS;
+        boolean due = !known || changed || !reportedComing.isEmpty() || nowNanos - statusNanos > REPORT_VALID_NANOS;
         boolean settled =
                 modelDirective.isEmpty() && adaptersComing.isEmpty() && nowNanos - orderedNanos > REPORT_LAG_NANOS;
         return due && (settled || suspected) && !asking && nowNanos - askedNanos > RETRY_NANOS;
@@ -126,6 +129,8 @@
     private void take(RunnerStatus status) {
         models.clear();
         status.models().forEach(model -> models.put(model.name(), model));
+        reportedComing.clear();
+        reportedComing.addAll(status.coming());
         copies(status);
     }
 
@@ -258,6 +263,17 @@
         return Set.copyOf(loadedNanos.keySet());
     }
 
+    private Set<ModelRef> allComing() {
+        Set<ModelRef> coming = new HashSet<>(adaptersComing);
+        reportedComing.stream().filter(adapter -> !holds(adapter)).forEach(coming::add);
+        return Set.copyOf(coming);
+    }
+
+    private boolean holds(ModelRef adapter) {
+        HeldModel held = models.get(adapter.model());
+        return held != null && held.adapters().contains(adapter.adapter());
+    }
+
     synchronized RunnerState state(List<RunnerUsage> uses, Engine engine) {
         Map<ModelRef, Integer> used = new HashMap<>();
         uses.stream()
@@ -272,7 +288,7 @@
                 Map.copyOf(models),
                 fresh(System.nanoTime()),
                 coming,
-                Set.copyOf(adaptersComing),
+                allComing(),
                 Set.copyOf(inMemory),
                 Set.copyOf(onDisk),
                 used,
--- a/node/src/test/java/io/persimmonstack/node/planning/AdapterPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/AdapterPolicyTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.persimmonstack.node.config.Engine;
+import io.persimmonstack.node.config.Model;
 import io.persimmonstack.node.request.ModelRef;
 import java.util.List;
 import java.util.Map;
@@ -45,6 +46,20 @@
         assertTrue(plan.isEmpty());
     }
 
+    @Test
+    void adapterInTransitTakesItsMemory() {
+        Engine tight =
+                new Engine(10, 100_000, 30_100, 8, 3, Map.of("a", new Model("a", 30_000, 6_000, 1_000, 400, 60)));
+        RunnerState runner = Fleets.runner("r1", Fleets.held("a"));
+        assertEquals(
+                1,
+                AdapterPolicy.plan(Fleets.state(tight, List.of(runner), adapter("x", 1, 1)))
+                        .size());
+        RunnerState loading = Fleets.withAdapterComing(runner, new ModelRef("a", "y"));
+        assertTrue(AdapterPolicy.plan(Fleets.state(tight, List.of(loading), adapter("x", 1, 1)))
+                .isEmpty());
+    }
+
     @Test
     void runnerThatLoadsAModelIsLeftAlone() {
         RunnerState runner = Fleets.loading(Fleets.runner("r1", Fleets.held("a")), "b");
--- a/node/src/test/java/io/persimmonstack/node/planning/Fleets.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/Fleets.java
@@ -105,6 +105,23 @@
                 runner.slots());
     }
 
+    static RunnerState withAdapterComing(RunnerState runner, ModelRef adapter) {
+        return new RunnerState(
+                runner.id(),
+                runner.zone(),
+                runner.known(),
+                runner.idle(),
+                runner.leaving(),
+                runner.models(),
+                runner.fresh(),
+                runner.coming(),
+                Set.of(adapter),
+                runner.inMemory(),
+                runner.onDisk(),
+                runner.uses(),
+                runner.slots());
+    }
+
     static DemandState waiting(String model, int requests) {
         return new DemandState(new ModelRef(model, ""), requests, 100, 3_000, 0.1);
     }
--- a/node/src/test/java/io/persimmonstack/node/planning/RunnerLedgerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RunnerLedgerTest.java
@@ -6,6 +6,7 @@
 
 import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.List;
 import java.util.Set;
@@ -61,6 +62,23 @@
         assertTrue(ledger.wantsStatus(later));
     }
 
+    @Test
+    void adapterOfALateOrderTakesAPlaceWhileItIsInTransit() {
+        ModelRef late = new ModelRef("a", "late");
+        ledger.asking(System.nanoTime());
+        ledger.answered(
+                new RunnerStatus(
+                        false, 1, List.of(new HeldModel("a", 1, Set.of("x"))), Set.of(late), Set.of(), Set.of("a")),
+                System.nanoTime());
+        assertEquals(2, ledger.state(List.of(), Fleets.engine("a")).adapters());
+        ledger.asking(System.nanoTime());
+        ledger.answered(
+                new RunnerStatus(
+                        false, 1, List.of(new HeldModel("a", 1, Set.of("x", "late"))), Set.of(), Set.of(), Set.of("a")),
+                System.nanoTime());
+        assertEquals(2, ledger.state(List.of(), Fleets.engine("a")).adapters());
+    }
+
     @Test
     void comingModelIsTheOneThatTheDirectiveLoads() {
         ledger.asking(System.nanoTime());
