planner: a model that has been asked for in vain gains on busier ones with time

Since requests are refused at once where their model cannot come in time, the demand for a rare model is gone sooner, and models with more waiting requests always came first. Change: UnmetDemand remembers since when requests have come for a model that no runner holds; half a request a second is added to its urgency.

--- a/node/src/main/java/io/persimmonstack/node/planning/ArrivalEstimate.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ArrivalEstimate.java
@@ -25,7 +25,7 @@
         List<ModelArrival> arrivals = new ArrayList<>();
         ModelDemands.byModel(state).forEach((name, demand) -> {
             Model model = state.engine().models().get(name);
-            if (model != null && demand.waiting() > 0 && !isHeld(state, name)) {
+            if (model != null && demand.waiting() > 0 && !ModelDemands.isHeld(state, name)) {
                 long loadMs = comingMs.getOrDefault(name, loadMs(state, model));
                 arrivals.add(new ModelArrival(service, name, loadMs));
             }
@@ -33,10 +33,6 @@
         return arrivals;
     }
 
-    private static boolean isHeld(ServiceState state, String model) {
-        return state.runners().stream().anyMatch(runner -> !runner.leaving() && runner.holds(model));
-    }
-
     private static long loadMs(ServiceState state, Model model) {
         return state.runners().stream()
                 .filter(runner -> !runner.leaving())
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelDemands.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelDemands.java
@@ -26,6 +26,11 @@
         return byModel;
     }
 
+    /** Returns whether a runner that stays holds a model. */
+    static boolean isHeld(ServiceState state, String model) {
+        return state.runners().stream().anyMatch(runner -> !runner.leaving() && runner.holds(model));
+    }
+
     private static DemandState sum(DemandState one, DemandState other) {
         return new DemandState(
                 one.model(),
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -30,6 +30,7 @@
     private static final double LEAST_PER_SECOND = 0.01;
     private static final double WAITING_PER_SECOND = 1;
     private static final double MS_PER_SECOND = 1_000;
+    private static final double UNMET_PER_SECOND = 0.5;
     private static final double LATE_SHARE = 0.3;
     private static final double LOAD_MS_OF_FULL_RUNNER = 1_500;
     private final ServiceState state;
@@ -100,10 +101,11 @@
         return crowded ? Optional.of(new Need(demand, false, urgency)) : Optional.empty();
     }
 
-    /** Requests that can still be on time go before those that are late anyway. */
-    private static double coldUrgency(DemandState demand) {
+    /** Requests that can still be on time go before those that are late anyway; a model asked for in vain gains. */
+    private double coldUrgency(DemandState demand) {
         double waiting = demand.isLate() ? LATE_SHARE * demand.waiting() : demand.waiting();
-        return waiting + demand.perSecond();
+        double unmetSeconds = state.unmetMs().getOrDefault(demand.model().model(), 0L) / MS_PER_SECOND;
+        return waiting + demand.perSecond() + UNMET_PER_SECOND * unmetSeconds;
     }
 
     private void serve(Need need) {
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -43,6 +43,7 @@
     private final ExecutorService threads;
     private final long orderPauseNanos;
     private final Map<String, RunnerLedger> ledgers = new HashMap<>();
+    private final UnmetDemand unmetDemand = new UnmetDemand();
     private final Deque<Long> storeLoads = new ArrayDeque<>();
     private final Thread thread = Thread.ofVirtual().name("planner").unstarted(this::run);
     private OptionalLong term = OptionalLong.empty();
@@ -207,13 +208,16 @@
                 .toList();
         int loading = (int)
                 ledgers.values().stream().filter(RunnerLedger::loadsFromStore).count();
-        ServiceState state = new ServiceState(
+        ServiceState seen = new ServiceState(
                 engine,
                 states,
                 reports.demands(service, now),
+                Map.of(),
                 loading,
                 storeLoadAllowed(engine, now),
                 now - runnersChangedNanos > SETTLE_NANOS);
+        unmetDemand.observe(seen, now);
+        ServiceState state = seen.withUnmet(unmetDemand.sinceMs(now));
         ModelPolicy.plan(state).forEach(directive -> execute(directive, engine));
         AdapterPolicy.plan(state).forEach(directive -> execute(directive, engine));
         Map<String, Long> comingMs = new HashMap<>();
--- a/node/src/main/java/io/persimmonstack/node/planning/ServiceState.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ServiceState.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.node.config.Engine;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Everything that the plan for one service depends on.
@@ -9,6 +10,7 @@
  * @param engine what its runners can hold
  * @param runners all its runners
  * @param demands demand by model and adapter
+ * @param unmetMs for how long each model that no runner holds has been asked for, in milliseconds
  * @param storeLoads loads from the weight store in progress over all runners
  * @param storeLoadAllowed whether the rate of the weight store allows one more load now
  * @param settled whether the runners have been the same for a while, so that all copies are known
@@ -17,6 +19,12 @@
         Engine engine,
         List<RunnerState> runners,
         List<DemandState> demands,
+        Map<String, Long> unmetMs,
         int storeLoads,
         boolean storeLoadAllowed,
-        boolean settled) {}
+        boolean settled) {
+    /** Returns this state with what is known of models that have been asked for in vain. */
+    ServiceState withUnmet(Map<String, Long> other) {
+        return new ServiceState(engine, runners, demands, other, storeLoads, storeLoadAllowed, settled);
+    }
+}
--- a/node/src/test/java/io/persimmonstack/node/planning/Fleets.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/Fleets.java
@@ -131,7 +131,7 @@
     }
 
     static ServiceState state(Engine engine, List<RunnerState> runners, DemandState... demands) {
-        return new ServiceState(engine, runners, List.of(demands), 0, true, true);
+        return new ServiceState(engine, runners, List.of(demands), Map.of(), 0, true, true);
     }
 
     static RunnerState withFresh(RunnerState runner, String... models) {
--- a/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
@@ -94,9 +94,11 @@
     @Test
     void noMoreLoadsFromTheStoreThanItServesAtFullSpeed() {
         List<RunnerState> runners = List.of(Fleets.runner("r1"), Fleets.runner("r2"));
-        ServiceState busyStore = new ServiceState(ENGINE, runners, List.of(Fleets.waiting("a", 1)), 4, true, true);
+        ServiceState busyStore =
+                new ServiceState(ENGINE, runners, List.of(Fleets.waiting("a", 1)), Map.of(), 4, true, true);
         assertTrue(ModelPolicy.plan(busyStore).isEmpty());
-        ServiceState spentRate = new ServiceState(ENGINE, runners, List.of(Fleets.waiting("a", 1)), 0, false, true);
+        ServiceState spentRate =
+                new ServiceState(ENGINE, runners, List.of(Fleets.waiting("a", 1)), Map.of(), 0, false, true);
         assertTrue(ModelPolicy.plan(spentRate).isEmpty());
     }
 
@@ -169,7 +171,7 @@
     @Test
     void noCopiesAreMadeAheadBeforeAllRunnersAreKnown() {
         RunnerState one = Fleets.runner("r1", Fleets.held("a"));
-        assertTrue(ModelPolicy.plan(new ServiceState(ENGINE, List.of(one), List.of(), 0, true, false))
+        assertTrue(ModelPolicy.plan(new ServiceState(ENGINE, List.of(one), List.of(), Map.of(), 0, true, false))
                 .isEmpty());
     }
 
--- a/node/src/test/java/io/persimmonstack/node/planning/RareModelsTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RareModelsTest.java
@@ -116,7 +116,7 @@
         int loads = (int) runners.stream()
                 .filter(runner -> runner.coming != null && !runner.copies.contains(runner.coming))
                 .count();
-        return new ServiceState(engine, states, demands, loads, true, true);
+        return new ServiceState(engine, states, demands, Map.of(), loads, true, true);
     }
 
     private static RunnerState state(int number, Simulated runner) {
