replies: a stream is sent in chunks also where its connection closes afterwards

A leaving node asks for the connection's end (Connection: close), and Undertow then sends a body without length as it is, up to the end of the connection; a node that breaks such an answer off ends it like a whole one. Ruled out: the node took the stream for complete (it logged the break and aborted). Change: streams are always chunked towards HTTP/1.1 callers, so that only the last chunk ends them.

--- a/router/src/main/java/io/persimmonstack/router/callers/UndertowReply.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/UndertowReply.java
@@ -58,6 +58,11 @@
     @Override
     public void begin(int status, List<Header> headers) {
         head(status, headers);
+        if (exchange.isHttp11()) {
+            // Without it an answer that closes its connection ends where the connection does, also one that is broken
+            // off.
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        }
     }
 
     private void head(int status, List<Header> headers) {
