planner: one log line for each directive, with the state that it was planned on

The lines of orders (6201, 6202) show what was sent and answered, not why: whether two directives to one runner were planned on the same state, whether memory or slots were short, and what the leader took as loading could not be told. 6204 has the sequence number, used memory, adapters held and loading, and requests in progress of the planned state. One line a directive, so bounded like 6202. No decision changes. Tests of the planning package and of the events: passed.

--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -61,6 +61,12 @@
     ORDER_DONE(6202, Level.INFO, "order-done runner={} order={} ms={} outcome={}"),
     /** A status report of a runner could not be read. */
     REPORT_FAILED(6203, Level.WARN, "report-failed runner={} cause={}"),
+    /** The leader has planned orders for a runner; the sequence number and the used memory are those of its state. */
+    DIRECTIVE(
+            6204,
+            Level.INFO,
+            "directive runner={} orders={} sequence={} used-mb={} memory-mb={} adapters={} loading={} adapter-slots={}"
+                    + " requests={} reason={}"),
     /** Lines of one event were suppressed by its rate limit. */
     SUPPRESSED(6900, Level.INFO, "lines-left-out event={} count={}");
 
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -229,8 +229,8 @@
                 nowNanos - runnersChangedNanos > STABLE_AFTER_NANOS);
         unmetDemand.observe(observed, nowNanos);
         ServiceState state = observed.withUnmet(unmetDemand.durationsMs(nowNanos));
-        ModelPolicy.plan(state).forEach(directive -> submit(directive, engine));
-        AdapterPolicy.plan(state).forEach(directive -> submit(directive, engine));
+        ModelPolicy.plan(state).forEach(directive -> submit(directive, state));
+        AdapterPolicy.plan(state).forEach(directive -> submit(directive, state));
         Map<String, Long> remainingLoadMs = new HashMap<>();
         trackers.values().stream()
                 .flatMap(tracker -> tracker.loadInProgress(nowNanos).stream())
@@ -247,11 +247,13 @@
     }
 
     /** Starts the execution of a directive, unless its runner cannot take it now. */
-    private void submit(Directive directive, Engine engine) {
+    private void submit(Directive directive, ServiceState state) {
         RunnerStateTracker tracker = trackers.get(directive.runner());
+        Engine engine = state.engine();
         if (term.isEmpty() || !tracker.beginDirective(directive, engine, System.nanoTime())) {
             return;
         }
+        logDirective(directive, state);
         if (!directive.isAdaptersOnly() && tracker.loadsFromStore()) {
             storeLoadNanos.addLast(System.nanoTime());
         }
@@ -260,6 +262,22 @@
         executor.execute(() -> orderExecutor.execute(task));
     }
 
+    private static void logDirective(Directive directive, ServiceState state) {
+        RunnerState runner = state.runner(directive.runner());
+        LOG.write(
+                NodeEvent.DIRECTIVE,
+                runner.id(),
+                directive.orders(),
+                runner.sequence(),
+                ServiceAggregates.usedMemoryMb(state.engine(), runner),
+                state.engine().memoryMb(),
+                runner.adapterCount(),
+                runner.loadingAdapters(),
+                state.engine().adapterSlots(),
+                runner.requests(),
+                directive.reason());
+    }
+
     private boolean isLeading(long orderTerm) {
         OptionalLong currentTerm = leadTerm.get();
         return currentTerm.isPresent() && currentTerm.getAsLong() == orderTerm;
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
@@ -14,6 +14,7 @@
  * @param stateKnown whether its state is known, so that orders can be sent to it
  * @param idle whether it is neither loading nor unloading a model
  * @param leaving whether it accepts no new work
+ * @param sequence number of orders that it had accepted in this state
  * @param models models that it holds, by name
  * @param recentlyLoaded models loaded so recently that the requests waiting for them may not have started
  * @param loadingModel model that it is loading
@@ -29,6 +30,7 @@
         boolean stateKnown,
         boolean idle,
         boolean leaving,
+        long sequence,
         Map<String, HeldModel> models,
         Set<String> recentlyLoaded,
         Optional<String> loadingModel,
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
@@ -329,6 +329,7 @@
                 stateKnown,
                 activeModelDirective.isEmpty(),
                 runner.leaving() || System.nanoTime() - unavailableUntilNanos < 0,
+                sequence,
                 Map.copyOf(models),
                 recentlyLoaded(System.nanoTime()),
                 loadingModel,
--- a/node/src/main/java/io/persimmonstack/node/planning/ServiceState.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ServiceState.java
@@ -23,6 +23,14 @@
         int storeLoads,
         boolean storeLoadAllowed,
         boolean runnersStable) {
+    /** Returns the state of a runner of the service by its identifier. */
+    RunnerState runner(String id) {
+        return runners.stream()
+                .filter(runner -> runner.id().equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Returns a copy with the given durations of unmet demand. */
     ServiceState withUnmet(Map<String, Long> newUnmetMs) {
         return new ServiceState(engine, runners, demands, newUnmetMs, storeLoads, storeLoadAllowed, runnersStable);
--- a/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
@@ -146,6 +146,7 @@
                 false,
                 true,
                 false,
+                known.sequence(),
                 known.models(),
                 known.recentlyLoaded(),
                 known.loadingModel(),
--- a/node/src/test/java/io/persimmonstack/node/planning/RareModelsTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RareModelsTest.java
@@ -135,6 +135,7 @@
                 true,
                 runner.loadingModel == null,
                 false,
+                0,
                 models,
                 Set.of(),
                 Optional.ofNullable(runner.loadingModel),
