--- a/node/src/test/java/io/persimmonstack/node/planning/AdapterPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/AdapterPolicyTest.java
@@ -67,6 +67,32 @@
                 .isEmpty());
     }
 
+    /** LIMIT: one small adapter was unloaded for a larger one, and the runner had no memory for it. */
+    @Test
+    void evictedAdaptersFreeEnoughMemory() {
+        Model large = new Model("a", 20_000, 6_000, 1_000, 400, 60);
+        Model small = new Model("b", 10_000, 6_000, 1_000, 400, 12);
+        Engine tight = new Engine(10, 100_000, 30_072, 8, 3, Map.of("a", large, "b", small));
+        RunnerState runner = PlanningTestData.runner(
+                "r1", PlanningTestData.heldModel("a", "y"), PlanningTestData.heldModel("b", "x"));
+        List<PlacementOrder> orders = AdapterPolicy.plan(PlanningTestData.state(
+                        tight, List.of(runner), adapterDemand("z", 1, 1), adapterDemand("y", 0, 5)))
+                .getFirst()
+                .orders();
+        assertTrue(orders.contains(new PlacementOrder.UnloadAdapter("a", "y")), orders.toString());
+        assertEquals(new PlacementOrder.LoadAdapter("a", "z"), orders.getLast());
+    }
+
+    /** LIMIT: one adapter was unloaded on a runner that had more adapters held and loading than slots. */
+    @Test
+    void evictedAdaptersFreeASlotBesideLoadingAdapters() {
+        RunnerState full = PlanningTestData.runner("r1", PlanningTestData.heldModel("a", "x", "y"));
+        RunnerState runner = PlanningTestData.withLoadingAdapter(full, new ModelRef("a", "late"));
+        List<Directive> plan =
+                AdapterPolicy.plan(PlanningTestData.state(ENGINE, List.of(runner), adapterDemand("z", 1, 1)));
+        assertEquals(3, plan.getFirst().orders().size());
+    }
+
     @Test
     void runnerThatLoadsAModelGetsNoAdapterOrders() {
         RunnerState runner =
--- /dev/null
+++ b/node/src/test/java/io/persimmonstack/node/planning/AdapterRoomTest.java
@@ -0,0 +1,184 @@
+package io.persimmonstack.node.planning;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.node.NodeMetrics;
+import io.persimmonstack.node.NodeOptions;
+import io.persimmonstack.node.config.Engine;
+import io.persimmonstack.node.config.Model;
+import io.persimmonstack.node.config.RoutingTable;
+import io.persimmonstack.node.config.Service;
+import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.fleet.HeldModel;
+import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.placing.ModelDemand;
+import io.persimmonstack.node.placing.RetryBudgetOptions;
+import io.persimmonstack.node.planning.SimulatedRunners.OrderFault;
+import io.persimmonstack.node.request.ModelRef;
+import io.persimmonstack.wire.PeerAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A runner must never be ordered to load more adapters than it has slots for, whatever happens to its orders. */
+class AdapterRoomTest {
+    private static final PeerAddress ADDRESS = new PeerAddress("127.0.0.1", 1);
+    private static final int SLOTS = 2;
+    private static final Engine ENGINE =
+            new Engine(4, 1_000, 100, SLOTS, 3, Map.of("a", new Model("a", 10, 5, 1, 1, 1)));
+    private static final int REQUEST_MS = 500;
+
+    private final NodeReports reports = NodeReports.create();
+    private final AtomicLong term = new AtomicLong(41);
+    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+
+    private static FleetView fleet(int runners) {
+        RoutingTable routing =
+                RoutingTable.of(1, List.of(), List.of(new Service("s", "/health", 10, Optional.of(ENGINE))));
+        Map<String, Runner> byId = new HashMap<>();
+        for (int i = 0; i < runners; i++) {
+            String id = "r" + i;
+            List<HeldModel> models = List.of(new HeldModel("a", 1, Set.of("x", "y")));
+            byId.put(id, new Runner(id, 1, "s", ADDRESS, "z", 4, false, models, Set.of(), Set.of("a")));
+        }
+        FleetView view = FleetView.create();
+        view.update(fleet -> fleet.withRouting(routing).withRunners(byId, 1));
+        return view;
+    }
+
+    private static ModelDemand demand(String adapter, int waiting, int arrived) {
+        return new ModelDemand("s", new ModelRef("a", adapter), waiting, arrived, 100, 3_000);
+    }
+
+    private void report(List<ModelDemand> demands) {
+        reports.update("n1", List.of(), demands, System.nanoTime());
+    }
+
+    private Planner startPlanner(int runners, SimulatedRunners control) {
+        RetryBudgetOptions budget = new RetryBudgetOptions(0.2, 50, 1);
+        NodeOptions options = new NodeOptions("n1", "z", ADDRESS, ADDRESS, "c", "r/", budget, 0, 2_000, 1_000);
+        return Planner.start(
+                fleet(runners),
+                reports,
+                () -> OptionalLong.of(term.get()),
+                options,
+                control,
+                threads,
+                NodeMetrics.in(new MetricRegistry()),
+                cause -> {});
+    }
+
+    /** Reports demand until a condition holds; returns false if it does not within 10 seconds. */
+    private boolean reportUntil(BooleanSupplier condition, ModelDemand... demands) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (!condition.getAsBoolean() && System.nanoTime() < endNanos) {
+            report(List.of(demands));
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        return condition.getAsBoolean();
+    }
+
+    private static long loads(SimulatedRunners runners) {
+        return runners.executedOrders().stream()
+                .filter(PlacementOrder.LoadAdapter.class::isInstance)
+                .count();
+    }
+
+    /** LIMIT: while the unload of an adapter was unanswered, the adapter was unloaded again for another load. */
+    @Test
+    void slotThatOneUnloadFreesIsFilledOnce() throws InterruptedException {
+        AtomicInteger orders = new AtomicInteger();
+        SimulatedRunners control = new SimulatedRunners(
+                SLOTS,
+                true,
+                (runner, order) -> orders.getAndIncrement() == 0 ? new OrderFault(150, true) : OrderFault.NONE,
+                threads);
+        control.add("r0", "x", "y");
+        control.useAtFirstOrder("r0", "x", REQUEST_MS);
+        try (threads;
+                Planner planner = startPlanner(1, control)) {
+            assertTrue(planner.arrivals().isEmpty());
+            assertTrue(reportUntil(
+                    () -> loads(control) >= 2,
+                    demand("x", 0, 0),
+                    demand("y", 0, 9),
+                    demand("z1", 1, 1),
+                    demand("z2", 1, 1)));
+            assertEquals(List.of(), control.overloads());
+        }
+    }
+
+    /** LIMIT: an adapter was loaded while the unload that made room for it still waited for requests to end. */
+    @Test
+    void loadWaitsUntilUnloadHasTakenEffect() throws InterruptedException {
+        SimulatedRunners control = new SimulatedRunners(SLOTS, false, (runner, order) -> OrderFault.NONE, threads);
+        control.add("r0", "x", "y");
+        control.useAtFirstOrder("r0", "x", REQUEST_MS);
+        try (threads;
+                Planner planner = startPlanner(1, control)) {
+            assertTrue(planner.arrivals().isEmpty());
+            assertTrue(
+                    reportUntil(() -> loads(control) >= 1, demand("x", 0, 0), demand("y", 0, 9), demand("z1", 1, 1)));
+            assertEquals(List.of(), control.overloads());
+        }
+    }
+
+    /** LIMIT: unanswered, late and slow orders of several terms overfilled a runner whose adapters stay in use. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void faultyOrdersNeverOverfillARunner(long seed) throws InterruptedException {
+        int runners = 12;
+        Random random = new Random(seed);
+        SimulatedRunners control = new SimulatedRunners(SLOTS, true, (runner, order) -> fault(random), threads);
+        for (int i = 0; i < runners; i++) {
+            control.add("r" + i, "x", "y");
+        }
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(Integer.getInteger("room.seconds", 4));
+        try (threads;
+                Planner planner = startPlanner(runners, control)) {
+            assertTrue(planner.arrivals().isEmpty());
+            while (System.nanoTime() < endNanos) {
+                changeDemand(random);
+                control.use("r" + random.nextInt(runners), "d" + random.nextInt(30), random.nextInt(800));
+                if (random.nextInt(40) == 0) {
+                    term.incrementAndGet();
+                }
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            assertEquals(List.of(), control.overloads());
+            assertTrue(loads(control) > runners);
+        }
+    }
+
+    private static synchronized OrderFault fault(Random random) {
+        int kind = random.nextInt(10);
+        if (kind < 2) {
+            return new OrderFault(random.nextInt(1_500), false);
+        }
+        return kind < 6 ? new OrderFault(random.nextInt(150), true) : OrderFault.NONE;
+    }
+
+    private void changeDemand(Random random) {
+        List<ModelDemand> demands = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            demands.add(demand("d" + random.nextInt(30), 1, random.nextInt(5)));
+        }
+        report(demands);
+    }
+}
--- a/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
@@ -71,9 +71,17 @@
     }
 
     private void executeSwap(BooleanSupplier stillLeads) {
-        Directive directive = new Directive(
-                "r1", List.of(new PlacementOrder.UnloadModel("a"), new PlacementOrder.LoadModel("b")), "waiting");
+        Directive directive = swap();
         assertTrue(tracker.beginDirective(directive, ENGINE, System.nanoTime()));
+        execute(directive, stillLeads);
+    }
+
+    private static Directive swap() {
+        return new Directive(
+                "r1", List.of(new PlacementOrder.UnloadModel("a"), new PlacementOrder.LoadModel("b")), "waiting");
+    }
+
+    private void execute(Directive directive, BooleanSupplier stillLeads) {
         OrderExecutor.of("n1", control, NodeMetrics.in(new MetricRegistry()), fencingCauses::add)
                 .execute(new DirectiveTask(tracker, directive, TERM, ENGINE, stillLeads));
     }
@@ -87,6 +95,17 @@
         assertEquals("b", tracker.servedModels().getFirst().name());
     }
 
+    /** LIMIT: an order that was planned on an older state carried the sequence number of a newer one. */
+    @Test
+    void ordersCarryTheSequenceOfTheStateTheyWerePlannedOn() {
+        applyIdleStatus(7);
+        Directive directive = swap();
+        assertTrue(tracker.beginDirective(directive, ENGINE, System.nanoTime()));
+        tracker.orderAccepted(System.nanoTime());
+        execute(directive, () -> true);
+        assertEquals(new OrderPrecondition("n1", TERM, 7), preconditions.getFirst());
+    }
+
     @Test
     void loadIsRetriedWhileUnloadIsInProgress() {
         applyIdleStatus(7);
--- /dev/null
+++ b/node/src/test/java/io/persimmonstack/node/planning/SimulatedRunners.java
@@ -0,0 +1,225 @@
+package io.persimmonstack.node.planning;
+
+import io.persimmonstack.node.fleet.HeldModel;
+import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.request.ModelRef;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import java.util.stream.Collectors;
+
+/**
+ * Runners that carry out orders for adapters as documented, with selectable faults of the orders. An unload of an
+ * adapter in use is accepted and takes effect when its last request ends. Records every load beyond a runner's adapter
+ * slots. Thread-safe.
+ */
+final class SimulatedRunners implements RunnerControl {
+    /** Age of the state that a status reports. */
+    private static final long STATUS_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    /**
+     * Fault of one order.
+     *
+     * @param delayMs time from the order's arrival to its execution, in milliseconds
+     * @param answered whether its sender gets the answer; if not, it gets {@code UNKNOWN} before the execution
+     */
+    record OrderFault(long delayMs, boolean answered) {
+        static final OrderFault NONE = new OrderFault(0, true);
+    }
+
+    private final int adapterSlots;
+    private final boolean refusesLoadsWhileUnloading;
+    private final BiFunction<String, PlacementOrder, OrderFault> faults;
+    private final ExecutorService threads;
+    private final Map<String, State> runners = new HashMap<>();
+    private final List<String> overloads = Collections.synchronizedList(new ArrayList<>());
+    private final List<PlacementOrder> executedOrders = Collections.synchronizedList(new ArrayList<>());
+
+    private Runnable beforeFirstOrder = () -> {};
+
+    /** State of one runner. */
+    private static final class State {
+        private final Set<ModelRef> adapters = new HashSet<>();
+        /** Monotonic times until which adapters are in use. */
+        private final Map<ModelRef, Long> inUseUntilNanos = new HashMap<>();
+        /** Adapters that are unloaded when their last request ends. */
+        private final Set<ModelRef> unloading = new HashSet<>();
+
+        private final Deque<TimedStatus> statuses = new ArrayDeque<>();
+        private long sequence;
+        private long highestTerm;
+    }
+
+    private record TimedStatus(long nanos, RunnerStatus status) {}
+
+    /**
+     * Creates runners without any adapters.
+     *
+     * @param adapterSlots adapters that each runner can hold at the same time
+     * @param refusesLoadsWhileUnloading whether a load is answered with a conflict while an unload takes effect
+     * @param faults returns the fault of an order to a runner
+     * @param threads runs orders that are executed late
+     */
+    SimulatedRunners(
+            int adapterSlots,
+            boolean refusesLoadsWhileUnloading,
+            BiFunction<String, PlacementOrder, OrderFault> faults,
+            ExecutorService threads) {
+        this.adapterSlots = adapterSlots;
+        this.refusesLoadsWhileUnloading = refusesLoadsWhileUnloading;
+        this.faults = faults;
+        this.threads = threads;
+    }
+
+    /** Adds a runner that holds the given adapters of the model {@code a}. */
+    synchronized void add(String runner, String... adapters) {
+        State state = new State();
+        for (String adapter : adapters) {
+            state.adapters.add(new ModelRef("a", adapter));
+        }
+        runners.put(runner, state);
+        state.statuses.add(new TimedStatus(System.nanoTime() - STATUS_LAG_NANOS, status(state)));
+    }
+
+    /** Lets requests use an adapter for a time, in milliseconds, if its runner holds it. */
+    synchronized void use(String runner, String adapter, long ms) {
+        ModelRef used = new ModelRef("a", adapter);
+        State state = runners.get(runner);
+        if (state.adapters.contains(used) && !state.unloading.contains(used)) {
+            state.inUseUntilNanos.put(used, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms));
+        }
+    }
+
+    /** Lets requests use an adapter from the first order on, for a time in milliseconds. */
+    synchronized void useAtFirstOrder(String runner, String adapter, long ms) {
+        beforeFirstOrder = () -> use(runner, adapter, ms);
+    }
+
+    private synchronized void onFirstOrder() {
+        beforeFirstOrder.run();
+        beforeFirstOrder = () -> {};
+    }
+
+    /** Returns a line for each load beyond a runner's adapter slots. */
+    List<String> overloads() {
+        return List.copyOf(overloads);
+    }
+
+    /** Returns the orders that runners have accepted, in the sequence of their execution. */
+    List<PlacementOrder> executedOrders() {
+        return List.copyOf(executedOrders);
+    }
+
+    @Override
+    public OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition) {
+        onFirstOrder();
+        OrderFault fault = faults.apply(runner.id(), order);
+        if (fault.answered()) {
+            sleep(fault.delayMs());
+            return execute(runner.id(), order, precondition);
+        }
+        threads.execute(() -> {
+            sleep(fault.delayMs());
+            execute(runner.id(), order, precondition);
+        });
+        return OrderAnswer.UNKNOWN;
+    }
+
+    private static void sleep(long ms) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized OrderAnswer execute(String runner, PlacementOrder order, OrderPrecondition precondition) {
+        State state = runners.get(runner);
+        endUnloads(state);
+        if (precondition.term() < state.highestTerm) {
+            return OrderAnswer.FENCED;
+        }
+        state.highestTerm = precondition.term();
+        if (precondition.sequence() != state.sequence) {
+            return OrderAnswer.CONFLICT;
+        }
+        OrderAnswer answer = switch (order) {
+            case PlacementOrder.LoadAdapter load -> load(runner, state, new ModelRef(load.model(), load.adapter()));
+            case PlacementOrder.UnloadAdapter unload -> unload(state, new ModelRef(unload.model(), unload.adapter()));
+            case PlacementOrder.LoadModel load -> OrderAnswer.INVALID;
+            case PlacementOrder.UnloadModel unload -> OrderAnswer.INVALID;
+        };
+        if (answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY) {
+            executedOrders.add(order);
+        }
+        state.statuses.add(new TimedStatus(System.nanoTime(), status(state)));
+        return answer;
+    }
+
+    private OrderAnswer load(String runner, State state, ModelRef adapter) {
+        if (state.adapters.contains(adapter)) {
+            return OrderAnswer.ALREADY;
+        }
+        if (refusesLoadsWhileUnloading && !state.unloading.isEmpty()) {
+            return OrderAnswer.CONFLICT;
+        }
+        state.adapters.add(adapter);
+        state.sequence++;
+        if (state.adapters.size() > adapterSlots) {
+            overloads.add(runner + ": " + state.adapters.size() + " adapters in " + adapterSlots + " slots, the last "
+                    + adapter.adapter());
+        }
+        return OrderAnswer.ACCEPTED;
+    }
+
+    private OrderAnswer unload(State state, ModelRef adapter) {
+        if (!state.adapters.contains(adapter)) {
+            return OrderAnswer.ALREADY;
+        }
+        state.sequence++;
+        if (state.inUseUntilNanos.containsKey(adapter)) {
+            state.unloading.add(adapter);
+            return OrderAnswer.ACCEPTED;
+        }
+        state.adapters.remove(adapter);
+        return OrderAnswer.ALREADY;
+    }
+
+    /** Forgets requests that have ended, and unloads the adapters that waited for them. */
+    private static void endUnloads(State state) {
+        long nowNanos = System.nanoTime();
+        state.inUseUntilNanos.values().removeIf(untilNanos -> nowNanos - untilNanos >= 0);
+        boolean unloaded = state.unloading.removeIf(
+                adapter -> !state.inUseUntilNanos.containsKey(adapter) && state.adapters.remove(adapter));
+        if (unloaded) {
+            state.statuses.add(new TimedStatus(nowNanos, status(state)));
+        }
+    }
+
+    @Override
+    public synchronized RunnerStatus status(Runner runner) {
+        State state = runners.get(runner.id());
+        endUnloads(state);
+        long asOfNanos = System.nanoTime() - STATUS_LAG_NANOS;
+        return state.statuses.stream()
+                .filter(timed -> timed.nanos() - asOfNanos <= 0)
+                .reduce((earlier, later) -> later)
+                .orElseThrow()
+                .status();
+    }
+
+    private static RunnerStatus status(State state) {
+        Set<String> adapters = state.adapters.stream().map(ModelRef::adapter).collect(Collectors.toSet());
+        HeldModel model = new HeldModel("a", 1, adapters);
+        return new RunnerStatus(false, state.sequence, List.of(model), Set.of(), Set.of(), Set.of("a"));
+    }
+}
