planner: a runner gets one directive at a time, whose orders carry the sequence number of its plan

Cause: plans were made on a state that orders in flight were about to change, and the precondition that should stop such orders was read when they were sent. While an unload was unanswered, its adapter was still held and was unloaded again for a second load; orders waited for a lock, then took the newest sequence number, which always agreed. Orders to models had a directive at a time. At i-891d90298f: 6.76 unload a19 for a25 (load unanswered, carried out late), 7.78 unload a19 again for a2, answered 200 and counted by the leader only, load a2 refused with 409 until the late load raised the runner's count, then accepted at 8.64: one slot freed, two adapters loaded. Fix: the state and the directive have the sequence number; a directive begins only if it is still that and none is in progress; its orders carry that number and its successors, never a newer one. An order that changed nothing is not counted, and ends the directive, since the state was not the expected one. A load is retried only after the unload of a model, which makes the runner busy. The lock and the second list of loading adapters are gone.

--- a/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
@@ -112,11 +112,11 @@
         PlacementOrder load = new PlacementOrder.LoadAdapter(adapter.model(), adapter.adapter());
         double freeMb = state.engine().memoryMb() - ServiceAggregates.usedMemoryMb(state.engine(), runner);
         if (runner.adapterCount() < state.engine().adapterSlots() && freeMb >= model.adapterMb()) {
-            return Optional.of(new Directive(runner.id(), List.of(load), "waiting"));
+            return Optional.of(new Directive(runner.id(), runner.sequence(), List.of(load), "waiting"));
         }
         return victim(runner)
                 .map(adapterRef -> new PlacementOrder.UnloadAdapter(adapterRef.model(), adapterRef.adapter()))
-                .map(unload -> new Directive(runner.id(), List.of(unload, load), "waiting"));
+                .map(unload -> new Directive(runner.id(), runner.sequence(), List.of(unload, load), "waiting"));
     }
 
     /** Returns the least requested adapter that no request uses or waits for. */
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -294,7 +294,7 @@
         option.victims().forEach(victim -> orders.add(new PlacementOrder.UnloadModel(victim)));
         orders.add(new PlacementOrder.LoadModel(model));
         assignedRunners.add(runner.id());
-        directives.add(new Directive(runner.id(), orders, reason));
+        directives.add(new Directive(runner.id(), runner.sequence(), orders, reason));
     }
 
     /**
--- a/node/src/main/java/io/persimmonstack/node/planning/OrderAnswer.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderAnswer.java
@@ -4,7 +4,10 @@
 public enum OrderAnswer {
     /** The runner carries out the order. */
     ACCEPTED,
-    /** The runner is already in the ordered state. */
+    /**
+     * The runner is in the ordered state: an unused adapter was unloaded at once, or nothing was to be done, in which
+     * case the order does not count as accepted.
+     */
     ALREADY,
     /** Another order is in progress, or the runner has accepted orders that the sender does not know of. */
     CONFLICT,
--- a/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
@@ -2,7 +2,6 @@
 
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.node.NodeMetrics;
-import io.persimmonstack.node.config.Engine;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
@@ -63,7 +62,7 @@
             if (!completed) {
                 tracker.markStateUnknown(System.nanoTime());
             }
-            tracker.endDirective(directive);
+            tracker.endDirective();
         }
         long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
         LOG.write(
@@ -75,101 +74,120 @@
     }
 
     private boolean executeOrders(DirectiveTask task) throws InterruptedException {
+        long sequence = task.directive().sequence();
         long conflictTimeoutNanos = 0;
         for (PlacementOrder order : task.directive().orders()) {
-            if (!sendWithRetry(task, order, conflictTimeoutNanos)
-                    || !awaitCompletion(task.tracker(), order, task.engine())) {
+            OrderAnswer answer = sendWithRetry(task, order, sequence, conflictTimeoutNanos);
+            if (!countsAsAccepted(order, answer)) {
                 return false;
             }
-            conflictTimeoutNanos = UNLOAD_TIMEOUT_NANOS;
+            task.tracker().orderAccepted(System.nanoTime());
+            if (!awaitCompletion(task, order)) {
+                return false;
+            }
+            sequence++;
+            conflictTimeoutNanos = order instanceof PlacementOrder.UnloadModel ? UNLOAD_TIMEOUT_NANOS : 0;
         }
         return true;
     }
 
+    /** Returns whether a runner that gave this answer has counted the order. */
+    private static boolean countsAsAccepted(PlacementOrder order, OrderAnswer answer) {
+        return answer == OrderAnswer.ACCEPTED
+                || answer == OrderAnswer.ALREADY && order instanceof PlacementOrder.UnloadAdapter;
+    }
+
     /**
      * Sends an order, and retries it while the runner answers with a conflict because the previous order is in
      * progress.
      *
      * @param task directive that the order belongs to
      * @param order order to send
-     * @param conflictTimeoutNanos how long to retry, in nanoseconds; 0 for the first order of a directive
-     * @return whether the order was accepted or the runner is already in the ordered state
+     * @param sequence number of orders that the runner has accepted if its state is the one that was planned on
+     * @param conflictTimeoutNanos how long to retry, in nanoseconds; 0 if no previous order can be in progress
+     * @return the last answer, {@code UNKNOWN} if this node no longer leads
      */
-    private boolean sendWithRetry(DirectiveTask task, PlacementOrder order, long conflictTimeoutNanos)
+    private OrderAnswer sendWithRetry(
+            DirectiveTask task, PlacementOrder order, long sequence, long conflictTimeoutNanos)
             throws InterruptedException {
         if (!task.stillLeads().getAsBoolean()) {
-            return false;
+            return OrderAnswer.UNKNOWN;
         }
         long startNanos = System.nanoTime();
-        OrderAnswer answer = send(task, order);
-        logOrder(task, order, answer);
+        OrderAnswer answer = send(task, order, sequence);
+        logOrder(task, order, sequence, answer);
         while (answer == OrderAnswer.CONFLICT
                 && System.nanoTime() - startNanos < conflictTimeoutNanos
                 && task.stillLeads().getAsBoolean()) {
             TimeUnit.MILLISECONDS.sleep(CONFLICT_RETRY_MS);
-            answer = send(task, order);
+            answer = send(task, order, sequence);
             if (answer != OrderAnswer.CONFLICT) {
-                logOrder(task, order, answer);
+                logOrder(task, order, sequence, answer);
             }
         }
         if (answer == OrderAnswer.FENCED) {
             onFenced.accept("runner " + task.tracker().runner().id() + " has seen a later term");
         }
-        return answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY;
+        return answer;
     }
 
-    private OrderAnswer send(DirectiveTask task, PlacementOrder order) {
-        RunnerStateTracker tracker = task.tracker();
-        tracker.orderLock().lock();
-        try {
-            OrderPrecondition precondition = new OrderPrecondition(node, task.term(), tracker.sequence());
-            OrderAnswer answer = control.order(tracker.runner(), order, precondition);
-            metrics.recordOrder(answer.name().toLowerCase(Locale.ROOT));
-            if (answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY) {
-                tracker.orderAccepted(System.nanoTime());
-            }
-            return answer;
-        } finally {
-            tracker.orderLock().unlock();
-        }
+    private OrderAnswer send(DirectiveTask task, PlacementOrder order, long sequence) {
+        OrderPrecondition precondition = new OrderPrecondition(node, task.term(), sequence);
+        OrderAnswer answer = control.order(task.tracker().runner(), order, precondition);
+        metrics.recordOrder(answer.name().toLowerCase(Locale.ROOT));
+        return answer;
     }
 
-    private static void logOrder(DirectiveTask task, PlacementOrder order, OrderAnswer answer) {
+    private static void logOrder(DirectiveTask task, PlacementOrder order, long sequence, OrderAnswer answer) {
         RunnerStateTracker tracker = task.tracker();
         LOG.write(
                 NodeEvent.ORDER,
                 tracker.runner().id(),
                 order,
                 task.term(),
-                tracker.sequence(),
+                sequence,
                 answer,
                 task.directive().reason(),
                 tracker.loadSource(order.model()));
     }
 
-    /** Waits until an order has been carried out and applies it to the tracker; returns false if a load has failed. */
-    private boolean awaitCompletion(RunnerStateTracker tracker, PlacementOrder order, Engine engine)
-            throws InterruptedException {
-        switch (order) {
-            case PlacementOrder.LoadModel load -> {
-                LoadSource source = tracker.loadSource(load.model());
-                TimeUnit.MILLISECONDS.sleep(source.loadMs(engine.models().get(load.model())) + LOAD_MARGIN_MS);
-                if (source == LoadSource.STORE && !awaitStoreLoad(tracker, order)) {
-                    return false;
-                }
+    /** Waits until an accepted order has been carried out; returns false if it has not. */
+    private boolean awaitCompletion(DirectiveTask task, PlacementOrder order) throws InterruptedException {
+        RunnerStateTracker tracker = task.tracker();
+        return switch (order) {
+            case PlacementOrder.LoadModel load -> awaitModel(task, load);
+            case PlacementOrder.LoadAdapter load -> {
+                TimeUnit.MILLISECONDS.sleep(ADAPTER_LOAD_MS);
+                tracker.applyOrder(order);
+                yield true;
+            }
+            case PlacementOrder.UnloadModel unload -> {
+                tracker.applyOrder(order);
+                yield true;
+            }
+            case PlacementOrder.UnloadAdapter unload -> {
+                tracker.applyOrder(order);
+                yield true;
             }
-            case PlacementOrder.LoadAdapter load -> TimeUnit.MILLISECONDS.sleep(ADAPTER_LOAD_MS);
-            case PlacementOrder.UnloadModel unload -> {}
-            case PlacementOrder.UnloadAdapter unload -> {}
+        };
+    }
+
+    private boolean awaitModel(DirectiveTask task, PlacementOrder.LoadModel load) throws InterruptedException {
+        RunnerStateTracker tracker = task.tracker();
+        LoadSource source = tracker.loadSource(load.model());
+        TimeUnit.MILLISECONDS.sleep(source.loadMs(task.engine().models().get(load.model())) + LOAD_MARGIN_MS);
+        if (source == LoadSource.STORE && !awaitStatus(tracker, load, LOAD_TIMEOUT_NANOS)) {
+            return false;
         }
-        tracker.applyOrder(order);
+        tracker.applyOrder(load);
         return true;
     }
 
-    /** Polls the runner until a load from the weight store is done, since its duration depends on concurrent loads. */
-    private boolean awaitStoreLoad(RunnerStateTracker tracker, PlacementOrder order) throws InterruptedException {
+    /** Polls the runner until its status shows the result of an order whose duration cannot be predicted. */
+    private boolean awaitStatus(RunnerStateTracker tracker, PlacementOrder order, long timeoutNanos)
+            throws InterruptedException {
         long startNanos = System.nanoTime();
-        while (System.nanoTime() - startNanos < LOAD_TIMEOUT_NANOS) {
+        while (System.nanoTime() - startNanos < timeoutNanos) {
             try {
                 RunnerStatus status = control.status(tracker.runner());
                 if (status.reflects(order)) {
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -254,7 +254,7 @@
             return;
         }
         logDirective(directive, state);
-        if (!directive.isAdaptersOnly() && tracker.loadsFromStore()) {
+        if (tracker.loadsFromStore()) {
             storeLoadNanos.addLast(System.nanoTime());
         }
         long orderTerm = term.getAsLong();
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
@@ -1,7 +1,6 @@
 package io.persimmonstack.node.planning;
 
 import io.persimmonstack.node.config.Engine;
-import io.persimmonstack.node.config.Model;
 import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.placing.RunnerUsage;
@@ -13,7 +12,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.ReentrantLock;
 
 /**
  * Tracks the state of one runner process for the leader: its last status, updated by the orders that it has accepted
@@ -38,15 +36,11 @@
     private final Set<String> inMemory = new HashSet<>();
     private final Set<String> onDisk = new HashSet<>();
     private final Map<String, Long> loadedNanos = new HashMap<>();
-    /** Adapters whose load this leader has ordered and not yet seen end. */
-    private final Set<ModelRef> orderedAdapters = new HashSet<>();
     /** Adapters that the last status shows as loading, for example by orders that were carried out late. */
     private final Set<ModelRef> reportedLoadingAdapters = new HashSet<>();
 
-    private final ReentrantLock orderLock = new ReentrantLock();
     private Runner runner;
-    private Optional<Directive> activeModelDirective = Optional.empty();
-    private Optional<String> loadingModel = Optional.empty();
+    private Optional<Directive> activeDirective = Optional.empty();
     private long loadEndNanos;
     private boolean loadingFromStore;
     private boolean stateKnown;
@@ -72,14 +66,6 @@
         this.lastOrderNanos = System.nanoTime() - STATUS_LAG_NANOS;
     }
 
-    /**
-     * Returns the lock to hold while an order is sent, so that orders are numbered in the sequence in which they are
-     * sent.
-     */
-    ReentrantLock orderLock() {
-        return orderLock;
-    }
-
     synchronized Runner runner() {
         return runner;
     }
@@ -97,9 +83,7 @@
                 || refreshNeeded
                 || !reportedLoadingAdapters.isEmpty()
                 || nowNanos - statusNanos > STATUS_VALID_NANOS;
-        boolean noOrderInProgress = activeModelDirective.isEmpty()
-                && orderedAdapters.isEmpty()
-                && nowNanos - lastOrderNanos > STATUS_LAG_NANOS;
+        boolean noOrderInProgress = activeDirective.isEmpty() && nowNanos - lastOrderNanos > STATUS_LAG_NANOS;
         return statusOutdated
                 && (noOrderInProgress || suspected)
                 && !statusRequested
@@ -137,7 +121,7 @@
         statusRequested = false;
         suspectedUntilNanos = nowNanos;
         unavailableUntilNanos = nowNanos;
-        if (activeModelDirective.isPresent() || lastOrderNanos - statusRequestedNanos > 0) {
+        if (activeDirective.isPresent() || lastOrderNanos - statusRequestedNanos > 0) {
             return;
         }
         if (status.busy()) {
@@ -182,39 +166,30 @@
         lastOrderNanos = nowNanos;
     }
 
-    /** Begins a directive; returns false if the state is unknown or a directive for models is in progress. */
+    /**
+     * Begins a directive. One is in progress at a time, so that each is planned on the outcome of the one before it.
+     *
+     * @return false if another is in progress, or if the state is unknown or not the one that it was planned on
+     */
     synchronized boolean beginDirective(Directive directive, Engine engine, long nowNanos) {
-        if (!stateKnown || activeModelDirective.isPresent()) {
+        if (!stateKnown || activeDirective.isPresent() || directive.sequence() != sequence) {
             return false;
         }
-        for (PlacementOrder order : directive.orders()) {
-            if (order instanceof PlacementOrder.LoadAdapter load) {
-                orderedAdapters.add(new ModelRef(load.model(), load.adapter()));
-            } else if (order instanceof PlacementOrder.LoadModel load) {
-                loadingModel = Optional.of(load.model());
-                loadingFromStore = loadSource(load.model()) == LoadSource.STORE;
-                Model model = engine.models().get(load.model());
-                loadEndNanos = nowNanos
-                        + TimeUnit.MILLISECONDS.toNanos(loadSource(load.model()).loadMs(model));
-            }
-        }
-        if (!directive.isAdaptersOnly()) {
-            activeModelDirective = Optional.of(directive);
-        }
+        activeDirective = Optional.of(directive);
+        directive.loadedModel().ifPresent(model -> {
+            LoadSource source = loadSource(model);
+            loadingFromStore = source == LoadSource.STORE;
+            loadEndNanos = nowNanos
+                    + TimeUnit.MILLISECONDS.toNanos(
+                            source.loadMs(engine.models().get(model)));
+        });
         return true;
     }
 
-    /** Ends a directive, whether its orders were carried out or not. */
-    synchronized void endDirective(Directive directive) {
-        if (!directive.isAdaptersOnly()) {
-            activeModelDirective = Optional.empty();
-            loadingModel = Optional.empty();
-            loadingFromStore = false;
-        }
-        directive.orders().stream()
-                .filter(PlacementOrder.LoadAdapter.class::isInstance)
-                .map(PlacementOrder.LoadAdapter.class::cast)
-                .forEach(load -> orderedAdapters.remove(new ModelRef(load.model(), load.adapter())));
+    /** Ends the directive in progress, whether its orders were carried out or not. */
+    synchronized void endDirective() {
+        activeDirective = Optional.empty();
+        loadingFromStore = false;
     }
 
     /** Returns the number of orders that the runner has accepted so far. */
@@ -279,8 +254,9 @@
 
     /** Returns the load of a model in progress, empty if there is none. */
     synchronized Optional<LoadInProgress> loadInProgress(long nowNanos) {
-        return loadingModel.map(model ->
-                new LoadInProgress(model, Math.max(0, TimeUnit.NANOSECONDS.toMillis(loadEndNanos - nowNanos))));
+        return loadingModel()
+                .map(model ->
+                        new LoadInProgress(model, Math.max(0, TimeUnit.NANOSECONDS.toMillis(loadEndNanos - nowNanos))));
     }
 
     /**
@@ -306,8 +282,13 @@
         return Set.copyOf(loadedNanos.keySet());
     }
 
+    private Optional<String> loadingModel() {
+        return activeDirective.flatMap(Directive::loadedModel);
+    }
+
     private Set<ModelRef> allLoadingAdapters() {
-        Set<ModelRef> loadingAdapters = new HashSet<>(orderedAdapters);
+        Set<ModelRef> loadingAdapters = new HashSet<>();
+        activeDirective.map(Directive::loadedAdapters).ifPresent(loadingAdapters::addAll);
         reportedLoadingAdapters.stream().filter(adapter -> !holds(adapter)).forEach(loadingAdapters::add);
         return Set.copyOf(loadingAdapters);
     }
@@ -327,12 +308,12 @@
                 runner.id(),
                 runner.zone(),
                 stateKnown,
-                activeModelDirective.isEmpty(),
+                activeDirective.isEmpty(),
                 runner.leaving() || System.nanoTime() - unavailableUntilNanos < 0,
                 sequence,
                 Map.copyOf(models),
                 recentlyLoaded(System.nanoTime()),
-                loadingModel,
+                loadingModel(),
                 allLoadingAdapters(),
                 Set.copyOf(inMemory),
                 Set.copyOf(onDisk),
--- a/node/src/test/java/io/persimmonstack/node/planning/AdapterPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/AdapterPolicyTest.java
@@ -26,7 +26,8 @@
         RunnerState other = PlanningTestData.runner("r3", PlanningTestData.heldModel("b"));
         List<Directive> plan = AdapterPolicy.plan(
                 PlanningTestData.state(ENGINE, List.of(busy, idle, other), adapterDemand("x", 1, 1)));
-        assertEquals(List.of(new Directive("r2", List.of(new PlacementOrder.LoadAdapter("a", "x")), "waiting")), plan);
+        assertEquals(
+                List.of(new Directive("r2", 0, List.of(new PlacementOrder.LoadAdapter("a", "x")), "waiting")), plan);
     }
 
     @Test
--- a/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
@@ -106,7 +106,7 @@
         RunnerState idle = PlanningTestData.runner("r2", PlanningTestData.heldModel("b"));
         List<Directive> plan =
                 ModelPolicy.plan(PlanningTestData.state(ENGINE, List.of(full, idle), PlanningTestData.demand("a", 8)));
-        assertEquals(new Directive("r2", List.of(new PlacementOrder.LoadModel("a")), "crowded"), plan.getFirst());
+        assertEquals(new Directive("r2", 0, List.of(new PlacementOrder.LoadModel("a")), "crowded"), plan.getFirst());
     }
 
     @Test
--- a/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
@@ -78,7 +78,7 @@
 
     private static Directive swap() {
         return new Directive(
-                "r1", List.of(new PlacementOrder.UnloadModel("a"), new PlacementOrder.LoadModel("b")), "waiting");
+                "r1", 7, List.of(new PlacementOrder.UnloadModel("a"), new PlacementOrder.LoadModel("b")), "waiting");
     }
 
     private void execute(Directive directive, BooleanSupplier stillLeads) {
@@ -122,7 +122,9 @@
         executeSwap(() -> true);
         assertEquals(1, preconditions.size());
         assertFalse(tracker.beginDirective(
-                new Directive("r1", List.of(new PlacementOrder.LoadModel("b")), "waiting"), ENGINE, System.nanoTime()));
+                new Directive("r1", 7, List.of(new PlacementOrder.LoadModel("b")), "waiting"),
+                ENGINE,
+                System.nanoTime()));
     }
 
     @Test
@@ -132,7 +134,9 @@
         executeSwap(() -> true);
         assertEquals(1, preconditions.size());
         assertFalse(tracker.beginDirective(
-                new Directive("r1", List.of(new PlacementOrder.LoadModel("b")), "waiting"), ENGINE, System.nanoTime()));
+                new Directive("r1", 7, List.of(new PlacementOrder.LoadModel("b")), "waiting"),
+                ENGINE,
+                System.nanoTime()));
     }
 
     @Test
@@ -180,9 +184,11 @@
     void adapterOrderIsRejectedWhileModelIsLoading() {
         applyIdleStatus(7);
         assertTrue(tracker.beginDirective(
-                new Directive("r1", List.of(new PlacementOrder.LoadModel("b")), "waiting"), ENGINE, System.nanoTime()));
+                new Directive("r1", 7, List.of(new PlacementOrder.LoadModel("b")), "waiting"),
+                ENGINE,
+                System.nanoTime()));
         assertFalse(tracker.beginDirective(
-                new Directive("r1", List.of(new PlacementOrder.LoadAdapter("a", "x")), "waiting"),
+                new Directive("r1", 7, List.of(new PlacementOrder.LoadAdapter("a", "x")), "waiting"),
                 ENGINE,
                 System.nanoTime()));
     }
--- a/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
@@ -88,7 +88,7 @@
         tracker.applyStatus(runnerStatus(), System.nanoTime());
         long now = System.nanoTime();
         assertTrue(tracker.beginDirective(
-                new Directive("r1", List.of(new PlacementOrder.LoadModel("b")), "waiting"),
+                new Directive("r1", 0, List.of(new PlacementOrder.LoadModel("b")), "waiting"),
                 PlanningTestData.engine("a", "b"),
                 now));
         assertEquals(
