planner: the load of an adapter waits until the unload of one in use has taken effect

Cause: the nodes' reports of requests lag, so the adapter to unload may be in use; its unload is accepted (202) and takes effect when the last request ends. The load was sent at once. Fix: after a 202 the leader polls the runner's status until the adapter is gone, for 3 s at most, then loads. loadWaitsUntilUnloadHasTakenEffect failed before, passes now.

--- a/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
@@ -21,6 +21,9 @@
     /** Time for which an order is retried while the runner still carries out the one before it. */
     private static final long UNLOAD_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+    /** Longest wait for the last request of an adapter that is being unloaded. */
+    private static final long ADAPTER_UNLOAD_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     /** Longest wait for a load from the weight store, after the configured duration. */
     private static final long LOAD_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(40);
 
@@ -82,7 +85,7 @@
                 return false;
             }
             task.tracker().orderAccepted(System.nanoTime());
-            if (!awaitCompletion(task, order)) {
+            if (!awaitCompletion(task, order, answer)) {
                 return false;
             }
             sequence++;
@@ -152,7 +155,8 @@
     }
 
     /** Waits until an accepted order has been carried out; returns false if it has not. */
-    private boolean awaitCompletion(DirectiveTask task, PlacementOrder order) throws InterruptedException {
+    private boolean awaitCompletion(DirectiveTask task, PlacementOrder order, OrderAnswer answer)
+            throws InterruptedException {
         RunnerStateTracker tracker = task.tracker();
         return switch (order) {
             case PlacementOrder.LoadModel load -> awaitModel(task, load);
@@ -167,7 +171,7 @@
             }
             case PlacementOrder.UnloadAdapter unload -> {
                 tracker.applyOrder(order);
-                yield true;
+                yield answer == OrderAnswer.ALREADY || awaitStatus(tracker, order, ADAPTER_UNLOAD_TIMEOUT_NANOS);
             }
         };
     }
