planner: as many adapters are evicted for a load as its slot and its memory need

Cause, by reading: one adapter was unloaded whatever was missing. A smaller one than the new one, where memory is short, or one where adapters in transit exceed the slots, does not make room, and nothing checked the room after it. Fix: the least requested adapters are evicted until a slot and the memory are free; where that is not possible no order is sent.

--- a/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
@@ -24,8 +24,6 @@
     private static final double CROWDED_UTILISATION = 0.6;
     /** Cost per unit of utilisation above the crowded threshold. */
     private static final double CROWDED_COST = 100;
-    /** Cost of a runner on which no adapter can be evicted; outweighs all other costs. */
-    private static final double NO_VICTIM_COST = 1_000;
 
     private final ServiceState state;
     private final Map<ModelRef, Double> rates = new HashMap<>();
@@ -35,6 +33,9 @@
     private final Set<String> assignedRunners = new HashSet<>();
     private final List<Directive> directives = new ArrayList<>();
 
+    /** Way to load an adapter on a runner: the adapters to evict first and the total cost. */
+    private record LoadOption(RunnerState runner, List<ModelRef> victims, double cost) {}
+
     private AdapterPolicy(ServiceState state) {
         this.state = state;
         for (FleetDemand demand : state.demands()) {
@@ -65,17 +66,16 @@
                 .filter(runner -> !runner.leaving())
                 .anyMatch(runner -> runner.loadingAdapters().contains(adapter)
                         || runner.holds(adapter) && runner.utilisation() < 1);
-        if (available) {
+        Model model = state.engine().models().get(adapter.model());
+        if (available || model == null) {
             return;
         }
         state.runners().stream()
                 .filter(runner -> canLoad(runner, adapter))
-                .min(Comparator.comparingDouble(this::cost))
-                .flatMap(runner -> directive(runner, adapter))
-                .ifPresent(directive -> {
-                    assignedRunners.add(directive.runner());
-                    directives.add(directive);
-                });
+                .map(runner -> loadOption(runner, model))
+                .flatMap(Optional::stream)
+                .min(Comparator.comparingDouble(LoadOption::cost))
+                .ifPresent(option -> addDirective(adapter, option));
     }
 
     /** Returns whether an order for an adapter may be sent to a runner now. */
@@ -89,42 +89,64 @@
                 && !runner.holds(adapter);
     }
 
-    private double cost(RunnerState runner) {
+    /** Returns how to load an adapter of a model on a runner, empty if not enough adapters can be evicted. */
+    private Optional<LoadOption> loadOption(RunnerState runner, Model model) {
         double crowdingCost = CROWDED_COST * Math.max(0, runner.utilisation() - CROWDED_UTILISATION);
-        return crowdingCost + runner.utilisation() + evictionCost(runner);
+        return victims(runner, model)
+                .map(victims ->
+                        new LoadOption(runner, victims, crowdingCost + runner.utilisation() + evictionCost(victims)));
     }
 
-    /** Returns the request rate of the adapter to evict, 0 if the runner has a free adapter slot. */
-    private double evictionCost(RunnerState runner) {
-        if (runner.adapterCount() < state.engine().adapterSlots()) {
-            return 0;
-        }
-        return victim(runner)
-                .map(adapterRef -> rates.getOrDefault(adapterRef, 0.0))
-                .orElse(NO_VICTIM_COST);
+    /** Returns the request rate of the adapters to evict. */
+    private double evictionCost(List<ModelRef> victims) {
+        return victims.stream().mapToDouble(this::rate).sum();
     }
 
-    private Optional<Directive> directive(RunnerState runner, ModelRef adapter) {
-        Model model = state.engine().models().get(adapter.model());
-        if (model == null) {
-            return Optional.empty();
+    private double rate(ModelRef adapter) {
+        return rates.getOrDefault(adapter, 0.0);
+    }
+
+    /**
+     * Returns the least requested adapters whose eviction frees a slot and the memory for an adapter of a model, empty
+     * if not enough can be freed.
+     */
+    private Optional<List<ModelRef>> victims(RunnerState runner, Model model) {
+        int missingSlots = runner.adapterCount() + 1 - state.engine().adapterSlots();
+        double missingMb = ServiceAggregates.usedMemoryMb(state.engine(), runner)
+                + model.adapterMb()
+                - state.engine().memoryMb();
+        List<ModelRef> victims = new ArrayList<>();
+        if (missingSlots <= 0 && missingMb <= 0) {
+            return Optional.of(victims);
         }
-        PlacementOrder load = new PlacementOrder.LoadAdapter(adapter.model(), adapter.adapter());
-        double freeMb = state.engine().memoryMb() - ServiceAggregates.usedMemoryMb(state.engine(), runner);
-        if (runner.adapterCount() < state.engine().adapterSlots() && freeMb >= model.adapterMb()) {
-            return Optional.of(new Directive(runner.id(), runner.sequence(), List.of(load), "waiting"));
+        for (ModelRef victim : evictableAdapters(runner)) {
+            victims.add(victim);
+            missingSlots--;
+            missingMb -= ServiceAggregates.adapterMb(state.engine(), victim.model());
+            if (missingSlots <= 0 && missingMb <= 0) {
+                return Optional.of(victims);
+            }
         }
-        return victim(runner)
-                .map(adapterRef -> new PlacementOrder.UnloadAdapter(adapterRef.model(), adapterRef.adapter()))
-                .map(unload -> new Directive(runner.id(), runner.sequence(), List.of(unload, load), "waiting"));
+        return Optional.empty();
     }
 
-    /** Returns the least requested adapter that no request uses or waits for. */
-    private Optional<ModelRef> victim(RunnerState runner) {
+    /** Returns the adapters that no request uses or waits for, the least requested first. */
+    private List<ModelRef> evictableAdapters(RunnerState runner) {
         return runner.models().values().stream()
                 .flatMap(model -> model.adapters().stream().map(name -> new ModelRef(model.name(), name)))
-                .filter(adapterRef -> runner.requestsByModel().getOrDefault(adapterRef, 0) == 0
-                        && !refsWithWaitingRequests.contains(adapterRef))
-                .min(Comparator.comparingDouble(adapterRef -> rates.getOrDefault(adapterRef, 0.0)));
+                .filter(adapter -> runner.requestsByModel().getOrDefault(adapter, 0) == 0
+                        && !refsWithWaitingRequests.contains(adapter))
+                .sorted(Comparator.comparingDouble(this::rate))
+                .toList();
+    }
+
+    private void addDirective(ModelRef adapter, LoadOption option) {
+        List<PlacementOrder> orders = new ArrayList<>();
+        option.victims()
+                .forEach(victim -> orders.add(new PlacementOrder.UnloadAdapter(victim.model(), victim.adapter())));
+        orders.add(new PlacementOrder.LoadAdapter(adapter.model(), adapter.adapter()));
+        RunnerState runner = option.runner();
+        assignedRunners.add(runner.id());
+        directives.add(new Directive(runner.id(), runner.sequence(), orders, "waiting"));
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/planning/ServiceAggregates.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ServiceAggregates.java
@@ -72,7 +72,8 @@
         return model == null ? engine.memoryMb() : model.weightsMb();
     }
 
-    private static double adapterMb(Engine engine, String name) {
+    /** Returns the size of an adapter of a model in megabytes; 0 for a model that is not configured. */
+    static double adapterMb(Engine engine, String name) {
         Model model = engine.models().get(name);
         return model == null ? 0 : model.adapterMb();
     }
