planner tests: states are built by a builder, planners by one fixture

Each test of the planning package copied the 15 components of a runner's state, eight times in all, and two tests set up a planner in the same lines; a new component touched every copy. Tests of the planning package: passed.

--- a/node/src/test/java/io/persimmonstack/node/planning/AdapterPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/AdapterPolicyTest.java
@@ -68,7 +68,7 @@
                 .isEmpty());
     }
 
-    /** LIMIT: one small adapter was unloaded for a larger one, and the runner had no memory for it. */
+    /** Runner overfilled: one small adapter was unloaded for a larger one, and the runner had no memory for it. */
     @Test
     void evictedAdaptersFreeEnoughMemory() {
         Model large = new Model("a", 20_000, 6_000, 1_000, 400, 60);
@@ -84,7 +84,7 @@
         assertEquals(new PlacementOrder.LoadAdapter("a", "z"), orders.getLast());
     }
 
-    /** LIMIT: one adapter was unloaded on a runner that had more adapters held and loading than slots. */
+    /** Runner overfilled: one adapter was unloaded on a runner that had more adapters held and loading than slots. */
     @Test
     void evictedAdaptersFreeASlotBesideLoadingAdapters() {
         RunnerState full = PlanningTestData.runner("r1", PlanningTestData.heldModel("a", "x", "y"));
--- a/node/src/test/java/io/persimmonstack/node/planning/AdapterRoomTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/AdapterRoomTest.java
@@ -3,26 +3,17 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
-import io.persimmonstack.node.NodeMetrics;
-import io.persimmonstack.node.NodeOptions;
 import io.persimmonstack.node.config.Engine;
 import io.persimmonstack.node.config.Model;
-import io.persimmonstack.node.config.RoutingTable;
-import io.persimmonstack.node.config.Service;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.placing.ModelDemand;
-import io.persimmonstack.node.placing.RetryBudgetOptions;
 import io.persimmonstack.node.planning.SimulatedRunners.OrderFault;
 import io.persimmonstack.node.request.ModelRef;
-import io.persimmonstack.wire.PeerAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -32,13 +23,18 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
-/** A runner must never be ordered to load more adapters than it has slots for, whatever happens to its orders. */
+/**
+ * A runner must never be ordered to load more adapters than it has slots for, whatever happens to its orders.
+ *
+ * <p>More seeds by hand: {@code -Dsurefire.arguments="-Droom.seeds=50 -Droom.seconds=4"}.
+ */
 class AdapterRoomTest {
-    private static final PeerAddress ADDRESS = new PeerAddress("127.0.0.1", 1);
     private static final int SLOTS = 2;
     private static final Engine ENGINE =
             new Engine(4, 1_000, 100, SLOTS, 3, Map.of("a", new Model("a", 10, 5, 1, 1, 1)));
@@ -49,17 +45,13 @@
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
 
     private static FleetView fleet(int runners) {
-        RoutingTable routing =
-                RoutingTable.of(1, List.of(), List.of(new Service("s", "/health", 10, Optional.of(ENGINE))));
-        Map<String, Runner> byId = new HashMap<>();
-        for (int i = 0; i < runners; i++) {
-            String id = "r" + i;
-            List<HeldModel> models = List.of(new HeldModel("a", 1, Set.of("x", "y")));
-            byId.put(id, new Runner(id, 1, "s", ADDRESS, "z", 4, false, models, Set.of(), Set.of("a")));
-        }
-        FleetView view = FleetView.create();
-        view.update(fleet -> fleet.withRouting(routing).withRunners(byId, 1));
-        return view;
+        List<HeldModel> models = List.of(new HeldModel("a", 1, Set.of("x", "y")));
+        return PlannerFixture.fleet(
+                ENGINE,
+                IntStream.range(0, runners)
+                        .mapToObj(i -> new Runner(
+                                "r" + i, 1, "s", PlannerFixture.ADDRESS, "z", 4, false, models, Set.of(), Set.of("a")))
+                        .toList());
     }
 
     private static ModelDemand demand(String adapter, int waiting, int arrived) {
@@ -71,17 +63,7 @@
     }
 
     private Planner startPlanner(int runners, SimulatedRunners control) {
-        RetryBudgetOptions budget = new RetryBudgetOptions(0.2, 50, 1);
-        NodeOptions options = new NodeOptions("n1", "z", ADDRESS, ADDRESS, "c", "r/", budget, 0, 2_000, 1_000);
-        return Planner.start(
-                fleet(runners),
-                reports,
-                () -> OptionalLong.of(term.get()),
-                options,
-                control,
-                threads,
-                NodeMetrics.in(new MetricRegistry()),
-                cause -> {});
+        return PlannerFixture.start(fleet(runners), reports, () -> OptionalLong.of(term.get()), 0, control, threads);
     }
 
     /** Reports demand until a condition holds; returns false if it does not within 10 seconds. */
@@ -100,7 +82,7 @@
                 .count();
     }
 
-    /** LIMIT: while the unload of an adapter was unanswered, the adapter was unloaded again for another load. */
+    /** Runner overfilled: while the unload of an adapter was unanswered, the adapter was unloaded again for another load. */
     @Test
     void slotThatOneUnloadFreesIsFilledOnce() throws InterruptedException {
         AtomicInteger orders = new AtomicInteger();
@@ -124,7 +106,7 @@
         }
     }
 
-    /** LIMIT: an adapter was loaded while the unload that made room for it still waited for requests to end. */
+    /** Runner overfilled: an adapter was loaded while the unload that made room for it still waited for requests to end. */
     @Test
     void loadWaitsUntilUnloadHasTakenEffect() throws InterruptedException {
         SimulatedRunners control = new SimulatedRunners(SLOTS, false, (runner, order) -> OrderFault.NONE, threads);
@@ -139,9 +121,13 @@
         }
     }
 
-    /** LIMIT: unanswered, late and slow orders of several terms overfilled a runner whose adapters stay in use. */
+    private static LongStream seeds() {
+        return LongStream.rangeClosed(1, Long.getLong("room.seeds", 3));
+    }
+
+    /** Runner overfilled: unanswered, late and slow orders of several terms overfilled a runner whose adapters stay in use. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
+    @MethodSource("seeds")
     void faultyOrdersNeverOverfillARunner(long seed) throws InterruptedException {
         int runners = 12;
         Random random = new Random(seed);
--- a/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
@@ -139,23 +139,7 @@
 
     @Test
     void runnerWithUnknownStateGetsNoOrders() {
-        RunnerState known = PlanningTestData.runner("r1");
-        RunnerState unknown = new RunnerState(
-                "r2",
-                "zone-a",
-                false,
-                true,
-                false,
-                known.sequence(),
-                known.models(),
-                known.recentlyLoaded(),
-                known.loadingModel(),
-                known.loadingAdapters(),
-                known.reservedAdapters(),
-                known.inMemory(),
-                known.onDisk(),
-                known.requestsByModel(),
-                known.slots());
+        RunnerState unknown = RunnerStateBuilder.runner("r2").unknown().build();
         assertTrue(ModelPolicy.plan(
                         PlanningTestData.state(ENGINE, List.of(unknown), PlanningTestData.waitingDemand("c", 1)))
                 .isEmpty());
--- a/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
@@ -95,7 +95,7 @@
         assertEquals("b", tracker.servedModels().getFirst().name());
     }
 
-    /** LIMIT: an order that was planned on an older state carried the sequence number of a newer one. */
+    /** Runner overfilled: an order that was planned on an older state carried the sequence number of a newer one. */
     @Test
     void ordersCarryTheSequenceOfTheStateTheyWerePlannedOn() {
         applyIdleStatus(7);
--- a/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
@@ -2,22 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
-import io.persimmonstack.node.NodeMetrics;
-import io.persimmonstack.node.NodeOptions;
 import io.persimmonstack.node.config.Engine;
 import io.persimmonstack.node.config.Model;
-import io.persimmonstack.node.config.RoutingTable;
-import io.persimmonstack.node.config.Service;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.placing.ModelDemand;
-import io.persimmonstack.node.placing.RetryBudgetOptions;
 import io.persimmonstack.node.request.ModelRef;
-import io.persimmonstack.wire.PeerAddress;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -28,7 +20,6 @@
 
 /** A new leader must pause before its first order, for runners that do not check the term of orders. */
 class PlannerTest {
-    private static final PeerAddress ADDRESS = new PeerAddress("127.0.0.1", 1);
     private static final long PAUSE_MS = 400;
     private final CountDownLatch ordered = new CountDownLatch(1);
 
@@ -47,12 +38,8 @@
 
     private static FleetView fleet() {
         Engine engine = new Engine(4, 1_000, 100, 0, 3, Map.of("a", new Model("a", 10, 5, 1, 1, 0)));
-        RoutingTable routing =
-                RoutingTable.of(1, List.of(), List.of(new Service("s", "/health", 10, Optional.of(engine))));
-        Runner runner = new Runner("r1", 1, "s", ADDRESS, "z", 4, false, List.of(), Set.of(), Set.of());
-        FleetView view = FleetView.create();
-        view.update(fleet -> fleet.withRouting(routing).withRunners(Map.of("r1", runner), 1));
-        return view;
+        Runner runner = new Runner("r1", 1, "s", PlannerFixture.ADDRESS, "z", 4, false, List.of(), Set.of(), Set.of());
+        return PlannerFixture.fleet(engine, List.of(runner));
     }
 
     @Test
@@ -63,19 +50,10 @@
                 List.of(),
                 List.of(new ModelDemand("s", new ModelRef("a", ""), 1, 1, 0, 3_000)),
                 System.nanoTime());
-        RetryBudgetOptions budget = new RetryBudgetOptions(0.2, 50, 1);
-        NodeOptions options = new NodeOptions("n1", "z", ADDRESS, ADDRESS, "c", "r/", budget, PAUSE_MS, 2_000, 1_000);
         long startNanos = System.nanoTime();
         try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
-                Planner planner = Planner.start(
-                        fleet(),
-                        reports,
-                        () -> OptionalLong.of(41),
-                        options,
-                        control,
-                        threads,
-                        NodeMetrics.in(new MetricRegistry()),
-                        cause -> {})) {
+                Planner planner =
+                        PlannerFixture.start(fleet(), reports, () -> OptionalLong.of(41), PAUSE_MS, control, threads)) {
             assertTrue(planner.snapshotsFor("n2") != null);
             assertTrue(ordered.await(10, TimeUnit.SECONDS), "no order within 10 seconds");
             long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
--- a/node/src/test/java/io/persimmonstack/node/planning/PlanningTestData.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/PlanningTestData.java
@@ -5,9 +5,9 @@
 import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.request.ModelRef;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 /** Runner states and demand for tests of the planning policies. */
@@ -34,103 +34,30 @@
 
     /** Returns an idle runner that holds models and has copies of them in host memory and on disk. */
     static RunnerState runner(String id, HeldModel... models) {
-        Map<String, HeldModel> byName = new HashMap<>();
+        RunnerStateBuilder builder = RunnerStateBuilder.runner(id);
+        Set<String> names = new HashSet<>();
         for (HeldModel model : models) {
-            byName.put(model.name(), model);
+            builder.holding(model);
+            names.add(model.name());
         }
-        return new RunnerState(
-                id,
-                "zone-a",
-                true,
-                true,
-                false,
-                0,
-                byName,
-                Set.of(),
-                Optional.empty(),
-                Set.of(),
-                Set.of(),
-                byName.keySet(),
-                byName.keySet(),
-                Map.of(),
-                SLOTS);
+        return builder.copies(names, names).build();
     }
 
     static RunnerState withRequests(RunnerState runner, Map<ModelRef, Integer> requestsByModel) {
-        return new RunnerState(
-                runner.id(),
-                runner.zone(),
-                runner.stateKnown(),
-                runner.idle(),
-                runner.leaving(),
-                runner.sequence(),
-                runner.models(),
-                runner.recentlyLoaded(),
-                runner.loadingModel(),
-                runner.loadingAdapters(),
-                runner.reservedAdapters(),
-                runner.inMemory(),
-                runner.onDisk(),
-                requestsByModel,
-                runner.slots());
+        return RunnerStateBuilder.from(runner).requests(requestsByModel).build();
     }
 
     /** Returns the runner with copies of the given models on disk and none in host memory. */
     static RunnerState withDiskCopies(RunnerState runner, String... models) {
-        return new RunnerState(
-                runner.id(),
-                runner.zone(),
-                runner.stateKnown(),
-                runner.idle(),
-                runner.leaving(),
-                runner.sequence(),
-                runner.models(),
-                runner.recentlyLoaded(),
-                runner.loadingModel(),
-                runner.loadingAdapters(),
-                runner.reservedAdapters(),
-                Set.of(),
-                Set.of(models),
-                runner.requestsByModel(),
-                runner.slots());
+        return RunnerStateBuilder.from(runner).copies(Set.of(), Set.of(models)).build();
     }
 
     static RunnerState loadingModel(RunnerState runner, String model) {
-        return new RunnerState(
-                runner.id(),
-                runner.zone(),
-                runner.stateKnown(),
-                false,
-                runner.leaving(),
-                runner.sequence(),
-                runner.models(),
-                runner.recentlyLoaded(),
-                Optional.of(model),
-                runner.loadingAdapters(),
-                runner.reservedAdapters(),
-                runner.inMemory(),
-                runner.onDisk(),
-                runner.requestsByModel(),
-                runner.slots());
+        return RunnerStateBuilder.from(runner).loading(model).build();
     }
 
     static RunnerState withLoadingAdapter(RunnerState runner, ModelRef adapter) {
-        return new RunnerState(
-                runner.id(),
-                runner.zone(),
-                runner.stateKnown(),
-                runner.idle(),
-                runner.leaving(),
-                runner.sequence(),
-                runner.models(),
-                runner.recentlyLoaded(),
-                runner.loadingModel(),
-                Set.of(adapter),
-                runner.reservedAdapters(),
-                runner.inMemory(),
-                runner.onDisk(),
-                runner.requestsByModel(),
-                runner.slots());
+        return RunnerStateBuilder.from(runner).loadingAdapters(Set.of(adapter)).build();
     }
 
     /** Returns demand with waiting requests. */
@@ -148,21 +75,6 @@
     }
 
     static RunnerState withRecentlyLoaded(RunnerState runner, String... models) {
-        return new RunnerState(
-                runner.id(),
-                runner.zone(),
-                runner.stateKnown(),
-                runner.idle(),
-                runner.leaving(),
-                runner.sequence(),
-                runner.models(),
-                Set.of(models),
-                runner.loadingModel(),
-                runner.loadingAdapters(),
-                runner.reservedAdapters(),
-                runner.inMemory(),
-                runner.onDisk(),
-                runner.requestsByModel(),
-                runner.slots());
+        return RunnerStateBuilder.from(runner).recentlyLoaded(Set.of(models)).build();
     }
 }
--- a/node/src/test/java/io/persimmonstack/node/planning/RareModelsTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RareModelsTest.java
@@ -3,14 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.persimmonstack.node.config.Engine;
-import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.request.ModelRef;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -125,25 +123,15 @@
     }
 
     private static RunnerState state(int number, SimulatedRunner runner) {
-        Map<String, HeldModel> models = new HashMap<>();
-        runner.heldModels.forEach(model -> models.put(model, PlanningTestData.heldModel(model)));
+        RunnerStateBuilder builder = RunnerStateBuilder.runner(Integer.toString(number));
+        runner.heldModels.forEach(model -> builder.holding(PlanningTestData.heldModel(model)));
+        if (runner.loadingModel != null) {
+            builder.loading(runner.loadingModel);
+        }
         Map<ModelRef, Integer> requestsByModel = new HashMap<>();
         runner.requestsEndRound.keySet().forEach(model -> requestsByModel.put(new ModelRef(model, ""), 1));
-        return new RunnerState(
-                Integer.toString(number),
-                "zone-a",
-                true,
-                runner.loadingModel == null,
-                false,
-                0,
-                models,
-                Set.of(),
-                Optional.ofNullable(runner.loadingModel),
-                Set.of(),
-                Set.of(),
-                Set.of(),
-                Set.copyOf(runner.copies),
-                requestsByModel,
-                PlanningTestData.SLOTS);
+        return builder.copies(Set.of(), Set.copyOf(runner.copies))
+                .requests(requestsByModel)
+                .build();
     }
 }
