--- a/node/src/test/java/io/persimmonstack/node/planning/AdapterRoomTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/AdapterRoomTest.java
@@ -82,7 +82,7 @@
                 .count();
     }
 
-    /** Runner overfilled: while the unload of an adapter was unanswered, the adapter was unloaded again for another load. */
+    /** Runner overfilled: an adapter was unloaded for two loads, since its first unload was not answered yet. */
     @Test
     void slotThatOneUnloadFreesIsFilledOnce() throws InterruptedException {
         AtomicInteger orders = new AtomicInteger();
@@ -106,7 +106,7 @@
         }
     }
 
-    /** Runner overfilled: an adapter was loaded while the unload that made room for it still waited for requests to end. */
+    /** Runner overfilled: an adapter was loaded before the unload that made room for it had taken effect. */
     @Test
     void loadWaitsUntilUnloadHasTakenEffect() throws InterruptedException {
         SimulatedRunners control = new SimulatedRunners(SLOTS, false, (runner, order) -> OrderFault.NONE, threads);
@@ -125,7 +125,7 @@
         return LongStream.rangeClosed(1, Long.getLong("room.seeds", 3));
     }
 
-    /** Runner overfilled: unanswered, late and slow orders of several terms overfilled a runner whose adapters stay in use. */
+    /** Runner overfilled: orders of several terms were slow, late or unanswered while adapters stayed in use. */
     @ParameterizedTest
     @MethodSource("seeds")
     void faultyOrdersNeverOverfillARunner(long seed) throws InterruptedException {
--- a/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
@@ -82,7 +82,7 @@
         assertEquals(2, tracker.state(List.of(), PlanningTestData.engine("a")).adapterCount());
     }
 
-    /** Runner overfilled: a late load took the room that another had been given, since an unload before it was not counted. */
+    /** Runner overfilled: a late load took the room of another one, since an unload before it was not counted. */
     @Test
     void unansweredLoadAheadOfTheRunnersNumberReservesItsSlot() {
         tracker.orderUnanswered(new PlacementOrder.LoadAdapter("a", "late"), 1);
