node: a silent runner keeps its request until a successor is reserved

What callers saw: a runner that sent nothing for a second lost all its resumable streams at once; each was broken off unless an attempt, the retry budget and a free slot happened to be left. A safe request got 502 after half of its time, a stream that had not begun after 1 s, while the answer was on its way. Cause: silence was taken for a loss. The attempt was given up first, and only then was asked whether another one could follow; between events the timeout of 1 s held in the last attempt too. Change: HttpCall asks a SilenceWatcher before it gives up a silent peer. The node's watcher reserves a successor first: an attempt of the route, a free slot, an open connection, the retry budget, in this order; the runner keeps the request while one of them is missing, and if it speaks before all are at hand. Then its connection is closed and the successor is sent the rest, so that two runners never work on one stream. A stream counts as silent after 0.7 of its caller's patience (1.4 s of 2 s; 1 s before). After a real break a stream may wait for a slot as long as its caller waits for an event; before, the limit counted from the receipt of the request. A silent stream ends 0.25 s after its deadline at the latest. A route and a caller without a time limit no longer mean a wait of 0 ms. Logs: 6105 tells attempts, time left and silence, 6107 what a successor lacked; a whole answer is logged by status and length.

--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
@@ -25,11 +26,15 @@
  */
 public final class HttpCall implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(HttpCall.class);
+    /** Interval at which the watcher is asked again about a peer that remains silent. */
+    private static final int SILENCE_CHECK_INTERVAL_MS = 100;
+
     private final PooledConnection connection;
     private final ConnectionPool pool;
     private final ExchangeDriver driver;
     private final ResponseBuffer buffer;
     private final HttpTimeouts timeouts;
+    private final SilenceWatcher watcher;
     private volatile int progressMs;
     private final AtomicBoolean connectionReleased = new AtomicBoolean();
     private final InputStream body;
@@ -40,12 +45,14 @@
             ConnectionPool pool,
             ExchangeDriver driver,
             ResponseBuffer buffer,
-            HttpTimeouts timeouts) {
+            HttpTimeouts timeouts,
+            SilenceWatcher watcher) {
         this.connection = connection;
         this.pool = pool;
         this.driver = driver;
         this.buffer = buffer;
         this.timeouts = timeouts;
+        this.watcher = watcher;
         this.progressMs = timeouts.progressMs();
         this.body = new BodyStream(this);
     }
@@ -56,12 +63,13 @@
             ConnectionPool pool,
             HttpRequest request,
             HttpTimeouts timeouts,
+            SilenceWatcher watcher,
             int maxBufferedBytes,
             ResponseHeadGuard guard)
             throws HttpFailure {
         ResponseBuffer buffer = ResponseBuffer.ofCapacity(maxBufferedBytes);
         ExchangeDriver driver = ExchangeDriver.of(connection, request, buffer);
-        HttpCall call = new HttpCall(connection, pool, driver, buffer, timeouts);
+        HttpCall call = new HttpCall(connection, pool, driver, buffer, timeouts, watcher);
         guard.add(driver);
         try {
             driver.start();
@@ -151,17 +159,9 @@
 
     /** Waits for the next part of the body; empty at the end of the body. */
     Optional<byte[]> nextPart() throws HttpFailure {
-        Optional<ResponseBuffer.Part> part;
-        try {
-            part = buffer.awaitPart(progressMs);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw abort(HttpFailure.Kind.CANCELLED, "interrupted");
-        }
-        if (part.isEmpty()) {
-            throw abort(HttpFailure.Kind.PROGRESS_TIMEOUT, "no response data for " + progressMs + " ms");
-        }
-        return switch (part.get()) {
+        ResponseBuffer.Part part =
+                await(buffer::awaitPart, progressMs, HttpFailure.Kind.PROGRESS_TIMEOUT, "no response data");
+        return switch (part) {
             case ResponseBuffer.Part.Bytes bytes -> consume(bytes);
             case ResponseBuffer.Part.End end -> {
                 releaseConnection();
@@ -178,18 +178,42 @@
     }
 
     private void awaitHead() throws HttpFailure {
+        head = await(
+                buffer::awaitHead, timeouts.firstByteMs(), HttpFailure.Kind.FIRST_BYTE_TIMEOUT, "no response head");
+    }
+
+    /** Waits for something to arrive in the buffer; empty after a timeout, in milliseconds. */
+    @FunctionalInterface
+    private interface Arrival<T> {
+        Optional<T> await(int timeoutMs) throws HttpFailure, InterruptedException;
+    }
+
+    /**
+     * Waits for data, and ends the call after a timeout, or earlier if the watcher gives up the silent peer.
+     *
+     * @param arrival data to wait for
+     * @param timeoutMs longest wait, in milliseconds
+     * @param kind kind of the failure after a timeout
+     * @param missing description of the data
+     */
+    private <T> T await(Arrival<T> arrival, int timeoutMs, HttpFailure.Kind kind, String missing) throws HttpFailure {
+        long startNanos = System.nanoTime();
         try {
-            Optional<ClientResponse> arrived = buffer.awaitHead(timeouts.firstByteMs());
-            if (arrived.isEmpty()) {
-                throw abort(
-                        HttpFailure.Kind.FIRST_BYTE_TIMEOUT,
-                        "no response head within " + timeouts.firstByteMs() + " ms");
+            int nextWaitMs = Math.min(timeoutMs, watcher.silentAfterMs());
+            Optional<T> arrived = arrival.await(nextWaitMs);
+            long elapsedMs = nextWaitMs;
+            while (arrived.isEmpty() && elapsedMs < timeoutMs && !watcher.giveUp(buffer::isEmpty)) {
+                elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+                arrived = arrival.await((int) Math.clamp(timeoutMs - elapsedMs, 0, SILENCE_CHECK_INTERVAL_MS));
+            }
+            if (arrived.isPresent()) {
+                return arrived.get();
             }
-            head = arrived.get();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw abort(HttpFailure.Kind.CANCELLED, "interrupted");
         }
+        throw abort(kind, missing + " within " + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos) + " ms");
     }
 
     /**
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.net.URI;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -85,10 +86,26 @@
      *     arrived
      */
     public HttpCall open(PeerAddress target, HttpRequest request, HttpTimeouts timeouts) throws HttpFailure {
+        return open(target, request, timeouts, SilenceWatcher.PATIENT);
+    }
+
+    /**
+     * Sends a request as {@link #open(PeerAddress, HttpRequest, HttpTimeouts)} does, and lets a watcher decide whether
+     * to give up the call while the peer is silent.
+     *
+     * @param target address to connect to
+     * @param request request to send
+     * @param timeouts timeouts of the call
+     * @param watcher decides whether to give up a silent peer
+     * @return the call, whose body has yet to be read
+     * @throws HttpFailure if no response head arrived
+     */
+    public HttpCall open(PeerAddress target, HttpRequest request, HttpTimeouts timeouts, SilenceWatcher watcher)
+            throws HttpFailure {
         Optional<PooledConnection> idle = pool.acquire(target);
         while (idle.isPresent()) {
             try {
-                return openCall(idle.get(), request, timeouts);
+                return openCall(idle.get(), request, timeouts, watcher);
             } catch (HttpFailure e) {
                 if (e.sent() || e.kind() != HttpFailure.Kind.LOST) {
                     throw e;
@@ -96,7 +113,20 @@
             }
             idle = pool.acquire(target);
         }
-        return openOnNewConnection(target, request, timeouts);
+        PooledConnection opened = connect(target, timeouts.connectMs(), describe(target, request));
+        return openCall(opened, request, timeouts, watcher);
+    }
+
+    /**
+     * Opens a connection without sending a request, which shows that the peer can be reached.
+     *
+     * @param target address to connect to
+     * @param connectMs timeout, in milliseconds
+     * @return the connection, to be closed after use
+     * @throws HttpFailure if no connection could be opened
+     */
+    public IdleConnection connect(PeerAddress target, int connectMs) throws HttpFailure {
+        return IdleConnection.of(this, connect(target, connectMs, "connect to " + target));
     }
 
     /**
@@ -111,25 +141,33 @@
      */
     public HttpCall openOnNewConnection(PeerAddress target, HttpRequest request, HttpTimeouts timeouts)
             throws HttpFailure {
-        return openCall(connect(target, request, timeouts), request, timeouts);
+        PooledConnection opened = connect(target, timeouts.connectMs(), describe(target, request));
+        return openCall(opened, request, timeouts, SilenceWatcher.PATIENT);
     }
 
-    private HttpCall openCall(PooledConnection connection, HttpRequest request, HttpTimeouts timeouts)
+    HttpCall openCall(PooledConnection connection, HttpRequest request, HttpTimeouts timeouts, SilenceWatcher watcher)
             throws HttpFailure {
-        return HttpCall.open(connection, pool, request, timeouts, options.maxBufferedBytes(), guard);
+        return HttpCall.open(connection, pool, request, timeouts, watcher, options.maxBufferedBytes(), guard);
     }
 
-    private PooledConnection connect(PeerAddress target, HttpRequest request, HttpTimeouts timeouts)
-            throws HttpFailure {
+    /** Leaves an open connection without an exchange to the pool. */
+    void release(PooledConnection connection) {
+        pool.release(connection, OptionalInt.empty());
+    }
+
+    private static String describe(PeerAddress target, HttpRequest request) {
+        return request.method() + " " + target + request.path();
+    }
+
+    private PooledConnection connect(PeerAddress target, int connectMs, String description) throws HttpFailure {
         URI uri = URI.create((ssl.isPresent() ? "https://" : "http://") + target.ip() + ":" + target.port());
         IoFuture<ClientConnection> opening =
                 UndertowClient.getInstance().connect(uri, worker, ssl.orElse(null), buffers, CONNECTION_OPTIONS);
-        String description = request.method() + " " + target + request.path();
         try {
-            IoFuture.Status status = opening.awaitInterruptibly(timeouts.connectMs(), TimeUnit.MILLISECONDS);
+            IoFuture.Status status = opening.awaitInterruptibly(connectMs, TimeUnit.MILLISECONDS);
             if (status == IoFuture.Status.WAITING) {
                 abandon(opening);
-                String message = description + ": no connection within " + timeouts.connectMs() + " ms";
+                String message = description + ": no connection within " + connectMs + " ms";
                 throw new HttpFailure(HttpFailure.Kind.CONNECT, message, false, null);
             }
             return PooledConnection.wrap(target, opening.get(), options.metrics());
--- a/backends/src/main/java/io/persimmonstack/backends/http/ResponseBuffer.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ResponseBuffer.java
@@ -20,6 +20,7 @@
     private boolean paused;
     private boolean complete;
     private ClientResponse head;
+    private boolean headTaken;
     private HttpFailure failure;
 
     private ResponseBuffer(int capacityBytes) {
@@ -104,6 +105,7 @@
             if (head == null && failure != null) {
                 throw failure;
             }
+            headTaken = head != null;
             return Optional.ofNullable(head);
         } finally {
             lock.unlock();
@@ -124,6 +126,16 @@
         }
     }
 
+    /** Returns whether nothing has arrived that the reading thread has not taken yet, not even a failure. */
+    boolean isEmpty() {
+        lock.lock();
+        try {
+            return chunks.isEmpty() && !complete && failure == null && (head == null || headTaken);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Returns whether the body has been received and read completely. */
     boolean isDrained() {
         lock.lock();
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -52,9 +52,14 @@
     /** The caller disconnected before its answer was complete. */
     CALLER_LEFT(6104, Level.INFO, "caller-left id={} route={} model={} runner={} sends={} ms={}"),
     /** An attempt at a runner failed; the request may be sent again. */
-    ATTEMPT_FAILED(6105, Level.INFO, "attempt-failed id={} runner={} sends={} cause={} repeat={}"),
+    ATTEMPT_FAILED(
+            6105,
+            Level.INFO,
+            "attempt-failed id={} runner={} sends={} runs={} max-runs={} left-ms={} silent-ms={} cause={} repeat={}"),
     /** Serving a request failed with an unexpected error. */
     REQUEST_ERROR(6106, Level.ERROR, "request-error id={} cause={}"),
+    /** The runner of a request is silent and keeps the request, since something that another one needs is missing. */
+    RUNNER_SILENT(6107, Level.INFO, "runner-silent id={} runner={} left-ms={} missing={}"),
     /** A load or unload order was sent to a runner. */
     ORDER(6201, Level.INFO, "order runner={} order={} term={} sequence={} outcome={} reason={} source={}"),
     /** An order was completed. */
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -92,6 +92,22 @@
         return await(queued);
     }
 
+    /**
+     * Assigns a request to a runner that has a free slot at present.
+     *
+     * @param request request to place
+     * @param excludedRunners identifiers of runners that must not be selected
+     * @return the placement, which the caller must close; empty if no runner can take the request
+     */
+    public Optional<Placement> placeNow(ActiveRequest request, Set<String> excludedRunners) {
+        lock.lock();
+        try {
+            return tryPlace(new QueuedRequest(request, excludedRunners, System.nanoTime()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private Placement await(QueuedRequest queued) throws RefusedException, InterruptedException {
         try {
             return queued.result().get(queued.deadlineNanos() - System.nanoTime(), TimeUnit.NANOSECONDS);
--- a/node/src/main/java/io/persimmonstack/node/request/ActiveRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/request/ActiveRequest.java
@@ -20,11 +20,15 @@
     /** Smallest idle timeout of a stream, as a multiple of the largest gap between events that its route targets. */
     private static final int MAX_GAP_FACTOR = 8;
 
-    /** Returns the monotonic deadline of the final answer: the route's timeout or the caller's limit, if shorter. */
-    public long deadlineNanos() {
+    /** Returns the time limit of the final answer, in milliseconds: the route's timeout or the caller's, if shorter. */
+    public int timeLimitMs() {
         int timeoutMs = route.timeoutMs() > 0 ? route.timeoutMs() : Integer.MAX_VALUE;
-        int maxWaitMs = Math.min(timeoutMs, callerRequest.timeLimitMs().orElse(timeoutMs));
-        return receivedNanos + TimeUnit.MILLISECONDS.toNanos(maxWaitMs);
+        return Math.min(timeoutMs, callerRequest.timeLimitMs().orElse(timeoutMs));
+    }
+
+    /** Returns the monotonic deadline of the final answer. */
+    public long deadlineNanos() {
+        return receivedNanos + TimeUnit.MILLISECONDS.toNanos(timeLimitMs());
     }
 
     /** Returns the time left until the deadline, in milliseconds; negative after it. */
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -3,7 +3,10 @@
 import io.persimmonstack.backends.http.HttpCall;
 import io.persimmonstack.backends.http.HttpConnector;
 import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpRequest;
 import io.persimmonstack.backends.http.HttpTimeouts;
+import io.persimmonstack.backends.http.IdleConnection;
+import io.persimmonstack.backends.http.SilenceWatcher;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.router.request.CallerGoneException;
@@ -11,12 +14,19 @@
 import java.io.IOException;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
-/** One attempt at a request: sends it to a runner and forwards the answer to the caller. */
-final class Attempt {
+/**
+ * One attempt at a request: sends it to a runner and forwards the answer to the caller. A runner that falls silent is
+ * kept until a successor has been reserved. Not thread-safe.
+ */
+final class Attempt implements SilenceWatcher {
     private static final int CONNECT_TIMEOUT_MS = 600;
     private static final int MAX_ANSWER_BYTES = 8 << 20;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
+    /** Time after the deadline that a silent stream is kept open. */
+    private static final int LATE_STREAM_TIMEOUT_MS = 250;
     /** Least urgent priority that the protocol of the runners allows. */
     private static final int LEAST_URGENT = 9;
 
@@ -25,7 +35,10 @@
     private final ActiveRequest request;
     private final StreamProgress progress;
     private final Reply reply;
-    private final Runner runner;
+    private final ReservedRunner reserved;
+    private final SuccessorFinder successors;
+    private Optional<ReservedRunner> successor = Optional.empty();
+    private long lastReceivedNanos;
 
     private Attempt(
             HttpConnector connector,
@@ -33,13 +46,15 @@
             ActiveRequest request,
             StreamProgress progress,
             Reply reply,
-            Runner runner) {
+            ReservedRunner reserved,
+            SuccessorFinder successors) {
         this.connector = connector;
         this.protocol = protocol;
         this.request = request;
         this.progress = progress;
         this.reply = reply;
-        this.runner = runner;
+        this.reserved = reserved;
+        this.successors = successors;
     }
 
     static Attempt of(
@@ -48,48 +63,82 @@
             ActiveRequest request,
             StreamProgress progress,
             Reply reply,
-            Runner runner) {
-        return new Attempt(connector, protocol, request, progress, reply, runner);
+            ReservedRunner reserved,
+            SuccessorFinder successors) {
+        return new Attempt(connector, protocol, request, progress, reply, reserved, successors);
     }
 
     /**
      * Sends the request and forwards the answer. A server error is returned, not forwarded, since another attempt may
      * follow.
      *
-     * @param idleTimeoutMs longest wait for the head of the answer and between its parts, in milliseconds
      * @return how the attempt ended
      * @throws CallerGoneException if the caller has disconnected
      */
-    Outcome run(long idleTimeoutMs) throws CallerGoneException {
-        long remainingMs = request.remainingMs(System.nanoTime());
+    Outcome run() throws CallerGoneException {
+        lastReceivedNanos = System.nanoTime();
+        long remainingMs = request.remainingMs(lastReceivedNanos);
         if (remainingMs <= 0) {
             return new Outcome.NotRun(Outcome.Cause.UNREACHABLE, "no time left");
         }
-        int waitMs = (int) Math.max(1, Math.min(remainingMs, idleTimeoutMs));
-        HttpTimeouts timeouts = HttpTimeouts.of((int) Math.min(CONNECT_TIMEOUT_MS, remainingMs), waitMs, waitMs);
-        try (HttpCall call = connector.open(
-                runner.address(),
-                protocol.encode(request.callerRequest(), sendOptions(remainingMs, progress.lastEventId())),
-                timeouts)) {
+        int waitMs = (int) Math.min(Integer.MAX_VALUE, remainingMs);
+        HttpTimeouts timeouts = HttpTimeouts.of(Math.min(CONNECT_TIMEOUT_MS, waitMs), waitMs, waitMs);
+        HttpRequest encoded =
+                protocol.encode(request.callerRequest(), sendOptions(remainingMs, progress.lastEventId()));
+        try (HttpCall call = open(encoded, timeouts)) {
+            lastReceivedNanos = System.nanoTime();
             return outcomeOfAnswer(call);
         } catch (HttpFailure e) {
             return outcomeOfFailure(e);
         }
     }
 
+    private HttpCall open(HttpRequest encoded, HttpTimeouts timeouts) throws HttpFailure {
+        Optional<IdleConnection> connection = reserved.connection();
+        return connection.isPresent()
+                ? connection.get().open(encoded, timeouts, this)
+                : connector.open(runner().address(), encoded, timeouts, this);
+    }
+
+    private Runner runner() {
+        return reserved.runner();
+    }
+
+    /** Returns how long the runner has sent nothing, in milliseconds. */
+    long silentMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastReceivedNanos);
+    }
+
+    @Override
+    public int silentAfterMs() {
+        return successors.silentAfterMs(progress.hasStarted());
+    }
+
+    @Override
+    public boolean giveUp(BooleanSupplier stillSilent) {
+        successor = successors.reserve(runner(), stillSilent);
+        return successor.isPresent();
+    }
+
     private SendOptions sendOptions(long remainingMs, OptionalLong lastEventId) {
         int urgency = Math.clamp(request.route().priority(), 0, LEAST_URGENT);
-        return new SendOptions(runner.id(), remainingMs, urgency, lastEventId);
+        return new SendOptions(runner().id(), remainingMs, urgency, lastEventId);
     }
 
     private Outcome outcomeOfFailure(HttpFailure e) throws CallerGoneException {
         if (Thread.interrupted()) {
+            successor.ifPresent(ReservedRunner::close);
             throw new CallerGoneException("the caller has left", e);
         }
-        if (!e.sent()) {
+        if (!e.sent() && successor.isEmpty()) {
             return new Outcome.NotRun(Outcome.Cause.UNREACHABLE, e.getMessage());
         }
-        return unknown(e.getMessage());
+        return broken(e.getMessage());
+    }
+
+    /** Returns the outcome of an attempt whose answer is incomplete: it broke, or a successor replaces the runner. */
+    private Outcome broken(String detail) {
+        return successor.isPresent() ? new Outcome.Replaced(successor.get(), detail) : unknown(detail);
     }
 
     private Outcome.Unknown unknown(String detail) {
@@ -101,7 +150,7 @@
         return switch (head) {
             case FULL -> refusedByRunner(Outcome.Cause.FULL, call);
             case MISDIRECTED -> refusedByRunner(Outcome.Cause.MISDIRECTED, call);
-            case FORGED -> unknown(runner.id() + ": status " + call.status() + " without the mark of a runner");
+            case FORGED -> unknown(runner().id() + ": status " + call.status() + " without the mark of a runner");
             case RAN ->
                 request.isStream() && call.status() < MIN_SERVER_ERROR_STATUS
                         ? deliverStream(call)
@@ -115,9 +164,9 @@
         try {
             call.readAll(MAX_ANSWER_BYTES);
         } catch (HttpFailure e) {
-            return new Outcome.NotRun(cause, runner.id() + ": status " + status + ", body lost: " + e.getMessage());
+            return new Outcome.NotRun(cause, runner().id() + ": status " + status + ", body lost: " + e.getMessage());
         }
-        return new Outcome.NotRun(cause, runner.id() + ": status " + status);
+        return new Outcome.NotRun(cause, runner().id() + ": status " + status);
     }
 
     private Outcome deliverWhole(HttpCall call) throws HttpFailure, CallerGoneException {
@@ -134,24 +183,23 @@
         EventReader events = EventReader.of(call.body());
         try {
             for (Optional<EventReader.StreamEvent> event = events.next(); event.isPresent(); event = events.next()) {
+                lastReceivedNanos = System.nanoTime();
                 if (!progress.isNew(event.get())) {
                     continue;
                 }
                 if (progress.followsGap(event.get())) {
-                    return unknown(runner.id() + ": event " + event.get().id() + " after " + progress.lastEventId());
+                    return unknown(runner().id() + ": event " + event.get().id() + " after " + progress.lastEventId());
                 }
                 if (!reply.begun()) {
                     reply.begin(call.status(), HopByHopHeaders.toReplyHeaders(call.headers()));
                 }
-                if (request.route().resumable()) {
-                    call.shortenProgressTimeout(RetryState.NEXT_EVENT_TIMEOUT_MS);
-                }
                 reply.write(event.get().bytes());
                 progress.recordDelivered(event.get());
+                limitSilence(call);
             }
         } catch (IOException e) {
-            return unknown(
-                    runner.id() + ": stream broke after event " + progress.lastEventId() + ": " + e.getMessage());
+            return broken(
+                    runner().id() + ": stream broke after event " + progress.lastEventId() + ": " + e.getMessage());
         }
         if (!reply.begun()) {
             reply.begin(call.status(), HopByHopHeaders.toReplyHeaders(call.headers()));
@@ -159,4 +207,10 @@
         reply.end();
         return new Outcome.Delivered();
     }
+
+    /** Ends a stream that is silent when its deadline passes; one whose events still arrive is delivered to its end. */
+    private void limitSilence(HttpCall call) {
+        long remainingMs = request.remainingMs(System.nanoTime());
+        call.shortenProgressTimeout((int) Math.clamp(remainingMs, LATE_STREAM_TIMEOUT_MS, Integer.MAX_VALUE));
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -71,38 +71,69 @@
         RetryState retryState = new RetryState(request, sends);
         StreamProgress progress =
                 StreamProgress.startingAfter(request.callerRequest().lastEventId(), request.receivedNanos());
+        SuccessorFinder successors =
+                SuccessorFinder.of(request, retryState, placer, connector, () -> spendRetry(request));
+        ReservedRunner next = ReservedRunner.withoutConnection(place(request, retryState, progress, reply));
         while (true) {
-            Placement placement = place(request, retryState, reply);
-            Runner runner = placement.runner();
+            Runner runner = next.runner();
             retryState.recordSend(runner);
+            Attempt attempt = Attempt.of(connector, protocol, request, progress, reply, next, successors);
             Outcome outcome;
-            try (placement) {
-                outcome = Attempt.of(connector, protocol, request, progress, reply, runner)
-                        .run(retryState.idleTimeoutMs(progress.hasStarted()));
+            try (ReservedRunner ignored = next) {
+                outcome = attempt.run();
             }
             if (outcome instanceof Outcome.Delivered) {
                 return new Delivery(progress.firstEventMs());
             }
             reportOutcome(runner, request, outcome);
-            boolean retry = retryState.mayRetryAfter(runner, outcome, System.nanoTime())
-                    && budget.trySpend(request.service().name(), nodeCount(), System.nanoTime());
-            LOG.write(
-                    NodeEvent.ATTEMPT_FAILED,
-                    request.callerRequest().id(),
-                    runner.id(),
-                    retryState.sendCount(),
-                    outcome,
-                    retry);
+            boolean retry = mayContinue(runner, retryState, request, outcome);
+            logFailedAttempt(runner, retryState, request, attempt, outcome, retry);
             if (!retry) {
-                return answerFinally(runner, retryState, outcome, progress, reply);
+                return answerFinally(retryState, outcome, progress, reply);
             }
+            next = outcome instanceof Outcome.Replaced replaced
+                    ? replaced.successor()
+                    : ReservedRunner.withoutConnection(place(request, retryState, progress, reply));
         }
     }
 
-    private Placement place(ActiveRequest request, RetryState retryState, Reply reply)
+    /** Returns whether another attempt follows; the budget of one that was reserved has been spent already. */
+    private boolean mayContinue(Runner runner, RetryState retryState, ActiveRequest request, Outcome outcome) {
+        if (outcome instanceof Outcome.Replaced) {
+            retryState.recordPossibleRun(runner);
+            return true;
+        }
+        return retryState.mayRetryAfter(runner, outcome, System.nanoTime()) && spendRetry(request);
+    }
+
+    private boolean spendRetry(ActiveRequest request) {
+        return budget.trySpend(request.service().name(), nodeCount(), System.nanoTime());
+    }
+
+    private static void logFailedAttempt(
+            Runner runner,
+            RetryState retryState,
+            ActiveRequest request,
+            Attempt attempt,
+            Outcome outcome,
+            boolean retry) {
+        LOG.write(
+                NodeEvent.ATTEMPT_FAILED,
+                request.callerRequest().id(),
+                runner.id(),
+                retryState.sendCount(),
+                retryState.possibleRuns(),
+                request.route().maxAttempts(),
+                request.remainingMs(System.nanoTime()),
+                attempt.silentMs(),
+                outcome,
+                retry);
+    }
+
+    private Placement place(ActiveRequest request, RetryState retryState, StreamProgress progress, Reply reply)
             throws RefusedException, CallerGoneException {
         try {
-            return placer.place(request, retryState.excluded(), retryState.latestStartNanos());
+            return placer.place(request, retryState.excluded(), retryState.latestStartNanos(progress));
         } catch (InterruptedException e) {
             throw new CallerGoneException("the caller has left", e);
         } catch (RefusedException e) {
@@ -124,6 +155,7 @@
         switch (outcome) {
             case Outcome.NotRun notRun -> reportNotRun(runner, request, notRun.cause());
             case Outcome.Unknown unknown -> placer.recordFailure(runner);
+            case Outcome.Replaced replaced -> placer.recordFailure(runner);
             case Outcome.RanWithError error -> {}
             case Outcome.Delivered delivered -> {}
         }
@@ -142,8 +174,7 @@
     }
 
     /** Gives the caller the final answer after the last attempt. */
-    private Delivery answerFinally(
-            Runner runner, RetryState retryState, Outcome outcome, StreamProgress progress, Reply reply)
+    private Delivery answerFinally(RetryState retryState, Outcome outcome, StreamProgress progress, Reply reply)
             throws RefusedException, CallerGoneException {
         if (reply.begun()) {
             reply.abort();
@@ -164,6 +195,7 @@
             case Outcome.Unknown unknown ->
                 throw new RefusedException(
                         unknown.late() ? Refusal.timeout(unknown.detail()) : Refusal.outcomeUnknown(unknown.detail()));
+            case Outcome.Replaced replaced -> throw new IllegalStateException("a replaced attempt is not final");
             case Outcome.Delivered delivered -> throw new IllegalStateException("a delivered answer is final");
         }
     }
--- a/node/src/main/java/io/persimmonstack/node/sending/Outcome.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Outcome.java
@@ -23,6 +23,20 @@
      */
     record Unknown(String detail, boolean late) implements Outcome {}
 
+    /**
+     * The runner was silent, so the request continues at another one, which has been reserved. The silent one may have
+     * run it.
+     *
+     * @param successor runner of the next attempt, to be closed after it
+     * @param detail explanation for the log
+     */
+    record Replaced(ReservedRunner successor, String detail) implements Outcome {
+        @Override
+        public String toString() {
+            return "Replaced[successor=" + successor.runner().id() + ", detail=" + detail + "]";
+        }
+    }
+
     /**
      * The runner ran the request and answered with a server error.
      *
--- a/node/src/main/java/io/persimmonstack/node/sending/RetryState.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/RetryState.java
@@ -16,10 +16,12 @@
     private static final int MIN_REMAINING_MS = 20;
     /** Assumed generation time of a token of the answer. */
     private static final int MS_PER_OUTPUT_TOKEN = 7;
-    /** Idle timeout between two events of a stream that another runner can resume. */
-    static final int NEXT_EVENT_TIMEOUT_MS = 1_000;
 
-    private static final int MIN_WHOLE_ANSWER_TIMEOUT_MS = 250;
+    private static final int MIN_WHOLE_ANSWER_SILENCE_MS = 250;
+    /** Share of the time limit after which a runner without a whole answer counts as silent. */
+    private static final double WHOLE_ANSWER_SILENCE_SHARE = 0.5;
+    /** Share of the caller's patience after which the runner of a stream counts as silent; a successor has the rest. */
+    private static final double STREAM_SILENCE_SHARE = 0.7;
     /** Share of the caller's idle timeout after which a stream is not started any more. */
     private static final double IDLE_TIMEOUT_SHARE = 0.9;
     /** Share of the time limit that a stream may wait; the rest lets a refused caller retry within its limit. */
@@ -44,6 +46,11 @@
         return sends.count();
     }
 
+    /** Returns how many runners may have run the request, in full or in part. */
+    int possibleRuns() {
+        return possibleRuns;
+    }
+
     /** Returns whether a runner may have run the request, in full or in part. */
     boolean mayHaveRun() {
         return mayHaveRun;
@@ -54,6 +61,31 @@
         return Set.copyOf(excluded);
     }
 
+    /** Returns {@link #excluded()} and the given runner. */
+    Set<String> excludedWith(Runner runner) {
+        Set<String> all = new HashSet<>(excluded);
+        all.add(runner.id());
+        return all;
+    }
+
+    /** Returns whether the present attempt may be replaced by one at another runner, although it may have run. */
+    boolean mayReplace(long nowNanos) {
+        return request.route().isIdempotent()
+                && possibleRuns + 1 < request.route().maxAttempts()
+                && maySendAgain(nowNanos);
+    }
+
+    private boolean maySendAgain(long nowNanos) {
+        return sends.count() < MAX_SENDS && request.remainingMs(nowNanos) > MIN_REMAINING_MS;
+    }
+
+    /** Records that the runner of the last attempt may have run the request. */
+    void recordPossibleRun(Runner runner) {
+        excluded.add(runner.id());
+        possibleRuns++;
+        mayHaveRun = true;
+    }
+
     /**
      * Records the outcome of the last attempt and returns whether another one may follow. A request that did not run
      * may be sent again. One that may have run is sent again only if it is idempotent and its route allows more
@@ -67,49 +99,51 @@
     boolean mayRetryAfter(Runner runner, Outcome outcome, long nowNanos) {
         boolean possiblyRan = outcome.notRunCause().isEmpty();
         if (possiblyRan) {
-            excluded.add(runner.id());
-            possibleRuns++;
-            mayHaveRun = true;
+            recordPossibleRun(runner);
         }
         boolean allowed = !possiblyRan
                 || request.route().isIdempotent()
                         && possibleRuns < request.route().maxAttempts();
-        return allowed && sends.count() < MAX_SENDS && request.remainingMs(nowNanos) > MIN_REMAINING_MS;
+        return allowed && maySendAgain(nowNanos);
     }
 
     /**
-     * Returns the latest monotonic time at which a runner may start the request. Later, the answer would miss the
-     * deadline, or the first event of a stream would come after its caller gave up.
+     * Returns the latest monotonic time at which a runner may start the request or go on with its stream. Later, the
+     * answer would miss the deadline, or the next event of a stream would come after its caller gave up.
+     *
+     * @param progress what the caller has received of a stream
      */
-    long latestStartNanos() {
+    long latestStartNanos(StreamProgress progress) {
+        if (progress.hasStarted()) {
+            return Math.min(request.deadlineNanos(), progress.waitingSinceNanos() + maxStreamWaitNanos());
+        }
         long generationMs = (long) request.callerRequest().tokens().likelyOutput() * MS_PER_OUTPUT_TOKEN;
         long latestNanos = request.deadlineNanos() - TimeUnit.MILLISECONDS.toNanos(generationMs);
         if (!request.isStream()) {
             return latestNanos;
         }
-        long callerLimitMs =
-                request.callerRequest().timeLimitMs().orElse(request.route().timeoutMs());
-        long maxWaitMs = Math.round(
-                Math.min(IDLE_TIMEOUT_SHARE * request.streamIdleTimeoutMs(), TIME_LIMIT_SHARE * callerLimitMs));
-        return Math.min(latestNanos, request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(maxWaitMs));
+        long callerLimitMs = request.callerRequest().timeLimitMs().orElse(request.timeLimitMs());
+        long maxWaitNanos = TimeUnit.MILLISECONDS.toNanos(Math.round(TIME_LIMIT_SHARE * callerLimitMs));
+        return Math.min(latestNanos, request.receivedNanos() + Math.min(maxStreamWaitNanos(), maxWaitNanos));
+    }
+
+    private long maxStreamWaitNanos() {
+        return TimeUnit.MILLISECONDS.toNanos(Math.round(IDLE_TIMEOUT_SHARE * request.streamIdleTimeoutMs()));
     }
 
     /**
-     * Returns the idle timeout of the next attempt, in milliseconds: how long its runner may send nothing before the
-     * attempt is abandoned. The last attempt has no limit other than the deadline, since no other could follow it.
+     * Returns after how long without any data a runner counts as silent, in milliseconds, so that another one may
+     * replace it.
      *
      * @param streamStarted whether the caller has received an event of the stream
      */
-    long idleTimeoutMs(boolean streamStarted) {
-        if (!request.route().isIdempotent()
-                || possibleRuns + 1 >= request.route().maxAttempts()) {
-            return Long.MAX_VALUE;
-        }
+    int silentAfterMs(boolean streamStarted) {
         if (!request.isStream()) {
-            return Math.max(MIN_WHOLE_ANSWER_TIMEOUT_MS, request.route().timeoutMs() / 2);
+            return (int) Math.max(MIN_WHOLE_ANSWER_SILENCE_MS, WHOLE_ANSWER_SILENCE_SHARE * request.timeLimitMs());
         }
-        return streamStarted
-                ? NEXT_EVENT_TIMEOUT_MS
-                : Math.max(NEXT_EVENT_TIMEOUT_MS, request.streamIdleTimeoutMs() / 2);
+        int patienceMs = streamStarted
+                ? request.streamIdleTimeoutMs()
+                : Math.min(request.streamIdleTimeoutMs(), request.timeLimitMs());
+        return (int) Math.round(STREAM_SILENCE_SHARE * patienceMs);
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/StreamProgress.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/StreamProgress.java
@@ -8,6 +8,7 @@
     private final long receivedNanos;
     private OptionalLong lastEventId;
     private int deliveredCount;
+    private long lastDeliveredNanos;
     private long firstEventMs = -1;
 
     private StreamProgress(OptionalLong lastEventId, long receivedNanos) {
@@ -49,8 +50,9 @@
         if (event.id().isPresent()) {
             lastEventId = event.id();
         }
+        lastDeliveredNanos = System.nanoTime();
         if (deliveredCount++ == 0) {
-            firstEventMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - receivedNanos);
+            firstEventMs = TimeUnit.NANOSECONDS.toMillis(lastDeliveredNanos - receivedNanos);
         }
     }
 
@@ -58,6 +60,11 @@
         return deliveredCount > 0;
     }
 
+    /** Returns the monotonic time since which the caller waits: that of the last event, or of the request before it. */
+    long waitingSinceNanos() {
+        return hasStarted() ? lastDeliveredNanos : receivedNanos;
+    }
+
     /** Returns the time from the request to its first event, in milliseconds; negative if there is none. */
     long firstEventMs() {
         return firstEventMs;
--- a/node/src/main/java/io/persimmonstack/node/sending/WholeAnswer.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/WholeAnswer.java
@@ -10,4 +10,10 @@
  * @param headers headers to forward
  * @param body complete body
  */
-record WholeAnswer(int status, List<Reply.Header> headers, byte[] body) {}
+record WholeAnswer(int status, List<Reply.Header> headers, byte[] body) {
+    /** Returns the status and the length of the body, for the log. */
+    @Override
+    public String toString() {
+        return "WholeAnswer[status=" + status + ", bytes=" + body.length + "]";
+    }
+}
--- a/node/src/test/java/io/persimmonstack/node/sending/Requests.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/Requests.java
@@ -19,16 +19,26 @@
 
     /** Returns a request without a model that was received at time 0 and whose time limit is one second. */
     public static ActiveRequest of(RouteKind kind, boolean resumable, int maxAttempts) {
-        return of(kind, resumable, maxAttempts, Optional.empty(), 0);
+        return of(kind, resumable, maxAttempts, Optional.empty(), 0, 1_000);
     }
 
     /** Returns a request for a stream from a model whose time limit is one second. */
     public static ActiveRequest forModel(String model, long receivedNanos) {
-        return of(RouteKind.STREAM, false, 1, Optional.of(new ModelRef(model, "")), receivedNanos);
+        return of(RouteKind.STREAM, false, 1, Optional.of(new ModelRef(model, "")), receivedNanos, 1_000);
+    }
+
+    /** Returns a request for a stream that another runner can resume. */
+    static ActiveRequest resumableStream(long receivedNanos, int timeLimitMs) {
+        return of(RouteKind.STREAM, true, 2, Optional.empty(), receivedNanos, timeLimitMs);
     }
 
     private static ActiveRequest of(
-            RouteKind kind, boolean resumable, int maxAttempts, Optional<ModelRef> model, long receivedNanos) {
+            RouteKind kind,
+            boolean resumable,
+            int maxAttempts,
+            Optional<ModelRef> model,
+            long receivedNanos,
+            int timeLimitMs) {
         Route route = new Route(
                 "r",
                 "host",
@@ -49,7 +59,7 @@
                 "/p/x",
                 List.of(),
                 new byte[0],
-                OptionalInt.of(1_000),
+                OptionalInt.of(timeLimitMs),
                 model,
                 TokenCount.none(),
                 List.of(),
--- a/node/src/test/java/io/persimmonstack/node/sending/RetryStateTest.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/RetryStateTest.java
@@ -8,6 +8,7 @@
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -64,4 +65,29 @@
         long shortlyBeforeDeadlineNanos = TimeUnit.MILLISECONDS.toNanos(990);
         assertFalse(sentOnce(RouteKind.SAFE, false, 2).mayRetryAfter(RUNNER, FULL, shortlyBeforeDeadlineNanos));
     }
+
+    /** The last attempt used to be given up after a silence of 1 s, with nothing to follow. */
+    @Test
+    void silentRunnerOfTheLastAttemptIsKept() {
+        RetryState retryState = sentOnce(RouteKind.STREAM, true, 2);
+        assertTrue(retryState.mayReplace(0));
+        retryState.recordPossibleRun(RUNNER);
+        assertFalse(retryState.mayReplace(0));
+    }
+
+    @Test
+    void silentRunnerOfARequestThatMayRunOnceIsKept() {
+        assertFalse(sentOnce(RouteKind.UNSAFE, false, 3).mayReplace(0));
+        assertFalse(sentOnce(RouteKind.STREAM, false, 3).mayReplace(0));
+    }
+
+    /** A stream that broke late used to be broken off for its caller unless a slot was free at that moment. */
+    @Test
+    void brokenStreamMayWaitForARunnerAsLongAsItsCallerWaitsForAnEvent() {
+        long receivedNanos = System.nanoTime() - TimeUnit.SECONDS.toNanos(5);
+        RetryState retryState = new RetryState(Requests.resumableStream(receivedNanos, 10_000), SendTracker.create());
+        StreamProgress progress = StreamProgress.startingAfter(OptionalLong.empty(), receivedNanos);
+        progress.recordDelivered(new EventReader.StreamEvent(new byte[0], OptionalLong.of(1)));
+        assertTrue(retryState.latestStartNanos(progress) > System.nanoTime() + TimeUnit.SECONDS.toNanos(1));
+    }
 }
