node: a request that meets an unexpected error is answered

What callers saw: the connection was closed without an answer when serving a request raised a RuntimeException, although nothing of an answer had been sent. Cause: RequestServer aborted the reply in every such case. Now the caller gets 503 with Retry-After where nothing was sent to a runner, 502 where something may have been; only a stream that has begun is broken off. The request counts in requests.refused by then too. UnexpectedErrorTest.requestThatCannotBeEncodedForItsRunnerIsAnswered failed before (no answer), passes now; its second test (a header with NUL) passed before: the HTTP server answers 400 itself.

--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -6,6 +6,7 @@
 import io.persimmonstack.node.config.Route;
 import io.persimmonstack.node.config.RoutingTable;
 import io.persimmonstack.node.config.Service;
+import io.persimmonstack.node.fleet.Fleet;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.CallerRequest;
@@ -29,8 +30,8 @@
 /** Serves requests: decodes each one, resolves its route, forwards it to a runner, or answers with a refusal. */
 public final class RequestServer {
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(RequestServer.class));
-    /** Retry-After while the configuration or the runners are not known yet. */
-    private static final long NOT_READY_RETRY_MS = 500;
+    /** Retry-After while the configuration or the runners are not known yet, and after an unexpected error. */
+    private static final long RETRY_AFTER_MS = 500;
 
     private static final double MS_PER_SECOND = 1_000;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -100,18 +101,27 @@
                     summary.sends.count(),
                     summary.elapsedMs());
         } catch (RuntimeException e) {
-            reply.abort();
             LOG.write(NodeEvent.REQUEST_ERROR, summary.id(), e.toString(), e);
+            refuse(summary, refusalAfterError(summary), reply);
         }
     }
 
+    /** Returns the answer to a request that cannot be served because of an unexpected error. */
+    private static Refusal refusalAfterError(RequestSummary summary) {
+        String detail = "unexpected error";
+        return summary.sends.count() == 0
+                ? Refusal.notRun("internal-error", detail, RETRY_AFTER_MS)
+                : Refusal.outcomeUnknown(detail);
+    }
+
     /** Resolves the route and the service of a request. */
     private ActiveRequest resolve(CallerRequest callerRequest, long receivedNanos, RequestSummary summary)
             throws RefusedException {
-        RoutingTable routing = fleet.current().routing().orElse(null);
-        if (routing == null || !fleet.current().isInitialised()) {
+        Fleet current = fleet.current();
+        RoutingTable routing = current.routing().orElse(null);
+        if (routing == null || !current.isInitialised()) {
             throw new RefusedException(
-                    Refusal.notRun("fleet-unknown", "no configuration or runners yet", NOT_READY_RETRY_MS));
+                    Refusal.notRun("fleet-unknown", "no configuration or runners yet", RETRY_AFTER_MS));
         }
         Route route = routing.route(callerRequest.host(), callerRequest.path())
                 .orElseThrow(() -> new RefusedException(Refusal.noRoute(
@@ -122,8 +132,8 @@
         }
         String name = route.pickService(ThreadLocalRandom.current().nextDouble());
         Service service = routing.service(name)
-                .orElseThrow(() ->
-                        new RefusedException(Refusal.notRun("no-service", "service " + name, NOT_READY_RETRY_MS)));
+                .orElseThrow(
+                        () -> new RefusedException(Refusal.notRun("no-service", "service " + name, RETRY_AFTER_MS)));
         return new ActiveRequest(callerRequest, route, service, receivedNanos);
     }
 
