callers: one that leaves in the middle of a stream is noticed while the runner is silent

What callers and runners saw: once a stream had begun, only a failing write showed that its caller had left. While the runner was silent nothing was written, so the runner was kept at work until its next event or the deadline. Cause: CallerWatch ended with the head of the answer. It now lasts until the stream has ended; a poll and the end of the exchange still exclude each other. Whole answers are watched until they are sent, as before. SilentRunnerTest.callerThatLeavesDuringTheSilenceEndsItsStream failed before (not noticed within 10 s), passes now.

--- a/router/src/main/java/io/persimmonstack/router/callers/CallerWatch.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallerWatch.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * Detects callers that close their connection before their answer begins. Undertow does not read from a connection
- * while a request is in progress, so this class polls the connections on their I/O threads. Once the answer has begun,
- * failing writes reveal a closed connection. Connections with TLS and protocols other than HTTP/1 are not polled.
+ * Detects callers that close their connection while they wait for their answer, or for more of a stream. Undertow does
+ * not read from a connection while a request is in progress, so this class polls the connections on their I/O threads.
+ * Connections with TLS and protocols other than HTTP/1 are not polled; there, failing writes reveal a closed one.
  */
 public final class CallerWatch implements AutoCloseable {
     private static final long POLL_INTERVAL_MS = 200;
@@ -31,10 +31,10 @@
     /**
      * Polls the caller of an exchange until the returned watch is closed.
      *
-     * @param exchange exchange whose answer has not begun
+     * @param exchange exchange whose answer has not ended
      * @param onDisconnect run at most once, on the I/O thread of the connection, when the caller has disconnected; must
      *     not block
-     * @return the watch, to be closed when the answer begins
+     * @return the watch, to be closed before the exchange ends
      */
     WatchedCaller watch(HttpServerExchange exchange, Runnable onDisconnect) {
         WatchedCaller caller = new WatchedCaller(exchange, onDisconnect);
@@ -61,7 +61,7 @@
         poller.interrupt();
     }
 
-    /** Caller that waits for its answer to begin. */
+    /** Caller that waits for its answer. */
     final class WatchedCaller implements AutoCloseable {
         private enum State {
             /** No poll is running. */
--- a/router/src/main/java/io/persimmonstack/router/callers/UndertowReply.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/UndertowReply.java
@@ -41,12 +41,12 @@
     }
 
     /**
-     * Returns the reply to an exchange and watches its caller until the answer begins.
+     * Returns the reply to an exchange and watches its caller until the answer is sent or, for a stream, has ended.
      *
      * @param exchange exchange to reply to
      * @param requestId value of the X-Request-Id header of the reply
      * @param slowCallerMs longest time in milliseconds that one write may take
-     * @param callerWatch detects a caller that disconnects before the answer begins
+     * @param callerWatch detects a caller that disconnects while it waits for the answer or for more of a stream
      * @return the reply
      */
     public static UndertowReply to(
@@ -56,6 +56,7 @@
 
     @Override
     public void whole(int status, List<Header> headers, byte[] body) throws CallerGoneException {
+        watchedCaller.close();
         setHead(status, headers);
         boolean withoutBody = status == NO_CONTENT
                 || status == NOT_MODIFIED
@@ -77,9 +78,7 @@
         }
     }
 
-    /** Sets status and headers and stops watching the caller: from here on, writes detect a disconnect. */
     private void setHead(int status, List<Header> headers) {
-        watchedCaller.close();
         begun = true;
         exchange.setStatusCode(status);
         headers.forEach(
@@ -124,6 +123,7 @@
 
     @Override
     public void end() throws CallerGoneException {
+        watchedCaller.close();
         if (!exchange.getConnection().isOpen()) {
             throw new CallerGoneException("the connection to the caller is closed", null);
         }
--- a/router/src/main/java/io/persimmonstack/router/request/Reply.java
+++ b/router/src/main/java/io/persimmonstack/router/request/Reply.java
@@ -55,7 +55,7 @@
     boolean begun();
 
     /**
-     * Registers an action to run if the caller leaves before its answer begins.
+     * Registers an action to run if the caller leaves before its answer has ended.
      *
      * @param action run at most once, on another thread; must not block
      */
