node: a stopping node sends nothing to a runner while it closes its connections

DrainState.startClosing refuses requests from then on, and the node waits for those that were accepted before.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -197,6 +197,10 @@
             placer.refuseQueuedUnless(request -> drainState.accepts(request.route(), System.nanoTime()));
             TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MS);
         }
+        drainState.startClosing();
+        while (elapsedMs(stopStartedNanos) < maxDrainMs && receiver.openRequests() > 0) {
+            TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MS);
+        }
         LOG.write(NodeEvent.LEFT, options.name(), receiver.openRequests());
     }
 
--- a/node/src/main/java/io/persimmonstack/node/callers/DrainState.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/DrainState.java
@@ -18,6 +18,7 @@
     private final long graceMs;
     private volatile long startedNanos;
     private volatile boolean draining;
+    private volatile boolean closing;
 
     private DrainState(long graceMs) {
         this.graceMs = graceMs;
@@ -38,6 +39,11 @@
         draining = true;
     }
 
+    /** Accepts no request from now on, so that none is sent to a runner while the node closes its connections. */
+    public void startClosing() {
+        closing = true;
+    }
+
     /** Returns whether the drain has started. */
     public boolean isDraining() {
         return draining;
@@ -45,6 +51,9 @@
 
     /** Returns whether a request of a route may be sent to a runner at the given monotonic time. */
     public boolean accepts(Route route, long nowNanos) {
+        if (closing) {
+            return false;
+        }
         if (!draining) {
             return true;
         }
--- a/node/src/test/java/io/persimmonstack/node/callers/DrainStateTest.java
+++ b/node/src/test/java/io/persimmonstack/node/callers/DrainStateTest.java
@@ -38,4 +38,13 @@
         assertTrue(drainState.accepts(route(RouteKind.UNSAFE), atMs(5_600)));
         assertFalse(drainState.accepts(route(RouteKind.UNSAFE), atMs(5_800)));
     }
+
+    /** A request that was read while the connections were being closed used to be sent and cut off. */
+    @Test
+    void acceptsNothingWhileConnectionsAreClosed() {
+        DrainState drainState = DrainState.withGracePeriod(8_000);
+        drainState.start(atMs(0));
+        drainState.startClosing();
+        assertFalse(drainState.accepts(route(RouteKind.UNSAFE), atMs(3_300)));
+    }
 }
