node: a successor is not connected to while the retry budget is spent

A silent runner's request asks for a successor ten times a second. Without budget each of them opened a connection that was not used; new connections to runners are priced. The budget is now looked at first (RetryBudget.allows) and spent last. The budget of a request's service has one type, ServiceRetries, in place of calls with service and number of nodes.

--- a/node/src/main/java/io/persimmonstack/node/placing/RetryBudget.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RetryBudget.java
@@ -46,16 +46,27 @@
      * @return whether the retry is allowed
      */
     public synchronized boolean trySpend(String service, int nodes, long nowNanos) {
-        Window window = window(service, nowNanos);
-        double allowed =
-                SAFETY_FACTOR * (options.ratio() * window.requests.size() + options.slack() / Math.max(1, nodes));
-        if (window.retries.size() + 1 > allowed) {
+        if (!allows(service, nodes, nowNanos)) {
             return false;
         }
-        window.retries.addLast(nowNanos);
+        window(service, nowNanos).retries.addLast(nowNanos);
         return true;
     }
 
+    /**
+     * Returns whether the budget of a service allows one more retry at present.
+     *
+     * @param service service that the request would be sent to again
+     * @param nodes number of nodes that share the slack, at least 1
+     * @param nowNanos current monotonic time
+     */
+    public synchronized boolean allows(String service, int nodes, long nowNanos) {
+        Window window = window(service, nowNanos);
+        double allowed =
+                SAFETY_FACTOR * (options.ratio() * window.requests.size() + options.slack() / Math.max(1, nodes));
+        return window.retries.size() + 1 <= allowed;
+    }
+
     private Window window(String service, long nowNanos) {
         Window window = windows.computeIfAbsent(service, name -> new Window());
         expire(window.requests, nowNanos);
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -22,8 +22,6 @@
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(Dispatcher.class));
     /** Retry-After of a request that no runner ran. */
     private static final long RETRY_AFTER_MS = 300;
-    /** Lower bound on the number of nodes: one that has just started may not know the others yet. */
-    private static final int MIN_NODES = 6;
 
     private final FleetView fleet;
     private final Placer placer;
@@ -67,12 +65,13 @@
      */
     public Delivery serve(ActiveRequest request, Reply reply, SendTracker sends)
             throws RefusedException, CallerGoneException {
-        budget.recordRequest(request.service().name(), System.nanoTime());
+        ServiceRetries retries =
+                new ServiceRetries(budget, fleet, request.service().name());
+        retries.recordRequest();
         RetryState retryState = new RetryState(request, sends);
         StreamProgress progress =
                 StreamProgress.startingAfter(request.callerRequest().lastEventId(), request.receivedNanos());
-        SuccessorFinder successors =
-                SuccessorFinder.of(request, retryState, placer, connector, () -> spendRetry(request));
+        SuccessorFinder successors = SuccessorFinder.of(request, retryState, placer, connector, retries);
         ReservedRunner next = ReservedRunner.withoutConnection(place(request, retryState, progress, reply));
         while (true) {
             Runner runner = next.runner();
@@ -86,7 +85,7 @@
                 return new Delivery(progress.firstEventMs());
             }
             reportOutcome(runner, request, outcome);
-            boolean retry = mayContinue(runner, retryState, request, outcome);
+            boolean retry = mayContinue(runner, retryState, retries, outcome);
             logFailedAttempt(runner, retryState, request, attempt, outcome, retry);
             if (!retry) {
                 return answerFinally(retryState, outcome, progress, reply);
@@ -98,16 +97,12 @@
     }
 
     /** Returns whether another attempt follows; the budget of one that was reserved has been spent already. */
-    private boolean mayContinue(Runner runner, RetryState retryState, ActiveRequest request, Outcome outcome) {
+    private static boolean mayContinue(Runner runner, RetryState retryState, ServiceRetries retries, Outcome outcome) {
         if (outcome instanceof Outcome.Replaced) {
             retryState.recordPossibleRun(runner);
             return true;
         }
-        return retryState.mayRetryAfter(runner, outcome, System.nanoTime()) && spendRetry(request);
-    }
-
-    private boolean spendRetry(ActiveRequest request) {
-        return budget.trySpend(request.service().name(), nodeCount(), System.nanoTime());
+        return retryState.mayRetryAfter(runner, outcome, System.nanoTime()) && retries.trySpend();
     }
 
     private static void logFailedAttempt(
@@ -145,11 +140,6 @@
         }
     }
 
-    /** Returns how many nodes may share the retry budget, including those that this node does not see at present. */
-    private int nodeCount() {
-        return Math.max(MIN_NODES, fleet.maxPeersSeen());
-    }
-
     /** Reports an unsuccessful attempt to the placer, so that it can avoid the runner. */
     private void reportOutcome(Runner runner, ActiveRequest request, Outcome outcome) {
         switch (outcome) {
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -26,7 +26,7 @@
     private final RetryState retryState;
     private final Placer placer;
     private final HttpConnector connector;
-    private final BooleanSupplier spendRetry;
+    private final ServiceRetries retries;
     private String missing = "";
 
     private SuccessorFinder(
@@ -34,12 +34,12 @@
             RetryState retryState,
             Placer placer,
             HttpConnector connector,
-            BooleanSupplier spendRetry) {
+            ServiceRetries retries) {
         this.request = request;
         this.retryState = retryState;
         this.placer = placer;
         this.connector = connector;
-        this.spendRetry = spendRetry;
+        this.retries = retries;
     }
 
     /**
@@ -49,15 +49,15 @@
      * @param retryState attempts so far
      * @param placer finds a runner with a free slot
      * @param connector connects to the runner
-     * @param spendRetry spends a retry from the budget; returns false if the budget does not allow it
+     * @param retries retry budget of its service
      */
     static SuccessorFinder of(
             ActiveRequest request,
             RetryState retryState,
             Placer placer,
             HttpConnector connector,
-            BooleanSupplier spendRetry) {
-        return new SuccessorFinder(request, retryState, placer, connector, spendRetry);
+            ServiceRetries retries) {
+        return new SuccessorFinder(request, retryState, placer, connector, retries);
     }
 
     /** Returns after how long without any data the runner of the present attempt counts as silent, in milliseconds. */
@@ -76,6 +76,9 @@
         if (!retryState.mayReplace(System.nanoTime())) {
             return keep(silent, "attempt");
         }
+        if (!retries.allowed()) {
+            return keep(silent, "budget");
+        }
         Optional<Placement> placement = placer.placeNow(request, retryState.excludedWith(silent));
         if (placement.isEmpty()) {
             return keep(silent, "slot");
@@ -84,7 +87,7 @@
         try {
             IdleConnection connection = connector.connect(runner.address(), CONNECT_TIMEOUT_MS);
             ReservedRunner successor = new ReservedRunner(placement.get(), Optional.of(connection));
-            if (stillSilent.getAsBoolean() && spendRetry.getAsBoolean()) {
+            if (stillSilent.getAsBoolean() && retries.trySpend()) {
                 return Optional.of(successor);
             }
             successor.close();
--- a/node/src/test/java/io/persimmonstack/node/placing/RetryBudgetTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/RetryBudgetTest.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.node.placing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -46,4 +47,14 @@
         IntStream.range(0, 100).forEach(retry -> budget.trySpend("s", 1, 0));
         assertTrue(budget.trySpend("t", 1, 0));
     }
+
+    @Test
+    void askingDoesNotSpend() {
+        RetryBudget budget = RetryBudget.of(OPTIONS);
+        IntStream.range(0, 1_000).forEach(question -> assertTrue(budget.allows("s", 1, 0)));
+        while (budget.allows("s", 1, 0)) {
+            assertTrue(budget.trySpend("s", 1, 0));
+        }
+        assertFalse(budget.trySpend("s", 1, 0));
+    }
 }
