node: a refusal's body is not waited for, and a caller that left gets no successor

The body of a refusal is now given up as soon as the runner is silent, and an interrupted attempt ends the request.

--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -38,6 +38,7 @@
     private final ReservedRunner reserved;
     private final SuccessorFinder successors;
     private Optional<ReservedRunner> successor = Optional.empty();
+    private boolean refused;
     private long lastReceivedNanos;
 
     private Attempt(
@@ -116,6 +117,10 @@
 
     @Override
     public boolean giveUp(BooleanSupplier stillSilent) {
+        if (refused) {
+            // The rest of a refusal is read only for its connection.
+            return true;
+        }
         successor = successors.reserve(runner(), stillSilent);
         return successor.isPresent();
     }
@@ -126,16 +131,21 @@
     }
 
     private Outcome outcomeOfFailure(HttpFailure e) throws CallerGoneException {
-        if (Thread.interrupted()) {
-            successor.ifPresent(ReservedRunner::close);
-            throw new CallerGoneException("the caller has left", e);
-        }
+        throwIfCallerGone(e);
         if (!e.sent() && successor.isEmpty()) {
             return new Outcome.NotRun(Outcome.Cause.UNREACHABLE, e.getMessage());
         }
         return broken(e.getMessage());
     }
 
+    /** An interrupt means that the caller has left; a successor is then not needed any more. */
+    private void throwIfCallerGone(Exception cause) throws CallerGoneException {
+        if (Thread.interrupted()) {
+            successor.ifPresent(ReservedRunner::close);
+            throw new CallerGoneException("the caller has left", cause);
+        }
+    }
+
     /** Returns the outcome of an attempt whose answer is incomplete: it broke, or a successor replaces the runner. */
     private Outcome broken(String detail) {
         return successor.isPresent() ? new Outcome.Replaced(successor.get(), detail) : unknown(detail);
@@ -160,6 +170,7 @@
 
     /** Reads the rest of the refusal, so that the connection can be reused. */
     private Outcome refusedByRunner(Outcome.Cause cause, HttpCall call) {
+        refused = true;
         int status = call.status();
         try {
             call.readAll(MAX_ANSWER_BYTES);
@@ -198,6 +209,7 @@
                 limitSilence(call);
             }
         } catch (IOException e) {
+            throwIfCallerGone(e);
             return broken(
                     runner().id() + ": stream broke after event " + progress.lastEventId() + ": " + e.getMessage());
         }
