node: a stopping node accepts only whole requests whose time limit ends before the process does

Cause: requests were accepted until 2.3 s before the end of the grace period, whatever their time limit. Streams are accepted for the first 3 s as before. DrainStateTest.refusesRequestThatCouldOutlastTheProcess: the request of its second line was accepted before.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -194,7 +194,7 @@
         long maxDrainMs = options.graceMs() - EXIT_MARGIN_MS;
         while (elapsedMs(stopStartedNanos) < maxDrainMs
                 && (elapsedMs(stopStartedNanos) < MIN_DRAIN_MS || receiver.openRequests() > 0)) {
-            placer.refuseQueuedUnless(request -> drainState.accepts(request.route(), System.nanoTime()));
+            placer.refuseQueuedUnless(request -> drainState.accepts(request, System.nanoTime()));
             TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MS);
         }
         drainState.startClosing();
--- a/node/src/main/java/io/persimmonstack/node/callers/DrainState.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/DrainState.java
@@ -1,7 +1,6 @@
 package io.persimmonstack.node.callers;
 
-import io.persimmonstack.node.config.Route;
-import io.persimmonstack.node.config.RouteKind;
+import io.persimmonstack.node.request.ActiveRequest;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -10,10 +9,12 @@
  * caller supplies the time.
  */
 public final class DrainState {
-    /** Streams run longer than other requests and so are accepted for a shorter time. */
-    private static final long ACCEPT_STREAMS_MS = 3_000;
-    /** Time that the last accepted request has for its answer. */
-    private static final long ANSWER_MARGIN_MS = 2_300;
+    /** Time in which any request is accepted; later, only those whose time limit ends before the process does. */
+    private static final long ACCEPT_ALL_MS = 3_000;
+    /** Least time from the last request that is accepted whatever its time limit is to the end of the process. */
+    private static final long MIN_ANSWER_MS = 2_300;
+    /** Time that is reserved for sending the last answers and for the exit of the process. */
+    private static final long EXIT_MARGIN_MS = 600;
 
     private final long graceMs;
     private volatile long startedNanos;
@@ -49,17 +50,21 @@
         return draining;
     }
 
-    /** Returns whether a request of a route may be sent to a runner at the given monotonic time. */
-    public boolean accepts(Route route, long nowNanos) {
+    /**
+     * Returns whether a request may be sent to a runner.
+     *
+     * @param request request that was received or has been waiting
+     * @param nowNanos monotonic time
+     */
+    public boolean accepts(ActiveRequest request, long nowNanos) {
         if (closing) {
             return false;
         }
         if (!draining) {
             return true;
         }
-        long acceptMs = route.kind() == RouteKind.STREAM
-                ? Math.min(ACCEPT_STREAMS_MS, graceMs - ANSWER_MARGIN_MS)
-                : graceMs - ANSWER_MARGIN_MS;
-        return TimeUnit.NANOSECONDS.toMillis(nowNanos - startedNanos) < acceptMs;
+        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - startedNanos);
+        return elapsedMs < Math.min(ACCEPT_ALL_MS, graceMs - MIN_ANSWER_MS)
+                || !request.isStream() && elapsedMs + request.remainingMs(nowNanos) <= graceMs - EXIT_MARGIN_MS;
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -127,14 +127,15 @@
                 .orElseThrow(() -> new RefusedException(Refusal.noRoute(
                         callerRequest.host() + callerRequest.path() + " in configuration " + routing.version())));
         summary.route = route;
-        if (!drainState.accepts(route, System.nanoTime())) {
-            throw new RefusedException(Refusal.notRun("leaving", "this node is about to end", 0));
-        }
         String name = route.pickService(ThreadLocalRandom.current().nextDouble());
         Service service = routing.service(name)
                 .orElseThrow(
                         () -> new RefusedException(Refusal.notRun("no-service", "service " + name, RETRY_AFTER_MS)));
-        return new ActiveRequest(callerRequest, route, service, receivedNanos);
+        ActiveRequest request = new ActiveRequest(callerRequest, route, service, receivedNanos);
+        if (!drainState.accepts(request, System.nanoTime())) {
+            throw new RefusedException(Refusal.notRun("leaving", "this node is about to end", 0));
+        }
+        return request;
     }
 
     private void logServed(RequestSummary summary, Delivery delivery) {
--- a/node/src/test/java/io/persimmonstack/node/callers/DrainStateTest.java
+++ b/node/src/test/java/io/persimmonstack/node/callers/DrainStateTest.java
@@ -3,48 +3,61 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.persimmonstack.node.config.Route;
 import io.persimmonstack.node.config.RouteKind;
-import java.util.List;
+import io.persimmonstack.node.request.ActiveRequest;
+import io.persimmonstack.node.sending.Requests;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class DrainStateTest {
-    private static Route route(RouteKind kind) {
-        return new Route("r", "h", "/p/", kind, false, 1_000, 100, 0, 1, 1, List.of());
-    }
-
     private static long atMs(long ms) {
         return TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
+    /** Returns a request that is received at the given time, in milliseconds. */
+    private static ActiveRequest received(RouteKind kind, long ms, int timeLimitMs) {
+        return Requests.received(kind, atMs(ms), timeLimitMs);
+    }
+
+    private static DrainState startedAt(long ms) {
+        DrainState drainState = DrainState.withGracePeriod(8_000);
+        drainState.start(atMs(ms));
+        return drainState;
+    }
+
+    private static boolean accepts(DrainState drainState, RouteKind kind, long ms, int timeLimitMs) {
+        return drainState.accepts(received(kind, ms, timeLimitMs), atMs(ms));
+    }
+
     @Test
     void acceptsEverythingWhileNotDraining() {
-        assertTrue(DrainState.withGracePeriod(8_000).accepts(route(RouteKind.STREAM), atMs(1_000_000)));
+        assertTrue(accepts(DrainState.withGracePeriod(8_000), RouteKind.STREAM, 1_000_000, 20_000));
     }
 
     @Test
     void acceptsStreamsOnlyForTheFirstSecondsOfTheDrain() {
-        DrainState drainState = DrainState.withGracePeriod(8_000);
-        drainState.start(atMs(100));
-        assertTrue(drainState.accepts(route(RouteKind.STREAM), atMs(3_000)));
-        assertFalse(drainState.accepts(route(RouteKind.STREAM), atMs(3_200)));
+        assertTrue(accepts(startedAt(100), RouteKind.STREAM, 3_000, 1_000));
+        assertFalse(accepts(startedAt(100), RouteKind.STREAM, 3_200, 1_000));
     }
 
     @Test
-    void acceptsOtherRequestsUntilTheAnswerMargin() {
-        DrainState drainState = DrainState.withGracePeriod(8_000);
-        drainState.start(atMs(0));
-        assertTrue(drainState.accepts(route(RouteKind.UNSAFE), atMs(5_600)));
-        assertFalse(drainState.accepts(route(RouteKind.UNSAFE), atMs(5_800)));
+    void acceptsOtherRequestsWhoseTimeLimitEndsInTime() {
+        assertTrue(accepts(startedAt(0), RouteKind.UNSAFE, 5_600, 1_500));
+        assertFalse(accepts(startedAt(0), RouteKind.UNSAFE, 6_000, 1_500));
+    }
+
+    /** Such a request used to be accepted and, if its runner was silent, cut off at the end of the drain. */
+    @Test
+    void refusesRequestThatCouldOutlastTheProcess() {
+        assertTrue(accepts(startedAt(0), RouteKind.SAFE, 2_900, 7_000));
+        assertFalse(accepts(startedAt(0), RouteKind.SAFE, 3_100, 7_000));
     }
 
     /** A request that was read while the connections were being closed used to be sent and cut off. */
     @Test
     void acceptsNothingWhileConnectionsAreClosed() {
-        DrainState drainState = DrainState.withGracePeriod(8_000);
-        drainState.start(atMs(0));
+        DrainState drainState = startedAt(0);
         drainState.startClosing();
-        assertFalse(drainState.accepts(route(RouteKind.UNSAFE), atMs(3_300)));
+        assertFalse(accepts(drainState, RouteKind.UNSAFE, 3_300, 1_000));
     }
 }
--- a/node/src/test/java/io/persimmonstack/node/sending/Requests.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/Requests.java
@@ -27,6 +27,11 @@
         return of(RouteKind.STREAM, false, 1, Optional.of(new ModelRef(model, "")), receivedNanos, 1_000);
     }
 
+    /** Returns a request without a model that may run once. */
+    public static ActiveRequest received(RouteKind kind, long receivedNanos, int timeLimitMs) {
+        return of(kind, false, 1, Optional.empty(), receivedNanos, timeLimitMs);
+    }
+
     /** Returns a request for a stream that another runner can resume. */
     static ActiveRequest resumableStream(long receivedNanos, int timeLimitMs) {
         return of(RouteKind.STREAM, true, 2, Optional.empty(), receivedNanos, timeLimitMs);
