node: a silent runner is kept until its successor has begun to answer

The request is now sent to the successor while the silent runner is kept, for 0.2 s at most: if the successor refuses, fails or answers with an error, the silent runner keeps the request; if it speaks first, the successor is dropped; at the head of the successor's answer, or at the end of the 0.2 s, the silent runner is disconnected.

--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
@@ -29,12 +29,15 @@
     /** Interval at which the watcher is asked again about a peer that remains silent. */
     private static final int SILENCE_CHECK_INTERVAL_MS = 100;
 
+    private static final int MIN_SUCCESS_STATUS = 200;
+    private static final int MIN_REDIRECT_STATUS = 300;
+
     private final PooledConnection connection;
     private final ConnectionPool pool;
     private final ExchangeDriver driver;
     private final ResponseBuffer buffer;
     private final HttpTimeouts timeouts;
-    private final SilenceWatcher watcher;
+    private volatile SilenceWatcher watcher;
     private volatile int progressMs;
     private final AtomicBoolean connectionReleased = new AtomicBoolean();
     private final InputStream body;
@@ -85,6 +88,11 @@
         return head.getResponseCode();
     }
 
+    /** Returns whether the status code means success (2xx). */
+    public boolean isSuccess() {
+        return status() >= MIN_SUCCESS_STATUS && status() < MIN_REDIRECT_STATUS;
+    }
+
     /** Returns the first value of the named header. */
     public Optional<String> header(String name) {
         return Optional.ofNullable(head.getResponseHeaders().getFirst(name));
@@ -138,6 +146,11 @@
         progressMs = Math.min(progressMs, ms);
     }
 
+    /** Replaces the watcher that decides whether to give up the call while the peer is silent. */
+    public void watch(SilenceWatcher newWatcher) {
+        watcher = newWatcher;
+    }
+
     /** Closes the connection, so that the server stops sending; later reads of the body fail. */
     public void cancel() {
         abort(HttpFailure.Kind.CANCELLED, "cancelled");
@@ -177,6 +190,20 @@
         return Optional.of(bytes.content());
     }
 
+    private SilenceWatcher.SilentPeer silentPeer() {
+        return new SilenceWatcher.SilentPeer() {
+            @Override
+            public boolean isStillSilent() {
+                return buffer.isEmpty();
+            }
+
+            @Override
+            public void disconnect() {
+                cancel();
+            }
+        };
+    }
+
     private void awaitHead() throws HttpFailure {
         head = await(
                 buffer::awaitHead, timeouts.firstByteMs(), HttpFailure.Kind.FIRST_BYTE_TIMEOUT, "no response head");
@@ -202,7 +229,7 @@
             int nextWaitMs = Math.min(timeoutMs, watcher.silentAfterMs());
             Optional<T> arrived = arrival.await(nextWaitMs);
             long elapsedMs = nextWaitMs;
-            while (arrived.isEmpty() && elapsedMs < timeoutMs && !watcher.giveUp(buffer::isEmpty)) {
+            while (arrived.isEmpty() && elapsedMs < timeoutMs && !watcher.giveUp(silentPeer())) {
                 elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
                 arrived = arrival.await((int) Math.clamp(timeoutMs - elapsedMs, 0, SILENCE_CHECK_INTERVAL_MS));
             }
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
@@ -86,7 +86,7 @@
      *     arrived
      */
     public HttpCall open(PeerAddress target, HttpRequest request, HttpTimeouts timeouts) throws HttpFailure {
-        return open(target, request, timeouts, SilenceWatcher.PATIENT);
+        return open(target, request, timeouts, SilenceWatcher.NEVER_GIVES_UP);
     }
 
     /**
@@ -142,7 +142,7 @@
     public HttpCall openOnNewConnection(PeerAddress target, HttpRequest request, HttpTimeouts timeouts)
             throws HttpFailure {
         PooledConnection opened = connect(target, timeouts.connectMs(), describe(target, request));
-        return openCall(opened, request, timeouts, SilenceWatcher.PATIENT);
+        return openCall(opened, request, timeouts, SilenceWatcher.NEVER_GIVES_UP);
     }
 
     HttpCall openCall(PooledConnection connection, HttpRequest request, HttpTimeouts timeouts, SilenceWatcher watcher)
--- a/backends/src/main/java/io/persimmonstack/backends/http/IdleConnection.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/IdleConnection.java
@@ -5,7 +5,7 @@
  *
  * <pre>{@code
  * try (IdleConnection connection = connector.connect(target, 200);
- *         HttpCall call = connection.open(request, timeouts, SilenceWatcher.PATIENT)) {
+ *         HttpCall call = connection.open(request, timeouts, SilenceWatcher.NEVER_GIVES_UP)) {
  *     use(call.status(), call.readAll(MAX_BYTES));
  * }
  * }</pre>
--- a/backends/src/main/java/io/persimmonstack/backends/http/SilenceWatcher.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/SilenceWatcher.java
@@ -1,21 +1,19 @@
 package io.persimmonstack.backends.http;
 
-import java.util.function.BooleanSupplier;
-
 /**
  * Decides whether to give up a call whose peer sends nothing. Silence alone does not show that a peer has failed, so a
  * call without a watcher waits until its timeouts. Called on the thread that waits for the response.
  */
 public interface SilenceWatcher {
     /** Watcher that never gives up a call. */
-    SilenceWatcher PATIENT = new SilenceWatcher() {
+    SilenceWatcher NEVER_GIVES_UP = new SilenceWatcher() {
         @Override
         public int silentAfterMs() {
             return Integer.MAX_VALUE;
         }
 
         @Override
-        public boolean giveUp(BooleanSupplier stillSilent) {
+        public boolean giveUp(SilentPeer peer) {
             return false;
         }
     };
@@ -27,7 +25,16 @@
      * Returns whether to give up the call. Called when the peer has become silent, and again at short intervals while
      * it remains silent.
      *
-     * @param stillSilent returns false as soon as the peer has sent something, which should save the call
+     * @param peer the silent peer
      */
-    boolean giveUp(BooleanSupplier stillSilent);
+    boolean giveUp(SilentPeer peer);
+
+    /** Peer of a call that has sent nothing for a while. */
+    interface SilentPeer {
+        /** Returns false once the peer has sent something, which should save the call, or the call has failed. */
+        boolean isStillSilent();
+
+        /** Closes the connection before the watcher has decided, so that the peer stops working on the request. */
+        void disconnect();
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -5,7 +5,6 @@
 import io.persimmonstack.backends.http.HttpFailure;
 import io.persimmonstack.backends.http.HttpRequest;
 import io.persimmonstack.backends.http.HttpTimeouts;
-import io.persimmonstack.backends.http.IdleConnection;
 import io.persimmonstack.backends.http.SilenceWatcher;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.request.ActiveRequest;
@@ -13,9 +12,7 @@
 import io.persimmonstack.router.request.Reply;
 import java.io.IOException;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
 /**
  * One attempt at a request: sends it to a runner and forwards the answer to the caller. A runner that falls silent is
@@ -73,7 +70,7 @@
      * Sends the request and forwards the answer. A server error is returned, not forwarded, since another attempt may
      * follow.
      *
-     * @return how the attempt ended
+     * @return how the attempt ended; if the thread is interrupted, because the caller has disconnected
      * @throws CallerGoneException if the caller has disconnected
      */
     Outcome run() throws CallerGoneException {
@@ -82,23 +79,32 @@
         if (remainingMs <= 0) {
             return new Outcome.NotRun(Outcome.Cause.UNREACHABLE, "no time left");
         }
-        int waitMs = (int) Math.min(Integer.MAX_VALUE, remainingMs);
-        HttpTimeouts timeouts = HttpTimeouts.of(Math.min(CONNECT_TIMEOUT_MS, waitMs), waitMs, waitMs);
-        HttpRequest encoded =
-                protocol.encode(request.callerRequest(), sendOptions(remainingMs, progress.lastEventId()));
-        try (HttpCall call = open(encoded, timeouts)) {
+        try (HttpCall call = open(remainingMs)) {
             lastReceivedNanos = System.nanoTime();
+            limitSilence(call);
             return outcomeOfAnswer(call);
         } catch (HttpFailure e) {
             return outcomeOfFailure(e);
         }
     }
 
-    private HttpCall open(HttpRequest encoded, HttpTimeouts timeouts) throws HttpFailure {
-        Optional<IdleConnection> connection = reserved.connection();
-        return connection.isPresent()
-                ? connection.get().open(encoded, timeouts, this)
-                : connector.open(runner().address(), encoded, timeouts, this);
+    /** Returns the call whose head has arrived: that of a successor, which has the request already, or a new one. */
+    private HttpCall open(long remainingMs) throws HttpFailure {
+        if (reserved.call().isPresent()) {
+            reserved.call().get().watch(this);
+            return reserved.call().get();
+        }
+        int waitMs = (int) Math.min(Integer.MAX_VALUE, remainingMs);
+        HttpTimeouts timeouts = HttpTimeouts.of(Math.min(CONNECT_TIMEOUT_MS, waitMs), waitMs, waitMs);
+        return connector.open(runner().address(), encode(runner()), timeouts, this);
+    }
+
+    /** Encodes the request for a runner, or the rest of a stream that has begun. */
+    private HttpRequest encode(Runner target) {
+        long remainingMs = request.remainingMs(System.nanoTime());
+        int urgency = Math.clamp(request.route().priority(), 0, LEAST_URGENT);
+        return protocol.encode(
+                request.callerRequest(), new SendOptions(target.id(), remainingMs, urgency, progress.lastEventId()));
     }
 
     private Runner runner() {
@@ -116,36 +122,22 @@
     }
 
     @Override
-    public boolean giveUp(BooleanSupplier stillSilent) {
+    public boolean giveUp(SilentPeer peer) {
         if (refused) {
             // The rest of a refusal is read only for its connection.
             return true;
         }
-        successor = successors.reserve(runner(), stillSilent);
+        successor = successors.find(runner(), peer, this::encode);
         return successor.isPresent();
     }
 
-    private SendOptions sendOptions(long remainingMs, OptionalLong lastEventId) {
-        int urgency = Math.clamp(request.route().priority(), 0, LEAST_URGENT);
-        return new SendOptions(runner().id(), remainingMs, urgency, lastEventId);
-    }
-
-    private Outcome outcomeOfFailure(HttpFailure e) throws CallerGoneException {
-        throwIfCallerGone(e);
+    private Outcome outcomeOfFailure(HttpFailure e) {
         if (!e.sent() && successor.isEmpty()) {
             return new Outcome.NotRun(Outcome.Cause.UNREACHABLE, e.getMessage());
         }
         return broken(e.getMessage());
     }
 
-    /** An interrupt means that the caller has left; a successor is then not needed any more. */
-    private void throwIfCallerGone(Exception cause) throws CallerGoneException {
-        if (Thread.interrupted()) {
-            successor.ifPresent(ReservedRunner::close);
-            throw new CallerGoneException("the caller has left", cause);
-        }
-    }
-
     /** Returns the outcome of an attempt whose answer is incomplete: it broke, or a successor replaces the runner. */
     private Outcome broken(String detail) {
         return successor.isPresent() ? new Outcome.Replaced(successor.get(), detail) : unknown(detail);
@@ -161,10 +153,7 @@
             case FULL -> refusedByRunner(Outcome.Cause.FULL, call);
             case MISDIRECTED -> refusedByRunner(Outcome.Cause.MISDIRECTED, call);
             case FORGED -> unknown(runner().id() + ": status " + call.status() + " without the mark of a runner");
-            case RAN ->
-                request.isStream() && call.status() < MIN_SERVER_ERROR_STATUS
-                        ? deliverStream(call)
-                        : deliverWhole(call);
+            case RAN -> request.isStream() && call.isSuccess() ? deliverStream(call) : deliverWhole(call);
         };
     }
 
@@ -186,6 +175,9 @@
         if (call.status() >= MIN_SERVER_ERROR_STATUS) {
             return new Outcome.RanWithError(answer);
         }
+        if (reply.begun()) {
+            return unknown(runner().id() + ": status " + call.status() + " in place of the rest of the stream");
+        }
         reply.whole(answer.status(), answer.headers(), answer.body());
         return new Outcome.Delivered();
     }
@@ -209,7 +201,6 @@
                 limitSilence(call);
             }
         } catch (IOException e) {
-            throwIfCallerGone(e);
             return broken(
                     runner().id() + ": stream broke after event " + progress.lastEventId() + ": " + e.getMessage());
         }
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -71,11 +71,13 @@
         RetryState retryState = new RetryState(request, sends);
         StreamProgress progress =
                 StreamProgress.startingAfter(request.callerRequest().lastEventId(), request.receivedNanos());
-        SuccessorFinder successors = SuccessorFinder.of(request, retryState, placer, connector, retries);
-        ReservedRunner next = ReservedRunner.withoutConnection(place(request, retryState, progress, reply));
+        SuccessorFinder successors = SuccessorFinder.of(request, retryState, placer, connector, protocol, retries);
+        ReservedRunner next = ReservedRunner.notSent(place(request, retryState, progress, reply));
         while (true) {
             Runner runner = next.runner();
-            retryState.recordSend(runner);
+            if (next.call().isEmpty()) {
+                retryState.recordSend(runner);
+            }
             Attempt attempt = Attempt.of(connector, protocol, request, progress, reply, next, successors);
             Outcome outcome;
             try (ReservedRunner ignored = next) {
@@ -84,6 +86,10 @@
             if (outcome instanceof Outcome.Delivered) {
                 return new Delivery(progress.firstEventMs());
             }
+            if (Thread.interrupted()) {
+                releaseSuccessor(outcome);
+                throw new CallerGoneException("the caller has left during an attempt: " + outcome, null);
+            }
             reportOutcome(runner, request, outcome);
             boolean retry = mayContinue(runner, retryState, retries, outcome);
             logFailedAttempt(runner, retryState, request, attempt, outcome, retry);
@@ -92,7 +98,13 @@
             }
             next = outcome instanceof Outcome.Replaced replaced
                     ? replaced.successor()
-                    : ReservedRunner.withoutConnection(place(request, retryState, progress, reply));
+                    : ReservedRunner.notSent(place(request, retryState, progress, reply));
+        }
+    }
+
+    private static void releaseSuccessor(Outcome outcome) {
+        if (outcome instanceof Outcome.Replaced replaced) {
+            replaced.successor().close();
         }
     }
 
--- a/node/src/main/java/io/persimmonstack/node/sending/RetryState.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/RetryState.java
@@ -20,7 +20,7 @@
     private static final int MIN_WHOLE_ANSWER_SILENCE_MS = 250;
     /** Share of the time limit after which a runner without a whole answer counts as silent. */
     private static final double WHOLE_ANSWER_SILENCE_SHARE = 0.5;
-    /** Share of the caller's patience after which the runner of a stream counts as silent; a successor has the rest. */
+    /** Share of the caller's idle timeout after which a stream's runner counts as silent; a successor has the rest. */
     private static final double STREAM_SILENCE_SHARE = 0.7;
     /** Share of the caller's idle timeout after which a stream is not started any more. */
     private static final double IDLE_TIMEOUT_SHARE = 0.9;
@@ -141,9 +141,9 @@
         if (!request.isStream()) {
             return (int) Math.max(MIN_WHOLE_ANSWER_SILENCE_MS, WHOLE_ANSWER_SILENCE_SHARE * request.timeLimitMs());
         }
-        int patienceMs = streamStarted
+        int callerTimeoutMs = streamStarted
                 ? request.streamIdleTimeoutMs()
                 : Math.min(request.streamIdleTimeoutMs(), request.timeLimitMs());
-        return (int) Math.round(STREAM_SILENCE_SHARE * patienceMs);
+        return (int) Math.round(STREAM_SILENCE_SHARE * callerTimeoutMs);
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -1,8 +1,12 @@
 package io.persimmonstack.node.sending;
 
+import io.persimmonstack.backends.http.HttpCall;
 import io.persimmonstack.backends.http.HttpConnector;
 import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.HttpRequest;
+import io.persimmonstack.backends.http.HttpTimeouts;
 import io.persimmonstack.backends.http.IdleConnection;
+import io.persimmonstack.backends.http.SilenceWatcher;
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.node.RateLimitedLog;
 import io.persimmonstack.node.fleet.Runner;
@@ -11,21 +15,25 @@
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 
 /**
- * Reserves another runner for a request whose runner is silent. The silent runner may be sound, so it is kept until
- * everything that the next attempt needs is at hand: an attempt, a free slot, a connection and the retry budget.
+ * Finds another runner for a request whose runner is silent. The silent runner may be sound, so it is kept until the
+ * other one has begun to answer, or has not refused the request for a moment. An attempt, the retry budget, a free slot
+ * and a connection are needed first. Not thread-safe.
  */
 final class SuccessorFinder {
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(SuccessorFinder.class));
     /** Timeout for connecting to the successor; events of the silent runner wait meanwhile. */
     private static final int CONNECT_TIMEOUT_MS = 100;
+    /** Longest time for which both runners may work on the request. */
+    private static final int MAX_OVERLAP_MS = 200;
 
     private final ActiveRequest request;
     private final RetryState retryState;
     private final Placer placer;
     private final HttpConnector connector;
+    private final RunnerProtocol protocol;
     private final ServiceRetries retries;
     private String missing = "";
 
@@ -34,11 +42,13 @@
             RetryState retryState,
             Placer placer,
             HttpConnector connector,
+            RunnerProtocol protocol,
             ServiceRetries retries) {
         this.request = request;
         this.retryState = retryState;
         this.placer = placer;
         this.connector = connector;
+        this.protocol = protocol;
         this.retries = retries;
     }
 
@@ -49,6 +59,7 @@
      * @param retryState attempts so far
      * @param placer finds a runner with a free slot
      * @param connector connects to the runner
+     * @param protocol classifies the head of its answer
      * @param retries retry budget of its service
      */
     static SuccessorFinder of(
@@ -56,8 +67,9 @@
             RetryState retryState,
             Placer placer,
             HttpConnector connector,
+            RunnerProtocol protocol,
             ServiceRetries retries) {
-        return new SuccessorFinder(request, retryState, placer, connector, retries);
+        return new SuccessorFinder(request, retryState, placer, connector, protocol, retries);
     }
 
     /** Returns after how long without any data the runner of the present attempt counts as silent, in milliseconds. */
@@ -66,13 +78,15 @@
     }
 
     /**
-     * Reserves a successor without waiting for a free slot.
+     * Sends the request to another runner, without waiting for a free slot.
      *
      * @param silent runner of the present attempt
-     * @param stillSilent returns false once the runner has sent something
-     * @return the successor, empty if the request stays with its runner
+     * @param peer its connection
+     * @param encoder encodes the request, from where the present attempt stands, for a runner
+     * @return the successor, empty if the request stays with its runner or, once that is disconnected, if both failed
      */
-    Optional<ReservedRunner> reserve(Runner silent, BooleanSupplier stillSilent) {
+    Optional<ReservedRunner> find(
+            Runner silent, SilenceWatcher.SilentPeer peer, Function<Runner, HttpRequest> encoder) {
         if (!retryState.mayReplace(System.nanoTime())) {
             return keep(silent, "attempt");
         }
@@ -83,17 +97,25 @@
         if (placement.isEmpty()) {
             return keep(silent, "slot");
         }
-        Runner runner = placement.get().runner();
-        try {
-            IdleConnection connection = connector.connect(runner.address(), CONNECT_TIMEOUT_MS);
-            ReservedRunner successor = new ReservedRunner(placement.get(), Optional.of(connection));
-            if (stillSilent.getAsBoolean() && retries.trySpend()) {
-                return Optional.of(successor);
+        Optional<ReservedRunner> successor = connectAndSend(silent, peer, placement.get(), encoder);
+        if (successor.isEmpty()) {
+            placement.get().close();
+        }
+        return successor;
+    }
+
+    private Optional<ReservedRunner> connectAndSend(
+            Runner silent, SilenceWatcher.SilentPeer peer, Placement placement, Function<Runner, HttpRequest> encoder) {
+        Runner runner = placement.runner();
+        try (IdleConnection connection = connector.connect(runner.address(), CONNECT_TIMEOUT_MS)) {
+            if (!peer.isStillSilent()) {
+                return Optional.empty();
             }
-            successor.close();
-            return keep(silent, "budget");
+            if (!retries.trySpend()) {
+                return keep(silent, "budget");
+            }
+            return send(silent, peer, placement, connection, encoder.apply(runner));
         } catch (HttpFailure e) {
-            placement.get().close();
             if (!Thread.currentThread().isInterrupted()) {
                 placer.recordUnreachable(runner);
             }
@@ -101,6 +123,72 @@
         }
     }
 
+    private Optional<ReservedRunner> send(
+            Runner silent,
+            SilenceWatcher.SilentPeer peer,
+            Placement placement,
+            IdleConnection connection,
+            HttpRequest encoded) {
+        Runner runner = placement.runner();
+        retryState.recordSend(runner);
+        int waitMs = (int) Math.clamp(request.remainingMs(System.nanoTime()), 1, Integer.MAX_VALUE);
+        Overlap overlap = new Overlap(peer);
+        try {
+            HttpCall call = connection.open(encoded, HttpTimeouts.of(waitMs, waitMs, waitMs), overlap);
+            AnswerHead head = protocol.classify(call.status(), call.headers());
+            if (head == AnswerHead.RAN && call.isSuccess() && overlap.end()) {
+                return Optional.of(ReservedRunner.answering(placement, call));
+            }
+            call.cancel();
+            return keepAfterSend(silent, runner, head, call.status());
+        } catch (HttpFailure e) {
+            if (e.sent()) {
+                retryState.recordPossibleRun(runner);
+                placer.recordFailure(runner);
+            }
+            return keep(silent, "answer: " + e.getMessage());
+        }
+    }
+
+    /** Time in which two runners have the request: at its end, the one that has not spoken is disconnected. */
+    private static final class Overlap implements SilenceWatcher {
+        private final SilentPeer silent;
+        private boolean ended;
+
+        private Overlap(SilentPeer silent) {
+            this.silent = silent;
+        }
+
+        /** Disconnects the silent runner, unless it has spoken; returns whether it is disconnected. */
+        private boolean end() {
+            if (!ended && silent.isStillSilent()) {
+                ended = true;
+                silent.disconnect();
+            }
+            return ended;
+        }
+
+        @Override
+        public int silentAfterMs() {
+            return MAX_OVERLAP_MS;
+        }
+
+        @Override
+        public boolean giveUp(SilentPeer successor) {
+            return !end();
+        }
+    }
+
+    /** Records what became of a successor that is not used. */
+    private Optional<ReservedRunner> keepAfterSend(Runner silent, Runner successor, AnswerHead head, int status) {
+        switch (head) {
+            case FULL, MISDIRECTED -> placer.recordFull(successor);
+            case RAN, FORGED -> retryState.recordPossibleRun(successor);
+            default -> throw new IllegalStateException("unknown head " + head);
+        }
+        return keep(silent, "answer: status " + status);
+    }
+
     /** Logs what a successor lacks, once for each new reason. */
     private Optional<ReservedRunner> keep(Runner silent, String reason) {
         if (!missing.equals(reason)) {
