coordinator: an accepted load keeps its memory while it waits for a permit

Cause of the failure of WeightStoreLimitsTest.ownerThatMayBePartitionedUsesOnlyItsOwnShare: no permit was lost. A load that waits for a permit was answered LOADING but kept no memory, so a runner with room for two models could accept three. Once the permits came, two were ordered; the third did not fit, could not be refused any more because it was answered, and stayed in the queue until its deadline, 60 s in that test. It happens when loads of several models are planned at the same time and the one that is planned last goes to another runner.

Accepted loads in the queue now count against the room for later ones, which are refused for memory and planned elsewhere. An accepted load that no longer fits, because the engine's state has changed, leaves the queue with a log event.

Failed before: RunnerAgentTest.loadThatDoesNotFitBesideTheQueuedOnesIsRefusedForMemory (LOADING instead of REFUSED_MEMORY) and queuedLoadThatNoLongerFitsLeavesTheQueue.

--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/LoadQueue.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/LoadQueue.java
@@ -5,22 +5,28 @@
 import io.persimmonstack.backends.hosts.Host;
 import io.persimmonstack.coordination.grant.OwnedRunner;
 import io.persimmonstack.coordination.model.ModelVersion;
+import io.persimmonstack.coordinator.CoordinatorEvent;
 import io.persimmonstack.coordinator.load.LoadAnswers;
 import io.persimmonstack.coordinator.load.LoadKey;
 import io.persimmonstack.coordinator.load.LoadSizes;
+import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.gen.LoadAnswer;
 import io.persimmonstack.wire.gen.LoadResult;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
 
 /**
  * Pending loads of one runner, processed by earliest deadline. A load stays queued until it was ordered, refused or has
- * expired; its answer may be completed before that. Confined to the agent's thread.
+ * expired; its answer may be completed before that. A load that was accepted keeps the memory that it will take, so
+ * later loads must fit beside it. Confined to the agent's thread.
  */
 final class LoadQueue {
+    private static final EventLog LOG = EventLog.of(LoadQueue.class);
     private final String runner;
     private final RunnerAgentContext context;
     private final EngineTracker tracker;
@@ -115,8 +121,8 @@
             return true;
         }
         LoadKey base = load.key().base();
-        if (!makeRoom(host, owned, load, load.sizes().baseBytes())) {
-            return load.isRefused();
+        if (tracker.freeBytes() < load.sizes().baseBytes() + heldBytes(load)) {
+            return !makeRoom(host, owned, load, load.sizes().baseBytes());
         }
         if (!engineClient.tryAcquirePermit(base)) {
             return keepQueuedForStore(load);
@@ -155,8 +161,8 @@
     private boolean loadAdapter(Host host, OwnedRunner owned, PendingLoad load) {
         LoadKey key = load.key();
         usage.recordUse(key.base(), 0);
-        if (!makeRoom(host, owned, load, load.sizes().adapterBytes())) {
-            return load.isRefused();
+        if (tracker.freeBytes() < load.sizes().adapterBytes() + heldBytes(load)) {
+            return !makeRoom(host, owned, load, load.sizes().adapterBytes());
         }
         if (!engineClient.tryAcquirePermit(key)) {
             return keepQueuedForStore(load);
@@ -165,18 +171,37 @@
         return true;
     }
 
-    /** Returns whether enough memory is free; if not, starts to unload idle models, or refuses the load. */
+    /** Starts to unload idle models for a load; returns false if that frees too little, so the load is refused. */
     private boolean makeRoom(Host host, OwnedRunner owned, PendingLoad load, long bytes) {
-        if (tracker.freeBytes() >= bytes) {
-            return true;
-        }
-        EvictionPlan plan = EvictionPlan.of(tracker, usage, bytes, this);
+        EvictionPlan plan = EvictionPlan.of(tracker, usage, bytes + heldBytes(load), this);
         if (!plan.suffices()) {
+            if (load.isAccepted()) {
+                LOG.write(CoordinatorEvent.LOAD_FAILED, runner, load.key(), plan.reason());
+            }
             load.complete(LoadAnswers.refusal(LoadResult.REFUSED_MEMORY, runner, plan.reason()));
             return false;
         }
         plan.victims().forEach(victim -> engineClient.unload(host, owned, victim, "room is needed for " + load.key()));
         load.complete(LoadAnswers.of(LoadResult.LOADING, runner));
-        return false;
+        return true;
+    }
+
+    /**
+     * Returns the bytes that other accepted loads will take and that the tracker does not count yet. For an accepted
+     * load only those before it in the queue count.
+     */
+    private long heldBytes(PendingLoad load) {
+        int end = load.isAccepted() ? pendingLoads.indexOf(load) : pendingLoads.size();
+        Map<LoadKey, Long> bytesByKey = new HashMap<>();
+        for (PendingLoad other : pendingLoads.subList(0, end)) {
+            if (other.isAccepted()) {
+                bytesByKey.put(other.key(), other.sizes().adapterBytes());
+                bytesByKey.put(other.key().base(), other.sizes().baseBytes());
+            }
+        }
+        bytesByKey.keySet().removeIf(key -> tracker.holds(key) || tracker.isLoading(key));
+        bytesByKey.remove(load.key());
+        bytesByKey.remove(load.key().base());
+        return bytesByKey.values().stream().mapToLong(Long::longValue).sum();
     }
 }
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/PendingLoad.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/PendingLoad.java
@@ -20,8 +20,8 @@
         answer.complete(result);
     }
 
-    /** Returns whether the request was answered with a refusal. */
-    boolean isRefused() {
-        return answer.isDone() && !LoadAnswers.isAccepted(answer.join());
+    /** Returns whether the request was answered that the model is loaded or its load is queued or in progress. */
+    boolean isAccepted() {
+        return answer.isDone() && LoadAnswers.isAccepted(answer.join());
     }
 }
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/FakePlatform.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/FakePlatform.java
@@ -136,6 +136,14 @@
         engines.remove(hosts.get(host).address());
     }
 
+    /** Has a runner's engine load models that nobody ordered, as late orders of an earlier owner do. */
+    public void loadUnordered(String runner, List<ModelVersion> models) {
+        FakeEngine engine = engines.get(hosts.get(runner).address());
+        synchronized (engine) {
+            models.forEach(model -> engine.models.put(model, ModelState.LOADING));
+        }
+    }
+
     /** Returns the highest fencing token that a runner's engine has accepted. */
     public long fence(String runner) {
         return engines.get(hosts.get(runner).address()).fence;
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/runner/RunnerAgentTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/runner/RunnerAgentTest.java
@@ -154,6 +154,43 @@
         assertEquals(0, platform.loadOrders.get());
     }
 
+    /** Loads that wait for a permit hold the memory that they will take, so that all of them can be ordered later. */
+    @Test
+    void loadThatDoesNotFitBesideTheQueuedOnesIsRefusedForMemory() throws Exception {
+        cap = 3;
+        platform.weightStoreDown = true;
+        catalogueCache.refresh();
+        assertEquals(LoadResult.LOADING, load("a"));
+        assertEquals(LoadResult.LOADING, load("b"));
+        assertEquals(LoadResult.REFUSED_MEMORY, load("c"), "a and b will take 80 of 100 bytes");
+        assertEquals(LoadResult.LOADING, load("a"), "a request for a queued load needs no further memory");
+    }
+
+    @Test
+    void queuedLoadThatNoLongerFitsLeavesTheQueue() throws Exception {
+        cap = 3;
+        platform.weightStoreDown = true;
+        catalogueCache.refresh();
+        assertEquals(LoadResult.LOADING, load("a"));
+        platform.loadUnordered(RUNNER, List.of(ModelVersion.of("b", "v1"), ModelVersion.of("c", "v1")));
+        assertEquals(LoadResult.REFUSED_MEMORY, awaitRefusal("d"), "the engine has room for neither a nor d");
+        platform.weightStoreDown = false;
+        catalogueCache.refresh();
+        platform.finishLoads();
+        // The models without slot are unloaded; then a load that is still queued is ordered before the hand-over.
+        awaitHandOver();
+        assertEquals(0, platform.loadOrders.get(), "the load of a has left the queue");
+    }
+
+    /** Repeats a load until it is refused, as the agent sees a change of the engine only at its next inspection. */
+    private LoadResult awaitRefusal(String model) throws Exception {
+        LoadResult result = load(model);
+        while (result == LoadResult.LOADING) {
+            result = load(model);
+        }
+        return result;
+    }
+
     @Test
     void expiredLoadWithoutMemoryIsRefusedForMemory() throws Exception {
         cap = 3;
@@ -200,11 +237,15 @@
         assertEquals(LoadResult.LOADING, load("a"));
         assertTrue(agent.handOver().get(10, TimeUnit.SECONDS).isPresent());
         platform.finishLoads();
+        awaitHandOver();
+        assertTrue(agent.hasEnded());
+    }
+
+    private void awaitHandOver() throws Exception {
         Optional<String> refusal = agent.handOver().get(10, TimeUnit.SECONDS);
         while (refusal.isPresent()) {
             refusal = agent.handOver().get(10, TimeUnit.SECONDS);
         }
-        assertTrue(agent.hasEnded());
     }
 
     /**
