coordinator: a home asks again about a load that its runner does not announce

Cause: the home remembers a load that it has ordered and that no runner announces yet, and every further request extended that by 3 s. If the runner dropped the queued load, for example because the engine refused it later, the model was not planned again as long as requests for it went on.

The home now asks the owner again once the last confirmation is older than 3 s. A refusal ends the memory, and the load is planned anew; an acceptance keeps it, so that a load that waits for a permit is not ordered twice.

Failed before, with the owner never asked again: LoadRequestHandlerTest.loadThatItsRunnerHasDroppedIsOrderedOnAnother (one request, to runner-1, instead of one to runner-2 after 4 s). loadThatItsRunnerStillQueuesIsNotOrderedOnAnother guards the other side.

--- a/coordinator/src/main/java/io/persimmonstack/coordinator/CoordinatorNode.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/CoordinatorNode.java
@@ -246,7 +246,7 @@
                 localRouterMonitor,
                 configurationUpdater,
                 runners,
-                LoadRequestHandler.of(view, runners, catalogueCache, feed, peers, grantReader, context.metrics()),
+                LoadRequestHandler.of(view, runners, catalogueCache, feed, peers, grantReader, time, context.metrics()),
                 preloader,
                 UseReportForwarder.of(view, runners, demandTracker, peers, time),
                 demandReplicator,
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/load/LoadRequestHandler.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/load/LoadRequestHandler.java
@@ -56,7 +56,7 @@
     private final ThriftPeers<Coordinator.Client> peers;
     private final MetricRegistry metrics;
     private final SlotHolders slotHolders;
-    private final RecentLoads recentLoads = new RecentLoads();
+    private final RecentLoads recentLoads;
     /** Locks by model name; a model's requests are planned while its lock is held. */
     private final Map<String, Object> planLocks = new ConcurrentHashMap<>();
 
@@ -67,6 +67,7 @@
             ConfigurationFeed<FleetConfiguration> feed,
             ThriftPeers<Coordinator.Client> peers,
             SlotHolders slotHolders,
+            RecentLoads recentLoads,
             MetricRegistry metrics) {
         this.view = view;
         this.homes = new ModelHomes(view);
@@ -75,6 +76,7 @@
         this.feed = feed;
         this.peers = peers;
         this.slotHolders = slotHolders;
+        this.recentLoads = recentLoads;
         this.metrics = metrics;
     }
 
@@ -87,6 +89,7 @@
      * @param feed active configuration
      * @param peers connections to coordinators
      * @param grantReader reads slots and owners from the key-value store
+     * @param time clocks
      * @param metrics counts results and durations
      * @return the handler
      */
@@ -97,9 +100,11 @@
             ConfigurationFeed<FleetConfiguration> feed,
             ThriftPeers<Coordinator.Client> peers,
             GrantReader grantReader,
+            TimeSource time,
             MetricRegistry metrics) {
-        SlotHolders slotHolders = SlotHolders.of(grantReader, TimeSource.system());
-        return new LoadRequestHandler(view, runners, catalogueCache, feed, peers, slotHolders, metrics);
+        SlotHolders slotHolders = SlotHolders.of(grantReader, time);
+        RecentLoads recentLoads = new RecentLoads(time);
+        return new LoadRequestHandler(view, runners, catalogueCache, feed, peers, slotHolders, recentLoads, metrics);
     }
 
     /**
@@ -195,7 +200,7 @@
         Demand demand =
                 new Demand(key, request.getZone(), region(request.getZone()), request.getReplicasWanted(), sizes.get());
         List<RunnerView> views = view.runners();
-        List<LoadAnswer> pendingLoads = recentLoads.pending(key, views);
+        List<LoadAnswer> pendingLoads = confirmedPendingLoads(request, key, views);
         if (key.adapter().isPresent() && !pendingLoads.isEmpty()) {
             return pendingLoads.get(0);
         }
@@ -205,10 +210,34 @@
         if (answer.getResult() == LoadResult.REFUSED_CAP || answer.getResult() == LoadResult.REFUSED_OWNER) {
             answer = askSlotHolders(request, key).orElse(answer);
         }
-        recentLoads.add(key, answer);
+        String runner = answer.getRunner();
+        if (pendingLoads.stream().noneMatch(pending -> pending.getRunner().equals(runner))) {
+            recentLoads.add(key, answer);
+        }
         return answer;
     }
 
+    /**
+     * Returns the recent loads that no runner announces yet. Where the last confirmation is some time ago, the owner is
+     * asked again, because a load that waits in a runner's queue may still be dropped there.
+     */
+    private List<LoadAnswer> confirmedPendingLoads(LoadRequest request, LoadKey key, List<RunnerView> views) {
+        List<LoadAnswer> pendingLoads = recentLoads.pending(key, views);
+        List<String> unconfirmedRunners = recentLoads.unconfirmedRunners(key);
+        for (String runner : unconfirmedRunners) {
+            boolean confirmed = view.status(runner)
+                    .map(status -> orderOnRunner(request, key, runner, status.getOwnerNode()))
+                    .filter(LoadAnswers::isAccepted)
+                    .isPresent();
+            if (confirmed) {
+                recentLoads.confirm(key, runner);
+            } else {
+                recentLoads.remove(key, runner);
+            }
+        }
+        return unconfirmedRunners.isEmpty() ? pendingLoads : recentLoads.pending(key, views);
+    }
+
     /**
      * Plans and orders until a runner accepts or a round finds no further runner short of memory. Announced states lag,
      * so an owner may refuse for memory; the next round plans without its runner.
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/load/LoadRequestHandlerTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/load/LoadRequestHandlerTest.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.coordinator.load;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import io.persimmonstack.configuration.Deployment;
@@ -47,6 +48,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -60,6 +63,9 @@
     private static final GrantCodecs CODECS = new GrantCodecs(ModelRecordCodec.create(), RunnerRecordCodec.create());
     private static final Deployment DEPLOYMENT =
             new Deployment("summary-desk", "summary", List.of("v1"), List.of(), List.of("desk"), 3, 1, 1, 30, 60_000);
+    /** Seconds after which the owner is asked again about a load that its runner does not announce. */
+    private static final int CONFIRM_AFTER_S = 3;
+
     private static final LoadAnswer NO_MEMORY = new LoadAnswer(LoadResult.REFUSED_MEMORY);
     private final FakePlatform platform = new FakePlatform();
     private final ThriftPeers<Coordinator.Client> peers = ThriftPeers.of(new Coordinator.Client.Factory(), 1_000);
@@ -75,6 +81,21 @@
     /** Runners whose owners refuse loads for lack of memory. */
     private final Set<String> withoutMemory = ConcurrentHashMap.newKeySet();
 
+    /** Time of the handler's clocks, in milliseconds; only tests advance it. */
+    private volatile long nowMs = 1_000_000;
+
+    private final TimeSource time = new TimeSource() {
+        @Override
+        public long nanoTime() {
+            return TimeUnit.MILLISECONDS.toNanos(nowMs);
+        }
+
+        @Override
+        public long currentTimeMillis() {
+            return nowMs;
+        }
+    };
+
     private volatile LoadAnswer ownerAnswer = new LoadAnswer(LoadResult.LOADING);
     private ThriftServer ownerServer;
     private Membership<NodeAttributes, RunnerStatus> membership;
@@ -131,7 +152,14 @@
         FleetView view = FleetView.of(membership);
         GrantReader grantReader = GrantReader.of(platform.kv, CODECS);
         handler = LoadRequestHandler.of(
-                view, runners(view, catalogueCache), catalogueCache, feed, peers, grantReader, new MetricRegistry());
+                view,
+                runners(view, catalogueCache),
+                catalogueCache,
+                feed,
+                peers,
+                grantReader,
+                time,
+                new MetricRegistry());
     }
 
     /** Returns a membership that knows the recorded owner, and the state that the owner before it announced. */
@@ -250,6 +278,36 @@
         assertEquals("runner-3", slot.get().runner);
     }
 
+    /** A runner may drop a load that it queued and never announce it, while requests for the model go on. */
+    @Test
+    void loadThatItsRunnerHasDroppedIsOrderedOnAnother() {
+        membership.announce(GossipMapping.announcement(status(RUNNER, 2, 2, List.of(MODEL.toString()))));
+        ownerAnswer = new LoadAnswer(LoadResult.LOADING);
+        ownerAnswer.setRunner(RUNNER);
+        assertEquals(LoadResult.LOADING, load());
+        withoutMemory.add(RUNNER);
+        requestEverySecond(CONFIRM_AFTER_S + 1);
+        assertEquals("runner-2", List.copyOf(requests).getLast().getRunner(), () -> "requests: " + requests);
+    }
+
+    @Test
+    void loadThatItsRunnerStillQueuesIsNotOrderedOnAnother() {
+        membership.announce(GossipMapping.announcement(status(RUNNER, 2, 2, List.of(MODEL.toString()))));
+        ownerAnswer = new LoadAnswer(LoadResult.LOADING);
+        ownerAnswer.setRunner(RUNNER);
+        requestEverySecond(5 * CONFIRM_AFTER_S);
+        assertEquals(
+                Set.of(RUNNER), requests.stream().map(LoadRequest::getRunner).collect(Collectors.toSet()));
+        assertTrue(requests.size() <= 5, () -> "requests: " + requests);
+    }
+
+    private void requestEverySecond(int times) {
+        for (int i = 0; i < times; i++) {
+            nowMs += 1_000;
+            load();
+        }
+    }
+
     @Test
     void loadIsRefusedWhenEveryRunnerRefusesForMemory() {
         membership.announce(GossipMapping.announcement(status(RUNNER, 2, 2, List.of(MODEL.toString()))));
