coordinator: a second order leaves the reservation of an unanswered one in place

Cause: the second order for a key replaced the reservation of the first, which had got no answer. If the second was refused, memory and permit counted as free although the first order could still take effect. If it was accepted, they counted as free until the effect showed. The unanswered order's reservation now stays until an inspection shows its effect or the engine is fenced, and its permit with it. Failed before: EngineTrackerTest.refusedOrderKeepsTheMemoryOfAnEarlierUnansweredOne, acceptedOrderKeepsTheMemoryOfAnEarlierUnansweredOneUntilItsEffectIsSeen and RunnerAgentTest.refusedSecondOrderKeepsTheMemoryOfTheUnansweredOne (LOADING instead of REFUSED_MEMORY).

--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/EngineClient.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/EngineClient.java
@@ -186,11 +186,15 @@
         return answer;
     }
 
-    /** Undoes the bookkeeping of an order that had no effect and returns the refusal. */
+    /**
+     * Undoes the bookkeeping of an order that had no effect and returns the refusal. Memory and permit are kept for an
+     * earlier order without an answer.
+     */
     private LoadAnswer loadRejected(OwnedRunner owned, LoadKey key, LoadResult result, String reason) {
-        tracker.release(key);
-        orderedAtNanos.remove(key);
-        releasePermit(key);
+        if (tracker.release(key)) {
+            orderedAtNanos.remove(key);
+            releasePermit(key);
+        }
         LOG.write(CoordinatorEvent.LOAD_FAILED, owned.runner(), key, reason);
         return LoadAnswers.refusal(result, owned.runner(), reason);
     }
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/EngineTracker.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/EngineTracker.java
@@ -69,16 +69,22 @@
 
     /**
      * Reserves memory for a load order before it is sent. The order counts as answered unless {@link #quarantine}
-     * follows.
+     * follows. The reservation of an earlier order for the same key that got no answer stays, since that order may
+     * still take effect whatever becomes of the new one.
      */
     void reserve(LoadKey key, long bytes) {
         stale = true;
-        reservations.put(key, new Reservation(bytes, true));
+        reservations.putIfAbsent(key, new Reservation(bytes, true));
     }
 
-    /** Releases the reservation of an order that provably had no effect. */
-    void release(LoadKey key) {
-        reservations.remove(key);
+    /**
+     * Releases the reservation of an order that provably had no effect.
+     *
+     * @return whether nothing is reserved for the key any more; false if an earlier order for it got no answer
+     */
+    boolean release(LoadKey key) {
+        reservations.computeIfPresent(key, (ignored, reservation) -> reservation.answered() ? null : reservation);
+        return !reservations.containsKey(key);
     }
 
     /**
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/runner/EngineTrackerTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/runner/EngineTrackerTest.java
@@ -40,6 +40,30 @@
         assertEquals(MEMORY_BYTES, tracker.freeBytes());
     }
 
+    /** A later order for the same key may be refused while the unanswered one can still take effect. */
+    @Test
+    void refusedOrderKeepsTheMemoryOfAnEarlierUnansweredOne() {
+        tracker.onInspected(state(List.of()));
+        tracker.reserve(KEY, MODEL_BYTES);
+        tracker.quarantine(KEY, MODEL_BYTES);
+        tracker.reserve(KEY, MODEL_BYTES);
+        tracker.release(KEY);
+        tracker.onInspected(state(List.of()));
+        assertTrue(tracker.hasUnansweredOrders());
+        assertEquals(MEMORY_BYTES - MODEL_BYTES, tracker.freeBytes());
+    }
+
+    @Test
+    void acceptedOrderKeepsTheMemoryOfAnEarlierUnansweredOneUntilItsEffectIsSeen() {
+        tracker.onInspected(state(List.of()));
+        tracker.quarantine(KEY, MODEL_BYTES);
+        tracker.reserve(KEY, MODEL_BYTES);
+        tracker.onInspected(state(List.of()));
+        assertEquals(MEMORY_BYTES - MODEL_BYTES, tracker.freeBytes());
+        tracker.onInspected(state(List.of(loading())));
+        assertFalse(tracker.hasUnansweredOrders());
+    }
+
     @Test
     void unansweredOrderWhoseEffectIsSeenIsCountedOnce() {
         tracker.onInspected(state(List.of()));
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/runner/RunnerAgentTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/runner/RunnerAgentTest.java
@@ -217,6 +217,18 @@
                 agent.releaseIdleSlot("a").get(10, TimeUnit.SECONDS), "the unanswered load of a may still take effect");
     }
 
+    @Test
+    void refusedSecondOrderKeepsTheMemoryOfTheUnansweredOne() throws Exception {
+        agent.close();
+        start(false);
+        platform.nextOutcomes.add(new LoadOutcome.Unknown("reset"));
+        platform.nextOutcomes.add(new LoadOutcome.Refused("busy"));
+        assertEquals(LoadResult.REFUSED_FAILED, load("a"));
+        assertEquals(LoadResult.REFUSED_FAILED, load("a"));
+        assertEquals(LoadResult.LOADING, load("b"));
+        assertEquals(LoadResult.REFUSED_MEMORY, load("c"), "the unanswered load of a may still take 40 of 100 bytes");
+    }
+
     @Test
     void unansweredOrderIsReleasedOnceTheEngineIsFencedAgain() throws Exception {
         platform.nextOutcomes.add(new LoadOutcome.Unknown("reset"));
