coordinator: a load request survives that the owner of an idle slot leaves

Cause: the address of the owner that is asked to give a slot back was looked up among the live members without a check. An owner that left between planning and call ended the request with a NullPointerException. It now counts as an owner that gives nothing back. Failed before: LoadRequestHandlerTest.loadIsRefusedWhenTheOwnersOfIdleSlotsLeaveMeanwhile, with the NullPointerException.

--- a/coordinator/src/main/java/io/persimmonstack/coordinator/load/LoadRequestHandler.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/load/LoadRequestHandler.java
@@ -322,14 +322,17 @@
         return LoadAnswers.refusal(LoadResult.REFUSED_CAP, "no owner gave an idle slot of " + model + " back");
     }
 
-    /** Asks the owner of a runner to give back an idle slot of a model; returns false also if it does not answer. */
+    /** Has a runner's owner give back an idle slot of a model; returns false also if it has left or does not answer. */
     private boolean releaseSlot(RunnerView holder, String model) {
         Optional<RunnerAgent> localAgent = runners.agent(holder.runner());
+        Optional<String> owner = homes.address(holder.status().getOwnerNode());
         try {
-            return localAgent.isPresent()
-                    ? localAgent.get().releaseIdleSlot(model).get(AGENT_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                    : peers.call(
-                            ownerAddress(holder),
+            if (localAgent.isPresent()) {
+                return localAgent.get().releaseIdleSlot(model).get(AGENT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            }
+            return owner.isPresent()
+                    && peers.call(
+                            PeerAddress.parse(owner.get()),
                             CALL_TIMEOUT_MS,
                             client -> client.releaseSlot(holder.runner(), model));
         } catch (WireException | ExecutionException | TimeoutException e) {
@@ -340,11 +343,6 @@
         }
     }
 
-    private PeerAddress ownerAddress(RunnerView runner) {
-        return PeerAddress.parse(
-                view.liveMembers().get(runner.status().getOwnerNode()).address());
-    }
-
     /** Orders the load on the first candidate that accepts it; adds those that refuse for memory to the given set. */
     private LoadAnswer orderOnFirst(
             LoadRequest request, LoadKey key, List<RunnerView> candidates, Set<String> withoutMemory) {
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/load/LoadRequestHandlerTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/load/LoadRequestHandlerTest.java
@@ -78,6 +78,8 @@
 
     /** Runners whose owners were asked to release a slot, in order. */
     private final Queue<String> releasedFrom = new ConcurrentLinkedQueue<>();
+    /** Runs before an owner answers that it releases a slot or not. */
+    private volatile Runnable onRelease = () -> {};
     /** Runners whose owners refuse loads for lack of memory. */
     private final Set<String> withoutMemory = ConcurrentHashMap.newKeySet();
 
@@ -128,6 +130,7 @@
         Coordinator.Iface ownerService = (Coordinator.Iface) Proxy.newProxyInstance(
                 getClass().getClassLoader(), new Class<?>[] {Coordinator.Iface.class}, (proxy, method, arguments) -> {
                     if (method.getName().equals("releaseSlot")) {
+                        onRelease.run();
                         releasedFrom.add((String) arguments[0]);
                         return slot.isEmpty() || slot.get().release((String) arguments[0]);
                     }
@@ -308,6 +311,21 @@
         }
     }
 
+    @Test
+    void loadIsRefusedWhenTheOwnersOfIdleSlotsLeaveMeanwhile() {
+        for (String holder : List.of(RUNNER, "runner-3")) {
+            RunnerStatus status = status(holder, 2, 2, List.of(MODEL.toString()));
+            status.setUsedBytes(status.getMemoryBytes());
+            membership.announce(GossipMapping.announcement(status));
+        }
+        slot = Optional.of(new Slot("runner-4"));
+        onRelease = () -> membership.onDeliver(
+                member("entry-2", 2, "127.0.0.1:1").withStatus(MemberStatus.DEAD),
+                new Updates<>(List.of(), List.of(), 0));
+        assertEquals(LoadResult.REFUSED_CAP, load());
+        assertEquals(1, releasedFrom.size(), "the owner of the second slot has left");
+    }
+
     @Test
     void loadIsRefusedWhenEveryRunnerRefusesForMemory() {
         membership.announce(GossipMapping.announcement(status(RUNNER, 2, 2, List.of(MODEL.toString()))));
