coordinator: a malformed model name in a report ends no batch

Cause: an IllegalArgumentException of the name's parser left the loop over reported uses, and that over demand statistics; the entries after the malformed one were lost. Such an entry is now logged and skipped; uses have the new event 3045.

--- a/coordinator/src/main/java/io/persimmonstack/coordinator/CoordinatorEvent.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/CoordinatorEvent.java
@@ -56,6 +56,8 @@
     STATISTICS_UNREADABLE(3042, Level.WARN, "statistics of the demand for {} cannot be read: {}"),
     /** A gone runner was taken over from an owner that cannot act; the detail is whether its slots were given back. */
     GONE_RUNNER_CLEARED(3044, Level.INFO, "runner {} is gone, its slots: {}"),
+    /** A reported use of a model names the model in a malformed way; it is skipped. */
+    USE_UNREADABLE(3045, Level.WARN, "reported use of {} cannot be read: {}"),
     /** A periodic task threw an exception; it runs again after its interval. */
     TASK_FAILED(3050, Level.ERROR, "task {} failed: {}");
 
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/load/DemandStatisticsReplicator.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/load/DemandStatisticsReplicator.java
@@ -204,7 +204,7 @@
                     demandTracker.adopt(
                             new LoadKey(model, Optional.ofNullable(entry.getAdapter())), entry.getStatistics());
                 }
-            } catch (StatisticsException e) {
+            } catch (StatisticsException | IllegalArgumentException e) {
                 LOG.write(CoordinatorEvent.STATISTICS_UNREADABLE, entry.getModel(), e.getMessage());
             }
         }
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/load/UseReportForwarder.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/load/UseReportForwarder.java
@@ -3,9 +3,11 @@
 import io.persimmonstack.coordination.membership.Member;
 import io.persimmonstack.coordination.model.ModelVersion;
 import io.persimmonstack.coordination.time.TimeSource;
+import io.persimmonstack.coordinator.CoordinatorEvent;
 import io.persimmonstack.coordinator.gossip.NodeAttributes;
 import io.persimmonstack.coordinator.runner.Runners;
 import io.persimmonstack.coordinator.view.FleetView;
+import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.PeerAddress;
 import io.persimmonstack.wire.ThriftPeers;
 import io.persimmonstack.wire.WireException;
@@ -25,6 +27,7 @@
  * the models, which decide on preloading. Both learn the demand from them. Thread-safe.
  */
 public final class UseReportForwarder {
+    private static final EventLog LOG = EventLog.of(UseReportForwarder.class);
     private static final int CALL_TIMEOUT_MS = 1_000;
     private final FleetView view;
     private final ModelHomes homes;
@@ -67,7 +70,8 @@
     }
 
     /**
-     * Records the uses that concern this node and, for a router's report, forwards the others.
+     * Records the uses that concern this node and, for a router's report, forwards the others. Logs and skips uses
+     * whose model name is malformed.
      *
      * @param uses requests since the last report
      * @param hops 0 for a report from a router, 1 for one forwarded by a coordinator, which is not forwarded again
@@ -75,6 +79,9 @@
     public void report(List<ModelUse> uses, int hops) {
         Map<String, List<ModelUse>> usesByNode = new HashMap<>();
         for (ModelUse use : uses) {
+            if (!hasValidModel(use)) {
+                continue;
+            }
             Set<String> receivers = hops == 0 ? receivers(use) : Set.of(homes.self());
             for (String node : receivers) {
                 if (node.equals(homes.self())) {
@@ -89,6 +96,17 @@
         usesByNode.forEach(this::forward);
     }
 
+    /** Returns whether the name of a model can be read; logs why not. */
+    private static boolean hasValidModel(ModelUse use) {
+        try {
+            baseKey(use);
+            return true;
+        } catch (IllegalArgumentException e) {
+            LOG.write(CoordinatorEvent.USE_UNREADABLE, use.getModel(), e.getMessage());
+            return false;
+        }
+    }
+
     /** Returns the nodes that a router's report of a use goes to: the owner of the runner and the home of the model. */
     private Set<String> receivers(ModelUse use) {
         Set<String> nodes = new HashSet<>();
