coordinator: a watch of the configuration that ends early is opened again

Cause: the end of a watch cleared the reference to it. An end that was reported before the opening call returned was overwritten by the ended watch, which counted as open for good; a late report of an earlier watch cleared the current one, which was then opened twice. Each watch now remembers its own end. Failed before: ConfigurationUpdaterTest.watchThatEndsWhileItIsOpenedIsOpenedAgain (1 watch instead of 2) and lateEndOfAnEarlierWatchLeavesTheCurrentOneOpen (3 instead of 2).

--- a/coordinator/src/main/java/io/persimmonstack/coordinator/config/ConfigurationUpdater.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/config/ConfigurationUpdater.java
@@ -36,7 +36,9 @@
     private final KvStore kv;
     private final ConfigurationStore store;
     private final ThriftPeers<Coordinator.Client> peers;
-    private final AtomicReference<KvSubscription> watchSubscription = new AtomicReference<>();
+    /** The watch opened last, which may have ended; null while this node does not watch. */
+    private final AtomicReference<OpenWatch> watch = new AtomicReference<>();
+
     private final AtomicBoolean fetchInProgress = new AtomicBoolean();
 
     private ConfigurationUpdater(
@@ -94,10 +96,11 @@
         int rank =
                 RendezvousHash.ranked(WATCHER_HASH_KEY_PREFIX + zone, zoneNodes).indexOf(self.node());
         boolean shouldWatch = rank >= 0 && rank < watchersPerZone;
-        if (shouldWatch && watchSubscription.get() == null) {
+        OpenWatch current = watch.get();
+        if (shouldWatch && (current == null || current.watcher().ended)) {
             openWatch();
         } else if (!shouldWatch) {
-            closeWatch(watchSubscription.getAndSet(null));
+            closeWatch(watch.getAndSet(null));
         }
     }
 
@@ -105,15 +108,17 @@
         try {
             long fromRevision = kv.list(ConfigurationStore.HEAD_KEY).revision() + 1;
             refresh();
-            watchSubscription.set(kv.watch(ConfigurationStore.HEAD_KEY, fromRevision, new HeadWatcher()));
+            HeadWatcher watcher = new HeadWatcher();
+            KvSubscription subscription = kv.watch(ConfigurationStore.HEAD_KEY, fromRevision, watcher);
+            watch.set(new OpenWatch(subscription, watcher));
         } catch (KvException e) {
             LOG.write(CoordinatorEvent.CONFIGURATION_READ_FAILED, e.getMessage());
         }
     }
 
-    private static void closeWatch(KvSubscription openSubscription) {
-        if (openSubscription != null) {
-            openSubscription.close();
+    private static void closeWatch(OpenWatch openWatch) {
+        if (openWatch != null) {
+            openWatch.subscription().close();
         }
     }
 
@@ -162,10 +167,15 @@
 
     @Override
     public void close() {
-        closeWatch(watchSubscription.getAndSet(null));
+        closeWatch(watch.getAndSet(null));
     }
 
+    private record OpenWatch(KvSubscription subscription, HeadWatcher watcher) {}
+
     private final class HeadWatcher implements KvWatcher {
+        /** Whether the watch has ended; it may end before the call that opens it returns. */
+        private volatile boolean ended;
+
         @Override
         public void changed(KvChange change) {
             Thread.ofVirtual().name("configuration-refresh").start(ConfigurationUpdater.this::refresh);
@@ -173,7 +183,7 @@
 
         @Override
         public void ended(KvException cause) {
-            watchSubscription.set(null);
+            ended = true;
         }
     }
 }
