coordinator: LoadHistory loses no concurrent record

Cause: reading an entry and writing it back with one occurrence replaced were two steps, so a record between them was lost. Both are one step now. Failed before: LoadHistoryTest.recordsOfOneThreadAreNotLostToThoseOfAnother, after 14,704 of 200,000 records.

--- a/coordinator/src/main/java/io/persimmonstack/coordinator/load/LoadHistory.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/load/LoadHistory.java
@@ -45,19 +45,19 @@
     }
 
     /** Records that a router requested a load. */
-    public void recordRequested(LoadKey key, Occurrence occurrence) {
+    public synchronized void recordRequested(LoadKey key, Occurrence occurrence) {
         Entry previous = entryOrEmpty(key);
         put(new Entry(key, Optional.of(occurrence), previous.lastRefused(), previous.lastUnloaded()));
     }
 
     /** Records that a load request was refused. */
-    public void recordRefused(LoadKey key, Occurrence occurrence) {
+    public synchronized void recordRefused(LoadKey key, Occurrence occurrence) {
         Entry previous = entryOrEmpty(key);
         put(new Entry(key, previous.lastRequested(), Optional.of(occurrence), previous.lastUnloaded()));
     }
 
     /** Records that a model or adapter was unloaded. */
-    public void recordUnloaded(LoadKey key, Occurrence occurrence) {
+    public synchronized void recordUnloaded(LoadKey key, Occurrence occurrence) {
         Entry previous = entryOrEmpty(key);
         put(new Entry(key, previous.lastRequested(), previous.lastRefused(), Optional.of(occurrence)));
     }
@@ -67,11 +67,11 @@
         return keys.stream().map(entries::get).filter(entry -> entry != null).toList();
     }
 
-    private synchronized Entry entryOrEmpty(LoadKey key) {
+    private Entry entryOrEmpty(LoadKey key) {
         return entries.getOrDefault(key, new Entry(key, Optional.empty(), Optional.empty(), Optional.empty()));
     }
 
-    private synchronized void put(Entry entry) {
+    private void put(Entry entry) {
         entries.remove(entry.key());
         entries.put(entry.key(), entry);
         if (entries.size() > MAX_ENTRIES) {
