node: the load that is reported to the leader is collected in a class of its own

The counts of arrived requests, the demand of queued requests and expected retries, and the unreachable runners move into LocalLoadCollector unchanged, still under the placer's lock. PlacerTest, which covers the drained demand, passes unchanged.

--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/placing/LocalLoadCollector.java
@@ -0,0 +1,106 @@
+package io.persimmonstack.node.placing;
+
+import io.persimmonstack.node.request.ActiveRequest;
+import io.persimmonstack.node.request.ModelRef;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Collects the load of this node for its report to the leader: requests in progress at runners, demand for models, and
+ * unreachable runners. Not thread-safe; guarded by the lock of {@link Placer}.
+ */
+final class LocalLoadCollector {
+    /** Requests that arrived since the last report. */
+    private final Map<DemandKey, Integer> arrivalCounts = new HashMap<>();
+
+    private final ModelArrivalTracker modelArrivals;
+
+    private record DemandKey(String service, ModelRef model) {}
+
+    /**
+     * Creates a collector that has counted no arrivals.
+     *
+     * @param modelArrivals refused requests whose callers are expected to retry
+     */
+    LocalLoadCollector(ModelArrivalTracker modelArrivals) {
+        this.modelArrivals = modelArrivals;
+    }
+
+    /** Counts a request that has arrived at this node; one without a model is no demand. */
+    void countArrival(ActiveRequest request) {
+        request.callerRequest()
+                .model()
+                .ifPresent(model ->
+                        arrivalCounts.merge(new DemandKey(request.service().name(), model), 1, Integer::sum));
+    }
+
+    /**
+     * Returns the load of this node and resets the counts of arrived requests.
+     *
+     * @param trackers all runners
+     * @param queue requests that wait for a runner
+     * @param nowNanos current monotonic time
+     */
+    LocalLoad drain(Collection<RunnerLoadTracker> trackers, Collection<QueuedRequest> queue, long nowNanos) {
+        List<RunnerUsage> usages =
+                trackers.stream().flatMap(tracker -> tracker.usages().stream()).toList();
+        List<String> unreachableRunners = trackers.stream()
+                .filter(tracker -> tracker.isUnreachable(nowNanos))
+                .map(tracker -> tracker.runner().id())
+                .toList();
+        return new LocalLoad(usages, drainDemand(trackers, queue, nowNanos), unreachableRunners);
+    }
+
+    private List<ModelDemand> drainDemand(
+            Collection<RunnerLoadTracker> trackers, Collection<QueuedRequest> queue, long nowNanos) {
+        Map<DemandKey, List<ActiveRequest>> requestsByKey = new HashMap<>();
+        arrivalCounts.keySet().forEach(key -> requestsByKey.put(key, new ArrayList<>()));
+        queue.forEach(queued -> queued.request()
+                .callerRequest()
+                .model()
+                .ifPresent(model -> addTo(requestsByKey, queued.request(), model)));
+        modelArrivals.expectedRetries(nowNanos).stream()
+                .filter(retry -> !isHeld(retry, trackers, nowNanos))
+                .forEach(retry -> addTo(requestsByKey, retry.request(), retry.model()));
+        List<ModelDemand> demands = new ArrayList<>();
+        requestsByKey.forEach((key, requests) -> demands.add(demand(key, requests, nowNanos)));
+        arrivalCounts.clear();
+        return demands;
+    }
+
+    /**
+     * Returns whether the model of a refused request is available by now. Its expected retry then no longer counts as
+     * demand, so that the model can be evicted for models that requests wait for.
+     */
+    private static boolean isHeld(
+            ModelArrivalTracker.ExpectedRetry retry, Collection<RunnerLoadTracker> trackers, long nowNanos) {
+        String service = retry.request().service().name();
+        return trackers.stream()
+                .filter(tracker -> tracker.runner().service().equals(service))
+                .anyMatch(tracker -> !tracker.runner().leaving() && tracker.holds(retry.model(), nowNanos));
+    }
+
+    private static void addTo(
+            Map<DemandKey, List<ActiveRequest>> requestsByKey, ActiveRequest request, ModelRef model) {
+        DemandKey key = new DemandKey(request.service().name(), model);
+        requestsByKey.computeIfAbsent(key, ignored -> new ArrayList<>()).add(request);
+    }
+
+    private ModelDemand demand(DemandKey key, List<ActiveRequest> requests, long nowNanos) {
+        Optional<ActiveRequest> oldest = requests.stream().min(Comparator.comparingLong(ActiveRequest::receivedNanos));
+        return new ModelDemand(
+                key.service(),
+                key.model(),
+                requests.size(),
+                arrivalCounts.getOrDefault(key, 0),
+                oldest.map(request -> TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos()))
+                        .orElse(0L),
+                oldest.map(request -> (long) request.route().targetLatencyMs()).orElse(0L));
+    }
+}
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -9,7 +9,6 @@
 import io.persimmonstack.router.request.Jitter;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,17 +31,13 @@
     private final ReentrantLock lock = new ReentrantLock();
     private final Map<String, RunnerLoadTracker> trackers = new HashMap<>();
     private final PriorityQueue<QueuedRequest> queue = new PriorityQueue<>();
-    /** Requests that arrived since the last report to the leader. */
-    private final Map<DemandKey, Integer> arrivalCounts = new HashMap<>();
-
     private final PromptAffinityCache promptAffinity = new PromptAffinityCache();
     private final ModelArrivalTracker modelArrivals = new ModelArrivalTracker();
+    private final LocalLoadCollector loadCollector = new LocalLoadCollector(modelArrivals);
     private final FleetView fleet;
     private final String zone;
     private volatile Runnable onQueued = () -> {};
 
-    private record DemandKey(String service, ModelRef model) {}
-
     private Placer(FleetView fleet, String zone) {
         this.fleet = fleet;
         this.zone = zone;
@@ -75,7 +70,7 @@
         QueuedRequest queued = new QueuedRequest(request, excludedRunners, deadlineNanos);
         lock.lock();
         try {
-            countArrival(request);
+            loadCollector.countArrival(request);
             Optional<Placement> placed = tryPlace(queued);
             if (placed.isPresent()) {
                 return placed.get();
@@ -156,13 +151,6 @@
         }
     }
 
-    private void countArrival(ActiveRequest request) {
-        request.callerRequest()
-                .model()
-                .ifPresent(model ->
-                        arrivalCounts.merge(new DemandKey(request.service().name(), model), 1, Integer::sum));
-    }
-
     private Optional<Placement> tryPlace(QueuedRequest queued) {
         ActiveRequest request = queued.request();
         long expectedTokens = request.callerRequest().tokens().likelyTotal();
@@ -358,60 +346,9 @@
     public LocalLoad drainLoad() {
         lock.lock();
         try {
-            long nowNanos = System.nanoTime();
-            List<RunnerUsage> usages = trackers.values().stream()
-                    .flatMap(tracker -> tracker.usages().stream())
-                    .toList();
-            List<String> unreachableRunners = trackers.values().stream()
-                    .filter(tracker -> tracker.isUnreachable(nowNanos))
-                    .map(tracker -> tracker.runner().id())
-                    .toList();
-            return new LocalLoad(usages, drainDemand(nowNanos), unreachableRunners);
+            return loadCollector.drain(trackers.values(), queue, System.nanoTime());
         } finally {
             lock.unlock();
         }
     }
-
-    private List<ModelDemand> drainDemand(long nowNanos) {
-        Map<DemandKey, List<ActiveRequest>> requestsByKey = new HashMap<>();
-        arrivalCounts.keySet().forEach(key -> requestsByKey.put(key, new ArrayList<>()));
-        queue.forEach(queued -> queued.request()
-                .callerRequest()
-                .model()
-                .ifPresent(model -> addTo(requestsByKey, queued.request(), model)));
-        modelArrivals.expectedRetries(nowNanos).stream()
-                .filter(retry -> !isHeld(retry, nowNanos))
-                .forEach(retry -> addTo(requestsByKey, retry.request(), retry.model()));
-        List<ModelDemand> demands = new ArrayList<>();
-        requestsByKey.forEach((key, requests) -> demands.add(demand(key, requests, nowNanos)));
-        arrivalCounts.clear();
-        return demands;
-    }
-
-    /**
-     * Returns whether the model of a refused request is available by now. Its expected retry then no longer counts as
-     * demand, so that the model can be evicted for models that requests wait for.
-     */
-    private boolean isHeld(ModelArrivalTracker.ExpectedRetry retry, long nowNanos) {
-        return trackersOf(retry.request().service().name()).stream()
-                .anyMatch(tracker -> !tracker.runner().leaving() && tracker.holds(retry.model(), nowNanos));
-    }
-
-    private static void addTo(
-            Map<DemandKey, List<ActiveRequest>> requestsByKey, ActiveRequest request, ModelRef model) {
-        DemandKey key = new DemandKey(request.service().name(), model);
-        requestsByKey.computeIfAbsent(key, ignored -> new ArrayList<>()).add(request);
-    }
-
-    private ModelDemand demand(DemandKey key, List<ActiveRequest> requests, long nowNanos) {
-        Optional<ActiveRequest> oldest = requests.stream().min(Comparator.comparingLong(ActiveRequest::receivedNanos));
-        return new ModelDemand(
-                key.service(),
-                key.model(),
-                requests.size(),
-                arrivalCounts.getOrDefault(key, 0),
-                oldest.map(request -> TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos()))
-                        .orElse(0L),
-                oldest.map(request -> (long) request.route().targetLatencyMs()).orElse(0L));
-    }
 }
