node: equal names of models in two services no longer mix in the planner

Cause: the duration of unmet demand was kept by the model's name alone, so a service that holds a model ended the unmet demand for another model of the same name, and one service's durations were visible to the other. The remaining time of a load in progress was also looked up by the name alone. Both now count per service.

--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -227,12 +227,13 @@
                 activeStoreLoads,
                 storeLoadAllowed(engine, nowNanos),
                 nowNanos - runnersChangedNanos > STABLE_AFTER_NANOS);
-        unmetDemand.observe(observed, nowNanos);
-        ServiceState state = observed.withUnmet(unmetDemand.durationsMs(nowNanos));
+        unmetDemand.observe(service, observed, nowNanos);
+        ServiceState state = observed.withUnmet(unmetDemand.durationsMs(service, nowNanos));
         ModelPolicy.plan(state).forEach(directive -> submit(directive, state));
         AdapterPolicy.plan(state).forEach(directive -> submit(directive, state));
         Map<String, Long> remainingLoadMs = new HashMap<>();
         trackers.values().stream()
+                .filter(tracker -> tracker.runner().service().equals(service))
                 .flatMap(tracker -> tracker.loadInProgress(nowNanos).stream())
                 .forEach(load -> remainingLoadMs.merge(load.model(), load.remainingMs(), Math::min));
         return ArrivalEstimator.estimate(service, state, remainingLoadMs);
--- a/node/src/main/java/io/persimmonstack/node/planning/UnmetDemandTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/UnmetDemandTracker.java
@@ -12,13 +12,15 @@
     /** Time without waiting requests after which unmet demand is dropped. */
     private static final long EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    private final Map<String, Span> spans = new HashMap<>();
+    /** Unmet demand by service, then by the name of the model; services may use equal names for different models. */
+    private final Map<String, Map<String, Span>> spansByService = new HashMap<>();
 
     /** Monotonic times at which unmet demand for a model was first and last observed. */
     private record Span(long sinceNanos, long seenNanos) {}
 
-    /** Updates the tracked models from the current demand and runners. */
-    void observe(ServiceState state, long nowNanos) {
+    /** Updates the tracked models of a service from its current demand and runners. */
+    void observe(String service, ServiceState state, long nowNanos) {
+        Map<String, Span> spans = spansOf(service);
         ServiceAggregates.demandByModel(state).forEach((model, demand) -> {
             if (demand.waiting() > 0) {
                 long since = spans.containsKey(model) ? spans.get(model).sinceNanos() : nowNanos;
@@ -29,11 +31,16 @@
         spans.values().removeIf(span -> nowNanos - span.seenNanos() > EXPIRY_NANOS);
     }
 
-    /** Returns for how long the demand for each model has been unmet, in milliseconds. */
-    Map<String, Long> durationsMs(long nowNanos) {
+    /** Returns for how long the demand for each model of a service has been unmet, in milliseconds. */
+    Map<String, Long> durationsMs(String service, long nowNanos) {
         Map<String, Long> durationsMs = new HashMap<>();
-        spans.forEach(
-                (model, span) -> durationsMs.put(model, TimeUnit.NANOSECONDS.toMillis(nowNanos - span.sinceNanos())));
+        spansOf(service)
+                .forEach((model, span) ->
+                        durationsMs.put(model, TimeUnit.NANOSECONDS.toMillis(nowNanos - span.sinceNanos())));
         return durationsMs;
     }
+
+    private Map<String, Span> spansOf(String service) {
+        return spansByService.computeIfAbsent(service, ignored -> new HashMap<>());
+    }
 }
