--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
@@ -46,12 +46,15 @@
         return runner;
     }
 
-    /** Replaces the runner's entry; for a new process, discards failures, backoffs and models of the earlier one. */
+    /**
+     * Replaces the runner's entry; for a new process, discards failures, backoffs and the leader's snapshot of the
+     * earlier one.
+     */
     void updateRunner(Runner newer) {
         if (!runner.isSameProcess(newer)) {
             missingUntilNanos.clear();
             failureNanos.clear();
-            reportedModels = Optional.empty();
+            discardSnapshot();
             avoidUntilNanos = Long.MIN_VALUE;
             unreachableUntilNanos = Long.MIN_VALUE;
         }
