node: the leader forgets request rates that have decayed to 0

Cause: a rate meter was kept for every model and adapter ever reported. Demand with neither waiting requests nor a rate is no longer listed; waiting requests count also without a meter.

--- a/node/src/main/java/io/persimmonstack/node/planning/NodeReports.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/NodeReports.java
@@ -75,23 +75,37 @@
                 .toList();
     }
 
-    /** Returns the total demand of all nodes for each model and adapter of a service. */
+    /**
+     * Returns the total demand of all nodes for each model and adapter of a service, without those that have neither
+     * waiting requests nor a request rate. Forgets rates that have decayed to 0.
+     */
     synchronized List<FleetDemand> demands(String service, long nowNanos) {
         Map<ModelRef, FleetDemand> totals = new HashMap<>();
-        rateMeters.forEach((key, meter) -> {
-            if (key.service().equals(service)) {
-                totals.put(key.model(), new FleetDemand(key.model(), 0, 0, 0, meter.perSecond(nowNanos)));
+        rateMeters.entrySet().removeIf(entry -> {
+            if (!entry.getKey().service().equals(service)) {
+                return false;
             }
+            double perSecond = entry.getValue().perSecond(nowNanos);
+            if (perSecond > 0) {
+                ModelRef model = entry.getKey().model();
+                totals.put(model, new FleetDemand(model, 0, 0, 0, perSecond));
+            }
+            return perSecond == 0;
         });
         reports.values().stream()
                 .filter(report -> nowNanos - report.receivedNanos() <= REPORT_VALID_NANOS)
                 .flatMap(report -> report.demands().stream())
-                .filter(demand -> demand.service().equals(service))
-                .forEach(demand -> totals.computeIfPresent(demand.model(), (model, total) -> add(total, demand)));
+                .filter(demand -> demand.service().equals(service) && demand.waiting() > 0)
+                .forEach(demand -> totals.compute(demand.model(), (model, total) -> add(total, demand)));
         return new ArrayList<>(totals.values());
     }
 
+    /** Adds the demand of one node to a total, which is null if there is none yet. */
     private static FleetDemand add(FleetDemand total, ModelDemand demand) {
+        if (total == null) {
+            return new FleetDemand(
+                    demand.model(), demand.waiting(), demand.oldestWaitMs(), demand.targetLatencyMs(), 0);
+        }
         return new FleetDemand(
                 total.model(),
                 total.waiting() + demand.waiting(),
