backends: limit what a response sends between two parts of its body

Cause: nothing limited the bytes of a chunked body that belong to no part of it. Undertow skips chunk extensions and digits of a chunk size for as long as they come, and collects trailers in memory without a limit. Change: a response that sends more than 64 KB between two parts of its body fails as TOO_LARGE. The I/O thread gathers what can be read at once into one part, and pauses at 512 unread parts as well as at the limit in bytes: a part of one byte costs far more memory than one byte. Failed before (EndlessResponseTest, 20 s timeouts): an endless chunk size, chunk extension and trailer fields kept the I/O thread busy until the timeout of 20 s, and the caller waited for it; an endless trailer value was read for 305 MB in 3 s, until an OutOfMemoryError on the I/O thread. In the node, that ends the requests of all callers. Now: all of these fail at once; no test of the class takes more than 1 s.

--- a/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
@@ -19,6 +19,9 @@
  */
 final class ExchangeDriver {
     private static final int MAX_HEAD_BYTES = 64 * 1024;
+    /** Most bytes between two parts of a body that belong to neither: chunk sizes, their extensions and trailers. */
+    private static final int MAX_FRAMING_BYTES = 64 * 1024;
+
     private static final HttpString REQUEST_ID = HttpString.tryFromString("X-Request-Id");
     private final PooledConnection connection;
     private final HttpRequest request;
@@ -26,6 +29,7 @@
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.NEW);
     private long bytesWrittenBefore;
     private volatile long bytesReadBefore;
+    private long bytesReadAtLastPart;
     private volatile boolean requestComplete;
     private volatile StreamSourceChannel responseChannel;
 
@@ -176,6 +180,7 @@
                     new IOException("X-Request-Id '" + responseId + "'; expected '" + expectedId + "'"));
             return;
         }
+        bytesReadAtLastPart = connection.bytesRead();
         responseChannel = exchange.getResponseChannel();
         responseChannel.getReadSetter().set(this::readBody);
         buffer.setHead(response);
@@ -189,33 +194,60 @@
         }
         try (PooledByteBuffer pooled =
                 connection.clientConnection().getBufferPool().allocate()) {
-            ByteBuffer chunk = pooled.getBuffer();
-            while (true) {
-                chunk.clear();
-                int count = channel.read(chunk);
-                if (count < 0) {
-                    channel.suspendReads();
-                    buffer.complete();
-                    return;
-                }
-                if (count == 0) {
-                    channel.resumeReads();
-                    return;
-                }
-                if (!buffer.offer(copy(chunk))) {
-                    channel.suspendReads();
-                    return;
-                }
+            readParts(channel, pooled.getBuffer());
+        }
+    }
+
+    private void readParts(StreamSourceChannel channel, ByteBuffer part) {
+        try {
+            boolean accepted = true;
+            int count = 1;
+            while (accepted && count > 0) {
+                count = fill(channel, part);
+                accepted = offer(part);
+            }
+            if (count < 0) {
+                channel.suspendReads();
+                buffer.complete();
+            } else if (!accepted) {
+                channel.suspendReads();
+            } else if (connection.bytesRead() - bytesReadAtLastPart > MAX_FRAMING_BYTES) {
+                String message = "more than " + MAX_FRAMING_BYTES + " bytes between two parts of the body";
+                fail(HttpFailure.Kind.TOO_LARGE, new IOException(message));
+            } else {
+                channel.resumeReads();
             }
         } catch (IOException e) {
+            offer(part);
             fail(HttpFailure.Kind.LOST, e);
         }
     }
 
+    /**
+     * Gathers what can be read without waiting, so that tiny chunks do not become as many parts. Returns the result of
+     * the last read: 0 if nothing more has arrived, negative at the end of the body, positive if the part is full.
+     */
+    private int fill(StreamSourceChannel channel, ByteBuffer part) throws IOException {
+        int count = 1;
+        while (count > 0 && part.hasRemaining()) {
+            count = channel.read(part);
+            if (count > 0) {
+                bytesReadAtLastPart = connection.bytesRead();
+            }
+        }
+        return count;
+    }
+
+    /** Hands a part to the reading thread and empties it. Returns whether more may be read from the connection. */
+    private boolean offer(ByteBuffer part) {
+        return part.position() == 0 || buffer.offer(copy(part));
+    }
+
     private static byte[] copy(ByteBuffer chunk) {
         chunk.flip();
         byte[] content = new byte[chunk.remaining()];
         chunk.get(content);
+        chunk.clear();
         return content;
     }
 
--- a/backends/src/main/java/io/persimmonstack/backends/http/ResponseBuffer.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ResponseBuffer.java
@@ -9,9 +9,12 @@
 
 /**
  * Response in transit from the I/O thread to the reading thread. Reading from the connection pauses while the buffer
- * holds its capacity or more, and resumes once it is at most half full. Thread-safe.
+ * holds its capacity, in bytes or in parts, and resumes once it is at most half full. Thread-safe.
  */
 final class ResponseBuffer {
+    /** Most parts that wait for their reader. Each costs memory besides its bytes, however small it is. */
+    private static final int MAX_PARTS = 512;
+
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition stateChanged = lock.newCondition();
     private final ArrayDeque<byte[]> chunks = new ArrayDeque<>();
@@ -53,7 +56,7 @@
         try {
             chunks.add(chunk);
             bufferedBytes += chunk.length;
-            paused = bufferedBytes >= capacityBytes;
+            paused = bufferedBytes >= capacityBytes || chunks.size() >= MAX_PARTS;
             stateChanged.signalAll();
             return !paused;
         } finally {
@@ -170,7 +173,7 @@
         byte[] chunk = chunks.poll();
         if (chunk != null) {
             bufferedBytes -= chunk.length;
-            boolean resume = paused && bufferedBytes <= capacityBytes / 2;
+            boolean resume = paused && bufferedBytes <= capacityBytes / 2 && chunks.size() <= MAX_PARTS / 2;
             paused = paused && !resume;
             return Optional.of(new Part.Bytes(chunk, resume));
         }
