backends: tell the waiting thread of an unexpected exception on the I/O thread

Cause: XNIO only logs an exception of a task or listener. The thread that waits for the response learned nothing. Change: every task of an exchange that runs on the I/O thread reports such an exception as a failure (LOST), with whether anything had been sent. Failed before (EndlessResponseTest.requestThatTheLibraryRefusesFailsWithoutAWait): a request with a header name that Undertow refuses ended as FIRST_BYTE_TIMEOUT after 20 s, as if it might have run; the caller would wait for its whole time limit and could not be told that it may try again. Now: fails at once, as not sent.

--- a/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
@@ -51,7 +51,7 @@
 
     /** Schedules the exchange on the I/O thread. */
     void start() {
-        connection.runOnIoThread(this::send);
+        connection.runOnIoThread(() -> failOnError(this::send));
     }
 
     /**
@@ -64,7 +64,7 @@
 
     /** Resumes reading the body after the buffer was drained to half its capacity. */
     void resumeReading() {
-        connection.runOnIoThread(() -> readBody(responseChannel));
+        connection.runOnIoThread(() -> failOnError(() -> readBody(responseChannel)));
     }
 
     /**
@@ -86,6 +86,18 @@
         return new HttpFailure(HttpFailure.Kind.TOO_LARGE, message, true, cause);
     }
 
+    /**
+     * Runs a task on the I/O thread, which only logs an exception that it does not expect; the thread that waits for
+     * the response has to learn of it too.
+     */
+    private void failOnError(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            fail(HttpFailure.Kind.LOST, new IOException(e));
+        }
+    }
+
     /** Returns whether the whole request has been written. */
     boolean requestComplete() {
         return requestComplete;
@@ -104,7 +116,7 @@
         connection.clientConnection().sendRequest(toUndertowRequest(), new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
-                exchangeStarted(exchange);
+                failOnError(() -> exchangeStarted(exchange));
             }
 
             @Override
@@ -136,7 +148,7 @@
         exchange.setResponseListener(new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchangeWithResponse) {
-                responseStarted(exchangeWithResponse);
+                failOnError(() -> responseStarted(exchangeWithResponse));
             }
 
             @Override
@@ -146,7 +158,7 @@
         });
         StreamSinkChannel sink = exchange.getRequestChannel();
         ByteBuffer body = ByteBuffer.wrap(request.body());
-        sink.getWriteSetter().set(channel -> write(channel, body));
+        sink.getWriteSetter().set(channel -> failOnError(() -> write(channel, body)));
         write(sink, body);
     }
 
@@ -182,7 +194,7 @@
         }
         bytesReadAtLastPart = connection.bytesRead();
         responseChannel = exchange.getResponseChannel();
-        responseChannel.getReadSetter().set(this::readBody);
+        responseChannel.getReadSetter().set(channel -> failOnError(() -> readBody(channel)));
         buffer.setHead(response);
         readBody(responseChannel);
     }
--- a/backends/src/test/java/io/persimmonstack/backends/http/EndlessResponseTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/http/EndlessResponseTest.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.backends.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -176,6 +177,18 @@
         }
     }
 
+    /** A field name that the client library refuses, because it has characters of more than one byte. */
+    @Test
+    void requestThatTheLibraryRefusesFailsWithoutAWait() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((connection, number) -> connection.awaitClose())) {
+            HttpRequest request = HttpRequest.get("/").with("X-\u0100", "value");
+            HttpFailure failure =
+                    assertThrows(HttpFailure.class, () -> connector.open(server.address(), request, LONG_TIMEOUTS));
+            assertEquals(HttpFailure.Kind.LOST, failure.kind(), failure.getMessage());
+            assertFalse(failure.sent());
+        }
+    }
+
     /** A peer that sends faster than its reader reads, in parts of one byte, must not fill the memory with parts. */
     @Test
     void numberOfUnreadPartsIsLimited() throws Exception {
