backends: limit the time and the shared memory of a body that is read as a whole

Cause: only the time between two parts of a body was limited, so a body of one byte each 100 ms went on for as long as the peer liked; and each call could take its whole size limit of memory, however many did so at once. Change: reading a whole body has a deadline, ten times the timeout between two parts unless the caller names one. A caller may name a memory that large bodies share; a connector keeps one of a quarter of the heap for that. Failed before (EndlessResponseTest.dribbledBodyEndsWithoutATimeLimitOfItsOwn): not ended after 60 s with timeouts of 500 ms. Now: PROGRESS_TIMEOUT after 5 s. The other two tests use the new limits.

--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
@@ -28,6 +28,8 @@
     private static final EventLog LOG = EventLog.of(HttpCall.class);
     /** Interval at which the watcher is asked again about a peer that remains silent. */
     private static final int SILENCE_CHECK_INTERVAL_MS = 100;
+    /** Longest time in which a whole body has to arrive, as a multiple of the timeout between two of its parts. */
+    private static final int PROGRESS_TIMEOUTS_PER_BODY = 10;
 
     private final PooledConnection connection;
     private final ConnectionPool pool;
@@ -38,6 +40,7 @@
     private volatile int progressMs;
     private final AtomicBoolean connectionReleased = new AtomicBoolean();
     private final InputStream body;
+    private Optional<BodyLimit> bodyLimit = Optional.empty();
     private ClientResponse head;
 
     private HttpCall(
@@ -108,13 +111,29 @@
     }
 
     /**
-     * Reads the rest of the body.
+     * Reads the rest of the body within ten times the timeout between two of its parts.
      *
      * @param maxBytes largest body that is accepted, in bytes
      * @return the body
      * @throws HttpFailure if the body is larger or did not arrive completely
      */
     public byte[] readAll(int maxBytes) throws HttpFailure {
+        long timeoutMs = (long) PROGRESS_TIMEOUTS_PER_BODY * timeouts.progressMs();
+        return readAll(maxBytes, (int) Math.min(Integer.MAX_VALUE, timeoutMs), BodyMemory.unlimited());
+    }
+
+    /**
+     * Reads the rest of the body.
+     *
+     * @param maxBytes largest body that is accepted, in bytes
+     * @param timeoutMs longest time until the end of the body, in milliseconds, even if parts of it keep arriving
+     * @param memory memory that a large body takes until the call is closed
+     * @return the body
+     * @throws HttpFailure if the body is larger, finds no memory or did not arrive completely
+     */
+    public byte[] readAll(int maxBytes, int timeoutMs, BodyMemory memory) throws HttpFailure {
+        bodyLimit.ifPresent(BodyLimit::close);
+        bodyLimit = Optional.of(BodyLimit.of(timeoutMs, memory));
         try {
             byte[] content = body.readNBytes(maxBytes);
             if (body.read() >= 0) {
@@ -145,6 +164,7 @@
 
     @Override
     public void close() {
+        bodyLimit.ifPresent(BodyLimit::close);
         if (buffer.isDrained()) {
             releaseConnection();
         } else {
@@ -159,8 +179,13 @@
 
     /** Waits for the next part of the body; empty at the end of the body. */
     Optional<byte[]> nextPart() throws HttpFailure {
+        int timeoutMs =
+                Math.min(progressMs, bodyLimit.map(BodyLimit::remainingMs).orElse(progressMs));
+        if (timeoutMs == 0) {
+            throw abort(HttpFailure.Kind.PROGRESS_TIMEOUT, "response body incomplete when its time was over");
+        }
         ResponseBuffer.Part part =
-                await(buffer::awaitPart, progressMs, HttpFailure.Kind.PROGRESS_TIMEOUT, "no response data");
+                await(buffer::awaitPart, timeoutMs, HttpFailure.Kind.PROGRESS_TIMEOUT, "no response data");
         return switch (part) {
             case ResponseBuffer.Part.Bytes bytes -> consume(bytes);
             case ResponseBuffer.Part.End end -> {
@@ -170,7 +195,10 @@
         };
     }
 
-    private Optional<byte[]> consume(ResponseBuffer.Part.Bytes bytes) {
+    private Optional<byte[]> consume(ResponseBuffer.Part.Bytes bytes) throws HttpFailure {
+        if (bodyLimit.isPresent() && !bodyLimit.get().admits(bytes.content().length)) {
+            throw abort(HttpFailure.Kind.TOO_LARGE, "no memory for more of the response body");
+        }
         if (bytes.resumeReading()) {
             driver.resumeReading();
         }
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
@@ -47,6 +47,7 @@
     private final ConnectionPool pool;
     private final Optional<XnioSsl> ssl;
     private final ResponseHeadGuard guard = ResponseHeadGuard.start();
+    private final BodyMemory bodyMemory = BodyMemory.ofHeapShare();
 
     private HttpConnector(HttpConnectorOptions options, XnioWorker worker, ByteBufferPool buffers) {
         this.options = options;
@@ -145,6 +146,11 @@
         return openCall(opened, request, timeouts, SilenceWatcher.PATIENT);
     }
 
+    /** Returns the memory for large bodies that calls may share, see {@link HttpCall#readAll(int, int, BodyMemory)}. */
+    public BodyMemory bodyMemory() {
+        return bodyMemory;
+    }
+
     HttpCall openCall(PooledConnection connection, HttpRequest request, HttpTimeouts timeouts, SilenceWatcher watcher)
             throws HttpFailure {
         return HttpCall.open(connection, pool, request, timeouts, watcher, options.maxBufferedBytes(), guard);
--- a/backends/src/test/java/io/persimmonstack/backends/http/EndlessResponseTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/http/EndlessResponseTest.java
@@ -30,6 +30,8 @@
     private static final long MAX_SENT_BYTES = 48 << 20;
 
     private static final int REPEATS = 1_000;
+    private static final int BODY_TIMEOUT_MS = 1_000;
+    private static final int LONG_BODY_TIMEOUT_MS = 20_000;
     private static final int DRIBBLE_INTERVAL_MS = 100;
     private static final String HEAD = "HTTP/1.1 200 OK\r\n";
     private static final String CHUNKED_HEAD = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
@@ -213,6 +215,56 @@
         }
     }
 
+    /** A body whose bytes keep arriving one by one has to end within the time for the whole body. */
+    @Test
+    void dribbledBodyDoesNotOutliveItsTimeLimit() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((connection, number) -> {
+                    connection.readRequest();
+                    connection.send(HEAD + "\r\n");
+                    dribble(connection, "x");
+                });
+                HttpCall call = connector.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS)) {
+            HttpFailure failure = assertThrows(
+                    HttpFailure.class, () -> call.readAll(MAX_BYTES, BODY_TIMEOUT_MS, BodyMemory.unlimited()));
+            assertEquals(HttpFailure.Kind.PROGRESS_TIMEOUT, failure.kind(), failure.getMessage());
+        }
+    }
+
+    /** The same for callers that do not name a time: ten times the timeout between two parts. */
+    @Test
+    void dribbledBodyEndsWithoutATimeLimitOfItsOwn() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((connection, number) -> {
+            connection.readRequest();
+            connection.send(HEAD + "\r\n");
+            dribble(connection, "x");
+        })) {
+            HttpFailure failure = assertThrows(HttpFailure.class, () -> fetch(server.address(), SHORT_TIMEOUTS));
+            assertEquals(HttpFailure.Kind.PROGRESS_TIMEOUT, failure.kind(), failure.getMessage());
+        }
+    }
+
+    /** Two large bodies at once, and memory for one of them. */
+    @Test
+    void largeBodiesShareTheirMemory() throws Exception {
+        BodyMemory memory = BodyMemory.ofBytes(3L * MAX_BYTES);
+        try (ScriptedServer server = ScriptedServer.start((connection, number) -> {
+            while (!connection.readRequest().isEmpty()) {
+                connection.respond("y".repeat(MAX_BYTES));
+            }
+        })) {
+            try (HttpCall first = connector.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS);
+                    HttpCall second = connector.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS)) {
+                assertEquals(MAX_BYTES, first.readAll(MAX_BYTES, LONG_BODY_TIMEOUT_MS, memory).length);
+                HttpFailure failure =
+                        assertThrows(HttpFailure.class, () -> second.readAll(MAX_BYTES, LONG_BODY_TIMEOUT_MS, memory));
+                assertEquals(HttpFailure.Kind.TOO_LARGE, failure.kind(), failure.getMessage());
+            }
+            try (HttpCall third = connector.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS)) {
+                assertEquals(MAX_BYTES, third.readAll(MAX_BYTES, LONG_BODY_TIMEOUT_MS, memory).length);
+            }
+        }
+    }
+
     private String fetch(PeerAddress target, HttpTimeouts timeouts) throws HttpFailure {
         try (HttpCall call = connector.open(target, HttpRequest.get("/"), timeouts)) {
             return new String(call.readAll(MAX_BYTES), StandardCharsets.UTF_8);
