node: an event stream without events ends, and reading it costs linear time

Cause: EventReader looked for text from the first byte at each line end, so blank lines cost quadratic time up to its limit of 1 MB; a block of comments counted as an event, so that a stream of them never ended. Change: the reader tracks the present line. An event has a field id, data, event or retry; blank lines and other blocks are kept for the event that follows, unchanged. The limit is 128 KB with what precedes the event. In the node this keeps the processor busy for all callers.

--- a/node/src/main/java/io/persimmonstack/node/sending/EventReader.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/EventReader.java
@@ -6,17 +6,28 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
-/** Splits an event stream into complete events, so that a partial event is never forwarded. Not thread-safe. */
+/**
+ * Splits an event stream into complete events, so that a partial event is never forwarded. Blank lines and blocks
+ * without a field of an event, such as comments, are no events; they are kept for the event that they precede. Not
+ * thread-safe.
+ */
 final class EventReader {
-    private static final int MAX_EVENT_BYTES = 1 << 20;
+    /** Longest event, with what precedes it. */
+    private static final int MAX_EVENT_BYTES = 128 * 1024;
+
     private static final int BUFFER_BYTES = 4_096;
     private static final String ID_FIELD = "id:";
+    /** Names of the fields that an event has at least one of. */
+    private static final Set<String> EVENT_FIELDS = Set.of("id", "data", "event", "retry");
+
+    private static final int MAX_FIELD_NAME_BYTES = 5;
 
     /**
      * Event of a stream.
      *
-     * @param bytes the event, including the empty line that ends it
+     * @param bytes the event, including what precedes it and the empty line that ends it
      * @param id number in its id field, empty if it has none
      */
     record StreamEvent(byte[] bytes, OptionalLong id) {}
@@ -35,33 +46,75 @@
     }
 
     /**
-     * Reads the next event, blocking until it is complete.
+     * Reads the next event, blocking until it is complete. What follows the last event of a stream counts as one more.
      *
      * @return the event, or empty if the stream ended after a complete event
      * @throws IOException if reading fails, the stream ends within an event, or the event is too long
      */
     Optional<StreamEvent> next() throws IOException {
         ByteArrayOutputStream event = new ByteArrayOutputStream();
-        int lineBytes = 0;
+        Block block = new Block();
         while (position < bufferedBytes || fillBuffer()) {
             byte nextByte = buffer[position++];
             event.write(nextByte);
             if (event.size() > MAX_EVENT_BYTES) {
                 throw new IOException("event longer than " + MAX_EVENT_BYTES + " bytes");
             }
-            if (nextByte == '\n') {
-                if (lineBytes == 0 && !isBlank(event)) {
-                    return Optional.of(parseEvent(event.toByteArray()));
-                }
-                lineBytes = 0;
-            } else if (nextByte != '\r') {
-                lineBytes++;
+            if (block.endsWith(nextByte)) {
+                return Optional.of(parseEvent(event.toByteArray()));
             }
         }
-        if (!isBlank(event)) {
+        if (block.isOpen()) {
             throw new IOException("stream ended within an event of " + event.size() + " bytes so far");
         }
-        return Optional.empty();
+        return block.hadText() ? Optional.of(parseEvent(event.toByteArray())) : Optional.empty();
+    }
+
+    /** Lines up to an empty one, read byte by byte. */
+    private static final class Block {
+        private final StringBuilder fieldName = new StringBuilder();
+        private int lineBytes;
+        private boolean nameEnded;
+        private boolean open;
+        private boolean event;
+        private boolean hadText;
+
+        /** Adds a byte and returns whether it ends an event. */
+        private boolean endsWith(byte next) {
+            if (next == '\n') {
+                return endLine();
+            }
+            if (next != '\r') {
+                lineBytes++;
+                open = true;
+                hadText = true;
+                nameEnded |= next == ':';
+                if (!nameEnded && fieldName.length() <= MAX_FIELD_NAME_BYTES) {
+                    fieldName.append((char) next);
+                }
+            }
+            return false;
+        }
+
+        private boolean endLine() {
+            boolean emptyLine = lineBytes == 0;
+            event |= !emptyLine && EVENT_FIELDS.contains(fieldName.toString());
+            open &= !emptyLine;
+            lineBytes = 0;
+            nameEnded = false;
+            fieldName.setLength(0);
+            return emptyLine && event;
+        }
+
+        /** Returns whether the last block has not been ended by an empty line. */
+        private boolean isOpen() {
+            return open;
+        }
+
+        /** Returns whether there was anything but blank lines. */
+        private boolean hadText() {
+            return hadText;
+        }
     }
 
     private boolean fillBuffer() throws IOException {
@@ -70,10 +123,6 @@
         return bufferedBytes > 0;
     }
 
-    private static boolean isBlank(ByteArrayOutputStream event) {
-        return event.size() == 0 || event.toString(StandardCharsets.ISO_8859_1).isBlank();
-    }
-
     private static StreamEvent parseEvent(byte[] bytes) {
         String text = new String(bytes, StandardCharsets.ISO_8859_1);
         OptionalLong id = text.lines()
