node: a dribbled or endless answer or refusal ends within bounds

Cause: the body of a refusal was read up to 8 MB without a limit of time, though its status says all; the body of a whole answer ended only when no byte came for the rest of the time limit. Several answers of 8 MB exceed the heap. A successor that was reserved while a refusal was read was never released. Change: a refusal has 100 ms and 8 KB for its body, else its connection is closed; a whole answer has until the deadline of its request, and large ones share a quarter of the heap.

--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node.sending;
 
+import io.persimmonstack.backends.http.BodyMemory;
 import io.persimmonstack.backends.http.HttpCall;
 import io.persimmonstack.backends.http.HttpConnector;
 import io.persimmonstack.backends.http.HttpFailure;
@@ -24,6 +25,11 @@
 final class Attempt implements SilenceWatcher {
     private static final int CONNECT_TIMEOUT_MS = 600;
     private static final int MAX_ANSWER_BYTES = 8 << 20;
+    /** Largest body of a refusal for which its connection is kept. */
+    private static final int MAX_REFUSAL_BYTES = 8 * 1024;
+    /** Longest wait for the body of a refusal; the request waits for its next runner meanwhile. */
+    private static final int REFUSAL_BODY_TIMEOUT_MS = 100;
+
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     /** Time after the deadline that a silent stream is kept open. */
     private static final int LATE_STREAM_TIMEOUT_MS = 250;
@@ -162,15 +168,17 @@
     private Outcome refusedByRunner(Outcome.Cause cause, HttpCall call) {
         int status = call.status();
         try {
-            call.readAll(MAX_ANSWER_BYTES);
+            call.readAll(MAX_REFUSAL_BYTES, REFUSAL_BODY_TIMEOUT_MS, BodyMemory.unlimited());
         } catch (HttpFailure e) {
+            successor.ifPresent(ReservedRunner::close);
             return new Outcome.NotRun(cause, runner().id() + ": status " + status + ", body lost: " + e.getMessage());
         }
         return new Outcome.NotRun(cause, runner().id() + ": status " + status);
     }
 
     private Outcome deliverWhole(HttpCall call) throws HttpFailure, CallerGoneException {
-        byte[] body = call.readAll(MAX_ANSWER_BYTES);
+        int waitMs = (int) Math.clamp(request.remainingMs(System.nanoTime()), 1, Integer.MAX_VALUE);
+        byte[] body = call.readAll(MAX_ANSWER_BYTES, waitMs, connector.bodyMemory());
         WholeAnswer answer = new WholeAnswer(call.status(), HopByHopHeaders.toReplyHeaders(call.headers()), body);
         if (call.status() >= MIN_SERVER_ERROR_STATUS) {
             return new Outcome.RanWithError(answer);
