node: the silence of a stream is measured by its events, not by its bytes

Change: HttpCall.beginUnit starts the wait for the next event. One more part is always taken before a timeout ends a call, so that an event that has arrived is not lost on a busy machine.

--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
@@ -41,6 +41,7 @@
     private final AtomicBoolean connectionReleased = new AtomicBoolean();
     private final InputStream body;
     private Optional<BodyLimit> bodyLimit = Optional.empty();
+    private Optional<BodyUnit> unit = Optional.empty();
     private ClientResponse head;
 
     private HttpCall(
@@ -157,6 +158,15 @@
         progressMs = Math.min(progressMs, ms);
     }
 
+    /**
+     * Begins the wait for the next unit of the body that matters to the reader, such as an event of a stream. From the
+     * first call on, silence is measured from here and not from the last part: parts that do not complete a unit extend
+     * no timeout.
+     */
+    public void beginUnit() {
+        unit = Optional.of(BodyUnit.begin());
+    }
+
     /** Closes the connection, so that the server stops sending; later reads of the body fail. */
     public void cancel() {
         abort(HttpFailure.Kind.CANCELLED, "cancelled");
@@ -184,6 +194,9 @@
         if (timeoutMs == 0) {
             throw abort(HttpFailure.Kind.PROGRESS_TIMEOUT, "response body incomplete when its time was over");
         }
+        if (unit.isPresent()) {
+            endOverdueUnit(unit.get());
+        }
         ResponseBuffer.Part part =
                 await(buffer::awaitPart, timeoutMs, HttpFailure.Kind.PROGRESS_TIMEOUT, "no response data");
         return switch (part) {
@@ -195,10 +208,23 @@
         };
     }
 
+    /** Ends the call if the parts of a unit kept arriving until its timeout, or the watcher gives up their peer. */
+    private void endOverdueUnit(BodyUnit overdue) throws HttpFailure {
+        if (overdue.isTooLarge()) {
+            throw abort(HttpFailure.Kind.TOO_LARGE, "too much response data without an event");
+        }
+        boolean givenUp = overdue.isCheckDue(watcher.silentAfterMs(), SILENCE_CHECK_INTERVAL_MS)
+                && watcher.giveUp(buffer.isEmpty() ? buffer::isEmpty : () -> true);
+        if (givenUp || overdue.lastPartMs() >= progressMs) {
+            throw abort(HttpFailure.Kind.PROGRESS_TIMEOUT, "no event within " + overdue.lastPartMs() + " ms");
+        }
+    }
+
     private Optional<byte[]> consume(ResponseBuffer.Part.Bytes bytes) throws HttpFailure {
         if (bodyLimit.isPresent() && !bodyLimit.get().admits(bytes.content().length)) {
             throw abort(HttpFailure.Kind.TOO_LARGE, "no memory for more of the response body");
         }
+        unit.ifPresent(current -> current.record(bytes.content().length));
         if (bytes.resumeReading()) {
             driver.resumeReading();
         }
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -189,6 +189,7 @@
 
     private Outcome deliverStream(HttpCall call) throws CallerGoneException {
         EventReader events = EventReader.of(call.body());
+        call.beginUnit();
         try {
             for (Optional<EventReader.StreamEvent> event = events.next(); event.isPresent(); event = events.next()) {
                 lastReceivedNanos = System.nanoTime();
@@ -204,6 +205,7 @@
                 reply.write(event.get().bytes());
                 progress.recordDelivered(event.get());
                 limitSilence(call);
+                call.beginUnit();
             }
         } catch (IOException e) {
             return broken(
