--- a/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
@@ -19,6 +19,9 @@
  */
 final class ExchangeDriver {
     private static final int MAX_HEAD_BYTES = 64 * 1024;
+    /** Most bytes between two parts of a body that belong to neither: chunk sizes, their extensions and trailers. */
+    private static final int MAX_FRAMING_BYTES = 64 * 1024;
+
     private static final HttpString REQUEST_ID = HttpString.tryFromString("X-Request-Id");
     private final PooledConnection connection;
     private final HttpRequest request;
@@ -26,6 +29,7 @@
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.NEW);
     private long bytesWrittenBefore;
     private volatile long bytesReadBefore;
+    private long bytesReadAtLastPart;
     private volatile boolean requestComplete;
     private volatile StreamSourceChannel responseChannel;
 
@@ -47,7 +51,7 @@
 
     /** Schedules the exchange on the I/O thread. */
     void start() {
-        connection.runOnIoThread(this::send);
+        connection.runOnIoThread(() -> failOnError(this::send));
     }
 
     /**
@@ -60,7 +64,7 @@
 
     /** Resumes reading the body after the buffer was drained to half its capacity. */
     void resumeReading() {
-        connection.runOnIoThread(() -> readBody(responseChannel));
+        connection.runOnIoThread(() -> failOnError(() -> readBody(responseChannel)));
     }
 
     /**
@@ -82,6 +86,18 @@
         return new HttpFailure(HttpFailure.Kind.TOO_LARGE, message, true, cause);
     }
 
+    /**
+     * Runs a task on the I/O thread, which only logs an exception that it does not expect; the thread that waits for
+     * the response has to learn of it too.
+     */
+    private void failOnError(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            fail(HttpFailure.Kind.LOST, new IOException(e));
+        }
+    }
+
     /** Returns whether the whole request has been written. */
     boolean requestComplete() {
         return requestComplete;
@@ -100,7 +116,7 @@
         connection.clientConnection().sendRequest(toUndertowRequest(), new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
-                exchangeStarted(exchange);
+                failOnError(() -> exchangeStarted(exchange));
             }
 
             @Override
@@ -132,7 +148,7 @@
         exchange.setResponseListener(new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchangeWithResponse) {
-                responseStarted(exchangeWithResponse);
+                failOnError(() -> responseStarted(exchangeWithResponse));
             }
 
             @Override
@@ -142,7 +158,7 @@
         });
         StreamSinkChannel sink = exchange.getRequestChannel();
         ByteBuffer body = ByteBuffer.wrap(request.body());
-        sink.getWriteSetter().set(channel -> write(channel, body));
+        sink.getWriteSetter().set(channel -> failOnError(() -> write(channel, body)));
         write(sink, body);
     }
 
@@ -176,8 +192,9 @@
                     new IOException("X-Request-Id '" + responseId + "'; expected '" + expectedId + "'"));
             return;
         }
+        bytesReadAtLastPart = connection.bytesRead();
         responseChannel = exchange.getResponseChannel();
-        responseChannel.getReadSetter().set(this::readBody);
+        responseChannel.getReadSetter().set(channel -> failOnError(() -> readBody(channel)));
         buffer.setHead(response);
         readBody(responseChannel);
     }
@@ -189,33 +206,60 @@
         }
         try (PooledByteBuffer pooled =
                 connection.clientConnection().getBufferPool().allocate()) {
-            ByteBuffer chunk = pooled.getBuffer();
-            while (true) {
-                chunk.clear();
-                int count = channel.read(chunk);
-                if (count < 0) {
-                    channel.suspendReads();
-                    buffer.complete();
-                    return;
-                }
-                if (count == 0) {
-                    channel.resumeReads();
-                    return;
-                }
-                if (!buffer.offer(copy(chunk))) {
-                    channel.suspendReads();
-                    return;
-                }
+            readParts(channel, pooled.getBuffer());
+        }
+    }
+
+    private void readParts(StreamSourceChannel channel, ByteBuffer part) {
+        try {
+            boolean accepted = true;
+            int count = 1;
+            while (accepted && count > 0) {
+                count = fill(channel, part);
+                accepted = offer(part);
+            }
+            if (count < 0) {
+                channel.suspendReads();
+                buffer.complete();
+            } else if (!accepted) {
+                channel.suspendReads();
+            } else if (connection.bytesRead() - bytesReadAtLastPart > MAX_FRAMING_BYTES) {
+                String message = "more than " + MAX_FRAMING_BYTES + " bytes between two parts of the body";
+                fail(HttpFailure.Kind.TOO_LARGE, new IOException(message));
+            } else {
+                channel.resumeReads();
             }
         } catch (IOException e) {
+            offer(part);
             fail(HttpFailure.Kind.LOST, e);
         }
     }
 
+    /**
+     * Gathers what can be read without waiting, so that tiny chunks do not become as many parts. Returns the result of
+     * the last read: 0 if nothing more has arrived, negative at the end of the body, positive if the part is full.
+     */
+    private int fill(StreamSourceChannel channel, ByteBuffer part) throws IOException {
+        int count = 1;
+        while (count > 0 && part.hasRemaining()) {
+            count = channel.read(part);
+            if (count > 0) {
+                bytesReadAtLastPart = connection.bytesRead();
+            }
+        }
+        return count;
+    }
+
+    /** Hands a part to the reading thread and empties it. Returns whether more may be read from the connection. */
+    private boolean offer(ByteBuffer part) {
+        return part.position() == 0 || buffer.offer(copy(part));
+    }
+
     private static byte[] copy(ByteBuffer chunk) {
         chunk.flip();
         byte[] content = new byte[chunk.remaining()];
         chunk.get(content);
+        chunk.clear();
         return content;
     }
 
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 
 /**
  * HTTP call whose response head has arrived. Closing the call returns the connection to the pool if the body was read
@@ -28,6 +29,8 @@
     private static final EventLog LOG = EventLog.of(HttpCall.class);
     /** Interval at which the watcher is asked again about a peer that remains silent. */
     private static final int SILENCE_CHECK_INTERVAL_MS = 100;
+    /** Longest time in which a whole body has to arrive, as a multiple of the timeout between two of its parts. */
+    private static final int PROGRESS_TIMEOUTS_PER_BODY = 10;
 
     private static final int MIN_SUCCESS_STATUS = 200;
     private static final int MIN_REDIRECT_STATUS = 300;
@@ -41,6 +44,8 @@
     private volatile int progressMs;
     private final AtomicBoolean connectionReleased = new AtomicBoolean();
     private final InputStream body;
+    private Optional<BodyLimit> bodyLimit = Optional.empty();
+    private Optional<BodyUnit> unit = Optional.empty();
     private ClientResponse head;
 
     private HttpCall(
@@ -116,13 +121,29 @@
     }
 
     /**
-     * Reads the rest of the body.
+     * Reads the rest of the body within ten times the timeout between two of its parts.
      *
      * @param maxBytes largest body that is accepted, in bytes
      * @return the body
      * @throws HttpFailure if the body is larger or did not arrive completely
      */
     public byte[] readAll(int maxBytes) throws HttpFailure {
+        long timeoutMs = (long) PROGRESS_TIMEOUTS_PER_BODY * timeouts.progressMs();
+        return readAll(maxBytes, (int) Math.min(Integer.MAX_VALUE, timeoutMs), BodyMemory.unlimited());
+    }
+
+    /**
+     * Reads the rest of the body.
+     *
+     * @param maxBytes largest body that is accepted, in bytes
+     * @param timeoutMs longest time until the end of the body, in milliseconds, even if parts of it keep arriving
+     * @param memory memory that a large body takes until the call is closed
+     * @return the body
+     * @throws HttpFailure if the body is larger, finds no memory or did not arrive completely
+     */
+    public byte[] readAll(int maxBytes, int timeoutMs, BodyMemory memory) throws HttpFailure {
+        bodyLimit.ifPresent(BodyLimit::close);
+        bodyLimit = Optional.of(BodyLimit.of(timeoutMs, memory));
         try {
             byte[] content = body.readNBytes(maxBytes);
             if (body.read() >= 0) {
@@ -151,6 +172,15 @@
         watcher = newWatcher;
     }
 
+    /**
+     * Begins the wait for the next unit of the body that matters to the reader, such as an event of a stream. From the
+     * first call on, silence is measured from here and not from the last part: parts that do not complete a unit extend
+     * no timeout.
+     */
+    public void beginUnit() {
+        unit = Optional.of(BodyUnit.begin());
+    }
+
     /** Closes the connection, so that the server stops sending; later reads of the body fail. */
     public void cancel() {
         abort(HttpFailure.Kind.CANCELLED, "cancelled");
@@ -158,6 +188,7 @@
 
     @Override
     public void close() {
+        bodyLimit.ifPresent(BodyLimit::close);
         if (buffer.isDrained()) {
             releaseConnection();
         } else {
@@ -172,8 +203,16 @@
 
     /** Waits for the next part of the body; empty at the end of the body. */
     Optional<byte[]> nextPart() throws HttpFailure {
+        int timeoutMs =
+                Math.min(progressMs, bodyLimit.map(BodyLimit::remainingMs).orElse(progressMs));
+        if (timeoutMs == 0) {
+            throw abort(HttpFailure.Kind.PROGRESS_TIMEOUT, "response body incomplete when its time was over");
+        }
+        if (unit.isPresent()) {
+            endOverdueUnit(unit.get());
+        }
         ResponseBuffer.Part part =
-                await(buffer::awaitPart, progressMs, HttpFailure.Kind.PROGRESS_TIMEOUT, "no response data");
+                await(buffer::awaitPart, timeoutMs, HttpFailure.Kind.PROGRESS_TIMEOUT, "no response data");
         return switch (part) {
             case ResponseBuffer.Part.Bytes bytes -> consume(bytes);
             case ResponseBuffer.Part.End end -> {
@@ -183,18 +222,34 @@
         };
     }
 
-    private Optional<byte[]> consume(ResponseBuffer.Part.Bytes bytes) {
+    /** Ends the call if the parts of a unit kept arriving until its timeout, or the watcher gives up their peer. */
+    private void endOverdueUnit(BodyUnit overdue) throws HttpFailure {
+        if (overdue.isTooLarge()) {
+            throw abort(HttpFailure.Kind.TOO_LARGE, "too much response data without an event");
+        }
+        boolean givenUp = overdue.isCheckDue(watcher.silentAfterMs(), SILENCE_CHECK_INTERVAL_MS)
+                && watcher.giveUp(silentPeer(buffer.isEmpty() ? buffer::isEmpty : () -> true));
+        if (givenUp || overdue.lastPartMs() >= progressMs) {
+            throw abort(HttpFailure.Kind.PROGRESS_TIMEOUT, "no event within " + overdue.lastPartMs() + " ms");
+        }
+    }
+
+    private Optional<byte[]> consume(ResponseBuffer.Part.Bytes bytes) throws HttpFailure {
+        if (bodyLimit.isPresent() && !bodyLimit.get().admits(bytes.content().length)) {
+            throw abort(HttpFailure.Kind.TOO_LARGE, "no memory for more of the response body");
+        }
+        unit.ifPresent(current -> current.record(bytes.content().length));
         if (bytes.resumeReading()) {
             driver.resumeReading();
         }
         return Optional.of(bytes.content());
     }
 
-    private SilenceWatcher.SilentPeer silentPeer() {
+    private SilenceWatcher.SilentPeer silentPeer(BooleanSupplier stillSilent) {
         return new SilenceWatcher.SilentPeer() {
             @Override
             public boolean isStillSilent() {
-                return buffer.isEmpty();
+                return stillSilent.getAsBoolean();
             }
 
             @Override
@@ -229,7 +284,7 @@
             int nextWaitMs = Math.min(timeoutMs, watcher.silentAfterMs());
             Optional<T> arrived = arrival.await(nextWaitMs);
             long elapsedMs = nextWaitMs;
-            while (arrived.isEmpty() && elapsedMs < timeoutMs && !watcher.giveUp(silentPeer())) {
+            while (arrived.isEmpty() && elapsedMs < timeoutMs && !watcher.giveUp(silentPeer(buffer::isEmpty))) {
                 elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
                 arrived = arrival.await((int) Math.clamp(timeoutMs - elapsedMs, 0, SILENCE_CHECK_INTERVAL_MS));
             }
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node.sending;
 
+import io.persimmonstack.backends.http.BodyMemory;
 import io.persimmonstack.backends.http.HttpCall;
 import io.persimmonstack.backends.http.HttpConnector;
 import io.persimmonstack.backends.http.HttpFailure;
@@ -21,6 +22,11 @@
 final class Attempt implements SilenceWatcher {
     private static final int CONNECT_TIMEOUT_MS = 600;
     private static final int MAX_ANSWER_BYTES = 8 << 20;
+    /** Largest body of a refusal for which its connection is kept. */
+    private static final int MAX_REFUSAL_BYTES = 8 * 1024;
+    /** Longest wait for the body of a refusal; the request waits for its next runner meanwhile. */
+    private static final int REFUSAL_BODY_TIMEOUT_MS = 100;
+
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     /** Time after the deadline that a silent stream is kept open. */
     private static final int LATE_STREAM_TIMEOUT_MS = 250;
@@ -162,7 +168,7 @@
         refused = true;
         int status = call.status();
         try {
-            call.readAll(MAX_ANSWER_BYTES);
+            call.readAll(MAX_REFUSAL_BYTES, REFUSAL_BODY_TIMEOUT_MS, BodyMemory.unlimited());
         } catch (HttpFailure e) {
             return new Outcome.NotRun(cause, runner().id() + ": status " + status + ", body lost: " + e.getMessage());
         }
@@ -170,7 +176,8 @@
     }
 
     private Outcome deliverWhole(HttpCall call) throws HttpFailure, CallerGoneException {
-        byte[] body = call.readAll(MAX_ANSWER_BYTES);
+        int waitMs = (int) Math.clamp(request.remainingMs(System.nanoTime()), 1, Integer.MAX_VALUE);
+        byte[] body = call.readAll(MAX_ANSWER_BYTES, waitMs, connector.bodyMemory());
         WholeAnswer answer = new WholeAnswer(call.status(), HopByHopHeaders.toReplyHeaders(call.headers()), body);
         if (call.status() >= MIN_SERVER_ERROR_STATUS) {
             return new Outcome.RanWithError(answer);
@@ -184,6 +191,7 @@
 
     private Outcome deliverStream(HttpCall call) throws CallerGoneException {
         EventReader events = EventReader.of(call.body());
+        call.beginUnit();
         try {
             for (Optional<EventReader.StreamEvent> event = events.next(); event.isPresent(); event = events.next()) {
                 lastReceivedNanos = System.nanoTime();
@@ -199,6 +207,7 @@
                 reply.write(event.get().bytes());
                 progress.recordDelivered(event.get());
                 limitSilence(call);
+                call.beginUnit();
             }
         } catch (IOException e) {
             return broken(
