router: a silent target keeps its request until another attempt is in hand

What callers saw: a target that was silent for a moment lost its requests though their answers were coming. Of one target only: a whole answer that took more than half of its time was given up, run again and refused (504); an answer that stopped midway got 502, or a closed connection where it was relayed in chunks; a stream ended with an error event when it may not be repeated, had used its attempts, had no token yet, or the retry budget was spent. Streams that fell silent together opened the circuit of their target for up to 15 s. Cause: silence was taken for a loss, as in the node. The timeouts for head, first token and progress ended the attempt, and only then was asked whether another one could follow. Change: calls end at the deadline. TargetSilence, a SilenceWatcher, replaces the attempt once SuccessorFinder has an attempt left, room at a target, an open connection and the retry budget, and the target is still silent; the settings say from when on. A stream still goes on at its own target on a new connection first, in the room it holds, which does not count against the circuit. A stream without a token may start anew elsewhere. Hedged attempts are all kept; a hedge that lacked a target or budget is tried again every 100 ms, and a third target is asked if the second one is silent too, since the head timeout no longer starts that attempt.

--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
@@ -141,8 +141,24 @@
      */
     public HttpCall openOnNewConnection(PeerAddress target, HttpRequest request, HttpTimeouts timeouts)
             throws HttpFailure {
+        return openOnNewConnection(target, request, timeouts, SilenceWatcher.PATIENT);
+    }
+
+    /**
+     * Sends a request as {@link #openOnNewConnection(PeerAddress, HttpRequest, HttpTimeouts)} does, and lets a watcher
+     * decide whether to give up the call while the peer is silent.
+     *
+     * @param target address to connect to
+     * @param request request to send
+     * @param timeouts timeouts of the call
+     * @param watcher decides whether to give up a silent peer
+     * @return the call, whose body has yet to be read
+     * @throws HttpFailure if no response head arrived
+     */
+    public HttpCall openOnNewConnection(
+            PeerAddress target, HttpRequest request, HttpTimeouts timeouts, SilenceWatcher watcher) throws HttpFailure {
         PooledConnection opened = connect(target, timeouts.connectMs(), describe(target, request));
-        return openCall(opened, request, timeouts, SilenceWatcher.PATIENT);
+        return openCall(opened, request, timeouts, watcher);
     }
 
     HttpCall openCall(PooledConnection connection, HttpRequest request, HttpTimeouts timeouts, SilenceWatcher watcher)
--- a/router/src/main/java/io/persimmonstack/router/Router.java
+++ b/router/src/main/java/io/persimmonstack/router/Router.java
@@ -29,6 +29,7 @@
 import io.persimmonstack.router.filter.RelayFilter;
 import io.persimmonstack.router.filter.RequestHedger;
 import io.persimmonstack.router.filter.RetryFilter;
+import io.persimmonstack.router.filter.SuccessorFinder;
 import io.persimmonstack.router.request.RefusalLog;
 import io.persimmonstack.router.snapshot.CoordinatorClient;
 import io.persimmonstack.router.snapshot.FleetViews;
@@ -143,6 +144,7 @@
         DispatchTimeouts timeouts = new DispatchTimeouts(
                 targets.connectMs(), targets.progressMs(), targets.firstTokenMs(), targets.minFirstByteMs());
         RetryBudget budget = RetryBudget.full();
+        SuccessorFinder successors = SuccessorFinder.of(connector, targets.connectMs(), placer, views, budget);
         RequestHedger hedger = RequestHedger.of(targets.hedgeAfterMs(), placer, views, budget, metrics);
         UseReporter useReporter = closer.add(UseReporter.start(coordinators));
         return List.of(
@@ -160,7 +162,7 @@
                 AdmitFilter.of(admission, metrics),
                 RetryFilter.of(budget, metrics),
                 PlaceFilter.of(placer, admission, views, useReporter),
-                DispatchFilter.of(connector, timeouts, tracing, admission, budget, hedger, createTimers(), metrics),
+                DispatchFilter.of(connector, timeouts, tracing, admission, successors, hedger, createTimers(), metrics),
                 RelayFilter.of(metrics, timeouts.progressMs()));
     }
 
--- a/router/src/main/java/io/persimmonstack/router/TargetSettings.java
+++ b/router/src/main/java/io/persimmonstack/router/TargetSettings.java
@@ -7,11 +7,10 @@
  *
  * @param ioThreads number of I/O threads
  * @param connectMs longest wait for a connection in milliseconds
- * @param progressMs longest wait between two parts of an answer in milliseconds
- * @param firstTokenMs longest wait in milliseconds for the first token of a stream that has begun, at most until the
- *     deadline
- * @param minFirstByteMs shortest wait in milliseconds for the head of an answer before an idempotent request is sent to
- *     another target
+ * @param progressMs time in milliseconds between two parts of an answer after which a request that may be repeated goes
+ *     elsewhere, if another attempt is possible
+ * @param firstTokenMs the same for the first token of a stream that has begun
+ * @param minFirstByteMs shortest such time for the head of an answer
  * @param hedgeAfterMs wait in milliseconds after which an idempotent request for a whole answer is also sent to a
  *     second target; 0 for never
  * @param serviceConcurrency most requests that this router sends to an instance of a plain service at once
--- a/router/src/main/java/io/persimmonstack/router/filter/DispatchFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/DispatchFilter.java
@@ -6,18 +6,22 @@
 import io.persimmonstack.backends.http.HttpFailure;
 import io.persimmonstack.backends.http.HttpRequest;
 import io.persimmonstack.backends.http.HttpTimeouts;
+import io.persimmonstack.backends.http.IdleConnection;
+import io.persimmonstack.backends.http.SilenceWatcher;
 import io.persimmonstack.router.RouterEvent;
 import io.persimmonstack.router.RouterMetrics;
 import io.persimmonstack.router.admission.Admission;
 import io.persimmonstack.router.admission.Reservation;
-import io.persimmonstack.router.admission.RetryBudget;
+import io.persimmonstack.router.request.AnswerPart;
 import io.persimmonstack.router.request.AttemptException;
 import io.persimmonstack.router.request.Request;
 import io.persimmonstack.router.request.RouterException;
+import io.persimmonstack.router.request.Successor;
 import io.persimmonstack.router.request.Work;
 import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.runtime.trace.Tracing;
 import io.persimmonstack.wire.PeerAddress;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -38,7 +42,7 @@
     private final DispatchTimeouts timeouts;
     private final TargetRequestBuilder requestBuilder;
     private final Admission admission;
-    private final RetryBudget budget;
+    private final SuccessorFinder successors;
     private final RequestHedger hedger;
     private final ScheduledExecutorService scheduler;
     private final RouterMetrics metrics;
@@ -48,7 +52,7 @@
             DispatchTimeouts timeouts,
             Tracing tracing,
             Admission admission,
-            RetryBudget budget,
+            SuccessorFinder successors,
             RequestHedger hedger,
             ScheduledExecutorService scheduler,
             RouterMetrics metrics) {
@@ -56,7 +60,7 @@
         this.timeouts = timeouts;
         this.requestBuilder = TargetRequestBuilder.of(tracing);
         this.admission = admission;
-        this.budget = budget;
+        this.successors = successors;
         this.hedger = hedger;
         this.scheduler = scheduler;
         this.metrics = metrics;
@@ -69,7 +73,7 @@
      * @param timeouts timeouts of a call
      * @param tracing supplies the trace headers for the target
      * @param admission measures and predicts service times
-     * @param budget retry budget, which decides whether another attempt may follow
+     * @param successors reserves the next attempt while a target is silent
      * @param hedger sends late requests to a second target
      * @param scheduler cancels calls at their deadline
      * @param metrics receives times and counts
@@ -80,11 +84,11 @@
             DispatchTimeouts timeouts,
             Tracing tracing,
             Admission admission,
-            RetryBudget budget,
+            SuccessorFinder successors,
             RequestHedger hedger,
             ScheduledExecutorService scheduler,
             RouterMetrics metrics) {
-        return new DispatchFilter(connector, timeouts, tracing, admission, budget, hedger, scheduler, metrics);
+        return new DispatchFilter(connector, timeouts, tracing, admission, successors, hedger, scheduler, metrics);
     }
 
     @Override
@@ -94,12 +98,15 @@
 
     @Override
     public void handle(Request request, FilterChain next) throws RouterException, InterruptedException {
+        Optional<IdleConnection> connection = request.takeSuccessor().map(Successor::connection);
         if (request.remainingMs() == 0) {
+            connection.ifPresent(IdleConnection::close);
             throw new AttemptException(AttemptException.Kind.NOT_SENT, "the deadline passed before dispatch", null);
         }
+        request.awaitedPart(AnswerPart.HEAD);
         long startNanos = System.nanoTime();
         try (Timer.Context ignored = metrics.dispatchTime().time();
-                HttpCall call = openCall(request)) {
+                HttpCall call = openCall(request, connection)) {
             Future<?> deadlineTimer = scheduler.schedule(call::cancel, request.remainingMs(), TimeUnit.MILLISECONDS);
             try {
                 request.answer(call);
@@ -114,24 +121,34 @@
         admission.recordServiceTime(request.work(), System.nanoTime() - startNanos);
     }
 
-    private HttpCall openCall(Request request) throws RouterException, InterruptedException {
+    private HttpCall openCall(Request request, Optional<IdleConnection> connection)
+            throws RouterException, InterruptedException {
         try {
             return hedger.mayHedge(request)
-                    ? hedger.open(request, reservation -> prepareCall(request, reservation))
-                    : prepareCall(request, request.reservation().orElseThrow()).open();
+                    ? hedger.open(
+                            request,
+                            reservation -> prepareCall(request, reservation, true, connection),
+                            timeouts.headSilenceMs(request, admission.serviceMs(request.work())))
+                    : prepareCall(request, request.reservation().orElseThrow(), false, connection)
+                            .open();
         } catch (HttpFailure e) {
             throw toAttemptException(request, e, metrics);
         }
     }
 
-    private RequestHedger.CallOpener prepareCall(Request request, Reservation reservation) {
-        HttpTimeouts httpTimeouts =
-                timeouts.forAttempt(request, admission.serviceMs(request.work()), budget.available());
+    private RequestHedger.CallOpener prepareCall(
+            Request request, Reservation reservation, boolean hedged, Optional<IdleConnection> connection) {
+        HttpTimeouts httpTimeouts = timeouts.forAttempt(request);
         PeerAddress address = reservation.target().address();
         HttpRequest targetRequest = requestBuilder.build(request);
+        SilenceWatcher watcher = TargetSilence.of(
+                request, reservation, timeouts, admission.serviceMs(request.work()), hedged, successors);
+        if (connection.isPresent()) {
+            return () -> connection.get().open(targetRequest, httpTimeouts, watcher);
+        }
         return needsNewConnection(request)
-                ? () -> connector.openOnNewConnection(address, targetRequest, httpTimeouts)
-                : () -> connector.open(address, targetRequest, httpTimeouts);
+                ? () -> connector.openOnNewConnection(address, targetRequest, httpTimeouts, watcher)
+                : () -> connector.open(address, targetRequest, httpTimeouts, watcher);
     }
 
     /** Avoids idle connections, which may be dead undetected, for at-most-once requests and resumed streams. */
--- a/router/src/main/java/io/persimmonstack/router/filter/DispatchTimeouts.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/DispatchTimeouts.java
@@ -4,12 +4,13 @@
 import io.persimmonstack.router.request.Request;
 
 /**
- * Timeouts of calls to targets.
+ * Timeouts of calls to targets, in milliseconds. A call ends at the deadline of its request; a target that is silent
+ * before is replaced if another attempt can follow.
  *
  * @param connectMs timeout for opening a connection
- * @param progressMs timeout between two parts of an answer
- * @param firstTokenMs timeout for the first token of a stream that has begun
- * @param minFirstByteMs lower bound of the timeout for the head of an answer when the request may be retried elsewhere
+ * @param progressMs time between two parts of an answer after which a target counts as silent
+ * @param firstTokenMs time without the first token of a stream that has begun after which its target counts as silent
+ * @param minFirstByteMs shortest time without the head of an answer after which a target counts as silent
  */
 public record DispatchTimeouts(int connectMs, int progressMs, int firstTokenMs, int minFirstByteMs) {
     /** Multiple of the mean service time after which the head of an answer counts as late. */
@@ -17,23 +18,25 @@
     /** Share of the remaining time that a first attempt may use while no service time has been measured. */
     private static final double UNMEASURED_DEADLINE_SHARE = 0.5;
 
+    /** Returns the timeouts of one attempt, all of which end at the deadline. */
+    HttpTimeouts forAttempt(Request request) {
+        int remainingMs = (int) Math.clamp(request.remainingMs(), 1, Integer.MAX_VALUE);
+        return HttpTimeouts.of(Math.min(remainingMs, connectMs), remainingMs, remainingMs);
+    }
+
     /**
-     * Returns the timeouts of one attempt. The first attempt of a request that may be retried waits for the head of the
-     * answer only for a multiple of the mean service time, so that a dead connection leaves time for another attempt.
+     * Returns the time without the head of an answer after which a target counts as silent: for the first attempt at a
+     * request that may be repeated, a multiple of the mean service time.
      *
      * @param request the request
      * @param serviceMs mean service time of such requests, 0 while unknown
-     * @param mayRetry whether the retry budget permits another attempt
-     * @return the timeouts, none of them beyond the deadline
      */
-    HttpTimeouts forAttempt(Request request, double serviceMs, boolean mayRetry) {
-        int remainingMs = (int) Math.clamp(request.remainingMs(), 1, Integer.MAX_VALUE);
-        int firstByteMs = remainingMs;
-        if (mayRetry && request.grant().repeatable() && request.failedTargets().isEmpty()) {
-            double headTimeoutMs =
-                    serviceMs == 0 ? remainingMs * UNMEASURED_DEADLINE_SHARE : serviceMs * SERVICE_TIME_MULTIPLE;
-            firstByteMs = (int) Math.min(remainingMs, Math.max(minFirstByteMs, headTimeoutMs));
+    int headSilenceMs(Request request, double serviceMs) {
+        if (!request.grant().repeatable() || !request.failedTargets().isEmpty()) {
+            return Integer.MAX_VALUE;
         }
-        return HttpTimeouts.of(Math.min(remainingMs, connectMs), firstByteMs, Math.min(remainingMs, firstTokenMs));
+        double lateMs =
+                serviceMs == 0 ? request.remainingMs() * UNMEASURED_DEADLINE_SHARE : serviceMs * SERVICE_TIME_MULTIPLE;
+        return (int) Math.max(minFirstByteMs, lateMs);
     }
 }
--- a/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
@@ -5,6 +5,7 @@
 import io.persimmonstack.backends.http.HttpHeader;
 import io.persimmonstack.router.RouterMetrics;
 import io.persimmonstack.router.filter.SseReader.StreamEvent;
+import io.persimmonstack.router.request.AnswerPart;
 import io.persimmonstack.router.request.AttemptException;
 import io.persimmonstack.router.request.RelayedAnswer;
 import io.persimmonstack.router.request.Reply;
@@ -32,7 +33,7 @@
     private static final int DEFAULT_BUFFER_BYTES = 1_024;
 
     private static final int CHUNK_BYTES = 16 << 10;
-    private static final String EVENT_STREAM = "text/event-stream";
+    static final String EVENT_STREAM = "text/event-stream";
     private static final Set<String> SKIPPED_HEADERS = Set.of(
             "connection", "content-length", "date", "keep-alive", "trailer", "transfer-encoding", "x-request-id");
 
@@ -48,7 +49,7 @@
      * Returns the filter.
      *
      * @param metrics counts open and resumed streams
-     * @param progressMs timeout between two parts of an answer; in a stream, it applies from the first token on
+     * @param progressMs timeout for the end of a stream after its last event
      * @return the filter
      */
     public static RelayFilter of(RouterMetrics metrics, int progressMs) {
@@ -67,7 +68,7 @@
             if (isStream(request, call)) {
                 relayStream(request, call);
             } else {
-                call.shortenProgressTimeout(progressMs);
+                request.awaitedPart(AnswerPart.BODY);
                 relayBody(request, call);
             }
         } catch (IOException e) {
@@ -100,7 +101,10 @@
         }
         metrics.streamsOpen().inc();
         try {
+            request.awaitedPart(AnswerPart.FIRST_TOKEN);
             relayEvents(request, call, resumed);
+            request.awaitedPart(AnswerPart.END);
+            call.shortenProgressTimeout(progressMs);
             drain(call);
             request.relayed(request.relayed().completed());
             reply.end();
@@ -122,7 +126,7 @@
             StreamEvent event = nextEvent.get();
             last = event.last();
             if (event.tokens() > 0) {
-                call.shortenProgressTimeout(progressMs);
+                request.awaitedPart(AnswerPart.BODY);
             }
             boolean beforeFirstToken = event.tokens() == 0 && !event.hasFinishReason() && !last;
             if (resumed && beforeFirstToken) {
--- a/router/src/main/java/io/persimmonstack/router/filter/RequestHedger.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RequestHedger.java
@@ -9,7 +9,9 @@
 import io.persimmonstack.router.request.Request;
 import io.persimmonstack.router.request.Work;
 import io.persimmonstack.router.snapshot.FleetViews;
+import io.persimmonstack.router.snapshot.Target;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -20,11 +22,15 @@
 
 /**
  * Hedges repeatable requests: a request whose answer is late is also sent to a second target, in another zone where
- * possible and within the retry budget. The first answer is used and the other attempt is cancelled. Streams are not
- * hedged.
+ * possible and within the retry budget, and to a third one if the second is silent too. The first answer is used and
+ * the other attempts are cancelled; none is given up before, as a silent target may be sound. Streams are not hedged.
  */
 public final class RequestHedger {
     private static final int CLIENT_ERROR = 400;
+    private static final int MAX_ATTEMPTS = 3;
+    /** Interval at which a hedge that lacked a target or budget is tried again while no answer has come. */
+    private static final int HEDGE_RETRY_INTERVAL_MS = 100;
+
     private final int hedgeAfterMs;
     private final Placer placer;
     private final FleetViews views;
@@ -79,31 +85,37 @@
     }
 
     /**
-     * Opens a call to the reserved target and, if it is late, to a second one.
+     * Opens a call to the reserved target and, if it is late, to others.
      *
-     * @param request request with a reservation, which is replaced if the second target answers first
+     * @param request request with a reservation, which is replaced if another target answers first
      * @param preparer prepares the calls
+     * @param silentAfterMs time without an answer after which a hedge counts as silent, in milliseconds
      * @return the call that was answered first
      * @throws HttpFailure if all attempts failed
      * @throws InterruptedException if the thread is interrupted because the caller disconnected
      */
-    HttpCall open(Request request, CallPreparer preparer) throws HttpFailure, InterruptedException {
+    HttpCall open(Request request, CallPreparer preparer, int silentAfterMs) throws HttpFailure, InterruptedException {
         AttemptRace race = new AttemptRace();
         try {
             Reservation firstReservation = request.reservation().orElseThrow();
             race.start(firstReservation, preparer.prepare(firstReservation), false);
-            Optional<AttemptResult> firstResult = race.poll(hedgeAfterMs);
-            int attemptsInFlight =
-                    firstResult.isPresent() ? 0 : 1 + startHedge(race, request, firstReservation, preparer);
+            Set<Target> targets = new LinkedHashSet<>(Set.of(firstReservation.target()));
             List<HttpFailure> failures = new ArrayList<>();
-            AttemptResult result = firstResult.isPresent() ? firstResult.get() : race.take();
-            while (result.call().isEmpty()) {
-                failures.add(result.failure().orElseThrow());
-                if (--attemptsInFlight <= 0) {
-                    throw mostUncertain(failures);
+            int waitMs = hedgeAfterMs;
+            Optional<AttemptResult> next = race.poll(waitMs);
+            while (next.isEmpty() || next.get().call().isEmpty()) {
+                if (next.isPresent()) {
+                    failures.add(next.get().failure().orElseThrow());
+                    if (failures.size() == targets.size()) {
+                        throw mostUncertain(failures);
+                    }
+                } else if (targets.size() < MAX_ATTEMPTS) {
+                    boolean started = startHedge(race, request, targets, preparer);
+                    waitMs = started ? Math.max(hedgeAfterMs, silentAfterMs) : HEDGE_RETRY_INTERVAL_MS;
                 }
-                result = race.take();
+                next = race.poll(waitMs);
             }
+            AttemptResult result = next.get();
             if (result.reservation() != firstReservation) {
                 firstReservation.close();
                 request.reservation(result.reservation());
@@ -115,20 +127,25 @@
         }
     }
 
-    /** Starts the second attempt if a target and budget are available; returns the number of attempts started. */
-    private int startHedge(AttemptRace race, Request request, Reservation firstReservation, CallPreparer preparer) {
-        Optional<Reservation> reservation =
-                placer.reserve(request.work(), views.current(), Set.of(firstReservation.target()));
+    /**
+     * Starts another attempt if a target and budget are available.
+     *
+     * @param targets targets of the attempts so far, to which the new one is added
+     * @return whether the attempt was started
+     */
+    private boolean startHedge(AttemptRace race, Request request, Set<Target> targets, CallPreparer preparer) {
+        Optional<Reservation> reservation = placer.reserve(request.work(), views.current(), targets);
         if (reservation.isEmpty()) {
-            return 0;
+            return false;
         }
         if (!budget.spend()) {
             reservation.get().close();
-            return 0;
+            return false;
         }
+        targets.add(reservation.get().target());
         metrics.hedges().inc();
         race.start(reservation.get(), preparer.prepare(reservation.get()), true);
-        return 1;
+        return true;
     }
 
     /** Returns a failure after which the request may have run, if there is one, and else the first failure. */
@@ -182,10 +199,6 @@
             return Optional.ofNullable(results.poll(waitMs, TimeUnit.MILLISECONDS));
         }
 
-        AttemptResult take() throws InterruptedException {
-            return results.take();
-        }
-
         /** Interrupts the attempts in flight and cancels calls that were opened but not returned. */
         void finish() {
             finished = true;
--- a/router/src/main/java/io/persimmonstack/router/filter/RetryFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RetryFilter.java
@@ -11,7 +11,11 @@
 import io.persimmonstack.router.request.RefusalException;
 import io.persimmonstack.router.request.Request;
 import io.persimmonstack.router.request.RouterException;
+import io.persimmonstack.router.request.Successor;
+import io.persimmonstack.router.request.Work;
 import io.persimmonstack.runtime.event.EventLog;
+import java.util.Locale;
+import java.util.Optional;
 
 /**
  * Retries placement, dispatch and relay of repeatable requests within the retry budget, and turns the last failure into
@@ -45,7 +49,6 @@
     @Override
     public void handle(Request request, FilterChain next) throws RouterException, InterruptedException {
         budget.earn();
-        int failures = 0;
         int targetRefusals = 0;
         boolean mayHaveRun = false;
         while (true) {
@@ -54,11 +57,19 @@
                 return;
             } catch (AttemptException e) {
                 mayHaveRun |= !e.provablyNotRun();
-                failures += e.kind() == AttemptException.Kind.REFUSED_BY_TARGET ? 0 : 1;
-                targetRefusals += e.kind() == AttemptException.Kind.REFUSED_BY_TARGET ? 1 : 0;
+                if (e.kind() == AttemptException.Kind.REFUSED_BY_TARGET) {
+                    targetRefusals++;
+                } else {
+                    request.countFailedAttempt();
+                }
                 recordFailure(request, e);
-                boolean exhausted = failures >= MAX_ATTEMPTS || targetRefusals >= MAX_TARGET_REFUSALS;
-                if (exhausted || !mayRetry(request, e)) {
+                boolean replaced = e.kind() == AttemptException.Kind.SILENT
+                        && request.successor().isPresent();
+                boolean exhausted = request.failedAttempts() >= MAX_ATTEMPTS || targetRefusals >= MAX_TARGET_REFUSALS;
+                if (replaced) {
+                    request.reservation(request.successor().get().reservation());
+                } else if (exhausted || !mayRetry(request, e)) {
+                    request.takeSuccessor().ifPresent(Successor::close);
                     throw toRefusal(request, e, mayHaveRun).exception();
                 }
                 metrics.retries().inc();
@@ -69,14 +80,17 @@
     }
 
     /**
-     * Logs the failure, updates the circuit of the target and releases the reservation. Later attempts avoid the
-     * target, except that a broken stream is resumed there once.
+     * Logs the failure, updates the circuit of the target and releases the reservation, unless the next attempt uses
+     * it. Later attempts avoid the target, except that a broken stream is resumed there once. A silent target that
+     * accepts the connection for the next attempt has not failed.
      */
     private static void recordFailure(Request request, AttemptException e) {
         Reservation reservation = request.reservation().orElseThrow();
         String target = reservation.target().id();
         LOG.write(RouterEvent.TARGET_FAILED, target, request.id(), e.getMessage());
-        if (countsForCircuit(reservation, e.kind())) {
+        Optional<Reservation> successor = request.successor().map(Successor::reservation);
+        boolean sameTarget = successor.isPresent() && successor.get() == reservation;
+        if (!sameTarget && countsForCircuit(reservation, e.kind())) {
             long openMs = reservation.state().recordFailure(System.nanoTime());
             if (openMs > 0) {
                 LOG.write(
@@ -86,10 +100,13 @@
                         reservation.state().consecutiveFailures());
             }
         }
-        reservation.close();
+        if (!sameTarget) {
+            reservation.close();
+        }
         boolean broken = e.kind() == AttemptException.Kind.BROKEN || e.kind() == AttemptException.Kind.SILENT;
         boolean resumable = request.relayed().tokens() > 0 && broken;
-        if (!resumable || !request.takeSameTargetResume()) {
+        boolean elsewhere = successor.isPresent() && !sameTarget;
+        if (elsewhere || !resumable || !request.takeSameTargetResume()) {
             request.failedTargets().add(reservation.target());
         }
     }
@@ -105,15 +122,25 @@
 
     /** Returns whether to retry; spends retry budget unless the request provably did not run. */
     private boolean mayRetry(Request request, AttemptException e) {
-        if (!request.grant().repeatable() || e.kind() == AttemptException.Kind.DEADLINE || request.remainingMs() == 0) {
-            return false;
-        }
-        if (request.reply().begun() && request.relayed().tokens() == 0) {
+        boolean late = e.kind() == AttemptException.Kind.DEADLINE || request.remainingMs() == 0;
+        if (late || !mayBeRepeated(request)) {
             return false;
         }
         return e.provablyNotRun() || budget.spend();
     }
 
+    /** Returns whether another attempt could follow the present one, apart from the retry budget. */
+    static boolean mayFollow(Request request) {
+        return request.failedAttempts() + 1 < MAX_ATTEMPTS && mayBeRepeated(request);
+    }
+
+    /** Returns whether another attempt could go on where the answer stands; one relayed in chunks has no such point. */
+    private static boolean mayBeRepeated(Request request) {
+        boolean eventStream = request.work() instanceof Work.Completion
+                && request.relayed().contentType().toLowerCase(Locale.ROOT).startsWith(RelayFilter.EVENT_STREAM);
+        return request.grant().repeatable() && (!request.reply().begun() || eventStream);
+    }
+
     /** Adapts the refusal of a retry: the earlier attempt may have run, even if the retry did not. */
     private static Refusal afterEarlierAttempt(Refusal refusal) {
         String detail = "an earlier attempt failed; " + refusal.detail();
--- a/router/src/main/java/io/persimmonstack/router/request/Request.java
+++ b/router/src/main/java/io/persimmonstack/router/request/Request.java
@@ -29,6 +29,9 @@
     private final Set<Target> failedTargets = new LinkedHashSet<>();
     private boolean reservationUnused;
     private boolean sameTargetResumeUsed;
+    private int failedAttempts;
+    private Optional<Successor> successor = Optional.empty();
+    private AnswerPart awaitedPart = AnswerPart.HEAD;
     private HttpCall answer;
     private RelayedAnswer relayed = RelayedAnswer.none();
     private volatile boolean cancellable = true;
@@ -187,6 +190,48 @@
         return first;
     }
 
+    /** Returns whether a broken stream has already been resumed at the same target. */
+    public boolean sameTargetResumeUsed() {
+        return sameTargetResumeUsed;
+    }
+
+    /** Returns the number of attempts that failed, without those that a target refused to run. */
+    public int failedAttempts() {
+        return failedAttempts;
+    }
+
+    /** Counts one more failed attempt. */
+    public void countFailedAttempt() {
+        failedAttempts++;
+    }
+
+    /** Returns what was reserved for the next attempt, if anything. */
+    public Optional<Successor> successor() {
+        return successor;
+    }
+
+    /** Sets what was reserved for the next attempt. */
+    public void successor(Successor reserved) {
+        this.successor = Optional.of(reserved);
+    }
+
+    /** Returns what was reserved for the next attempt, and hands it over to the caller, which has to release it. */
+    public Optional<Successor> takeSuccessor() {
+        Optional<Successor> taken = successor;
+        successor = Optional.empty();
+        return taken;
+    }
+
+    /** Returns the part of the answer that the current attempt waits for. */
+    public AnswerPart awaitedPart() {
+        return awaitedPart;
+    }
+
+    /** Sets the part of the answer that the current attempt waits for. */
+    public void awaitedPart(AnswerPart part) {
+        this.awaitedPart = part;
+    }
+
     /** Returns the current or most recent reservation, empty before the request is admitted. */
     public Optional<Reservation> reservation() {
         return Optional.ofNullable(reservation);
--- a/router/src/test/java/io/persimmonstack/router/HedgeTest.java
+++ b/router/src/test/java/io/persimmonstack/router/HedgeTest.java
@@ -21,6 +21,7 @@
 
     private static final int REQUESTS_PER_EARNED_RETRY = 10;
     private static final int LATE_ANSWER_MS = 300;
+    private static final int MORE_THAN_HALF_OF_THE_DEADLINE_MS = 1_800;
     private RouterFixture fixture;
     private FakeTarget near;
     private FakeTarget far;
@@ -69,6 +70,32 @@
         assertEquals(1, far.receivedRequests().size());
     }
 
+    /** The head timeout used to end the only attempt, although no hedge could be sent. */
+    @Test
+    void lateAnswerOfTheOnlyTargetIsAwaited() throws Exception {
+        near.setBehaviour((exchange, received) -> {
+            Thread.sleep(MORE_THAN_HALF_OF_THE_DEADLINE_MS);
+            FakeTarget.completion("near").answer(exchange, received);
+        });
+        fixture.publish(fixture.fleet().runner(near, "z1", 100, "deed@v1"));
+        HttpResponse<String> answer = fixture.send(fixture.chatRequest(0, "deed", false, "X-Deadline-Ms", "3000"));
+        assertTrue(answer.body().contains("near"), answer.body());
+        assertEquals(1, near.receivedRequests().size());
+    }
+
+    /** A hedge that lacked a target used to be given up at once. */
+    @Test
+    void hedgeIsSentAsSoonAsThereIsATarget() throws Exception {
+        fixture.publish(fixture.fleet().runner(near, "z1", 100, "deed@v1"));
+        CompletableFuture<HttpResponse<String>> answer =
+                fixture.sendAsync(fixture.chatRequest(0, "deed", false, "X-Deadline-Ms", "20000"));
+        RouterFixture.await(() -> near.receivedRequests().size() == 1);
+        Thread.sleep(LATE_ANSWER_MS);
+        fixture.publish(fixture.fleet().runner(near, "z1", 100, "deed@v1").runner(far, "z2", 100, "deed@v1"));
+        assertTrue(answer.get().body().contains("far"));
+        assertEquals(1, hedgeCount());
+    }
+
     @Test
     void atMostOnceRequestsAndStreamsAreNeverHedged() throws Exception {
         answerLate();
