node, platform: an unexpected exception no longer ends the threads that follow the store and keep the lease

What callers saw: not reproduced at a caller. From then on the node would have applied no configuration and no change of the runners, or lost its lease and its place in the list, while it went on serving on old data; no log line said so. Cause: StoreFollower and StoreSession caught the store's checked exceptions only, and KvWatch ended without telling its watcher when a listener threw on its thread, so that the follower waited for ever. StoreSession logs and tries again after 0.5 s. New event 6020. PlannerTest (newLeaderPausesBeforeFirstOrder) failed once in a run of this change, "no order within 10 seconds", at a load of 22, and passed in the next one; the change does not touch the planner, and why it failed is not known.

--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -42,6 +42,8 @@
     LEADER_SILENT(6018, Level.WARN, "leader-silent leader={} cause={}"),
     /** The node's entry was written to the store under its lease. */
     REGISTERED(6019, Level.INFO, "registered node={} lease={}"),
+    /** Handling what the store reported, or keeping the lease, failed with an unexpected error; it is tried again. */
+    STORE_STEP_FAILED(6020, Level.ERROR, "store-step-failed step={} cause={}"),
     /** A request was answered by a runner. */
     SERVED(6101, Level.INFO, "request-served id={} route={} model={} runner={} sends={} first-ms={} ms={}"),
     /** The node answered a request itself, without a usable answer of a runner. */
--- a/node/src/main/java/io/persimmonstack/node/store/StoreFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoreFollower.java
@@ -17,19 +17,24 @@
 
 /**
  * Reads the keys below several prefixes and watches them for changes. One watch covers all prefixes, because each call
- * to the store is priced. Whenever the watch ends, everything is read again; failures are retried with backoff.
+ * to the store is priced. Whenever the watch ends, everything is read again; failures are retried with backoff. A
+ * listener that throws an unexpected exception gets a snapshot again, and does not keep the others from theirs.
  */
 public final class StoreFollower implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(StoreFollower.class);
     private static final String ALL_KEYS = "";
     private static final int MIN_BACKOFF_MS = 50;
     private static final int MAX_BACKOFF_MS = 500;
+    /** Time after which everything is read again for a listener that failed on its snapshot. */
+    private static final int FAILED_LISTENER_RETRY_MS = 5_000;
+
     private final KvStore store;
     private final List<FollowedPrefix> prefixes;
     private final IntSupplier batchDelayMs;
     private final Thread thread = Thread.ofVirtual().name("follow-store").unstarted(this::run);
     private long unavailableSinceNanos;
     private int backoffMs = MIN_BACKOFF_MS;
+    private boolean listenerFailed;
 
     /** Receives the entries below a prefix and their changes. Calls do not overlap. */
     public interface Listener {
@@ -92,27 +97,39 @@
 
     private List<Cursor> readAll() throws KvException {
         List<Cursor> cursors = new ArrayList<>();
+        listenerFailed = false;
         for (FollowedPrefix followed : prefixes) {
             KvRange range = store.list(followed.prefix());
-            followed.listener().onSnapshot(range);
+            listenerFailed |= !notified(followed, () -> followed.listener().onSnapshot(range));
             cursors.add(new Cursor(followed, range.revision()));
         }
         recordAvailable(cursors);
         return cursors;
     }
 
+    /** Runs a call of a listener; returns false if it failed with an unexpected exception, which is logged. */
+    private static boolean notified(FollowedPrefix followed, Runnable call) {
+        try {
+            call.run();
+            return true;
+        } catch (RuntimeException e) {
+            LOG.write(NodeEvent.STORE_STEP_FAILED, "keys of " + followed.prefix(), e.toString(), e);
+            return false;
+        }
+    }
+
     /**
      * Prefix and the revision of its snapshot. The watch of all prefixes starts after the lowest revision, so each
      * cursor skips the changes that its snapshot already contains.
      */
     private record Cursor(FollowedPrefix followed, long revision) {
-        private void deliver(List<KvChange> changes) {
+        /** Passes on the changes that are new; returns false if the listener failed. */
+        private boolean deliver(List<KvChange> changes) {
             List<KvChange> newChanges = changes.stream()
                     .filter(change -> key(change).startsWith(followed.prefix()) && revision(change) > revision)
                     .toList();
-            if (!newChanges.isEmpty()) {
-                followed.listener().onChanges(newChanges);
-            }
+            return newChanges.isEmpty()
+                    || notified(followed, () -> followed.listener().onChanges(newChanges));
         }
 
         private static String key(KvChange change) {
@@ -141,7 +158,13 @@
 
             @Override
             public void changed(List<KvChange> changes) {
-                cursors.forEach(cursor -> cursor.deliver(changes));
+                boolean failed = false;
+                for (Cursor cursor : cursors) {
+                    failed |= !cursor.deliver(changes);
+                }
+                if (failed) {
+                    ended.countDown();
+                }
             }
 
             @Override
@@ -155,7 +178,11 @@
             }
         };
         try (KvSubscription subscription = store.watch(ALL_KEYS, lowestRevision + 1, watcher)) {
-            ended.await();
+            if (listenerFailed) {
+                ended.await(FAILED_LISTENER_RETRY_MS, TimeUnit.MILLISECONDS);
+            } else {
+                ended.await();
+            }
         }
     }
 
@@ -164,7 +191,7 @@
             unavailableSinceNanos = System.nanoTime();
             LOG.write(NodeEvent.STORE_LOST, cause.getMessage());
         }
-        prefixes.forEach(followed -> followed.listener().onUnavailable());
+        prefixes.forEach(followed -> notified(followed, followed.listener()::onUnavailable));
     }
 
     private void recordAvailable(List<Cursor> cursors) {
--- a/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
@@ -29,6 +29,7 @@
     private static final int LEASE_TTL_MS = 2_500;
     private static final int RENEW_INTERVAL_MS = 700;
     private static final int POLL_INTERVAL_MS = 100;
+    private static final int ERROR_RETRY_MS = 500;
     /** Time by which the node stops leading before its lease expires. */
     private static final int LEASE_SAFETY_MARGIN_MS = 400;
     /** Time after which a registered node that the store does not list registers again. */
@@ -123,6 +124,9 @@
             leaseEnded();
         } catch (KvException e) {
             TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
+        } catch (RuntimeException e) {
+            LOG.write(NodeEvent.STORE_STEP_FAILED, "lease of " + self.node(), e.toString(), e);
+            TimeUnit.MILLISECONDS.sleep(ERROR_RETRY_MS);
         }
     }
 
--- a/node/src/test/java/io/persimmonstack/node/store/StoreFollowerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/store/StoreFollowerTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -81,6 +82,29 @@
         }
     }
 
+    /** The exception used to end the thread, so that no listener heard of the store again. */
+    @Test
+    void unexpectedErrorInASnapshotLeavesTheOtherListenersServed() throws Exception {
+        a.failNext();
+        start();
+        assertEquals("read", b.next());
+        write("b/1", "new");
+        assertEquals("written b/1=new", b.next());
+        assertEquals("read", a.next());
+    }
+
+    /** The exception used to end the watch without a word, so that the follower waited for ever. */
+    @Test
+    void unexpectedErrorInAChangeIsFollowedByASnapshot() throws Exception {
+        start();
+        assertEquals("read", a.next());
+        assertEquals("read", b.next());
+        a.failNext();
+        write("a/1", "x");
+        assertEquals("read a/1=x", a.next());
+        assertEquals("read", b.next());
+    }
+
     private void start() {
         follower = StoreFollower.start(
                 store,
@@ -99,6 +123,18 @@
 
     private static final class RecordingListener implements StoreFollower.Listener {
         private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+        private final AtomicBoolean failing = new AtomicBoolean();
+
+        /** Makes the next call of this listener fail. */
+        private void failNext() {
+            failing.set(true);
+        }
+
+        private void failIfRequested() {
+            if (failing.compareAndSet(true, false)) {
+                throw new IllegalStateException("requested by the test");
+            }
+        }
 
         private String next() throws InterruptedException {
             return String.valueOf(events.poll(WAIT_SECONDS, TimeUnit.SECONDS));
@@ -106,6 +142,7 @@
 
         @Override
         public void onSnapshot(KvRange range) {
+            failIfRequested();
             StringBuilder text = new StringBuilder("read");
             range.entries()
                     .forEach(entry ->
@@ -115,6 +152,7 @@
 
         @Override
         public void onChanges(List<KvChange> changes) {
+            failIfRequested();
             changes.forEach(this::recordChange);
         }
 
