router: a request whose deadline passes before it is sent does not count against its target

What callers saw: after four requests with deadlines too short to be sent, a sound target got nothing for 0.5 s and more; where it was the only one, other requests were refused (503). Cause: the attempt ended as NOT_SENT, which counts as a failure of the target. Change: it ends as EXPIRED, which is known not to have run as well, and does not count. A connection that is not opened in the time left counts as before. Measured: expiredRequestsDoNotOpenTheCircuitOfTheirTarget failed on (503 instead of 200) and passes now.

--- a/router/src/main/java/io/persimmonstack/router/filter/DispatchFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/DispatchFilter.java
@@ -101,7 +101,7 @@
         Optional<IdleConnection> connection = request.takeSuccessor().map(Successor::connection);
         if (request.remainingMs() == 0) {
             connection.ifPresent(IdleConnection::close);
-            throw new AttemptException(AttemptException.Kind.NOT_SENT, "the deadline passed before dispatch", null);
+            throw new AttemptException(AttemptException.Kind.EXPIRED, "the deadline passed before dispatch", null);
         }
         request.awaitedPart(AnswerPart.HEAD);
         long startNanos = System.nanoTime();
--- a/router/src/main/java/io/persimmonstack/router/filter/RetryFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RetryFilter.java
@@ -116,7 +116,7 @@
         return switch (kind) {
             case BROKEN, NOT_SENT -> true;
             case SILENT -> reservation.targetSilent();
-            case REFUSED_BY_TARGET, DEADLINE -> false;
+            case REFUSED_BY_TARGET, EXPIRED, DEADLINE -> false;
         };
     }
 
--- a/router/src/main/java/io/persimmonstack/router/request/AttemptException.java
+++ b/router/src/main/java/io/persimmonstack/router/request/AttemptException.java
@@ -8,6 +8,8 @@
     public enum Kind {
         /** No byte of the request was sent. */
         NOT_SENT,
+        /** The deadline of the request passed before it was sent, which says nothing about the target. */
+        EXPIRED,
         /** The target refused the request without running it. */
         REFUSED_BY_TARGET,
         /** The connection broke or the answer was an error or invalid; the target may have run the request. */
@@ -39,6 +41,6 @@
 
     /** Returns whether the target certainly did not run the request, so that any request may be sent again. */
     public boolean provablyNotRun() {
-        return kind == Kind.NOT_SENT || kind == Kind.REFUSED_BY_TARGET;
+        return kind == Kind.NOT_SENT || kind == Kind.EXPIRED || kind == Kind.REFUSED_BY_TARGET;
     }
 }
--- a/router/src/test/java/io/persimmonstack/router/TargetFaultsTest.java
+++ b/router/src/test/java/io/persimmonstack/router/TargetFaultsTest.java
@@ -196,6 +196,18 @@
                 "attempts " + faulty.receivedRequests().size());
     }
 
+    /** Requests whose deadline passed before they were sent used to count as failures of their target. */
+    @Test
+    void expiredRequestsDoNotOpenTheCircuitOfTheirTarget() throws Exception {
+        FakeTarget runner = fixture.target("r1", FakeTarget.completion("because"));
+        fixture.publish(fixture.fleet().runner(runner, "z1", 4, "deed@v1"));
+        for (int i = 0; i < 20; i++) {
+            fixture.send(fixture.chatRequest(0, "deed", false, "X-Deadline-Ms", "1"));
+        }
+        HttpResponse<String> answer = fixture.send(fixture.chatRequest(0, "deed", false, "X-Deadline-Ms", "300"));
+        assertEquals(200, answer.statusCode(), answer.body());
+    }
+
     @Test
     void silentConnectionsDoNotOpenTheCircuitOfATargetThatAnswersOthers() throws Exception {
         FakeTarget runner = fixture.target("r1", (exchange, received) -> {
