node: a runner that does not answer one status call keeps its directive

What callers saw: not reproduced at a caller. A directive was ended as failed while its runner carried the order out: the orders after it were dropped, and a load from the weight store no longer counted as in progress. Cause: one status call without an answer, which takes a second of silence, was taken for a failure of the order. Change: the executor asks again every 0.25 s and gives up after 3 s without a usable status. Timeouts of the orders are unchanged. Measured: runnerThatIsSilentForAMomentIsNotGivenUp failed on (the second order was not sent) and passes now.

--- a/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
@@ -18,6 +18,10 @@
     private static final int LOAD_MARGIN_MS = 15;
 
     private static final int STATUS_POLL_MS = 50;
+    private static final int STATUS_RETRY_MS = 250;
+    /** Time without a usable status after which a runner that carries out an order is given up. */
+    private static final long STATUS_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     /** Time for which an order is retried while the runner still carries out the one before it. */
     private static final long UNLOAD_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(8);
 
@@ -190,13 +194,19 @@
         return true;
     }
 
-    /** Polls the runner until its status shows the result of an order whose duration cannot be predicted. */
+    /**
+     * Polls the runner until its status shows the result of an order whose duration cannot be predicted. A runner that
+     * gives no status for a moment may still be carrying out the order.
+     */
     private boolean awaitStatus(RunnerStateTracker tracker, PlacementOrder order, long timeoutNanos)
             throws InterruptedException {
         long startNanos = System.nanoTime();
+        long lastStatusNanos = startNanos;
         while (System.nanoTime() - startNanos < timeoutNanos) {
+            int pauseMs = STATUS_POLL_MS;
             try {
                 RunnerStatus status = control.status(tracker.runner());
+                lastStatusNanos = System.nanoTime();
                 if (status.sequence() >= tracker.sequence() && status.reflects(order)) {
                     tracker.updateCopies(status);
                     return true;
@@ -206,9 +216,12 @@
                 }
             } catch (RunnerControlException e) {
                 LOG.write(NodeEvent.REPORT_FAILED, tracker.runner().id(), e.getMessage());
-                return false;
+                if (System.nanoTime() - lastStatusNanos > STATUS_SILENCE_NANOS) {
+                    return false;
+                }
+                pauseMs = STATUS_RETRY_MS;
             }
-            TimeUnit.MILLISECONDS.sleep(STATUS_POLL_MS);
+            TimeUnit.MILLISECONDS.sleep(pauseMs);
         }
         return false;
     }
--- a/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
@@ -42,6 +42,7 @@
     private final List<OrderPrecondition> preconditions = new ArrayList<>();
     private final Deque<OrderAnswer> answers = new ArrayDeque<>();
     private final List<String> fencingCauses = new ArrayList<>();
+    private int unansweredStatusCalls;
     private final RunnerStateTracker tracker = new RunnerStateTracker(RUNNER);
 
     private final RunnerControl control = new RunnerControl() {
@@ -52,7 +53,11 @@
         }
 
         @Override
-        public RunnerStatus status(Runner runner) {
+        public RunnerStatus status(Runner runner) throws RunnerControlException {
+            if (unansweredStatusCalls > 0) {
+                unansweredStatusCalls--;
+                throw new RunnerControlException("no response head within 1000 ms");
+            }
             return runnerStatus(false, 9, "a");
         }
     };
@@ -139,6 +144,21 @@
                 System.nanoTime()));
     }
 
+    /** One status that was not answered used to end the directive, as if its order had failed. */
+    @Test
+    void runnerThatIsSilentForAMomentIsNotGivenUp() {
+        applyIdleStatus(7);
+        unansweredStatusCalls = 1;
+        Directive directive = new Directive(
+                "r1",
+                7,
+                List.of(new PlacementOrder.UnloadAdapter("a", "x"), new PlacementOrder.LoadAdapter("a", "y")),
+                "waiting");
+        assertTrue(tracker.beginDirective(directive, ENGINE, System.nanoTime()));
+        execute(directive, () -> true);
+        assertEquals(2, preconditions.size());
+    }
+
     @Test
     void noOrderIsSentWithoutLeadership() {
         applyIdleStatus(7);
