backends: a call rate of 0 allows no call

Cause: the interval between calls was computed by a division by the rate, so a budget of 0 calls per second ended with an ArithmeticException. Such a budget now refuses every call until it is raised. Failed before: CallRateLimiterTest.rateOfZeroAllowsNoCallUntilItIsRaised, with the exception.

--- a/backends/src/main/java/io/persimmonstack/backends/kv/CallRateLimiter.java
+++ b/backends/src/main/java/io/persimmonstack/backends/kv/CallRateLimiter.java
@@ -10,7 +10,9 @@
 final class CallRateLimiter {
     private static final long NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
     private final TimeSource time;
+    /** Interval of the calls that do not start in a burst; 0 while no call is allowed. */
     private long nanosPerCall;
+
     private long burstNanos;
     private long nextStartNanos;
 
@@ -25,20 +27,23 @@
         return new CallRateLimiter(time, callsPerSecond);
     }
 
-    /** Changes the rate of later calls; calls that are already reserved keep their start times. */
+    /** Changes the rate of later calls, 0 allows none; calls that are already reserved keep their start times. */
     synchronized void setCallsPerSecond(int callsPerSecond) {
-        nanosPerCall = NANOS_PER_SECOND / callsPerSecond;
-        burstNanos = NANOS_PER_SECOND - nanosPerCall;
+        nanosPerCall = callsPerSecond > 0 ? NANOS_PER_SECOND / callsPerSecond : 0;
+        burstNanos = callsPerSecond > 0 ? NANOS_PER_SECOND - nanosPerCall : 0;
     }
 
     /**
      * Reserves one call.
      *
      * @param maxWaitNanos longest acceptable wait, in nanoseconds
-     * @return time to wait before the call may start, in nanoseconds; negative if the wait would exceed the limit, in
-     *     which case nothing is reserved
+     * @return time to wait before the call may start, in nanoseconds; negative if the wait would exceed the limit or no
+     *     call is allowed, in which case nothing is reserved
      */
     synchronized long reserve(long maxWaitNanos) {
+        if (nanosPerCall == 0) {
+            return -1;
+        }
         long now = time.nanoTime();
         long start = Math.max(nextStartNanos, now - burstNanos);
         long waitNanos = Math.max(0, start - now);
--- a/backends/src/test/java/io/persimmonstack/backends/kv/CallRateLimiterTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/kv/CallRateLimiterTest.java
@@ -56,4 +56,14 @@
         assertEquals(1_000 * NANOS_PER_MS, limiter.reserve(1_000 * NANOS_PER_MS));
         assertEquals(-1, limiter.reserve(1_000 * NANOS_PER_MS));
     }
+
+    @Test
+    void rateOfZeroAllowsNoCallUntilItIsRaised() {
+        CallRateLimiter limiter = CallRateLimiter.ofCallsPerSecond(0, time);
+        assertEquals(-1, limiter.reserve(Long.MAX_VALUE));
+        limiter.setCallsPerSecond(10);
+        assertEquals(0, limiter.reserve(0));
+        limiter.setCallsPerSecond(0);
+        assertEquals(-1, limiter.reserve(1_000 * NANOS_PER_MS));
+    }
 }
