backends: a watch that the service does not confirm counts as a failed call

Cause: an answer without the confirmation of a watch ended in an exception that bypassed the call guard, so it counted in no metric, and repeated attempts were not delayed by the backoff. It now counts as unavailable like other failed calls. Failed before: the five cases of EtcdWatchTest (0 instead of 1 in kv.unavailable).

--- a/backends/src/main/java/io/persimmonstack/backends/kv/EtcdKvStore.java
+++ b/backends/src/main/java/io/persimmonstack/backends/kv/EtcdKvStore.java
@@ -160,7 +160,7 @@
         HttpRequest request = HttpRequest.postJson("/v3/watch", JsonResponse.write(new WatchRequest(create)));
         try {
             HttpCall call = connector.open(endpoint, request, options.watchTimeouts());
-            return EtcdWatch.start(call, prefix, watcher, callGuard.openWatches());
+            return EtcdWatch.start(call, prefix, watcher, callGuard);
         } catch (HttpFailure e) {
             throw callGuard.recordUnavailable("watch '" + prefix + "': " + e.getMessage(), e);
         }
--- a/backends/src/main/java/io/persimmonstack/backends/kv/EtcdWatch.java
+++ b/backends/src/main/java/io/persimmonstack/backends/kv/EtcdWatch.java
@@ -42,18 +42,19 @@
     }
 
     /**
-     * Waits until the service confirms the watch, then starts the reading thread. The call is cancelled if that fails.
+     * Waits until the service confirms the watch, then starts the reading thread. If that fails, the call is cancelled
+     * and counts as failed.
      */
-    static EtcdWatch start(HttpCall call, String prefix, KvWatcher watcher, Counter openWatches)
+    static EtcdWatch start(HttpCall call, String prefix, KvWatcher watcher, KvCallGuard callGuard)
             throws KvUnavailableException {
-        EtcdWatch watch = new EtcdWatch(call, prefix, watcher, openWatches);
+        EtcdWatch watch = new EtcdWatch(call, prefix, watcher, callGuard.openWatches());
         try {
             watch.awaitCreated();
         } catch (IOException e) {
             call.cancel();
-            throw new KvUnavailableException("watch '" + prefix + "': " + e.getMessage(), e);
+            throw callGuard.recordUnavailable("watch '" + prefix + "': " + e.getMessage(), e);
         }
-        openWatches.inc();
+        watch.openWatches.inc();
         Thread.ofVirtual().name("kv-watch").start(watch::run);
         return watch;
     }
