planner tests: the pause of a new leader is tested with demand that is reported again and again

PlannerTest.newLeaderPausesBeforeFirstOrder failed three times beside other work (load about 20): "no order within 10 seconds". Its demand was reported once before the planner started, and a report is valid for 1.5 s; a start that took longer left the planner without demand. The test now reports demand every 0.1 s, as a node does; it still asks for an order within 10 s and none before the pause.

--- a/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
@@ -52,22 +52,29 @@
     @Test
     void newLeaderPausesBeforeFirstOrder() throws InterruptedException {
         NodeReports reports = NodeReports.create();
-        reports.update(
-                "n1",
-                List.of(),
-                List.of(new ModelDemand("s", new ModelRef("a", ""), 1, 1, 0, 3_000)),
-                System.nanoTime());
         long startNanos = System.nanoTime();
         try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
                 Planner planner =
                         PlannerFixture.start(fleet(), reports, () -> OptionalLong.of(41), PAUSE_MS, control, threads)) {
             assertTrue(planner.snapshotsFor("n2") != null);
-            assertTrue(ordered.await(10, TimeUnit.SECONDS), "no order within 10 seconds");
+            reportUntilOrdered(reports, startNanos + TimeUnit.SECONDS.toNanos(10));
+            assertEquals(0, ordered.getCount(), "no order within 10 seconds");
             long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
             assertTrue(waitedMs >= PAUSE_MS, "first order after " + waitedMs + " ms");
         }
     }
 
+    /** Reports demand at short intervals, as a node does, since a report is valid for a limited time. */
+    private void reportUntilOrdered(NodeReports reports, long endNanos) throws InterruptedException {
+        do {
+            reports.update(
+                    "n1",
+                    List.of(),
+                    List.of(new ModelDemand("s", new ModelRef("a", ""), 1, 1, 0, 3_000)),
+                    System.nanoTime());
+        } while (!ordered.await(100, TimeUnit.MILLISECONDS) && System.nanoTime() - endNanos < 0);
+    }
+
     /** A load in progress in one service says nothing about a model with the same name in another. */
     @Test
     void loadInProgressDelaysNoModelOfAnotherServiceWithTheSameName() throws InterruptedException {
