--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -17,7 +17,7 @@
 
 /**
  * One attempt at a request: sends it to a runner and forwards the answer to the caller. A runner that falls silent is
- * kept until a successor has been reserved. Not thread-safe.
+ * kept until a successor has begun to answer. Not thread-safe.
  */
 final class Attempt implements SilenceWatcher {
     private static final int CONNECT_TIMEOUT_MS = 600;
--- a/node/src/main/java/io/persimmonstack/node/sending/Outcome.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Outcome.java
@@ -24,8 +24,8 @@
     record Unknown(String detail, boolean late) implements Outcome {}
 
     /**
-     * The runner was silent, so the request continues at another one, which has been reserved. The silent one may have
-     * run it.
+     * The runner was silent, so the request continues at another one, which has begun to answer. The silent one may
+     * have run it.
      *
      * @param successor runner of the next attempt, to be closed after it
      * @param detail explanation for the log
