--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -149,6 +149,10 @@
         registry.gauge("requests.waiting", () -> placer::queuedCount);
         registry.gauge("fleet.runners", () -> () -> fleet.current().runners().size());
         registry.gauge("fleet.nodes", () -> () -> fleet.current().peers().size());
+        registry.gauge(
+                "runners.leaving-by-own-word",
+                () -> () -> fleet.leavingByOwnWord().size());
+        registry.gauge("runners.quiet", () -> () -> fleet.quietCount(System.nanoTime()));
         registry.gauge("lead.term", () -> () -> session.leadTerm().orElse(0));
     }
 
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -44,6 +44,14 @@
     REGISTERED(6019, Level.INFO, "registered node={} lease={}"),
     /** Handling what the store reported, or keeping the lease, failed with an unexpected error; it is tried again. */
     STORE_STEP_FAILED(6020, Level.ERROR, "store-step-failed step={} cause={}"),
+    /** A runner said that it is shutting down, in an answer to this node or to another one. */
+    RUNNER_SAYS_LEAVING(6021, Level.INFO, "runner-says-leaving runner={} started={} heard={}"),
+    /** A runner asked this node for a pause. */
+    RUNNER_QUIET(6022, Level.INFO, "runner-quiet runner={} ms={}"),
+    /** A runner's answer has a field about itself that cannot be read; the field has no effect. */
+    NOTICE_UNREADABLE(6023, Level.WARN, "notice-unreadable runner={} value={}"),
+    /** A request was not sent to the runner that had been chosen for it, because of what the runner said meanwhile. */
+    SEND_WITHHELD(6108, Level.INFO, "send-withheld id={} runner={} cause={}"),
     /** A request was answered by a runner. */
     SERVED(6101, Level.INFO, "request-served id={} route={} model={} runner={} sends={} first-ms={} ms={}"),
     /** The node answered a request itself, without a usable answer of a runner. */
--- a/node/src/main/java/io/persimmonstack/node/fleet/Fleet.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/Fleet.java
@@ -1,9 +1,11 @@
 package io.persimmonstack.node.fleet;
 
 import io.persimmonstack.node.config.RoutingTable;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Snapshot of the fleet as one node knows it. Immutable.
@@ -47,6 +49,18 @@
         return new Fleet(routing, Map.copyOf(newRunners), revision, peers, leader);
     }
 
+    /** Returns a copy in which the given processes are shutting down, whatever their entries say. */
+    Fleet withLeaving(Set<RunnerProcess> processes) {
+        boolean changed =
+                runners.values().stream().anyMatch(runner -> !runner.leaving() && processes.contains(runner.process()));
+        if (!changed) {
+            return this;
+        }
+        Map<String, Runner> updated = new HashMap<>(runners);
+        updated.replaceAll((id, runner) -> processes.contains(runner.process()) ? runner.asLeaving() : runner);
+        return withRunners(updated, runnersRevision);
+    }
+
     /** Returns a copy with the given nodes and leader. */
     public Fleet withPeers(Map<String, Peer> newPeers, Optional<Leader> newLeader) {
         return new Fleet(routing, runners, runnersRevision, Map.copyOf(newPeers), newLeader);
--- a/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
@@ -1,6 +1,12 @@
 package io.persimmonstack.node.fleet;
 
+import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.RateLimitedLog;
+import io.persimmonstack.runtime.event.EventLog;
+import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -9,12 +15,15 @@
 
 /** Holds the current {@link Fleet} snapshot, which each update replaces. Thread-safe; reads take no lock. */
 public final class FleetView {
+    private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(FleetView.class));
     private final AtomicReference<Fleet> current = new AtomicReference<>(Fleet.unknown());
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
     private final AtomicInteger maxPeersSeen = new AtomicInteger();
     private volatile Set<String> silentNodes = Set.of();
 
+    private final RunnerNotices notices = RunnerNotices.create();
+
     private FleetView() {}
 
     /** Returns a view that holds {@link Fleet#unknown()}. */
@@ -33,7 +42,7 @@
      * @param change computes the new snapshot from the current one; it may run more than once and must be pure
      */
     public void update(UnaryOperator<Fleet> change) {
-        Fleet updated = current.updateAndGet(change);
+        Fleet updated = current.updateAndGet(before -> change.apply(before).withLeaving(notices.leaving()));
         maxPeersSeen.accumulateAndGet(updated.peers().size(), Math::max);
         listeners.forEach(Runnable::run);
     }
@@ -53,6 +62,73 @@
         silentNodes = Set.copyOf(nodes);
     }
 
+    /**
+     * Records what a runner said about itself in an answer. One that is shutting down by its own word counts as leaving
+     * until another process takes its identifier, whatever its entry in the store says.
+     *
+     * @param runner process that answered
+     * @param notice what it said
+     */
+    public void recordNotice(Runner runner, RunnerNotice notice) {
+        notice.unreadable().ifPresent(value -> LOG.write(NodeEvent.NOTICE_UNREADABLE, runner.id(), value));
+        notice.quietMs().ifPresent(quietMs -> recordQuiet(runner, quietMs));
+        if (notice.leaving()) {
+            recordLeaving(List.of(runner.process()), "own answer");
+        }
+    }
+
+    private void recordQuiet(Runner runner, long quietMs) {
+        notices.recordQuiet(runner.process(), quietMs, System.nanoTime());
+        LOG.write(NodeEvent.RUNNER_QUIET, runner.id(), quietMs);
+        listeners.forEach(Runnable::run);
+    }
+
+    /**
+     * Records that runner processes are shutting down by their own word.
+     *
+     * @param processes the processes
+     * @param source where this node heard of it, for the log
+     */
+    public void recordLeaving(Collection<RunnerProcess> processes, String source) {
+        long nowNanos = System.nanoTime();
+        List<RunnerProcess> added = processes.stream()
+                .filter(process -> notices.recordLeaving(process, nowNanos))
+                .toList();
+        if (added.isEmpty()) {
+            return;
+        }
+        added.forEach(
+                process -> LOG.write(NodeEvent.RUNNER_SAYS_LEAVING, process.runner(), process.startedMs(), source));
+        update(fleet -> fleet);
+    }
+
+    /** Returns the listed processes that are shutting down by their own word. */
+    public List<RunnerProcess> leavingByOwnWord() {
+        Set<RunnerProcess> leaving = notices.leaving();
+        if (leaving.isEmpty()) {
+            return List.of();
+        }
+        return current().runners().values().stream()
+                .map(Runner::process)
+                .filter(leaving::contains)
+                .toList();
+    }
+
+    /** Returns until when a runner wants no requests from this node, by the monotonic clock; empty if it takes them. */
+    public OptionalLong quietUntilNanos(Runner runner, long nowNanos) {
+        return notices.quietUntilNanos(runner.process(), nowNanos);
+    }
+
+    /** Returns the number of runner processes that want no requests from this node now. */
+    public int quietCount(long nowNanos) {
+        return notices.quietCount(nowNanos);
+    }
+
+    /** Returns why, by its own word, nothing may be sent to a runner now; empty if requests may be sent. */
+    public Optional<String> withholdReason(Runner runner, long nowNanos) {
+        return notices.withholdReason(runner.process(), nowNanos);
+    }
+
     /** Adds an action that runs after each update on the updating thread; it must not block. */
     public void onChange(Runnable listener) {
         listeners.add(listener);
--- a/node/src/main/java/io/persimmonstack/node/fleet/Runner.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/Runner.java
@@ -41,6 +41,18 @@
         return new Runner(id, startedMs, service, address, zone, slots, leaving, newModels, inMemory, onDisk);
     }
 
+    /** Returns a copy that is shutting down. */
+    public Runner asLeaving() {
+        return leaving
+                ? this
+                : new Runner(id, startedMs, service, address, zone, slots, true, models, inMemory, onDisk);
+    }
+
+    /** Returns the process that this entry describes. */
+    public RunnerProcess process() {
+        return new RunnerProcess(id, startedMs);
+    }
+
     /** Returns whether the other entry describes the same process. */
     public boolean isSameProcess(Runner other) {
         return id.equals(other.id) && startedMs == other.startedMs;
--- a/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
@@ -48,11 +48,12 @@
         long nowNanos = System.nanoTime();
         reports.update(load.getNode(), LoadMessages.usages(load), LoadMessages.demands(load), nowNanos);
         planner.suspect(load.getUnreachable());
+        fleet.recordLeaving(LoadMessages.leaving(load), "node " + load.getNode());
         SnapshotDeltas.Delta delta = snapshotDeltas.deltaFor(
                 load.getNode(),
                 term.getAsLong(),
                 LoadMessages.acknowledgedAnswer(load),
                 planner.snapshotsFor(load.getNode()));
-        return LoadMessages.toFleetLoad(fleet.current(), delta, reports.silentNodes(nowNanos), planner.arrivals());
+        return LoadMessages.toFleetLoad(fleet, delta, reports.silentNodes(nowNanos), planner.arrivals());
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.node.config.RoutingTable;
 import io.persimmonstack.node.fleet.Fleet;
+import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.placing.LocalLoad;
 import io.persimmonstack.node.placing.ModelArrival;
 import io.persimmonstack.node.placing.ModelDemand;
@@ -13,6 +14,7 @@
 import io.persimmonstack.wire.gen.ModelNeed;
 import io.persimmonstack.wire.gen.NodeLoad;
 import io.persimmonstack.wire.gen.RunnerHolding;
+import io.persimmonstack.wire.gen.RunnerProcess;
 import io.persimmonstack.wire.gen.RunnerUse;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -25,8 +27,9 @@
     private LoadMessages() {}
 
     static NodeLoad toNodeLoad(
-            String node, long sequence, Fleet fleet, SnapshotDeltas.AnswerId acknowledged, LocalLoad load) {
-        return new NodeLoad(
+            String node, long sequence, FleetView view, SnapshotDeltas.AnswerId acknowledged, LocalLoad load) {
+        Fleet fleet = view.current();
+        NodeLoad message = new NodeLoad(
                 node,
                 sequence,
                 fleet.routing().map(RoutingTable::version).orElse(0L),
@@ -36,6 +39,34 @@
                 load.unreachableRunners(),
                 acknowledged.term(),
                 acknowledged.number());
+        message.setLeaving(toProcessMessages(view.leavingByOwnWord()));
+        return message;
+    }
+
+    /** Returns the processes that, by the report of a node, have said that they are shutting down. */
+    static List<io.persimmonstack.node.fleet.RunnerProcess> leaving(NodeLoad load) {
+        return fromProcessMessages(load.getLeaving());
+    }
+
+    /** Returns the processes that, by the leader's answer, have said that they are shutting down. */
+    static List<io.persimmonstack.node.fleet.RunnerProcess> leaving(FleetLoad load) {
+        return fromProcessMessages(load.getLeaving());
+    }
+
+    private static List<RunnerProcess> toProcessMessages(List<io.persimmonstack.node.fleet.RunnerProcess> processes) {
+        return processes.stream()
+                .map(process -> new RunnerProcess(process.runner(), process.startedMs()))
+                .toList();
+    }
+
+    /** Converts processes; a node of an earlier version sends none. */
+    private static List<io.persimmonstack.node.fleet.RunnerProcess> fromProcessMessages(List<RunnerProcess> messages) {
+        return messages == null
+                ? List.of()
+                : messages.stream()
+                        .map(message -> new io.persimmonstack.node.fleet.RunnerProcess(
+                                message.getRunner(), message.getStartedMs()))
+                        .toList();
     }
 
     static SnapshotDeltas.AnswerId acknowledgedAnswer(NodeLoad load) {
@@ -47,8 +78,9 @@
     }
 
     static FleetLoad toFleetLoad(
-            Fleet fleet, SnapshotDeltas.Delta delta, Set<String> silentNodes, List<ModelArrival> arrivals) {
-        return new FleetLoad(
+            FleetView view, SnapshotDeltas.Delta delta, Set<String> silentNodes, List<ModelArrival> arrivals) {
+        Fleet fleet = view.current();
+        FleetLoad message = new FleetLoad(
                 delta.answerId().term(),
                 fleet.routing().map(RoutingTable::version).orElse(0L),
                 fleet.runnersRevision(),
@@ -56,6 +88,8 @@
                 new ArrayList<>(silentNodes),
                 arrivals.stream().map(LoadMessages::toArrivalMessage).toList(),
                 delta.answerId().number());
+        message.setLeaving(toProcessMessages(view.leavingByOwnWord()));
+        return message;
     }
 
     static List<RunnerUsage> usages(NodeLoad load) {
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -1,7 +1,6 @@
 package io.persimmonstack.node.peers;
 
 import io.persimmonstack.node.NodeEvent;
-import io.persimmonstack.node.fleet.Fleet;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Leader;
 import io.persimmonstack.node.placing.Placer;
@@ -102,13 +101,12 @@
     }
 
     private void report() {
-        Fleet currentFleet = fleet.current();
-        Optional<Leader> leader = currentFleet.leader();
+        Optional<Leader> leader = fleet.current().leader();
         if (leader.isEmpty()) {
             checkSilence("-", "no leader");
             return;
         }
-        NodeLoad load = LoadMessages.toNodeLoad(node, ++sequence, currentFleet, acknowledged, placer.drainLoad());
+        NodeLoad load = LoadMessages.toNodeLoad(node, ++sequence, fleet, acknowledged, placer.drainLoad());
         try {
             apply(exchange(leader.get(), load));
         } catch (WireException | WireRefusal e) {
@@ -127,6 +125,7 @@
         lastAnswerNanos = System.nanoTime();
         leaderSilent = false;
         fleet.updateSilentNodes(new HashSet<>(answer.getSilentNodes()));
+        fleet.recordLeaving(LoadMessages.leaving(answer), "leader");
         boolean allApplied = placer.applySnapshots(LoadMessages.snapshots(answer));
         acknowledged = allApplied ? LoadMessages.answerId(answer) : SnapshotDeltas.AnswerId.NONE;
         placer.applyModelArrivals(LoadMessages.arrivals(answer));
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -3,6 +3,7 @@
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.request.ActiveRequest;
+import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.Refusal;
 import io.persimmonstack.node.request.RefusedException;
@@ -13,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.concurrent.ExecutionException;
@@ -27,6 +29,9 @@
     /** Base of the randomised retry time advised to a caller whose request timed out. */
     private static final long RETRY_AFTER_MS = 500;
 
+    /** Mean time over which callers return after a pause of the runners. */
+    private static final long RETURN_SPREAD_MS = 200;
+
     private static final ModelRef NO_MODEL = new ModelRef("", "");
     private final ReentrantLock lock = new ReentrantLock();
     private final Map<String, RunnerLoadTracker> trackers = new HashMap<>();
@@ -76,6 +81,7 @@
                 return placed.get();
             }
             refuseIfModelTooLate(queued);
+            refuseIfQuietTooLong(queued);
             if (queued.refusal().isPresent()) {
                 throw queued.refusal().get();
             }
@@ -87,6 +93,11 @@
         return await(queued);
     }
 
+    /** Returns why, by its own word, nothing may be sent to a runner now; empty if requests may be sent. */
+    public Optional<String> withholdReason(Runner runner) {
+        return fleet.withholdReason(runner, System.nanoTime());
+    }
+
     /**
      * Assigns a request to a runner that has a free slot at present.
      *
@@ -153,15 +164,23 @@
 
     private Optional<Placement> tryPlace(QueuedRequest queued) {
         ActiveRequest request = queued.request();
-        long expectedTokens = request.callerRequest().tokens().likelyTotal();
-        RunnerSelector.Requirements requirements = new RunnerSelector.Requirements(
-                request.callerRequest().model(),
-                expectedTokens,
-                queued.excludedRunners(),
-                promptAffinity.preferredRunner(request.callerRequest()));
-        return RunnerSelector.of(request.service(), zone, System.nanoTime())
+        RunnerSelector.Requirements requirements = requirements(queued);
+        return selector(request)
                 .choose(trackersOf(request.service().name()), requirements)
-                .map(tracker -> occupySlot(tracker, request, expectedTokens));
+                .map(tracker -> occupySlot(tracker, request, requirements.expectedTokens()));
+    }
+
+    private RunnerSelector selector(ActiveRequest request) {
+        return RunnerSelector.of(request.service(), zone, System.nanoTime());
+    }
+
+    private RunnerSelector.Requirements requirements(QueuedRequest queued) {
+        CallerRequest callerRequest = queued.request().callerRequest();
+        return new RunnerSelector.Requirements(
+                callerRequest.model(),
+                callerRequest.tokens().likelyTotal(),
+                queued.excludedRunners(),
+                promptAffinity.preferredRunner(callerRequest));
     }
 
     private Collection<RunnerLoadTracker> trackersOf(String service) {
@@ -208,10 +227,14 @@
             Map<String, Runner> runners = fleet.current().runners();
             trackers.values()
                     .removeIf(tracker -> !runners.containsKey(tracker.runner().id()));
-            runners.values()
-                    .forEach(runner -> trackers.computeIfAbsent(runner.id(), id -> new RunnerLoadTracker(runner))
-                            .updateRunner(runner));
+            long nowNanos = System.nanoTime();
+            for (Runner runner : runners.values()) {
+                RunnerLoadTracker tracker = trackers.computeIfAbsent(runner.id(), id -> new RunnerLoadTracker(runner));
+                tracker.updateRunner(runner);
+                fleet.quietUntilNanos(runner, nowNanos).ifPresent(tracker::pauseUntil);
+            }
             placeQueuedRequests();
+            refuseQueued(this::refuseIfQuietTooLong);
         } finally {
             lock.unlock();
         }
@@ -242,13 +265,32 @@
         lock.lock();
         try {
             modelArrivals.update(expected, System.nanoTime());
-            List.copyOf(queue).forEach(this::refuseIfModelTooLate);
-            queue.removeIf(queued -> queued.refusal().isPresent());
+            refuseQueued(this::refuseIfModelTooLate);
         } finally {
             lock.unlock();
         }
     }
 
+    /** Applies a check that may refuse requests to all queued ones. */
+    private void refuseQueued(Consumer<QueuedRequest> check) {
+        List.copyOf(queue).forEach(check);
+        queue.removeIf(queued -> queued.refusal().isPresent());
+    }
+
+    /** Refuses a request if all runners that could take it want none until after its deadline. */
+    private void refuseIfQuietTooLong(QueuedRequest queued) {
+        ActiveRequest request = queued.request();
+        OptionalLong untilNanos =
+                selector(request).quietUntilNanos(trackersOf(request.service().name()), requirements(queued));
+        if (untilNanos.isEmpty() || untilNanos.getAsLong() - queued.deadlineNanos() < 0) {
+            return;
+        }
+        long quietMs = TimeUnit.NANOSECONDS.toMillis(untilNanos.getAsLong() - System.nanoTime());
+        String detail = "all runners want no requests for " + quietMs + " ms";
+        long retryAfterMs = Math.max(0, quietMs) + Jitter.spread(RETURN_SPREAD_MS);
+        queued.refuse(new RefusedException(Refusal.notRun("runners-quiet", detail, retryAfterMs)));
+    }
+
     /** Refuses a request whose model cannot be loaded before its deadline, with the time to retry after. */
     private void refuseIfModelTooLate(QueuedRequest queued) {
         ActiveRequest request = queued.request();
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Tracks one runner process for the placement of requests: requests in progress, recent failures, and the models that
@@ -26,6 +27,9 @@
     /** Time for which a runner is avoided and reported as unreachable after a failed connection. */
     private static final long UNREACHABLE_BACKOFF_NANOS = 1_000_000_000L;
 
+    /** Time over which requests return to a runner after a pause that it asked for. */
+    private static final long RAMP_NANOS = 500_000_000L;
+
     private final Map<ModelRef, RunnerUsage> usageByModel = new HashMap<>();
     private final Map<ModelRef, Long> missingUntilNanos = new HashMap<>();
     private final Deque<Long> failureNanos = new ArrayDeque<>();
@@ -37,6 +41,7 @@
     private long tokensElsewhere;
     private long avoidUntilNanos = Long.MIN_VALUE;
     private long unreachableUntilNanos = Long.MIN_VALUE;
+    private OptionalLong quietUntilNanos = OptionalLong.empty();
 
     RunnerLoadTracker(Runner runner) {
         this.runner = runner;
@@ -57,6 +62,7 @@
             discardSnapshot();
             avoidUntilNanos = Long.MIN_VALUE;
             unreachableUntilNanos = Long.MIN_VALUE;
+            quietUntilNanos = OptionalLong.empty();
         }
         runner = newer;
     }
@@ -136,8 +142,35 @@
         return unreachableUntilNanos > nowNanos;
     }
 
-    boolean isAvoided(long nowNanos) {
-        return avoidUntilNanos > nowNanos;
+    /** Records until when the runner wants no requests, by its own word. */
+    void pauseUntil(long untilNanos) {
+        quietUntilNanos = OptionalLong.of(untilNanos);
+    }
+
+    /**
+     * Returns whether the runner may be sent new requests. That it is shutting down outweighs a pause that it asked
+     * for, which outweighs a backoff after failures. Requests in progress at the runner go on in any case.
+     */
+    Availability availability(long nowNanos) {
+        if (runner.leaving()) {
+            return new Availability.Leaving();
+        }
+        if (quietUntilNanos.isPresent() && quietUntilNanos.getAsLong() - nowNanos > 0) {
+            return new Availability.Quiet(quietUntilNanos.getAsLong());
+        }
+        return avoidUntilNanos > nowNanos ? new Availability.BackingOff() : new Availability.Open();
+    }
+
+    /**
+     * Returns the number of requests that the runner may have in progress. After a pause that it asked for, the number
+     * rises to all its slots over {@link #RAMP_NANOS}.
+     */
+    int slotLimit(long nowNanos) {
+        int slots = Math.max(1, runner.slots());
+        long sinceQuietNanos = quietUntilNanos.isPresent() ? nowNanos - quietUntilNanos.getAsLong() : RAMP_NANOS;
+        return sinceQuietNanos >= RAMP_NANOS
+                ? slots
+                : (int) Math.min(slots, 1 + slots * Math.max(0, sinceQuietNanos) / RAMP_NANOS);
     }
 
     int recentFailures(long nowNanos) {
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -51,6 +52,37 @@
                 .min(Comparator.comparingDouble(tracker -> cost(tracker, requirements)));
     }
 
+    /**
+     * Returns the end of the earliest pause, by the monotonic clock, if all runners that can run the request have asked
+     * for one; empty if there is no such runner or if another one may take it sooner.
+     *
+     * @param trackers trackers of all runners of the service
+     * @param requirements what the request requires of its runner
+     */
+    OptionalLong quietUntilNanos(Collection<RunnerLoadTracker> trackers, Requirements requirements) {
+        OptionalLong earliestNanos = OptionalLong.empty();
+        for (RunnerLoadTracker tracker : trackers) {
+            if (!suits(tracker, requirements)) {
+                continue;
+            }
+            switch (tracker.availability(nowNanos)) {
+                case Availability.Open open -> {
+                    return OptionalLong.empty();
+                }
+                case Availability.BackingOff backingOff -> {
+                    return OptionalLong.empty();
+                }
+                case Availability.Quiet quiet -> earliestNanos = earlier(earliestNanos, quiet.untilNanos());
+                case Availability.Leaving leaving -> {}
+            }
+        }
+        return earliestNanos;
+    }
+
+    private static OptionalLong earlier(OptionalLong oneNanos, long otherNanos) {
+        return oneNanos.isPresent() && oneNanos.getAsLong() - otherNanos < 0 ? oneNanos : OptionalLong.of(otherNanos);
+    }
+
     /**
      * What a request requires of its runner.
      *
@@ -66,9 +98,12 @@
             Optional<String> preferredRunner) {}
 
     private boolean canRun(RunnerLoadTracker tracker, Requirements requirements) {
-        return !tracker.runner().leaving()
-                && !requirements.excludedRunners().contains(tracker.runner().id())
-                && !tracker.isAvoided(nowNanos)
+        return tracker.availability(nowNanos) instanceof Availability.Open && suits(tracker, requirements);
+    }
+
+    /** Returns whether a runner, if it is available, can run the request. */
+    private boolean suits(RunnerLoadTracker tracker, Requirements requirements) {
+        return !requirements.excludedRunners().contains(tracker.runner().id())
                 && requirements
                         .model()
                         .map(model -> tracker.holds(model, nowNanos))
@@ -77,7 +112,7 @@
 
     /** Returns whether a runner has a free slot and enough memory; an idle one takes a request of any size. */
     private boolean hasCapacity(RunnerLoadTracker tracker, long expectedTokens) {
-        if (tracker.totalRequests() >= slots(tracker)) {
+        if (tracker.totalRequests() >= tracker.slotLimit(nowNanos)) {
             return false;
         }
         long capacityTokens = service.engine().map(Engine::cacheTokens).orElse(Long.MAX_VALUE);
@@ -85,12 +120,9 @@
                 || tracker.totalTokens() + expectedTokens <= capacityTokens * USABLE_MEMORY_SHARE;
     }
 
-    private int slots(RunnerLoadTracker tracker) {
-        return Math.max(1, tracker.runner().slots());
-    }
-
     private double cost(RunnerLoadTracker tracker, Requirements requirements) {
-        double slotUtilisation = (double) tracker.totalRequests() / slots(tracker);
+        double slotUtilisation =
+                (double) tracker.totalRequests() / Math.max(1, tracker.runner().slots());
         double memoryUtilisation = service.engine()
                 .map(engine -> (double) tracker.totalTokens() / engine.cacheTokens())
                 .orElse(0.0);
--- a/node/src/main/java/io/persimmonstack/node/planning/OrderAnswer.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderAnswer.java
@@ -17,6 +17,8 @@
     MISDIRECTED,
     /** The runner does not understand the order. */
     INVALID,
+    /** The order was not sent, since the runner wants nothing from this node for a while. */
+    WITHHELD,
     /** No usable answer came; the order may or may not be carried out, now or later. */
     UNKNOWN
 }
--- a/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
@@ -109,7 +109,7 @@
 
     /**
      * Sends an order, and retries it while the runner answers with a conflict because the previous order is in
-     * progress.
+     * progress, or wants quiet.
      *
      * @param task directive that the order belongs to
      * @param order order to send
@@ -126,12 +126,12 @@
         long startNanos = System.nanoTime();
         OrderAnswer answer = send(task, order, sequence);
         logOrder(task, order, sequence, answer);
-        while (answer == OrderAnswer.CONFLICT
+        while ((answer == OrderAnswer.CONFLICT || answer == OrderAnswer.WITHHELD)
                 && System.nanoTime() - startNanos < conflictTimeoutNanos
                 && task.stillLeads().getAsBoolean()) {
             TimeUnit.MILLISECONDS.sleep(CONFLICT_RETRY_MS);
             answer = send(task, order, sequence);
-            if (answer != OrderAnswer.CONFLICT) {
+            if (answer != OrderAnswer.CONFLICT && answer != OrderAnswer.WITHHELD) {
                 logOrder(task, order, sequence, answer);
             }
         }
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -46,7 +46,7 @@
     private final NodeReports reports;
     private final Supplier<OptionalLong> leadTerm;
     private final OrderExecutor orderExecutor;
-    private final RunnerControl control;
+    private final QuietRunnerControl control;
     private final ExecutorService executor;
     private final long orderPauseNanos;
     private final Map<String, RunnerStateTracker> trackers = new HashMap<>();
@@ -65,7 +65,7 @@
             NodeReports reports,
             Supplier<OptionalLong> leadTerm,
             OrderExecutor orderExecutor,
-            RunnerControl control,
+            QuietRunnerControl control,
             ExecutorService executor,
             long orderPauseNanos) {
         this.orderPauseNanos = orderPauseNanos;
@@ -98,9 +98,10 @@
             ExecutorService executor,
             NodeMetrics metrics,
             Consumer<String> onFenced) {
-        OrderExecutor orderExecutor = OrderExecutor.of(options.name(), control, metrics, onFenced);
+        QuietRunnerControl quietControl = QuietRunnerControl.of(control, fleet);
+        OrderExecutor orderExecutor = OrderExecutor.of(options.name(), quietControl, metrics, onFenced);
         long pauseNanos = TimeUnit.MILLISECONDS.toNanos(options.orderPauseMs());
-        Planner planner = new Planner(fleet, reports, leadTerm, orderExecutor, control, executor, pauseNanos);
+        Planner planner = new Planner(fleet, reports, leadTerm, orderExecutor, quietControl, executor, pauseNanos);
         planner.thread.start();
         return planner;
     }
@@ -194,7 +195,7 @@
     }
 
     private void pollStatus(RunnerStateTracker tracker) {
-        if (!tracker.needsStatus(System.nanoTime())) {
+        if (control.isQuiet(tracker.runner()) || !tracker.needsStatus(System.nanoTime())) {
             return;
         }
         tracker.markStatusRequested(System.nanoTime());
@@ -214,7 +215,7 @@
         List<RunnerUsage> usages = reports.usagesExcept("", nowNanos);
         List<RunnerState> states = trackers.values().stream()
                 .filter(tracker -> tracker.runner().service().equals(service))
-                .map(tracker -> tracker.state(usages, engine))
+                .map(tracker -> tracker.state(usages, engine, !control.isQuiet(tracker.runner())))
                 .toList();
         int activeStoreLoads = (int) trackers.values().stream()
                 .filter(RunnerStateTracker::loadsFromStore)
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerControl.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerControl.java
@@ -1,9 +1,13 @@
 package io.persimmonstack.node.planning;
 
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.fleet.RunnerNoticeListener;
 
 /** Sends orders and status requests to runners; the calls block. */
 public interface RunnerControl {
+    /** Sets the receiver of what runners say about themselves in any answer, replacing an earlier one. */
+    void onNotice(RunnerNoticeListener listener);
+
     /**
      * Sends an order. It is addressed to the runner's identifier, so that another process at the same address rejects
      * it.
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
@@ -12,7 +12,7 @@
  * @param id identifier
  * @param zone availability zone
  * @param stateKnown whether its state is known, so that orders can be sent to it
- * @param idle whether no directive for it is in progress
+ * @param idle whether it takes an order now: no directive for it is in progress, and it has asked for no pause
  * @param leaving whether it accepts no new work
  * @param sequence number of orders that it had accepted in this state
  * @param models models that it holds, by name
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
@@ -325,8 +325,14 @@
         return held != null && held.adapters().contains(adapter.adapter());
     }
 
-    /** Returns the state to plan with, given the requests in progress by the nodes' reports. */
-    synchronized RunnerState state(List<RunnerUsage> usages, Engine engine) {
+    /**
+     * Returns the state to plan with.
+     *
+     * @param usages requests in progress by the nodes' reports
+     * @param engine capacity of the runner
+     * @param takesOrders whether the runner takes orders from this node at present
+     */
+    synchronized RunnerState state(List<RunnerUsage> usages, Engine engine, boolean takesOrders) {
         Map<ModelRef, Integer> requestsByModel = new HashMap<>();
         usages.stream()
                 .filter(usage -> usage.runner().equals(runner.id()))
@@ -335,7 +341,7 @@
                 runner.id(),
                 runner.zone(),
                 stateKnown,
-                activeDirective.isEmpty(),
+                takesOrders && activeDirective.isEmpty(),
                 runner.leaving() || System.nanoTime() - unavailableUntilNanos < 0,
                 sequence,
                 Map.copyOf(models),
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -39,6 +39,7 @@
     private final StreamProgress progress;
     private final Reply reply;
     private final ReservedRunner reserved;
+    private final AnswerHeadReader heads;
     private final SuccessorFinder successors;
     private Optional<ReservedRunner> successor = Optional.empty();
     private boolean refused;
@@ -51,6 +52,7 @@
             StreamProgress progress,
             Reply reply,
             ReservedRunner reserved,
+            AnswerHeadReader heads,
             SuccessorFinder successors) {
         this.connector = connector;
         this.protocol = protocol;
@@ -58,6 +60,7 @@
         this.progress = progress;
         this.reply = reply;
         this.reserved = reserved;
+        this.heads = heads;
         this.successors = successors;
     }
 
@@ -68,8 +71,9 @@
             StreamProgress progress,
             Reply reply,
             ReservedRunner reserved,
+            AnswerHeadReader heads,
             SuccessorFinder successors) {
-        return new Attempt(connector, protocol, request, progress, reply, reserved, successors);
+        return new Attempt(connector, protocol, request, progress, reply, reserved, heads, successors);
     }
 
     /**
@@ -154,7 +158,7 @@
     }
 
     private Outcome outcomeOfAnswer(HttpCall call) throws HttpFailure, CallerGoneException {
-        AnswerHead head = protocol.classify(call.status(), call.headers());
+        AnswerHead head = heads.read(runner(), call);
         return switch (head) {
             case FULL -> refusedByRunner(Outcome.Cause.FULL, call);
             case MISDIRECTED -> refusedByRunner(Outcome.Cause.MISDIRECTED, call);
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -28,6 +28,7 @@
     private final RetryBudget budget;
     private final HttpConnector connector;
     private final RunnerProtocol protocol;
+    private final AnswerHeadReader heads;
 
     private Dispatcher(
             FleetView fleet, Placer placer, RetryBudget budget, HttpConnector connector, RunnerProtocol protocol) {
@@ -36,6 +37,7 @@
         this.budget = budget;
         this.connector = connector;
         this.protocol = protocol;
+        this.heads = AnswerHeadReader.of(protocol, fleet);
     }
 
     /**
@@ -71,14 +73,14 @@
         RetryState retryState = new RetryState(request, sends);
         StreamProgress progress =
                 StreamProgress.startingAfter(request.callerRequest().lastEventId(), request.receivedNanos());
-        SuccessorFinder successors = SuccessorFinder.of(request, retryState, placer, connector, protocol, retries);
+        SuccessorFinder successors = SuccessorFinder.of(request, retryState, placer, connector, heads, retries);
         ReservedRunner next = ReservedRunner.notSent(place(request, retryState, progress, reply));
         while (true) {
             Runner runner = next.runner();
             if (next.call().isEmpty()) {
                 retryState.recordSend(runner);
             }
-            Attempt attempt = Attempt.of(connector, protocol, request, progress, reply, next, successors);
+            Attempt attempt = Attempt.of(connector, protocol, request, progress, reply, next, heads, successors);
             Outcome outcome;
             try (ReservedRunner ignored = next) {
                 outcome = attempt.run();
@@ -140,7 +142,7 @@
     private Placement place(ActiveRequest request, RetryState retryState, StreamProgress progress, Reply reply)
             throws RefusedException, CallerGoneException {
         try {
-            return placer.place(request, retryState.excluded(), retryState.latestStartNanos(progress));
+            return placeSendable(request, retryState, progress);
         } catch (InterruptedException e) {
             throw new CallerGoneException("the caller has left", e);
         } catch (RefusedException e) {
@@ -152,6 +154,24 @@
         }
     }
 
+    /** Places a request at a runner that, by its own word, may still be sent requests once the wait is over. */
+    private Placement placeSendable(ActiveRequest request, RetryState retryState, StreamProgress progress)
+            throws RefusedException, InterruptedException {
+        while (true) {
+            Placement placement = placer.place(request, retryState.excluded(), retryState.latestStartNanos(progress));
+            Optional<String> withheld = fleet.withholdReason(placement.runner(), System.nanoTime());
+            if (withheld.isEmpty()) {
+                return placement;
+            }
+            placement.close();
+            LOG.write(
+                    NodeEvent.SEND_WITHHELD,
+                    request.callerRequest().id(),
+                    placement.runner().id(),
+                    withheld.get());
+        }
+    }
+
     /** Reports an unsuccessful attempt to the placer, so that it can avoid the runner. */
     private void reportOutcome(Runner runner, ActiveRequest request, Outcome outcome) {
         switch (outcome) {
--- a/node/src/main/java/io/persimmonstack/node/sending/RunnerProtocol.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/RunnerProtocol.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.backends.http.HttpHeader;
 import io.persimmonstack.backends.http.HttpRequest;
+import io.persimmonstack.node.fleet.RunnerNotice;
 import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.RawRequest;
 import io.persimmonstack.node.request.RefusedException;
@@ -33,4 +34,12 @@
      * @param headers all headers
      */
     AnswerHead classify(int status, List<HttpHeader> headers);
+
+    /**
+     * Reads what a runner says about itself in an answer.
+     *
+     * @param status HTTP status
+     * @param headers all headers
+     */
+    RunnerNotice notice(int status, List<HttpHeader> headers);
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -33,7 +33,7 @@
     private final RetryState retryState;
     private final Placer placer;
     private final HttpConnector connector;
-    private final RunnerProtocol protocol;
+    private final AnswerHeadReader heads;
     private final ServiceRetries retries;
     private String missing = "";
 
@@ -42,13 +42,13 @@
             RetryState retryState,
             Placer placer,
             HttpConnector connector,
-            RunnerProtocol protocol,
+            AnswerHeadReader heads,
             ServiceRetries retries) {
         this.request = request;
         this.retryState = retryState;
         this.placer = placer;
         this.connector = connector;
-        this.protocol = protocol;
+        this.heads = heads;
         this.retries = retries;
     }
 
@@ -59,7 +59,7 @@
      * @param retryState attempts so far
      * @param placer finds a runner with a free slot
      * @param connector connects to the runner
-     * @param protocol classifies the head of its answer
+     * @param heads classifies the head of its answer
      * @param retries retry budget of its service
      */
     static SuccessorFinder of(
@@ -67,9 +67,9 @@
             RetryState retryState,
             Placer placer,
             HttpConnector connector,
-            RunnerProtocol protocol,
+            AnswerHeadReader heads,
             ServiceRetries retries) {
-        return new SuccessorFinder(request, retryState, placer, connector, protocol, retries);
+        return new SuccessorFinder(request, retryState, placer, connector, heads, retries);
     }
 
     /** Returns after how long without any data the runner of the present attempt counts as silent, in milliseconds. */
@@ -111,6 +111,10 @@
             if (!peer.isStillSilent()) {
                 return Optional.empty();
             }
+            Optional<String> withheld = placer.withholdReason(runner);
+            if (withheld.isPresent()) {
+                return keep(silent, "runner: " + withheld.get());
+            }
             if (!retries.trySpend()) {
                 return keep(silent, "budget");
             }
@@ -135,7 +139,7 @@
         Overlap overlap = new Overlap(peer);
         try {
             HttpCall call = connection.open(encoded, HttpTimeouts.of(waitMs, waitMs, waitMs), overlap);
-            AnswerHead head = protocol.classify(call.status(), call.headers());
+            AnswerHead head = heads.read(runner, call);
             if (head == AnswerHead.RAN && call.isSuccess() && overlap.end()) {
                 return Optional.of(ReservedRunner.answering(placement, call));
             }
--- a/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
@@ -10,6 +10,7 @@
 import io.persimmonstack.node.config.Model;
 import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.fleet.RunnerNoticeListener;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -46,6 +47,9 @@
     private final RunnerStateTracker tracker = new RunnerStateTracker(RUNNER);
 
     private final RunnerControl control = new RunnerControl() {
+        @Override
+        public void onNotice(RunnerNoticeListener listener) {}
+
         @Override
         public OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition) {
             preconditions.add(precondition);
--- a/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
@@ -9,6 +9,7 @@
 import io.persimmonstack.node.config.Service;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.fleet.RunnerNoticeListener;
 import io.persimmonstack.node.placing.ModelArrival;
 import io.persimmonstack.node.placing.ModelDemand;
 import io.persimmonstack.node.request.ModelRef;
@@ -31,6 +32,9 @@
     private final CountDownLatch ordered = new CountDownLatch(1);
 
     private final RunnerControl control = new RunnerControl() {
+        @Override
+        public void onNotice(RunnerNoticeListener listener) {}
+
         @Override
         public OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition) {
             ordered.countDown();
@@ -80,6 +84,9 @@
     void loadInProgressDelaysNoModelOfAnotherServiceWithTheSameName() throws InterruptedException {
         CountDownLatch loaded = new CountDownLatch(1);
         RunnerControl slowControl = new RunnerControl() {
+            @Override
+            public void onNotice(RunnerNoticeListener listener) {}
+
             @Override
             public OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition) {
                 ordered.countDown();
--- a/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
@@ -73,13 +73,15 @@
                 new RunnerStatus(
                         false, 1, List.of(new HeldModel("a", 1, Set.of("x"))), Set.of(late), Set.of(), Set.of("a")),
                 System.nanoTime());
-        assertEquals(2, tracker.state(List.of(), PlanningTestData.engine("a")).adapterCount());
+        assertEquals(
+                2, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
         tracker.markStatusRequested(System.nanoTime());
         tracker.applyStatus(
                 new RunnerStatus(
                         false, 1, List.of(new HeldModel("a", 1, Set.of("x", "late"))), Set.of(), Set.of(), Set.of("a")),
                 System.nanoTime());
-        assertEquals(2, tracker.state(List.of(), PlanningTestData.engine("a")).adapterCount());
+        assertEquals(
+                2, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
     }
 
     /** Runner overfilled: a late load took the room of another one, since an unload before it was not counted. */
@@ -87,18 +89,22 @@
     void unansweredLoadAheadOfTheRunnersNumberReservesItsSlot() {
         tracker.orderUnanswered(new PlacementOrder.LoadAdapter("a", "late"), 1);
         applyStatus(0);
-        assertEquals(1, tracker.state(List.of(), PlanningTestData.engine("a")).adapterCount());
+        assertEquals(
+                1, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
         tracker.orderAccepted(System.nanoTime());
-        assertEquals(1, tracker.state(List.of(), PlanningTestData.engine("a")).adapterCount());
+        assertEquals(
+                1, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
         tracker.orderAccepted(System.nanoTime());
-        assertEquals(0, tracker.state(List.of(), PlanningTestData.engine("a")).adapterCount());
+        assertEquals(
+                0, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
     }
 
     @Test
     void unansweredLoadAtTheRunnersNumberReservesNothing() {
         tracker.orderUnanswered(new PlacementOrder.LoadAdapter("a", "late"), 1);
         applyStatus(1);
-        assertEquals(0, tracker.state(List.of(), PlanningTestData.engine("a")).adapterCount());
+        assertEquals(
+                0, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
     }
 
     private void applyStatus(long sequence) {
@@ -127,7 +133,7 @@
     }
 
     private boolean leaving() {
-        return tracker.state(List.of(), PlanningTestData.engine("a")).leaving();
+        return tracker.state(List.of(), PlanningTestData.engine("a"), true).leaving();
     }
 
     private static RunnerStatus runnerStatus() {
--- a/node/src/test/java/io/persimmonstack/node/planning/SimulatedRunners.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/SimulatedRunners.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.fleet.RunnerNoticeListener;
 import io.persimmonstack.node.request.ModelRef;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -122,6 +123,9 @@
         return List.copyOf(executedOrders);
     }
 
+    @Override
+    public void onNotice(RunnerNoticeListener listener) {}
+
     @Override
     public OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition) {
         onFirstOrder();
--- a/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
@@ -8597,15 +8597,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map224 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map224.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key225;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val226;
-                  for (int _i227 = 0; _i227 < _map224.size; ++_i227)
+                  org.apache.thrift.protocol.TMap _map256 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map256.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key257;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val258;
+                  for (int _i259 = 0; _i259 < _map256.size; ++_i259)
                   {
-                    _key225 = iprot.readString();
-                    _val226 = iprot.readString();
-                    struct.trace.put(_key225, _val226);
+                    _key257 = iprot.readString();
+                    _val258 = iprot.readString();
+                    struct.trace.put(_key257, _val258);
                   }
                   iprot.readMapEnd();
                 }
@@ -8639,10 +8639,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter228 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter260 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter228.getKey());
-              oprot.writeString(_iter228.getValue());
+              oprot.writeString(_iter260.getKey());
+              oprot.writeString(_iter260.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -8680,10 +8680,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter229 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter261 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter229.getKey());
-              oprot.writeString(_iter229.getValue());
+              oprot.writeString(_iter261.getKey());
+              oprot.writeString(_iter261.getValue());
             }
           }
         }
@@ -8700,15 +8700,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map230 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map230.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key231;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val232;
-            for (int _i233 = 0; _i233 < _map230.size; ++_i233)
+            org.apache.thrift.protocol.TMap _map262 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map262.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key263;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val264;
+            for (int _i265 = 0; _i265 < _map262.size; ++_i265)
             {
-              _key231 = iprot.readString();
-              _val232 = iprot.readString();
-              struct.trace.put(_key231, _val232);
+              _key263 = iprot.readString();
+              _val264 = iprot.readString();
+              struct.trace.put(_key263, _val264);
             }
           }
           struct.setTraceIsSet(true);
@@ -9620,14 +9620,14 @@
             case 1: // USES
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list234 = iprot.readListBegin();
-                  struct.uses = new java.util.ArrayList<ModelUse>(_list234.size);
-                  @org.apache.thrift.annotation.Nullable ModelUse _elem235;
-                  for (int _i236 = 0; _i236 < _list234.size; ++_i236)
+                  org.apache.thrift.protocol.TList _list266 = iprot.readListBegin();
+                  struct.uses = new java.util.ArrayList<ModelUse>(_list266.size);
+                  @org.apache.thrift.annotation.Nullable ModelUse _elem267;
+                  for (int _i268 = 0; _i268 < _list266.size; ++_i268)
                   {
-                    _elem235 = new ModelUse();
-                    _elem235.read(iprot);
-                    struct.uses.add(_elem235);
+                    _elem267 = new ModelUse();
+                    _elem267.read(iprot);
+                    struct.uses.add(_elem267);
                   }
                   iprot.readListEnd();
                 }
@@ -9664,9 +9664,9 @@
           oprot.writeFieldBegin(USES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-            for (ModelUse _iter237 : struct.uses)
+            for (ModelUse _iter269 : struct.uses)
             {
-              _iter237.write(oprot);
+              _iter269.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -9704,9 +9704,9 @@
         if (struct.isSetUses()) {
           {
             oprot.writeI32(struct.uses.size());
-            for (ModelUse _iter238 : struct.uses)
+            for (ModelUse _iter270 : struct.uses)
             {
-              _iter238.write(oprot);
+              _iter270.write(oprot);
             }
           }
         }
@@ -9721,14 +9721,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list239 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.uses = new java.util.ArrayList<ModelUse>(_list239.size);
-            @org.apache.thrift.annotation.Nullable ModelUse _elem240;
-            for (int _i241 = 0; _i241 < _list239.size; ++_i241)
+            org.apache.thrift.protocol.TList _list271 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.uses = new java.util.ArrayList<ModelUse>(_list271.size);
+            @org.apache.thrift.annotation.Nullable ModelUse _elem272;
+            for (int _i273 = 0; _i273 < _list271.size; ++_i273)
             {
-              _elem240 = new ModelUse();
-              _elem240.read(iprot);
-              struct.uses.add(_elem240);
+              _elem272 = new ModelUse();
+              _elem272.read(iprot);
+              struct.uses.add(_elem272);
             }
           }
           struct.setUsesIsSet(true);
@@ -14385,14 +14385,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list242 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StatusLine>(_list242.size);
-                  @org.apache.thrift.annotation.Nullable StatusLine _elem243;
-                  for (int _i244 = 0; _i244 < _list242.size; ++_i244)
+                  org.apache.thrift.protocol.TList _list274 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StatusLine>(_list274.size);
+                  @org.apache.thrift.annotation.Nullable StatusLine _elem275;
+                  for (int _i276 = 0; _i276 < _list274.size; ++_i276)
                   {
-                    _elem243 = new StatusLine();
-                    _elem243.read(iprot);
-                    struct.success.add(_elem243);
+                    _elem275 = new StatusLine();
+                    _elem275.read(iprot);
+                    struct.success.add(_elem275);
                   }
                   iprot.readListEnd();
                 }
@@ -14430,9 +14430,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StatusLine _iter245 : struct.success)
+            for (StatusLine _iter277 : struct.success)
             {
-              _iter245.write(oprot);
+              _iter277.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -14472,9 +14472,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StatusLine _iter246 : struct.success)
+            for (StatusLine _iter278 : struct.success)
             {
-              _iter246.write(oprot);
+              _iter278.write(oprot);
             }
           }
         }
@@ -14489,14 +14489,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list247 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StatusLine>(_list247.size);
-            @org.apache.thrift.annotation.Nullable StatusLine _elem248;
-            for (int _i249 = 0; _i249 < _list247.size; ++_i249)
+            org.apache.thrift.protocol.TList _list279 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StatusLine>(_list279.size);
+            @org.apache.thrift.annotation.Nullable StatusLine _elem280;
+            for (int _i281 = 0; _i281 < _list279.size; ++_i281)
             {
-              _elem248 = new StatusLine();
-              _elem248.read(iprot);
-              struct.success.add(_elem248);
+              _elem280 = new StatusLine();
+              _elem280.read(iprot);
+              struct.success.add(_elem280);
             }
           }
           struct.setSuccessIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
@@ -20,6 +20,7 @@
   private static final org.apache.thrift.protocol.TField SILENT_NODES_FIELD_DESC = new org.apache.thrift.protocol.TField("silentNodes", org.apache.thrift.protocol.TType.LIST, (short)5);
   private static final org.apache.thrift.protocol.TField ARRIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("arrivals", org.apache.thrift.protocol.TType.LIST, (short)6);
   private static final org.apache.thrift.protocol.TField NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("number", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FleetLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FleetLoadTupleSchemeFactory();
@@ -31,6 +32,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> silentNodes; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<ModelArrival> arrivals; // required
   private long number; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<RunnerProcess> leaving; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +42,8 @@
     RUNNERS((short)4, "runners"),
     SILENT_NODES((short)5, "silentNodes"),
     ARRIVALS((short)6, "arrivals"),
-    NUMBER((short)7, "number");
+    NUMBER((short)7, "number"),
+    LEAVING((short)8, "leaving");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -70,6 +73,8 @@
           return ARRIVALS;
         case 7: // NUMBER
           return NUMBER;
+        case 8: // LEAVING
+          return LEAVING;
         default:
           return null;
       }
@@ -118,6 +123,7 @@
   private static final int __RUNNERSREVISION_ISSET_ID = 2;
   private static final int __NUMBER_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.LEAVING};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -138,6 +144,9 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ModelArrival.class))));
     tmpMap.put(_Fields.NUMBER, new org.apache.thrift.meta_data.FieldMetaData("number", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RunnerProcess.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FleetLoad.class, metaDataMap);
   }
@@ -195,6 +204,13 @@
       this.arrivals = __this__arrivals;
     }
     this.number = other.number;
+    if (other.isSetLeaving()) {
+      java.util.List<RunnerProcess> __this__leaving = new java.util.ArrayList<RunnerProcess>(other.leaving.size());
+      for (RunnerProcess other_element : other.leaving) {
+        __this__leaving.add(new RunnerProcess(other_element));
+      }
+      this.leaving = __this__leaving;
+    }
   }
 
   @Override
@@ -215,6 +231,7 @@
     this.arrivals = null;
     setNumberIsSet(false);
     this.number = 0;
+    this.leaving = null;
   }
 
   public long getTerm() {
@@ -432,6 +449,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NUMBER_ISSET_ID, value);
   }
 
+  public int getLeavingSize() {
+    return (this.leaving == null) ? 0 : this.leaving.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<RunnerProcess> getLeavingIterator() {
+    return (this.leaving == null) ? null : this.leaving.iterator();
+  }
+
+  public void addToLeaving(RunnerProcess elem) {
+    if (this.leaving == null) {
+      this.leaving = new java.util.ArrayList<RunnerProcess>();
+    }
+    this.leaving.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<RunnerProcess> getLeaving() {
+    return this.leaving;
+  }
+
+  public FleetLoad setLeaving(@org.apache.thrift.annotation.Nullable java.util.List<RunnerProcess> leaving) {
+    this.leaving = leaving;
+    return this;
+  }
+
+  public void unsetLeaving() {
+    this.leaving = null;
+  }
+
+  /** Returns true if field leaving is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaving() {
+    return this.leaving != null;
+  }
+
+  public void setLeavingIsSet(boolean value) {
+    if (!value) {
+      this.leaving = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -491,6 +549,14 @@
       }
       break;
 
+    case LEAVING:
+      if (value == null) {
+        unsetLeaving();
+      } else {
+        setLeaving((java.util.List<RunnerProcess>)value);
+      }
+      break;
+
     }
   }
 
@@ -519,6 +585,9 @@
     case NUMBER:
       return getNumber();
 
+    case LEAVING:
+      return getLeaving();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -545,6 +614,8 @@
       return isSetArrivals();
     case NUMBER:
       return isSetNumber();
+    case LEAVING:
+      return isSetLeaving();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -625,6 +696,15 @@
         return false;
     }
 
+    boolean this_present_leaving = true && this.isSetLeaving();
+    boolean that_present_leaving = true && that.isSetLeaving();
+    if (this_present_leaving || that_present_leaving) {
+      if (!(this_present_leaving && that_present_leaving))
+        return false;
+      if (!this.leaving.equals(that.leaving))
+        return false;
+    }
+
     return true;
   }
 
@@ -652,6 +732,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(number);
 
+    hashCode = hashCode * 8191 + ((isSetLeaving()) ? 131071 : 524287);
+    if (isSetLeaving())
+      hashCode = hashCode * 8191 + leaving.hashCode();
+
     return hashCode;
   }
 
@@ -733,6 +817,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeaving(), other.isSetLeaving());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaving()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaving, other.leaving);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -796,6 +890,16 @@
     sb.append("number:");
     sb.append(this.number);
     first = false;
+    if (isSetLeaving()) {
+      if (!first) sb.append(", ");
+      sb.append("leaving:");
+      if (this.leaving == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.leaving);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -883,14 +987,14 @@
           case 4: // RUNNERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list216 = iprot.readListBegin();
-                struct.runners = new java.util.ArrayList<RunnerHolding>(_list216.size);
-                @org.apache.thrift.annotation.Nullable RunnerHolding _elem217;
-                for (int _i218 = 0; _i218 < _list216.size; ++_i218)
+                org.apache.thrift.protocol.TList _list224 = iprot.readListBegin();
+                struct.runners = new java.util.ArrayList<RunnerHolding>(_list224.size);
+                @org.apache.thrift.annotation.Nullable RunnerHolding _elem225;
+                for (int _i226 = 0; _i226 < _list224.size; ++_i226)
                 {
-                  _elem217 = new RunnerHolding();
-                  _elem217.read(iprot);
-                  struct.runners.add(_elem217);
+                  _elem225 = new RunnerHolding();
+                  _elem225.read(iprot);
+                  struct.runners.add(_elem225);
                 }
                 iprot.readListEnd();
               }
@@ -902,13 +1006,13 @@
           case 5: // SILENT_NODES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list219 = iprot.readListBegin();
-                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list219.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem220;
-                for (int _i221 = 0; _i221 < _list219.size; ++_i221)
+                org.apache.thrift.protocol.TList _list227 = iprot.readListBegin();
+                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list227.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem228;
+                for (int _i229 = 0; _i229 < _list227.size; ++_i229)
                 {
-                  _elem220 = iprot.readString();
-                  struct.silentNodes.add(_elem220);
+                  _elem228 = iprot.readString();
+                  struct.silentNodes.add(_elem228);
                 }
                 iprot.readListEnd();
               }
@@ -920,14 +1024,14 @@
           case 6: // ARRIVALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list222 = iprot.readListBegin();
-                struct.arrivals = new java.util.ArrayList<ModelArrival>(_list222.size);
-                @org.apache.thrift.annotation.Nullable ModelArrival _elem223;
-                for (int _i224 = 0; _i224 < _list222.size; ++_i224)
+                org.apache.thrift.protocol.TList _list230 = iprot.readListBegin();
+                struct.arrivals = new java.util.ArrayList<ModelArrival>(_list230.size);
+                @org.apache.thrift.annotation.Nullable ModelArrival _elem231;
+                for (int _i232 = 0; _i232 < _list230.size; ++_i232)
                 {
-                  _elem223 = new ModelArrival();
-                  _elem223.read(iprot);
-                  struct.arrivals.add(_elem223);
+                  _elem231 = new ModelArrival();
+                  _elem231.read(iprot);
+                  struct.arrivals.add(_elem231);
                 }
                 iprot.readListEnd();
               }
@@ -944,6 +1048,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 8: // LEAVING
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list233 = iprot.readListBegin();
+                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list233.size);
+                @org.apache.thrift.annotation.Nullable RunnerProcess _elem234;
+                for (int _i235 = 0; _i235 < _list233.size; ++_i235)
+                {
+                  _elem234 = new RunnerProcess();
+                  _elem234.read(iprot);
+                  struct.leaving.add(_elem234);
+                }
+                iprot.readListEnd();
+              }
+              struct.setLeavingIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -985,9 +1108,9 @@
         oprot.writeFieldBegin(RUNNERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.runners.size()));
-          for (RunnerHolding _iter225 : struct.runners)
+          for (RunnerHolding _iter236 : struct.runners)
           {
-            _iter225.write(oprot);
+            _iter236.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -997,9 +1120,9 @@
         oprot.writeFieldBegin(SILENT_NODES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.silentNodes.size()));
-          for (java.lang.String _iter226 : struct.silentNodes)
+          for (java.lang.String _iter237 : struct.silentNodes)
           {
-            oprot.writeString(_iter226);
+            oprot.writeString(_iter237);
           }
           oprot.writeListEnd();
         }
@@ -1009,9 +1132,9 @@
         oprot.writeFieldBegin(ARRIVALS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.arrivals.size()));
-          for (ModelArrival _iter227 : struct.arrivals)
+          for (ModelArrival _iter238 : struct.arrivals)
           {
-            _iter227.write(oprot);
+            _iter238.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1020,6 +1143,20 @@
       oprot.writeFieldBegin(NUMBER_FIELD_DESC);
       oprot.writeI64(struct.number);
       oprot.writeFieldEnd();
+      if (struct.leaving != null) {
+        if (struct.isSetLeaving()) {
+          oprot.writeFieldBegin(LEAVING_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
+            for (RunnerProcess _iter239 : struct.leaving)
+            {
+              _iter239.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1043,26 +1180,40 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.runners.size());
-        for (RunnerHolding _iter228 : struct.runners)
+        for (RunnerHolding _iter240 : struct.runners)
         {
-          _iter228.write(oprot);
+          _iter240.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.silentNodes.size());
-        for (java.lang.String _iter229 : struct.silentNodes)
+        for (java.lang.String _iter241 : struct.silentNodes)
         {
-          oprot.writeString(_iter229);
+          oprot.writeString(_iter241);
         }
       }
       {
         oprot.writeI32(struct.arrivals.size());
-        for (ModelArrival _iter230 : struct.arrivals)
+        for (ModelArrival _iter242 : struct.arrivals)
         {
-          _iter230.write(oprot);
+          _iter242.write(oprot);
         }
       }
       oprot.writeI64(struct.number);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetLeaving()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetLeaving()) {
+        {
+          oprot.writeI32(struct.leaving.size());
+          for (RunnerProcess _iter243 : struct.leaving)
+          {
+            _iter243.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
@@ -1075,42 +1226,57 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list231 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.runners = new java.util.ArrayList<RunnerHolding>(_list231.size);
-        @org.apache.thrift.annotation.Nullable RunnerHolding _elem232;
-        for (int _i233 = 0; _i233 < _list231.size; ++_i233)
+        org.apache.thrift.protocol.TList _list244 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.runners = new java.util.ArrayList<RunnerHolding>(_list244.size);
+        @org.apache.thrift.annotation.Nullable RunnerHolding _elem245;
+        for (int _i246 = 0; _i246 < _list244.size; ++_i246)
         {
-          _elem232 = new RunnerHolding();
-          _elem232.read(iprot);
-          struct.runners.add(_elem232);
+          _elem245 = new RunnerHolding();
+          _elem245.read(iprot);
+          struct.runners.add(_elem245);
         }
       }
       struct.setRunnersIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list234 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list234.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem235;
-        for (int _i236 = 0; _i236 < _list234.size; ++_i236)
+        org.apache.thrift.protocol.TList _list247 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list247.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem248;
+        for (int _i249 = 0; _i249 < _list247.size; ++_i249)
         {
-          _elem235 = iprot.readString();
-          struct.silentNodes.add(_elem235);
+          _elem248 = iprot.readString();
+          struct.silentNodes.add(_elem248);
         }
       }
       struct.setSilentNodesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list237 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list237.size);
-        @org.apache.thrift.annotation.Nullable ModelArrival _elem238;
-        for (int _i239 = 0; _i239 < _list237.size; ++_i239)
+        org.apache.thrift.protocol.TList _list250 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list250.size);
+        @org.apache.thrift.annotation.Nullable ModelArrival _elem251;
+        for (int _i252 = 0; _i252 < _list250.size; ++_i252)
         {
-          _elem238 = new ModelArrival();
-          _elem238.read(iprot);
-          struct.arrivals.add(_elem238);
+          _elem251 = new ModelArrival();
+          _elem251.read(iprot);
+          struct.arrivals.add(_elem251);
         }
       }
       struct.setArrivalsIsSet(true);
       struct.number = iprot.readI64();
       struct.setNumberIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TList _list253 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list253.size);
+          @org.apache.thrift.annotation.Nullable RunnerProcess _elem254;
+          for (int _i255 = 0; _i255 < _list253.size; ++_i255)
+          {
+            _elem254 = new RunnerProcess();
+            _elem254.read(iprot);
+            struct.leaving.add(_elem254);
+          }
+        }
+        struct.setLeavingIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/HeldModel.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/HeldModel.java
@@ -520,13 +520,13 @@
           case 3: // ADAPTERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list200 = iprot.readListBegin();
-                struct.adapters = new java.util.ArrayList<java.lang.String>(_list200.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem201;
-                for (int _i202 = 0; _i202 < _list200.size; ++_i202)
+                org.apache.thrift.protocol.TList _list208 = iprot.readListBegin();
+                struct.adapters = new java.util.ArrayList<java.lang.String>(_list208.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem209;
+                for (int _i210 = 0; _i210 < _list208.size; ++_i210)
                 {
-                  _elem201 = iprot.readString();
-                  struct.adapters.add(_elem201);
+                  _elem209 = iprot.readString();
+                  struct.adapters.add(_elem209);
                 }
                 iprot.readListEnd();
               }
@@ -566,9 +566,9 @@
         oprot.writeFieldBegin(ADAPTERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.adapters.size()));
-          for (java.lang.String _iter203 : struct.adapters)
+          for (java.lang.String _iter211 : struct.adapters)
           {
-            oprot.writeString(_iter203);
+            oprot.writeString(_iter211);
           }
           oprot.writeListEnd();
         }
@@ -596,9 +596,9 @@
       oprot.writeI64(struct.version);
       {
         oprot.writeI32(struct.adapters.size());
-        for (java.lang.String _iter204 : struct.adapters)
+        for (java.lang.String _iter212 : struct.adapters)
         {
-          oprot.writeString(_iter204);
+          oprot.writeString(_iter212);
         }
       }
     }
@@ -611,13 +611,13 @@
       struct.version = iprot.readI64();
       struct.setVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list205 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.adapters = new java.util.ArrayList<java.lang.String>(_list205.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem206;
-        for (int _i207 = 0; _i207 < _list205.size; ++_i207)
+        org.apache.thrift.protocol.TList _list213 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.adapters = new java.util.ArrayList<java.lang.String>(_list213.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem214;
+        for (int _i215 = 0; _i215 < _list213.size; ++_i215)
         {
-          _elem206 = iprot.readString();
-          struct.adapters.add(_elem206);
+          _elem214 = iprot.readString();
+          struct.adapters.add(_elem214);
         }
       }
       struct.setAdaptersIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
@@ -22,6 +22,7 @@
   private static final org.apache.thrift.protocol.TField UNREACHABLE_FIELD_DESC = new org.apache.thrift.protocol.TField("unreachable", org.apache.thrift.protocol.TType.LIST, (short)7);
   private static final org.apache.thrift.protocol.TField ANSWER_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("answerTerm", org.apache.thrift.protocol.TType.I64, (short)8);
   private static final org.apache.thrift.protocol.TField ANSWER_NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("answerNumber", org.apache.thrift.protocol.TType.I64, (short)9);
+  private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)10);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new NodeLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new NodeLoadTupleSchemeFactory();
@@ -35,6 +36,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> unreachable; // required
   private long answerTerm; // required
   private long answerNumber; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<RunnerProcess> leaving; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -46,7 +48,8 @@
     NEEDS((short)6, "needs"),
     UNREACHABLE((short)7, "unreachable"),
     ANSWER_TERM((short)8, "answerTerm"),
-    ANSWER_NUMBER((short)9, "answerNumber");
+    ANSWER_NUMBER((short)9, "answerNumber"),
+    LEAVING((short)10, "leaving");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -80,6 +83,8 @@
           return ANSWER_TERM;
         case 9: // ANSWER_NUMBER
           return ANSWER_NUMBER;
+        case 10: // LEAVING
+          return LEAVING;
         default:
           return null;
       }
@@ -129,6 +134,7 @@
   private static final int __ANSWERTERM_ISSET_ID = 3;
   private static final int __ANSWERNUMBER_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.LEAVING};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -153,6 +159,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.ANSWER_NUMBER, new org.apache.thrift.meta_data.FieldMetaData("answerNumber", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RunnerProcess.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(NodeLoad.class, metaDataMap);
   }
@@ -219,6 +228,13 @@
     }
     this.answerTerm = other.answerTerm;
     this.answerNumber = other.answerNumber;
+    if (other.isSetLeaving()) {
+      java.util.List<RunnerProcess> __this__leaving = new java.util.ArrayList<RunnerProcess>(other.leaving.size());
+      for (RunnerProcess other_element : other.leaving) {
+        __this__leaving.add(new RunnerProcess(other_element));
+      }
+      this.leaving = __this__leaving;
+    }
   }
 
   @Override
@@ -242,6 +258,7 @@
     this.answerTerm = 0;
     setAnswerNumberIsSet(false);
     this.answerNumber = 0;
+    this.leaving = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -507,6 +524,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ANSWERNUMBER_ISSET_ID, value);
   }
 
+  public int getLeavingSize() {
+    return (this.leaving == null) ? 0 : this.leaving.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<RunnerProcess> getLeavingIterator() {
+    return (this.leaving == null) ? null : this.leaving.iterator();
+  }
+
+  public void addToLeaving(RunnerProcess elem) {
+    if (this.leaving == null) {
+      this.leaving = new java.util.ArrayList<RunnerProcess>();
+    }
+    this.leaving.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<RunnerProcess> getLeaving() {
+    return this.leaving;
+  }
+
+  public NodeLoad setLeaving(@org.apache.thrift.annotation.Nullable java.util.List<RunnerProcess> leaving) {
+    this.leaving = leaving;
+    return this;
+  }
+
+  public void unsetLeaving() {
+    this.leaving = null;
+  }
+
+  /** Returns true if field leaving is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaving() {
+    return this.leaving != null;
+  }
+
+  public void setLeavingIsSet(boolean value) {
+    if (!value) {
+      this.leaving = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -582,6 +640,14 @@
       }
       break;
 
+    case LEAVING:
+      if (value == null) {
+        unsetLeaving();
+      } else {
+        setLeaving((java.util.List<RunnerProcess>)value);
+      }
+      break;
+
     }
   }
 
@@ -616,6 +682,9 @@
     case ANSWER_NUMBER:
       return getAnswerNumber();
 
+    case LEAVING:
+      return getLeaving();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -646,6 +715,8 @@
       return isSetAnswerTerm();
     case ANSWER_NUMBER:
       return isSetAnswerNumber();
+    case LEAVING:
+      return isSetLeaving();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -744,6 +815,15 @@
         return false;
     }
 
+    boolean this_present_leaving = true && this.isSetLeaving();
+    boolean that_present_leaving = true && that.isSetLeaving();
+    if (this_present_leaving || that_present_leaving) {
+      if (!(this_present_leaving && that_present_leaving))
+        return false;
+      if (!this.leaving.equals(that.leaving))
+        return false;
+    }
+
     return true;
   }
 
@@ -777,6 +857,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(answerNumber);
 
+    hashCode = hashCode * 8191 + ((isSetLeaving()) ? 131071 : 524287);
+    if (isSetLeaving())
+      hashCode = hashCode * 8191 + leaving.hashCode();
+
     return hashCode;
   }
 
@@ -878,6 +962,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeaving(), other.isSetLeaving());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaving()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaving, other.leaving);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -953,6 +1047,16 @@
     sb.append("answerNumber:");
     sb.append(this.answerNumber);
     first = false;
+    if (isSetLeaving()) {
+      if (!first) sb.append(", ");
+      sb.append("leaving:");
+      if (this.leaving == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.leaving);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1121,6 +1225,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 10: // LEAVING
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list185 = iprot.readListBegin();
+                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list185.size);
+                @org.apache.thrift.annotation.Nullable RunnerProcess _elem186;
+                for (int _i187 = 0; _i187 < _list185.size; ++_i187)
+                {
+                  _elem186 = new RunnerProcess();
+                  _elem186.read(iprot);
+                  struct.leaving.add(_elem186);
+                }
+                iprot.readListEnd();
+              }
+              struct.setLeavingIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1170,9 +1293,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (RunnerUse _iter185 : struct.uses)
+          for (RunnerUse _iter188 : struct.uses)
           {
-            _iter185.write(oprot);
+            _iter188.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1182,9 +1305,9 @@
         oprot.writeFieldBegin(NEEDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.needs.size()));
-          for (ModelNeed _iter186 : struct.needs)
+          for (ModelNeed _iter189 : struct.needs)
           {
-            _iter186.write(oprot);
+            _iter189.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1194,9 +1317,9 @@
         oprot.writeFieldBegin(UNREACHABLE_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.unreachable.size()));
-          for (java.lang.String _iter187 : struct.unreachable)
+          for (java.lang.String _iter190 : struct.unreachable)
           {
-            oprot.writeString(_iter187);
+            oprot.writeString(_iter190);
           }
           oprot.writeListEnd();
         }
@@ -1208,6 +1331,20 @@
       oprot.writeFieldBegin(ANSWER_NUMBER_FIELD_DESC);
       oprot.writeI64(struct.answerNumber);
       oprot.writeFieldEnd();
+      if (struct.leaving != null) {
+        if (struct.isSetLeaving()) {
+          oprot.writeFieldBegin(LEAVING_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
+            for (RunnerProcess _iter191 : struct.leaving)
+            {
+              _iter191.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1232,27 +1369,41 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.uses.size());
-        for (RunnerUse _iter188 : struct.uses)
+        for (RunnerUse _iter192 : struct.uses)
         {
-          _iter188.write(oprot);
+          _iter192.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.needs.size());
-        for (ModelNeed _iter189 : struct.needs)
+        for (ModelNeed _iter193 : struct.needs)
         {
-          _iter189.write(oprot);
+          _iter193.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.unreachable.size());
-        for (java.lang.String _iter190 : struct.unreachable)
+        for (java.lang.String _iter194 : struct.unreachable)
         {
-          oprot.writeString(_iter190);
+          oprot.writeString(_iter194);
         }
       }
       oprot.writeI64(struct.answerTerm);
       oprot.writeI64(struct.answerNumber);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetLeaving()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetLeaving()) {
+        {
+          oprot.writeI32(struct.leaving.size());
+          for (RunnerProcess _iter195 : struct.leaving)
+          {
+            _iter195.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
@@ -1267,37 +1418,37 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list191 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.uses = new java.util.ArrayList<RunnerUse>(_list191.size);
-        @org.apache.thrift.annotation.Nullable RunnerUse _elem192;
-        for (int _i193 = 0; _i193 < _list191.size; ++_i193)
+        org.apache.thrift.protocol.TList _list196 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.uses = new java.util.ArrayList<RunnerUse>(_list196.size);
+        @org.apache.thrift.annotation.Nullable RunnerUse _elem197;
+        for (int _i198 = 0; _i198 < _list196.size; ++_i198)
         {
-          _elem192 = new RunnerUse();
-          _elem192.read(iprot);
-          struct.uses.add(_elem192);
+          _elem197 = new RunnerUse();
+          _elem197.read(iprot);
+          struct.uses.add(_elem197);
         }
       }
       struct.setUsesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list194 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.needs = new java.util.ArrayList<ModelNeed>(_list194.size);
-        @org.apache.thrift.annotation.Nullable ModelNeed _elem195;
-        for (int _i196 = 0; _i196 < _list194.size; ++_i196)
+        org.apache.thrift.protocol.TList _list199 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.needs = new java.util.ArrayList<ModelNeed>(_list199.size);
+        @org.apache.thrift.annotation.Nullable ModelNeed _elem200;
+        for (int _i201 = 0; _i201 < _list199.size; ++_i201)
         {
-          _elem195 = new ModelNeed();
-          _elem195.read(iprot);
-          struct.needs.add(_elem195);
+          _elem200 = new ModelNeed();
+          _elem200.read(iprot);
+          struct.needs.add(_elem200);
         }
       }
       struct.setNeedsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list197 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.unreachable = new java.util.ArrayList<java.lang.String>(_list197.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem198;
-        for (int _i199 = 0; _i199 < _list197.size; ++_i199)
+        org.apache.thrift.protocol.TList _list202 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.unreachable = new java.util.ArrayList<java.lang.String>(_list202.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem203;
+        for (int _i204 = 0; _i204 < _list202.size; ++_i204)
         {
-          _elem198 = iprot.readString();
-          struct.unreachable.add(_elem198);
+          _elem203 = iprot.readString();
+          struct.unreachable.add(_elem203);
         }
       }
       struct.setUnreachableIsSet(true);
@@ -1305,6 +1456,21 @@
       struct.setAnswerTermIsSet(true);
       struct.answerNumber = iprot.readI64();
       struct.setAnswerNumberIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TList _list205 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list205.size);
+          @org.apache.thrift.annotation.Nullable RunnerProcess _elem206;
+          for (int _i207 = 0; _i207 < _list205.size; ++_i207)
+          {
+            _elem206 = new RunnerProcess();
+            _elem206.read(iprot);
+            struct.leaving.add(_elem206);
+          }
+        }
+        struct.setLeavingIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
@@ -947,15 +947,15 @@
             case 3: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map250 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map250.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key251;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val252;
-                  for (int _i253 = 0; _i253 < _map250.size; ++_i253)
+                  org.apache.thrift.protocol.TMap _map282 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map282.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key283;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val284;
+                  for (int _i285 = 0; _i285 < _map282.size; ++_i285)
                   {
-                    _key251 = iprot.readString();
-                    _val252 = iprot.readString();
-                    struct.trace.put(_key251, _val252);
+                    _key283 = iprot.readString();
+                    _val284 = iprot.readString();
+                    struct.trace.put(_key283, _val284);
                   }
                   iprot.readMapEnd();
                 }
@@ -992,10 +992,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter254 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter286 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter254.getKey());
-              oprot.writeString(_iter254.getValue());
+              oprot.writeString(_iter286.getKey());
+              oprot.writeString(_iter286.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1039,10 +1039,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter255 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter287 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter255.getKey());
-              oprot.writeString(_iter255.getValue());
+              oprot.writeString(_iter287.getKey());
+              oprot.writeString(_iter287.getValue());
             }
           }
         }
@@ -1063,15 +1063,15 @@
         }
         if (incoming.get(2)) {
           {
-            org.apache.thrift.protocol.TMap _map256 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map256.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key257;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val258;
-            for (int _i259 = 0; _i259 < _map256.size; ++_i259)
+            org.apache.thrift.protocol.TMap _map288 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map288.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key289;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val290;
+            for (int _i291 = 0; _i291 < _map288.size; ++_i291)
             {
-              _key257 = iprot.readString();
-              _val258 = iprot.readString();
-              struct.trace.put(_key257, _val258);
+              _key289 = iprot.readString();
+              _val290 = iprot.readString();
+              struct.trace.put(_key289, _val290);
             }
           }
           struct.setTraceIsSet(true);
@@ -1991,15 +1991,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map260 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map260.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key261;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val262;
-                  for (int _i263 = 0; _i263 < _map260.size; ++_i263)
+                  org.apache.thrift.protocol.TMap _map292 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map292.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key293;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val294;
+                  for (int _i295 = 0; _i295 < _map292.size; ++_i295)
                   {
-                    _key261 = iprot.readString();
-                    _val262 = iprot.readString();
-                    struct.trace.put(_key261, _val262);
+                    _key293 = iprot.readString();
+                    _val294 = iprot.readString();
+                    struct.trace.put(_key293, _val294);
                   }
                   iprot.readMapEnd();
                 }
@@ -2033,10 +2033,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter264 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter296 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter264.getKey());
-              oprot.writeString(_iter264.getValue());
+              oprot.writeString(_iter296.getKey());
+              oprot.writeString(_iter296.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -2074,10 +2074,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter265 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter297 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter265.getKey());
-              oprot.writeString(_iter265.getValue());
+              oprot.writeString(_iter297.getKey());
+              oprot.writeString(_iter297.getValue());
             }
           }
         }
@@ -2094,15 +2094,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map266 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map266.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key267;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val268;
-            for (int _i269 = 0; _i269 < _map266.size; ++_i269)
+            org.apache.thrift.protocol.TMap _map298 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map298.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key299;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val300;
+            for (int _i301 = 0; _i301 < _map298.size; ++_i301)
             {
-              _key267 = iprot.readString();
-              _val268 = iprot.readString();
-              struct.trace.put(_key267, _val268);
+              _key299 = iprot.readString();
+              _val300 = iprot.readString();
+              struct.trace.put(_key299, _val300);
             }
           }
           struct.setTraceIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RunnerHolding.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RunnerHolding.java
@@ -673,14 +673,14 @@
           case 3: // MODELS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list208 = iprot.readListBegin();
-                struct.models = new java.util.ArrayList<HeldModel>(_list208.size);
-                @org.apache.thrift.annotation.Nullable HeldModel _elem209;
-                for (int _i210 = 0; _i210 < _list208.size; ++_i210)
+                org.apache.thrift.protocol.TList _list216 = iprot.readListBegin();
+                struct.models = new java.util.ArrayList<HeldModel>(_list216.size);
+                @org.apache.thrift.annotation.Nullable HeldModel _elem217;
+                for (int _i218 = 0; _i218 < _list216.size; ++_i218)
                 {
-                  _elem209 = new HeldModel();
-                  _elem209.read(iprot);
-                  struct.models.add(_elem209);
+                  _elem217 = new HeldModel();
+                  _elem217.read(iprot);
+                  struct.models.add(_elem217);
                 }
                 iprot.readListEnd();
               }
@@ -743,9 +743,9 @@
           oprot.writeFieldBegin(MODELS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.models.size()));
-            for (HeldModel _iter211 : struct.models)
+            for (HeldModel _iter219 : struct.models)
             {
-              _iter211.write(oprot);
+              _iter219.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -788,9 +788,9 @@
       if (struct.isSetModels()) {
         {
           oprot.writeI32(struct.models.size());
-          for (HeldModel _iter212 : struct.models)
+          for (HeldModel _iter220 : struct.models)
           {
-            _iter212.write(oprot);
+            _iter220.write(oprot);
           }
         }
       }
@@ -810,14 +810,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list213 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.models = new java.util.ArrayList<HeldModel>(_list213.size);
-          @org.apache.thrift.annotation.Nullable HeldModel _elem214;
-          for (int _i215 = 0; _i215 < _list213.size; ++_i215)
+          org.apache.thrift.protocol.TList _list221 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.models = new java.util.ArrayList<HeldModel>(_list221.size);
+          @org.apache.thrift.annotation.Nullable HeldModel _elem222;
+          for (int _i223 = 0; _i223 < _list221.size; ++_i223)
           {
-            _elem214 = new HeldModel();
-            _elem214.read(iprot);
-            struct.models.add(_elem214);
+            _elem222 = new HeldModel();
+            _elem222.read(iprot);
+            struct.models.add(_elem222);
           }
         }
         struct.setModelsIsSet(true);
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -312,6 +312,12 @@
   7: required i64 targetMs                  // latency target of that request
 }
 
+/** One process of a runner. */
+struct RunnerProcess {
+  1: required string runner
+  2: required i64 startedMs                 // start of the runner's process, by its own clock
+}
+
 /** Report of a node to the leader. */
 struct NodeLoad {
   1: required string node
@@ -323,6 +329,7 @@
   7: required list<string> unreachable      // runners that refused or gave no connection within the last second
   8: required i64 answerTerm                // term and number of the last answer that the node has taken; 0 for none
   9: required i64 answerNumber
+  10: optional list<RunnerProcess> leaving  // processes that have said that they are shutting down
 }
 
 /** Model that a runner holds, with the adapters loaded for it. */
@@ -357,6 +364,7 @@
   5: required list<string> silentNodes      // nodes that have reported to this leader and have stopped
   6: required list<ModelArrival> arrivals
   7: required i64 number                    // rises with each answer to a node
+  8: optional list<RunnerProcess> leaving   // processes that have said, to any node, that they are shutting down
 }
 
 service NodeLink {
