node: the leader keeps sums of the reports, and plans without walking all runners for each model

Cause: for each report the leader walked the usages of all nodes, and for each runner again in each plan; the model plan went over all runners for each model, eviction and adapter, and computed the memory reserve of all models each time.

Change: RunnerLoads keeps the sum of each runner, changed by what one report adds and its predecessor took; RequestCounts sums a runner's requests once; ModelPolicy keeps holders, loading models, adapter rates, free memory and the eviction order of each runner for the length of a plan, and checks what may be evicted before it computes a cost.

--- a/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
@@ -134,8 +134,8 @@
     private List<ModelRef> evictableAdapters(RunnerState runner) {
         return runner.models().values().stream()
                 .flatMap(model -> model.adapters().stream().map(name -> new ModelRef(model.name(), name)))
-                .filter(adapter -> runner.requestsByModel().getOrDefault(adapter, 0) == 0
-                        && !refsWithWaitingRequests.contains(adapter))
+                .filter(adapter ->
+                        runner.requestCounts().of(adapter) == 0 && !refsWithWaitingRequests.contains(adapter))
                 .sorted(Comparator.comparingDouble(this::rate))
                 .toList();
     }
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Decides which runners hold which models, for workloads with many models of which most are requested rarely. A model
@@ -56,7 +57,16 @@
 
     private final ServiceState state;
     private final Map<String, FleetDemand> demands;
-    private final Map<String, Integer> replicas = new HashMap<>();
+    private final Map<String, List<RunnerState>> holders = new HashMap<>();
+    /** Requests per second for the adapters of each model. */
+    private final Map<String, Double> adapterRates = new HashMap<>();
+
+    private final double maxWeightsMb;
+    private final Map<String, Double> freeMb = new HashMap<>();
+    private final Set<String> loadingModels = new HashSet<>();
+    /** Models of each runner that may be evicted, cheapest first, until the next directive changes the costs. */
+    private final Map<String, List<String>> evictionOrders = new HashMap<>();
+
     private final Set<String> assignedRunners = new HashSet<>();
     private final List<Directive> directives = new ArrayList<>();
     private int storeLoads;
@@ -73,8 +83,15 @@
         this.storeLoads = state.storeLoads();
         state.runners().stream()
                 .filter(runner -> !runner.leaving())
-                .flatMap(runner -> runner.models().keySet().stream())
-                .forEach(model -> replicas.merge(model, 1, Integer::sum));
+                .forEach(runner -> runner.models()
+                        .keySet()
+                        .forEach(model -> holders.computeIfAbsent(model, ignored -> new ArrayList<>())
+                                .add(runner)));
+        state.demands().stream()
+                .filter(demand -> demand.model().hasAdapter())
+                .forEach(demand -> adapterRates.merge(demand.model().model(), demand.perSecond(), Double::sum));
+        this.maxWeightsMb = state.engine().maxWeightsMb();
+        state.runners().forEach(runner -> runner.loadingModel().ifPresent(loadingModels::add));
     }
 
     /**
@@ -96,6 +113,11 @@
         return state.engine();
     }
 
+    /** Returns the runners that hold a model and are not leaving. */
+    private List<RunnerState> holders(String model) {
+        return holders.getOrDefault(model, List.of());
+    }
+
     private void planNeededReplicas() {
         demands.values().stream()
                 .filter(demand -> engine().models().containsKey(demand.model().model()))
@@ -110,18 +132,15 @@
      */
     private Optional<ReplicaNeed> replicaNeed(FleetDemand demand) {
         String model = demand.model().model();
-        if (state.runners().stream().anyMatch(runner -> runner.isLoading(model))) {
+        if (loadingModels.contains(model)) {
             return Optional.empty();
         }
-        List<RunnerState> holders = state.runners().stream()
-                .filter(runner -> !runner.leaving() && runner.holds(model))
-                .toList();
-        if (holders.isEmpty()) {
+        if (holders(model).isEmpty()) {
             return demand.waiting() > 0
                     ? Optional.of(new ReplicaNeed(demand, true, coldUrgency(demand)))
                     : Optional.empty();
         }
-        boolean crowded = holders.stream().allMatch(runner -> runner.utilisation() > CROWDED_UTILISATION);
+        boolean crowded = holders(model).stream().allMatch(runner -> runner.utilisation() > CROWDED_UTILISATION);
         double urgency = demand.waiting() + demand.perSecond();
         return crowded ? Optional.of(new ReplicaNeed(demand, false, urgency)) : Optional.empty();
     }
@@ -140,9 +159,8 @@
         String model = need.demand().model().model();
         state.runners().stream()
                 .filter(runner -> canLoad(runner, model))
-                .map(runner -> loadOption(runner, model))
+                .map(runner -> loadOption(runner, model, victim -> mayEvict(runner, victim, need)))
                 .flatMap(Optional::stream)
-                .filter(option -> option.victims().stream().allMatch(victim -> mayEvict(option, victim, need)))
                 .min(Comparator.comparingDouble(LoadOption::costMs))
                 .filter(option -> option.runner().hasLocalCopy(model) || !shouldWaitForCopy(need))
                 .ifPresent(option -> addDirective(model, option, need.cold() ? "waiting" : "crowded"));
@@ -178,11 +196,17 @@
         return Math.max(MIN_RATE_PER_SECOND, demand.perSecond() + waiting);
     }
 
-    /** Returns the cheapest way to load a model on a runner, empty if not enough memory can be freed. */
-    private Optional<LoadOption> loadOption(RunnerState runner, String model) {
+    /**
+     * Returns the cheapest way to load a model on a runner, empty if not enough memory can be freed.
+     *
+     * @param runner runner that loads the model
+     * @param model name of the model
+     * @param mayEvict whether a model of the runner may be evicted for it
+     */
+    private Optional<LoadOption> loadOption(RunnerState runner, String model, Predicate<String> mayEvict) {
         Model wantedModel = engine().models().get(model);
-        Optional<List<String>> victims = victims(runner, wantedModel.weightsMb());
-        if (victims.isEmpty()) {
+        Optional<List<String>> victims = victims(runner, wantedModel.weightsMb(), mayEvict);
+        if (victims.isEmpty() || !victims.get().stream().allMatch(mayEvict)) {
             return Optional.empty();
         }
         double loadMs = loadMs(runner, wantedModel);
@@ -197,15 +221,10 @@
     }
 
     /** Returns the cheapest models to evict to free memory for a load, empty if not enough can be freed. */
-    private Optional<List<String>> victims(RunnerState runner, double weightsMb) {
-        double missingMb = weightsMb - (engine().maxWeightsMb() - ServiceAggregates.weightsMb(engine(), runner));
-        List<String> byEvictionCost = runner.models().keySet().stream()
-                .filter(held -> engine().models().containsKey(held)
-                        && !runner.recentlyLoaded().contains(held))
-                .sorted(Comparator.comparingDouble(held -> evictionCost(runner, held)))
-                .toList();
+    private Optional<List<String>> victims(RunnerState runner, double weightsMb, Predicate<String> mayEvict) {
+        double missingMb = weightsMb - freeMb(runner);
         List<String> victims = new ArrayList<>();
-        for (String victim : byEvictionCost) {
+        for (String victim : evictionOrders.computeIfAbsent(runner.id(), id -> evictionOrder(runner))) {
             if (missingMb > 0) {
                 victims.add(victim);
                 missingMb -= weightsMb(victim);
@@ -217,6 +236,19 @@
         return Optional.of(withoutUnneeded(victims, missingMb));
     }
 
+    /** Returns the memory for weights that a runner has left, in megabytes; negative if it holds too much. */
+    private double freeMb(RunnerState runner) {
+        return freeMb.computeIfAbsent(runner.id(), id -> maxWeightsMb - ServiceAggregates.weightsMb(engine(), runner));
+    }
+
+    private List<String> evictionOrder(RunnerState runner) {
+        return runner.models().keySet().stream()
+                .filter(held -> engine().models().containsKey(held)
+                        && !runner.recentlyLoaded().contains(held))
+                .sorted(Comparator.comparingDouble(held -> evictionCost(runner, held)))
+                .toList();
+    }
+
     /** Removes victims that need not be evicted because a larger one frees enough memory, cheapest first. */
     private List<String> withoutUnneeded(List<String> victims, double missingMb) {
         List<String> neededVictims = new ArrayList<>(victims);
@@ -243,11 +275,9 @@
 
     /** Returns the cost of blocking adapter orders on a runner while it loads a model for the given time. */
     private double blockingCost(RunnerState runner, double orderMs) {
-        double adaptersPerSecond = state.demands().stream()
-                .filter(demand -> demand.model().hasAdapter())
-                .filter(demand -> runner.holds(demand.model().model()))
-                .mapToDouble(demand -> demand.perSecond()
-                        / Math.max(1, replicas.getOrDefault(demand.model().model(), 1)))
+        double adaptersPerSecond = runner.models().keySet().stream()
+                .mapToDouble(model -> adapterRates.getOrDefault(model, 0.0)
+                        / Math.max(1, holders(model).size()))
                 .sum();
         return adaptersPerSecond * orderMs * orderMs / MS_PER_SECOND;
     }
@@ -262,18 +292,14 @@
         }
         Model model = engine().models().get(victim);
         double restartMs = runner.hasLocalCopy(victim) ? model.diskLoadMs() : model.storeLoadMs();
-        double lastReplicaFactor = replicas.getOrDefault(victim, 1) <= 1 ? LAST_REPLICA_FACTOR : 1;
+        double lastReplicaFactor = holders(victim).size() <= 1 ? LAST_REPLICA_FACTOR : 1;
         return demandRate(victim) * restartMs * lastReplicaFactor + inUseCost;
     }
 
     /** Returns whether the other replicas of a model have enough free slots to take over its requests on a runner. */
     private boolean isSpareReplica(RunnerState runner, String model) {
-        List<RunnerState> others = state.runners().stream()
-                .filter(other ->
-                        !other.leaving() && other.holds(model) && !other.id().equals(runner.id()))
-                .filter(other -> !assignedRunners.contains(other.id()))
-                .toList();
-        double freeSlotCount = others.stream()
+        double freeSlotCount = holders(model).stream()
+                .filter(other -> !other.id().equals(runner.id()) && !assignedRunners.contains(other.id()))
                 .mapToDouble(other -> CROWDED_UTILISATION * other.slots() - other.requests())
                 .filter(freeSlots -> freeSlots > 0)
                 .sum();
@@ -294,6 +320,7 @@
         option.victims().forEach(victim -> orders.add(new PlacementOrder.UnloadModel(victim)));
         orders.add(new PlacementOrder.LoadModel(model));
         assignedRunners.add(runner.id());
+        evictionOrders.clear();
         directives.add(new Directive(runner.id(), runner.sequence(), orders, reason));
     }
 
@@ -303,8 +330,8 @@
      * request rate or requests that have waited long. For another replica, only idle models are evicted, and only if
      * they are spare replicas or are requested less than half as often as the new replica would be.
      */
-    private boolean mayEvict(LoadOption option, String victim, ReplicaNeed need) {
-        boolean inUse = option.runner().requestsOf(victim) > 0;
+    private boolean mayEvict(RunnerState runner, String victim, ReplicaNeed need) {
+        boolean inUse = runner.requestsOf(victim) > 0;
         if (need.cold()) {
             boolean hasWaitingRequests =
                     demands.containsKey(victim) && demands.get(victim).waiting() > 0;
@@ -312,34 +339,57 @@
                     || need.demand().perSecond() > BUSY_RATE_PER_SECOND;
             return !hasWaitingRequests && (!inUse || urgent && demandRate(victim) < need.urgency());
         }
-        int holders = replicas.getOrDefault(need.demand().model().model(), 0);
-        double ratePerReplica = need.demand().perSecond() / (1 + holders);
-        return !inUse && (isSpareReplica(option.runner(), victim) || demandRate(victim) < ratePerReplica / 2);
+        int replicas = holders(need.demand().model().model()).size();
+        double ratePerReplica = need.demand().perSecond() / (1 + replicas);
+        return !inUse && (isSpareReplica(runner, victim) || demandRate(victim) < ratePerReplica / 2);
     }
 
     /**
      * Plans loads of models without a copy on any runner, into free memory or in place of idle models, a few at a time.
      */
     private void planPreloads() {
-        for (String model : engine().models().keySet().stream().sorted().toList()) {
-            if (storeLoads >= MAX_STORE_LOADS) {
-                return;
-            }
-            boolean hasCopy = state.runners().stream()
-                    .filter(runner -> !runner.leaving())
-                    .anyMatch(runner -> runner.hasLocalCopy(model) || runner.holds(model) || runner.isLoading(model));
-            if (!hasCopy) {
-                planPreload(model);
+        if (storeLoads >= MAX_STORE_LOADS || !state.storeLoadAllowed()) {
+            return;
+        }
+        Set<String> available = availableModels();
+        Map<String, Double> reclaimableMb = new HashMap<>();
+        state.runners().forEach(runner -> reclaimableMb.put(runner.id(), reclaimableMb(runner)));
+        List<String> missing = engine().models().keySet().stream()
+                .filter(model -> !available.contains(model))
+                .sorted()
+                .toList();
+        for (String model : missing) {
+            if (storeLoads < MAX_STORE_LOADS) {
+                planPreload(model, reclaimableMb);
             }
         }
     }
 
-    private void planPreload(String model) {
+    /** Returns the models that a runner which is not leaving holds, is loading or has a copy of. */
+    private Set<String> availableModels() {
+        Set<String> available = new HashSet<>(holders.keySet());
+        state.runners().stream().filter(runner -> !runner.leaving()).forEach(runner -> {
+            available.addAll(runner.inMemory());
+            available.addAll(runner.onDisk());
+            runner.loadingModel().ifPresent(available::add);
+        });
+        return available;
+    }
+
+    /** Returns the memory that a preload may use on a runner at most, free or in place of idle models, in megabytes. */
+    private double reclaimableMb(RunnerState runner) {
+        double idleMb = runner.models().keySet().stream()
+                .filter(model -> engine().models().containsKey(model) && mayEvictForPreload(runner, model))
+                .mapToDouble(this::weightsMb)
+                .sum();
+        return freeMb(runner) + idleMb;
+    }
+
+    private void planPreload(String model, Map<String, Double> reclaimableMb) {
         state.runners().stream()
-                .filter(runner -> canLoad(runner, model))
-                .map(runner -> loadOption(runner, model))
+                .filter(runner -> reclaimableMb.get(runner.id()) >= weightsMb(model) && canLoad(runner, model))
+                .map(runner -> loadOption(runner, model, victim -> mayEvictForPreload(runner, victim)))
                 .flatMap(Optional::stream)
-                .filter(option -> option.victims().stream().allMatch(victim -> mayEvictForPreload(option, victim)))
                 .min(Comparator.comparingDouble(LoadOption::costMs))
                 .ifPresent(option -> addDirective(model, option, "ahead"));
     }
@@ -348,9 +398,9 @@
      * Returns whether a model may be evicted for a preload: it is idle, has no other replica and loads quickly again
      * from a local copy.
      */
-    private boolean mayEvictForPreload(LoadOption option, String victim) {
-        boolean idle = option.runner().requestsOf(victim) == 0 && demandRate(victim) < IDLE_RATE_PER_SECOND;
-        boolean hasOtherReplicas = replicas.getOrDefault(victim, 1) > 1;
-        return idle && !hasOtherReplicas && option.runner().hasLocalCopy(victim);
+    private boolean mayEvictForPreload(RunnerState runner, String victim) {
+        boolean idle = runner.requestsOf(victim) == 0 && demandRate(victim) < IDLE_RATE_PER_SECOND;
+        boolean hasOtherReplicas = holders(victim).size() > 1;
+        return idle && !hasOtherReplicas && runner.hasLocalCopy(victim);
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/planning/NodeReports.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/NodeReports.java
@@ -4,7 +4,6 @@
 import io.persimmonstack.node.placing.RunnerUsage;
 import io.persimmonstack.node.request.ModelRef;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +24,11 @@
     private final Map<String, Long> lastReportNanos = new HashMap<>();
     private final Map<DemandKey, RateMeter> rateMeters = new HashMap<>();
 
-    private record Report(long receivedNanos, List<RunnerUsage> usages, List<ModelDemand> demands) {}
+    /** Sum of the usages of all reports that are kept. */
+    private final RunnerLoads totalLoads = RunnerLoads.empty();
+
+    /** One report; its loads are the sums of its usages. */
+    private record Report(long receivedNanos, List<RunnerUsage> usages, RunnerLoads loads, List<ModelDemand> demands) {}
 
     private record DemandKey(String service, ModelRef model) {}
 
@@ -46,7 +49,12 @@
      */
     public synchronized void update(String node, List<RunnerUsage> usages, List<ModelDemand> demands, long nowNanos) {
         lastReportNanos.put(node, nowNanos);
-        reports.put(node, new Report(nowNanos, List.copyOf(usages), List.copyOf(demands)));
+        Report report = new Report(nowNanos, List.copyOf(usages), RunnerLoads.of(usages), List.copyOf(demands));
+        Report before = reports.put(node, report);
+        if (before != null) {
+            totalLoads.remove(before.usages());
+        }
+        totalLoads.add(report.usages());
         for (ModelDemand demand : demands) {
             rateMeters
                     .computeIfAbsent(new DemandKey(demand.service(), demand.model()), key -> new RateMeter())
@@ -63,16 +71,27 @@
                 .collect(Collectors.toSet());
     }
 
-    /**
-     * Returns the requests in progress by the reports of all nodes except the given one; an empty name excludes none.
-     */
-    synchronized List<RunnerUsage> usagesExcept(String node, long nowNanos) {
-        reports.values().removeIf(report -> nowNanos - report.receivedNanos() > REPORT_VALID_NANOS);
-        return reports.entrySet().stream()
-                .filter(report -> !report.getKey().equals(node))
-                .map(report -> report.getValue().usages())
-                .flatMap(Collection::stream)
-                .toList();
+    /** Returns the load of each runner by the reports of all nodes except the given one. */
+    synchronized Map<String, RunnerLoads.Load> loadsExcept(String node, long nowNanos) {
+        dropOutdated(nowNanos);
+        Report own = reports.get(node);
+        return totalLoads.minus(own == null ? RunnerLoads.empty() : own.loads());
+    }
+
+    /** Returns the requests in progress at a runner by model or adapter, by the reports of all nodes. */
+    synchronized Map<ModelRef, Integer> requestsByModel(String runner, long nowNanos) {
+        dropOutdated(nowNanos);
+        return totalLoads.requestsByModel(runner);
+    }
+
+    private void dropOutdated(long nowNanos) {
+        reports.values().removeIf(report -> {
+            boolean outdated = nowNanos - report.receivedNanos() > REPORT_VALID_NANOS;
+            if (outdated) {
+                totalLoads.remove(report.usages());
+            }
+            return outdated;
+        });
     }
 
     /**
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -11,7 +11,6 @@
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.placing.ModelArrival;
 import io.persimmonstack.node.placing.RunnerSnapshot;
-import io.persimmonstack.node.placing.RunnerUsage;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -26,7 +25,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 /**
  * Plans which models and adapters the runners hold while this node is the leader. A background thread plans
@@ -108,12 +106,11 @@
 
     /** Returns the state of all runners for a node, with the requests of all other nodes in progress there. */
     public List<RunnerSnapshot> snapshotsFor(String node) {
-        List<RunnerUsage> usages = reports.usagesExcept(node, System.nanoTime());
-        Map<String, List<RunnerUsage>> byRunner = usages.stream().collect(Collectors.groupingBy(RunnerUsage::runner));
+        Map<String, RunnerLoads.Load> loads = reports.loadsExcept(node, System.nanoTime());
         synchronized (this) {
             return trackers.values().stream()
                     .map(tracker -> snapshot(
-                            tracker, byRunner.getOrDefault(tracker.runner().id(), List.of())))
+                            tracker, loads.getOrDefault(tracker.runner().id(), RunnerLoads.Load.NONE)))
                     .toList();
         }
     }
@@ -129,13 +126,13 @@
         return arrivals;
     }
 
-    private static RunnerSnapshot snapshot(RunnerStateTracker tracker, List<RunnerUsage> usages) {
+    private static RunnerSnapshot snapshot(RunnerStateTracker tracker, RunnerLoads.Load elsewhere) {
         return new RunnerSnapshot(
                 tracker.runner().id(),
                 tracker.runner().startedMs(),
                 Optional.of(tracker.servedModels()),
-                usages.stream().mapToInt(RunnerUsage::requests).sum(),
-                usages.stream().mapToLong(RunnerUsage::tokens).sum());
+                elsewhere.requests(),
+                elsewhere.tokens());
     }
 
     private void run() {
@@ -212,10 +209,12 @@
     /** Plans and submits directives for one service; returns when models that requests wait for become available. */
     private List<ModelArrival> plan(String service, Engine engine) {
         long nowNanos = System.nanoTime();
-        List<RunnerUsage> usages = reports.usagesExcept("", nowNanos);
         List<RunnerState> states = trackers.values().stream()
                 .filter(tracker -> tracker.runner().service().equals(service))
-                .map(tracker -> tracker.state(usages, engine, !control.isQuiet(tracker.runner())))
+                .map(tracker -> tracker.state(
+                        reports.requestsByModel(tracker.runner().id(), nowNanos),
+                        engine,
+                        !control.isQuiet(tracker.runner())))
                 .toList();
         int activeStoreLoads = (int) trackers.values().stream()
                 .filter(RunnerStateTracker::loadsFromStore)
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
@@ -22,7 +22,7 @@
  * @param reservedAdapters adapters that it may still load by orders without an answer, so that they need room
  * @param inMemory models with a copy in its host memory
  * @param onDisk models with a copy on its disk
- * @param requestsByModel requests in progress, by model or adapter
+ * @param requestCounts requests in progress
  * @param slots number of requests that it can run concurrently
  */
 record RunnerState(
@@ -39,20 +39,17 @@
         Set<ModelRef> reservedAdapters,
         Set<String> inMemory,
         Set<String> onDisk,
-        Map<ModelRef, Integer> requestsByModel,
+        RequestCounts requestCounts,
         int slots) {
 
     /** Returns the number of requests in progress. */
     int requests() {
-        return requestsByModel.values().stream().mapToInt(Integer::intValue).sum();
+        return requestCounts.total();
     }
 
     /** Returns the number of requests in progress for a model, those for its adapters included. */
     int requestsOf(String model) {
-        return requestsByModel.entrySet().stream()
-                .filter(entry -> entry.getKey().model().equals(model))
-                .mapToInt(Map.Entry::getValue)
-                .sum();
+        return requestCounts.ofModel(model);
     }
 
     /** Returns the share of its slots in use, 1 if all are; more if requests queue at the runner. */
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
@@ -3,7 +3,6 @@
 import io.persimmonstack.node.config.Engine;
 import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.fleet.Runner;
-import io.persimmonstack.node.placing.RunnerUsage;
 import io.persimmonstack.node.request.ModelRef;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -328,15 +327,11 @@
     /**
      * Returns the state to plan with.
      *
-     * @param usages requests in progress by the nodes' reports
+     * @param requestsByModel requests in progress by the nodes' reports
      * @param engine capacity of the runner
      * @param takesOrders whether the runner takes orders from this node at present
      */
-    synchronized RunnerState state(List<RunnerUsage> usages, Engine engine, boolean takesOrders) {
-        Map<ModelRef, Integer> requestsByModel = new HashMap<>();
-        usages.stream()
-                .filter(usage -> usage.runner().equals(runner.id()))
-                .forEach(usage -> requestsByModel.merge(usage.model(), usage.requests(), Integer::sum));
+    synchronized RunnerState state(Map<ModelRef, Integer> requestsByModel, Engine engine, boolean takesOrders) {
         return new RunnerState(
                 runner.id(),
                 runner.zone(),
@@ -351,7 +346,7 @@
                 reservedAdapters(),
                 Set.copyOf(inMemory),
                 Set.copyOf(onDisk),
-                requestsByModel,
+                RequestCounts.of(requestsByModel),
                 engine.slots());
     }
 }
--- a/node/src/test/java/io/persimmonstack/node/planning/RunnerStateBuilder.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RunnerStateBuilder.java
@@ -18,7 +18,7 @@
     private Set<ModelRef> loadingAdapters = Set.of();
     private Set<String> inMemory = Set.of();
     private Set<String> onDisk = Set.of();
-    private Map<ModelRef, Integer> requestsByModel = Map.of();
+    private RequestCounts requestCounts = RequestCounts.of(Map.of());
 
     private RunnerStateBuilder(String id) {
         this.id = id;
@@ -40,7 +40,7 @@
         builder.loadingAdapters = state.loadingAdapters();
         builder.inMemory = state.inMemory();
         builder.onDisk = state.onDisk();
-        builder.requestsByModel = state.requestsByModel();
+        builder.requestCounts = state.requestCounts();
         return builder;
     }
 
@@ -78,7 +78,7 @@
     }
 
     RunnerStateBuilder requests(Map<ModelRef, Integer> newRequestsByModel) {
-        requestsByModel = newRequestsByModel;
+        requestCounts = RequestCounts.of(newRequestsByModel);
         return this;
     }
 
@@ -97,7 +97,7 @@
                 Set.of(),
                 inMemory,
                 onDisk,
-                requestsByModel,
+                requestCounts,
                 PlanningTestData.SLOTS);
     }
 }
--- a/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
@@ -9,6 +9,7 @@
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -74,14 +75,14 @@
                         false, 1, List.of(new HeldModel("a", 1, Set.of("x"))), Set.of(late), Set.of(), Set.of("a")),
                 System.nanoTime());
         assertEquals(
-                2, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
+                2, tracker.state(Map.of(), PlanningTestData.engine("a"), true).adapterCount());
         tracker.markStatusRequested(System.nanoTime());
         tracker.applyStatus(
                 new RunnerStatus(
                         false, 1, List.of(new HeldModel("a", 1, Set.of("x", "late"))), Set.of(), Set.of(), Set.of("a")),
                 System.nanoTime());
         assertEquals(
-                2, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
+                2, tracker.state(Map.of(), PlanningTestData.engine("a"), true).adapterCount());
     }
 
     /** Runner overfilled: a late load took the room of another one, since an unload before it was not counted. */
@@ -90,13 +91,13 @@
         tracker.orderUnanswered(new PlacementOrder.LoadAdapter("a", "late"), 1);
         applyStatus(0);
         assertEquals(
-                1, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
+                1, tracker.state(Map.of(), PlanningTestData.engine("a"), true).adapterCount());
         tracker.orderAccepted(System.nanoTime());
         assertEquals(
-                1, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
+                1, tracker.state(Map.of(), PlanningTestData.engine("a"), true).adapterCount());
         tracker.orderAccepted(System.nanoTime());
         assertEquals(
-                0, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
+                0, tracker.state(Map.of(), PlanningTestData.engine("a"), true).adapterCount());
     }
 
     @Test
@@ -104,7 +105,7 @@
         tracker.orderUnanswered(new PlacementOrder.LoadAdapter("a", "late"), 1);
         applyStatus(1);
         assertEquals(
-                0, tracker.state(List.of(), PlanningTestData.engine("a"), true).adapterCount());
+                0, tracker.state(Map.of(), PlanningTestData.engine("a"), true).adapterCount());
     }
 
     private void applyStatus(long sequence) {
@@ -133,7 +134,7 @@
     }
 
     private boolean leaving() {
-        return tracker.state(List.of(), PlanningTestData.engine("a"), true).leaving();
+        return tracker.state(Map.of(), PlanningTestData.engine("a"), true).leaving();
     }
 
     private static RunnerStatus runnerStatus() {
