node: many nodes spread their requests over the runners that can take them

Pattern: 95 nodes choose among the same runners and learn of each other's requests up to half a second late. Callers saw streams that pause over their bound.

Change: with more than 8 nodes, a node takes the cheapest of a random sample, two of the eligible runners at 95 nodes, and of the one that caches the prompt. Up to 8 nodes nothing changes.

--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -18,6 +18,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.ReentrantLock;
@@ -171,7 +172,8 @@
     }
 
     private RunnerSelector selector(ActiveRequest request) {
-        return RunnerSelector.of(request.service(), zone, System.nanoTime());
+        int nodes = fleet.current().peers().size();
+        return RunnerSelector.of(request.service(), zone, nodes, ThreadLocalRandom.current(), System.nanoTime());
     }
 
     private RunnerSelector.Requirements requirements(QueuedRequest queued) {
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
@@ -3,11 +3,14 @@
 import io.persimmonstack.node.config.Engine;
 import io.persimmonstack.node.config.Service;
 import io.persimmonstack.node.request.ModelRef;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 
 /**
  * Selects the runner for one request: the eligible runner with the lowest cost. The cost is the utilisation of its
@@ -25,33 +28,79 @@
     /** Share of the token cache that the requests at a runner may fill. */
     private static final double USABLE_MEMORY_SHARE = 0.92;
 
+    /** Number of nodes up to which each of them may choose among all runners. */
+    private static final int MAX_NODES_FOR_FREE_CHOICE = 8;
+    /** Smallest number of runners to choose among. */
+    private static final int MIN_SAMPLE = 2;
+
     private final Service service;
     private final String zone;
+    private final int nodes;
+    private final RandomGenerator random;
     private final long nowNanos;
 
-    private RunnerSelector(Service service, String zone, long nowNanos) {
+    private RunnerSelector(Service service, String zone, int nodes, RandomGenerator random, long nowNanos) {
         this.service = service;
         this.zone = zone;
+        this.nodes = nodes;
+        this.random = random;
         this.nowNanos = nowNanos;
     }
 
-    static RunnerSelector of(Service service, String zone, long nowNanos) {
-        return new RunnerSelector(service, zone, nowNanos);
+    /**
+     * Returns a selector.
+     *
+     * @param service service of the request
+     * @param zone availability zone of this node
+     * @param nodes number of nodes that send requests to the same runners
+     * @param random source of the random choices
+     * @param nowNanos monotonic time
+     */
+    static RunnerSelector of(Service service, String zone, int nodes, RandomGenerator random, long nowNanos) {
+        return new RunnerSelector(service, zone, nodes, random, nowNanos);
     }
 
     /**
-     * Returns the cheapest eligible runner with a free slot and enough memory, empty if there is none.
+     * Returns a cheap eligible runner with a free slot and enough memory, empty if there is none: the cheapest one or,
+     * in a large fleet, the cheapest one of a random sample.
      *
      * @param trackers trackers of all runners of the service
      * @param requirements what the request requires of its runner
      */
     Optional<RunnerLoadTracker> choose(Collection<RunnerLoadTracker> trackers, Requirements requirements) {
-        return trackers.stream()
+        List<RunnerLoadTracker> eligible = trackers.stream()
                 .filter(tracker -> canRun(tracker, requirements))
                 .filter(tracker -> hasCapacity(tracker, requirements.expectedTokens()))
+                .toList();
+        return sample(eligible, requirements).stream()
                 .min(Comparator.comparingDouble(tracker -> cost(tracker, requirements)));
     }
 
+    /**
+     * Returns the runners to choose among. Nodes learn of each other's requests with a delay: if all of many nodes
+     * chose the cheapest runner meanwhile, they would overfill it. The runner that caches the prompt always belongs to
+     * them.
+     */
+    private List<RunnerLoadTracker> sample(List<RunnerLoadTracker> eligible, Requirements requirements) {
+        int size = Math.max(MIN_SAMPLE, Math.ceilDiv(eligible.size() * MAX_NODES_FOR_FREE_CHOICE, Math.max(1, nodes)));
+        if (size >= eligible.size()) {
+            return eligible;
+        }
+        List<RunnerLoadTracker> sample = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            sample.add(eligible.get(random.nextInt(eligible.size())));
+        }
+        eligible.stream().filter(tracker -> isPreferred(tracker, requirements)).forEach(sample::add);
+        return sample;
+    }
+
+    private static boolean isPreferred(RunnerLoadTracker tracker, Requirements requirements) {
+        return requirements
+                .preferredRunner()
+                .filter(tracker.runner().id()::equals)
+                .isPresent();
+    }
+
     /**
      * Returns the end of the earliest pause, by the monotonic clock, if all runners that can run the request have asked
      * for one; empty if there is no such runner or if another one may take it sooner.
@@ -127,12 +176,7 @@
                 .map(engine -> (double) tracker.totalTokens() / engine.cacheTokens())
                 .orElse(0.0);
         double zonePenalty = tracker.runner().zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY;
-        double affinityBonus = requirements
-                        .preferredRunner()
-                        .filter(tracker.runner().id()::equals)
-                        .isPresent()
-                ? PROMPT_AFFINITY_BONUS
-                : 0;
+        double affinityBonus = isPreferred(tracker, requirements) ? PROMPT_AFFINITY_BONUS : 0;
         return Math.max(slotUtilisation, memoryUtilisation)
                 + FAILURE_PENALTY * tracker.recentFailures(nowNanos)
                 + zonePenalty
