planner: a model that may not go does not keep one that may from making room

Cause: the victims of a load were the cheapest models of a runner, and the runner was given up if one of them may not be evicted, although another would do.

Change: only models that may be evicted are considered.

Tests that failed before: preloadReplacesIdleModelBesideSpareReplicaOfBusyOne, waitingModelReplacesTheOneThatMayGo.

--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -206,7 +206,7 @@
     private Optional<LoadOption> loadOption(RunnerState runner, String model, Predicate<String> mayEvict) {
         Model wantedModel = engine().models().get(model);
         Optional<List<String>> victims = victims(runner, wantedModel.weightsMb(), mayEvict);
-        if (victims.isEmpty() || !victims.get().stream().allMatch(mayEvict)) {
+        if (victims.isEmpty()) {
             return Optional.empty();
         }
         double loadMs = loadMs(runner, wantedModel);
@@ -225,7 +225,7 @@
         double missingMb = weightsMb - freeMb(runner);
         List<String> victims = new ArrayList<>();
         for (String victim : evictionOrders.computeIfAbsent(runner.id(), id -> evictionOrder(runner))) {
-            if (missingMb > 0) {
+            if (missingMb > 0 && mayEvict.test(victim)) {
                 victims.add(victim);
                 missingMb -= weightsMb(victim);
             }
--- a/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
@@ -199,4 +199,39 @@
         assertTrue(ModelPolicy.plan(PlanningTestData.state(ENGINE, List.of(runner), longWaiting))
                 .isEmpty());
     }
+
+    /** The spare replica of a model in demand is cheaper to evict than the idle model, but not for a preload. */
+    @Test
+    void preloadReplacesIdleModelBesideSpareReplicaOfBusyOne() {
+        Engine engine = PlanningTestData.engine("busy", "idle", "new");
+        RunnerState both =
+                PlanningTestData.runner("r1", PlanningTestData.heldModel("busy"), PlanningTestData.heldModel("idle"));
+        RunnerState other = RunnerStateBuilder.from(PlanningTestData.runner("r2", PlanningTestData.heldModel("busy")))
+                .unknown()
+                .build();
+        List<Directive> plan = ModelPolicy.plan(
+                PlanningTestData.state(engine, List.of(both, other), PlanningTestData.demand("busy", 3)));
+        assertEquals(
+                List.of(new PlacementOrder.UnloadModel("idle"), new PlacementOrder.LoadModel("new")),
+                plan.getFirst().orders());
+    }
+
+    /** A model that requests wait for stays, but another one makes room for the one that no runner holds. */
+    @Test
+    void waitingModelReplacesTheOneThatMayGo() {
+        Engine engine = PlanningTestData.engine("asked", "idle", "new");
+        RunnerState runner =
+                PlanningTestData.runner("r1", PlanningTestData.heldModel("asked"), PlanningTestData.heldModel("idle"));
+        RunnerState other = RunnerStateBuilder.from(PlanningTestData.runner("r2", PlanningTestData.heldModel("asked")))
+                .unknown()
+                .build();
+        List<Directive> plan = ModelPolicy.plan(PlanningTestData.state(
+                engine,
+                List.of(runner, other),
+                PlanningTestData.waitingDemand("asked", 2),
+                PlanningTestData.waitingDemand("new", 1)));
+        assertEquals(
+                List.of(new PlacementOrder.UnloadModel("idle"), new PlacementOrder.LoadModel("new")),
+                plan.getFirst().orders());
+    }
 }
