--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -57,13 +57,7 @@
 
     private final ServiceState state;
     private final Map<String, FleetDemand> demands;
-    private final Map<String, List<RunnerState>> holders = new HashMap<>();
-    /** Requests per second for the adapters of each model. */
-    private final Map<String, Double> adapterRates = new HashMap<>();
-
-    private final double maxWeightsMb;
-    private final Map<String, Double> freeMb = new HashMap<>();
-    private final Set<String> loadingModels = new HashSet<>();
+    private final ServiceIndex index;
     /** Models of each runner that may be evicted, cheapest first, until the next directive changes the costs. */
     private final Map<String, List<String>> evictionOrders = new HashMap<>();
 
@@ -81,17 +75,7 @@
         this.state = state;
         this.demands = ServiceAggregates.demandByModel(state);
         this.storeLoads = state.storeLoads();
-        state.runners().stream()
-                .filter(runner -> !runner.leaving())
-                .forEach(runner -> runner.models()
-                        .keySet()
-                        .forEach(model -> holders.computeIfAbsent(model, ignored -> new ArrayList<>())
-                                .add(runner)));
-        state.demands().stream()
-                .filter(demand -> demand.model().hasAdapter())
-                .forEach(demand -> adapterRates.merge(demand.model().model(), demand.perSecond(), Double::sum));
-        this.maxWeightsMb = state.engine().maxWeightsMb();
-        state.runners().forEach(runner -> runner.loadingModel().ifPresent(loadingModels::add));
+        this.index = ServiceIndex.of(state);
     }
 
     /**
@@ -113,11 +97,6 @@
         return state.engine();
     }
 
-    /** Returns the runners that hold a model and are not leaving. */
-    private List<RunnerState> holders(String model) {
-        return holders.getOrDefault(model, List.of());
-    }
-
     private void planNeededReplicas() {
         demands.values().stream()
                 .filter(demand -> engine().models().containsKey(demand.model().model()))
@@ -132,15 +111,15 @@
      */
     private Optional<ReplicaNeed> replicaNeed(FleetDemand demand) {
         String model = demand.model().model();
-        if (loadingModels.contains(model)) {
+        if (index.isLoading(model)) {
             return Optional.empty();
         }
-        if (holders(model).isEmpty()) {
+        if (index.holders(model).isEmpty()) {
             return demand.waiting() > 0
                     ? Optional.of(new ReplicaNeed(demand, true, coldUrgency(demand)))
                     : Optional.empty();
         }
-        boolean crowded = holders(model).stream().allMatch(runner -> runner.utilisation() > CROWDED_UTILISATION);
+        boolean crowded = index.holders(model).stream().allMatch(runner -> runner.utilisation() > CROWDED_UTILISATION);
         double urgency = demand.waiting() + demand.perSecond();
         return crowded ? Optional.of(new ReplicaNeed(demand, false, urgency)) : Optional.empty();
     }
@@ -211,9 +190,10 @@
         }
         double loadMs = loadMs(runner, wantedModel);
         boolean drainsRequests = victims.get().stream().anyMatch(victim -> runner.requestsOf(victim) > 0);
+        double orderMs = drainsRequests ? loadMs + IN_USE_COST_MS : loadMs;
         double cost = loadMs
                 + FULL_RUNNER_COST_MS * runner.utilisation()
-                + blockingCost(runner, drainsRequests ? loadMs + IN_USE_COST_MS : loadMs)
+                + blockingCost(runner, orderMs)
                 + victims.get().stream()
                         .mapToDouble(victim -> evictionCost(runner, victim))
                         .sum();
@@ -222,7 +202,7 @@
 
     /** Returns the cheapest models to evict to free memory for a load, empty if not enough can be freed. */
     private Optional<List<String>> victims(RunnerState runner, double weightsMb, Predicate<String> mayEvict) {
-        double missingMb = weightsMb - freeMb(runner);
+        double missingMb = weightsMb - index.freeMb(runner);
         List<String> victims = new ArrayList<>();
         for (String victim : evictionOrders.computeIfAbsent(runner.id(), id -> evictionOrder(runner))) {
             if (missingMb > 0 && mayEvict.test(victim)) {
@@ -236,11 +216,6 @@
         return Optional.of(withoutUnneeded(victims, missingMb));
     }
 
-    /** Returns the memory for weights that a runner has left, in megabytes; negative if it holds too much. */
-    private double freeMb(RunnerState runner) {
-        return freeMb.computeIfAbsent(runner.id(), id -> maxWeightsMb - ServiceAggregates.weightsMb(engine(), runner));
-    }
-
     private List<String> evictionOrder(RunnerState runner) {
         return runner.models().keySet().stream()
                 .filter(held -> engine().models().containsKey(held)
@@ -275,11 +250,7 @@
 
     /** Returns the cost of blocking adapter orders on a runner while it loads a model for the given time. */
     private double blockingCost(RunnerState runner, double orderMs) {
-        double adaptersPerSecond = runner.models().keySet().stream()
-                .mapToDouble(model -> adapterRates.getOrDefault(model, 0.0)
-                        / Math.max(1, holders(model).size()))
-                .sum();
-        return adaptersPerSecond * orderMs * orderMs / MS_PER_SECOND;
+        return index.adapterRate(runner) * orderMs * orderMs / MS_PER_SECOND;
     }
 
     /**
@@ -292,13 +263,13 @@
         }
         Model model = engine().models().get(victim);
         double restartMs = runner.hasLocalCopy(victim) ? model.diskLoadMs() : model.storeLoadMs();
-        double lastReplicaFactor = holders(victim).size() <= 1 ? LAST_REPLICA_FACTOR : 1;
+        double lastReplicaFactor = index.holders(victim).size() <= 1 ? LAST_REPLICA_FACTOR : 1;
         return demandRate(victim) * restartMs * lastReplicaFactor + inUseCost;
     }
 
     /** Returns whether the other replicas of a model have enough free slots to take over its requests on a runner. */
     private boolean isSpareReplica(RunnerState runner, String model) {
-        double freeSlotCount = holders(model).stream()
+        double freeSlotCount = index.holders(model).stream()
                 .filter(other -> !other.id().equals(runner.id()) && !assignedRunners.contains(other.id()))
                 .mapToDouble(other -> CROWDED_UTILISATION * other.slots() - other.requests())
                 .filter(freeSlots -> freeSlots > 0)
@@ -339,7 +310,7 @@
                     || need.demand().perSecond() > BUSY_RATE_PER_SECOND;
             return !hasWaitingRequests && (!inUse || urgent && demandRate(victim) < need.urgency());
         }
-        int replicas = holders(need.demand().model().model()).size();
+        int replicas = index.holders(need.demand().model().model()).size();
         double ratePerReplica = need.demand().perSecond() / (1 + replicas);
         return !inUse && (isSpareReplica(runner, victim) || demandRate(victim) < ratePerReplica / 2);
     }
@@ -351,7 +322,7 @@
         if (storeLoads >= MAX_STORE_LOADS || !state.storeLoadAllowed()) {
             return;
         }
-        Set<String> available = availableModels();
+        Set<String> available = index.availableModels();
         Map<String, Double> reclaimableMb = new HashMap<>();
         state.runners().forEach(runner -> reclaimableMb.put(runner.id(), reclaimableMb(runner)));
         List<String> missing = engine().models().keySet().stream()
@@ -365,24 +336,13 @@
         }
     }
 
-    /** Returns the models that a runner which is not leaving holds, is loading or has a copy of. */
-    private Set<String> availableModels() {
-        Set<String> available = new HashSet<>(holders.keySet());
-        state.runners().stream().filter(runner -> !runner.leaving()).forEach(runner -> {
-            available.addAll(runner.inMemory());
-            available.addAll(runner.onDisk());
-            runner.loadingModel().ifPresent(available::add);
-        });
-        return available;
-    }
-
     /** Returns the memory that a preload may use on a runner at most, free or in place of idle models, in megabytes. */
     private double reclaimableMb(RunnerState runner) {
         double idleMb = runner.models().keySet().stream()
                 .filter(model -> engine().models().containsKey(model) && mayEvictForPreload(runner, model))
                 .mapToDouble(this::weightsMb)
                 .sum();
-        return freeMb(runner) + idleMb;
+        return index.freeMb(runner) + idleMb;
     }
 
     private void planPreload(String model, Map<String, Double> reclaimableMb) {
@@ -400,7 +360,7 @@
      */
     private boolean mayEvictForPreload(RunnerState runner, String victim) {
         boolean idle = runner.requestsOf(victim) == 0 && demandRate(victim) < IDLE_RATE_PER_SECOND;
-        boolean hasOtherReplicas = holders(victim).size() > 1;
+        boolean hasOtherReplicas = index.holders(victim).size() > 1;
         return idle && !hasOtherReplicas && runner.hasLocalCopy(victim);
     }
 }
