--- a/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotice.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotice.java
@@ -32,9 +32,4 @@
     public static RunnerNotice unreadable(boolean leaving, String value) {
         return new RunnerNotice(leaving, OptionalLong.empty(), Optional.of(value));
     }
-
-    /** Returns whether the answer says nothing about the runner. */
-    public boolean isNone() {
-        return equals(NONE);
-    }
 }
--- a/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotices.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotices.java
@@ -53,10 +53,6 @@
         quietUntilNanos.merge(process, untilNanos, (one, other) -> one - other > 0 ? one : other);
     }
 
-    synchronized boolean isLeaving(RunnerProcess process) {
-        return leavingSinceNanos.containsKey(process);
-    }
-
     /** Returns the processes that are shutting down by their own word. */
     synchronized Set<RunnerProcess> leaving() {
         return Set.copyOf(leavingSinceNanos.keySet());
