--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -50,8 +50,6 @@
     RUNNER_QUIET(6022, Level.INFO, "runner-quiet runner={} ms={}"),
     /** A runner's answer has a field about itself that cannot be read; the field has no effect. */
     NOTICE_UNREADABLE(6023, Level.WARN, "notice-unreadable runner={} value={}"),
-    /** A request was not sent to the runner that had been chosen for it, because of what the runner said meanwhile. */
-    SEND_WITHHELD(6108, Level.INFO, "send-withheld id={} runner={} cause={}"),
     /** A request was answered by a runner. */
     SERVED(6101, Level.INFO, "request-served id={} route={} model={} runner={} sends={} first-ms={} ms={}"),
     /** The node answered a request itself, without a usable answer of a runner. */
@@ -70,6 +68,8 @@
     REQUEST_ERROR(6106, Level.ERROR, "request-error id={} cause={}"),
     /** The runner of a request is silent and keeps the request, since something that another one needs is missing. */
     RUNNER_SILENT(6107, Level.INFO, "runner-silent id={} runner={} left-ms={} missing={}"),
+    /** A request was not sent to the runner that had been chosen for it, because of what the runner said meanwhile. */
+    SEND_WITHHELD(6108, Level.INFO, "send-withheld id={} runner={} cause={}"),
     /** A load or unload order was sent to a runner. */
     ORDER(6201, Level.INFO, "order runner={} order={} term={} sequence={} outcome={} reason={} source={}"),
     /** An order was completed. */
