node: log lines tell the software version of a runner, and what a request resumes

Callers saw streams whose events came from two software versions of a service. No line told the version of a runner or which request a caller resumes, so a mixed stream could not be told from a sound one. The version is decoded and logged (6012, 6101, 6104, 6105), 6109 tells a resumed stream; nothing is decided by either yet.

--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -27,7 +27,10 @@
     /** The store is available again and its keys were reread. */
     STORE_REGAINED(6011, Level.INFO, "store-regained revision={} lost-ms={}"),
     /** A runner was added, or its process, address, service or leaving state changed. */
-    RUNNER_CHANGED(6012, Level.INFO, "runner-changed runner={} service={} address={} leaving={} models={} revision={}"),
+    RUNNER_CHANGED(
+            6012,
+            Level.INFO,
+            "runner-changed runner={} version={} service={} address={} leaving={} models={} revision={}"),
     /** A runner was removed from the list. */
     RUNNER_GONE(6013, Level.INFO, "runner-gone runner={} revision={} cause={}"),
     /** An entry of a runner, a node or the leader cannot be decoded. */
@@ -51,25 +54,28 @@
     /** A runner's answer has a field about itself that cannot be read; the field has no effect. */
     NOTICE_UNREADABLE(6023, Level.WARN, "notice-unreadable runner={} value={}"),
     /** A request was answered by a runner. */
-    SERVED(6101, Level.INFO, "request-served id={} route={} model={} runner={} sends={} first-ms={} ms={}"),
+    SERVED(6101, Level.INFO, "request-served id={} route={} model={} runner={} version={} sends={} first-ms={} ms={}"),
     /** The node answered a request itself, without a usable answer of a runner. */
     REFUSED(
             6102,
             Level.INFO,
             "request-refused id={} route={} model={} status={} reason={} retry-after-ms={} sends={} ms={} detail={}"),
     /** The caller disconnected before its answer was complete. */
-    CALLER_LEFT(6104, Level.INFO, "caller-left id={} route={} model={} runner={} sends={} ms={}"),
+    CALLER_LEFT(6104, Level.INFO, "caller-left id={} route={} model={} runner={} version={} sends={} ms={}"),
     /** An attempt at a runner failed; the request may be sent again. */
     ATTEMPT_FAILED(
             6105,
             Level.INFO,
-            "attempt-failed id={} runner={} sends={} runs={} max-runs={} left-ms={} silent-ms={} cause={} repeat={}"),
+            "attempt-failed id={} runner={} version={} sends={} runs={} max-runs={} left-ms={} silent-ms={}"
+                    + " delivered={} cause={} repeat={}"),
     /** Serving a request failed with an unexpected error. */
     REQUEST_ERROR(6106, Level.ERROR, "request-error id={} cause={}"),
     /** The runner of a request is silent and keeps the request, since something that another one needs is missing. */
     RUNNER_SILENT(6107, Level.INFO, "runner-silent id={} runner={} left-ms={} missing={}"),
     /** A request was not sent to the runner that had been chosen for it, because of what the runner said meanwhile. */
     SEND_WITHHELD(6108, Level.INFO, "send-withheld id={} runner={} cause={}"),
+    /** A caller resumes a stream that an earlier request began. */
+    STREAM_RESUMED(6109, Level.INFO, "stream-resumed id={} resumes={} after-event={}"),
     /** A load or unload order was sent to a runner. */
     ORDER(6201, Level.INFO, "order runner={} order={} term={} sequence={} outcome={} reason={} source={}"),
     /** An order was completed. */
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -98,6 +98,7 @@
                     summary.route(),
                     summary.model(),
                     summary.sends.lastRunner(),
+                    summary.sends.lastVersion(),
                     summary.sends.count(),
                     summary.elapsedMs());
         } catch (RuntimeException e) {
@@ -146,6 +147,7 @@
                 summary.route(),
                 summary.model(),
                 summary.sends.lastRunner(),
+                summary.sends.lastVersion(),
                 summary.sends.count(),
                 delivery.firstEventMs(),
                 summary.elapsedMs());
--- a/node/src/main/java/io/persimmonstack/node/fleet/Runner.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/Runner.java
@@ -9,6 +9,7 @@
  *
  * @param id identifier, which a later process may reuse
  * @param startedMs start time of its process, in Unix milliseconds; distinguishes processes with the same identifier
+ * @param softwareVersion version of its software, not of the weights; versions have no order
  * @param service service that it belongs to
  * @param address address that it listens on
  * @param zone availability zone
@@ -21,6 +22,7 @@
 public record Runner(
         String id,
         long startedMs,
+        String softwareVersion,
         String service,
         PeerAddress address,
         String zone,
@@ -38,14 +40,16 @@
 
     /** Returns a copy with the given loaded models. */
     public Runner withModels(List<HeldModel> newModels) {
-        return new Runner(id, startedMs, service, address, zone, slots, leaving, newModels, inMemory, onDisk);
+        return new Runner(
+                id, startedMs, softwareVersion, service, address, zone, slots, leaving, newModels, inMemory, onDisk);
     }
 
     /** Returns a copy that is shutting down. */
     public Runner asLeaving() {
         return leaving
                 ? this
-                : new Runner(id, startedMs, service, address, zone, slots, true, models, inMemory, onDisk);
+                : new Runner(
+                        id, startedMs, softwareVersion, service, address, zone, slots, true, models, inMemory, onDisk);
     }
 
     /** Returns the process that this entry describes. */
--- a/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
@@ -21,6 +21,7 @@
  * @param tokens token counts of the prompt and the output
  * @param prompt parts of the prompt, in order
  * @param lastEventId last event that the caller received, if it resumes a stream
+ * @param resumedRequest identifier of the request that brought the first event of the stream, if it resumes one
  */
 public record CallerRequest(
         String id,
@@ -34,7 +35,8 @@
         Optional<ModelRef> model,
         TokenCount tokens,
         List<PromptPart> prompt,
-        OptionalLong lastEventId) {
+        OptionalLong lastEventId,
+        Optional<String> resumedRequest) {
     /** Copies the lists. */
     public CallerRequest {
         headers = List.copyOf(headers);
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -9,6 +9,7 @@
 import io.persimmonstack.node.placing.Placer;
 import io.persimmonstack.node.placing.RetryBudget;
 import io.persimmonstack.node.request.ActiveRequest;
+import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.Refusal;
 import io.persimmonstack.node.request.RefusedException;
@@ -70,6 +71,7 @@
         ServiceRetries retries =
                 new ServiceRetries(budget, fleet, request.service().name());
         retries.recordRequest();
+        logResumption(request.callerRequest());
         RetryState retryState = new RetryState(request, sends);
         StreamProgress progress =
                 StreamProgress.startingAfter(request.callerRequest().lastEventId(), request.receivedNanos());
@@ -94,7 +96,7 @@
             }
             reportOutcome(runner, request, outcome);
             boolean retry = mayContinue(runner, retryState, retries, outcome);
-            logFailedAttempt(runner, retryState, request, attempt, outcome, retry);
+            logFailedAttempt(runner, retryState, request, progress, attempt, outcome, retry);
             if (!retry) {
                 return answerFinally(retryState, outcome, progress, reply);
             }
@@ -104,6 +106,16 @@
         }
     }
 
+    private static void logResumption(CallerRequest request) {
+        if (request.lastEventId().isPresent()) {
+            LOG.write(
+                    NodeEvent.STREAM_RESUMED,
+                    request.id(),
+                    request.resumedRequest().orElse("-"),
+                    request.lastEventId().getAsLong());
+        }
+    }
+
     private static void releaseSuccessor(Outcome outcome) {
         if (outcome instanceof Outcome.Replaced replaced) {
             replaced.successor().close();
@@ -123,6 +135,7 @@
             Runner runner,
             RetryState retryState,
             ActiveRequest request,
+            StreamProgress progress,
             Attempt attempt,
             Outcome outcome,
             boolean retry) {
@@ -130,11 +143,13 @@
                 NodeEvent.ATTEMPT_FAILED,
                 request.callerRequest().id(),
                 runner.id(),
+                runner.softwareVersion(),
                 retryState.sendCount(),
                 retryState.possibleRuns(),
                 request.route().maxAttempts(),
                 request.remainingMs(System.nanoTime()),
                 attempt.silentMs(),
+                progress.deliveredCount(),
                 outcome,
                 retry);
     }
--- a/node/src/main/java/io/persimmonstack/node/sending/RetryState.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/RetryState.java
@@ -39,7 +39,7 @@
     }
 
     void recordSend(Runner runner) {
-        sends.recordSend(runner.id());
+        sends.recordSend(runner);
     }
 
     int sendCount() {
--- a/node/src/main/java/io/persimmonstack/node/sending/StreamProgress.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/StreamProgress.java
@@ -56,6 +56,11 @@
         }
     }
 
+    /** Returns the number of events that the caller has received from this request. */
+    int deliveredCount() {
+        return deliveredCount;
+    }
+
     boolean hasStarted() {
         return deliveredCount > 0;
     }
--- a/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
@@ -98,6 +98,7 @@
                 LOG.write(
                         NodeEvent.RUNNER_CHANGED,
                         id,
+                        runner.softwareVersion(),
                         runner.service(),
                         runner.address(),
                         runner.leaving(),
--- a/node/src/test/java/io/persimmonstack/node/placing/ManyNodesTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/ManyNodesTest.java
@@ -51,7 +51,7 @@
             List<RunnerLoadTracker> ofNode = new ArrayList<>();
             for (int i = 0; i < RUNNERS; i++) {
                 ofNode.add(new RunnerLoadTracker(
-                        new Runner("r" + i, 1, "s", address, "z", SLOTS, false, List.of(), Set.of(), Set.of())));
+                        new Runner("r" + i, 1, "v1", "s", address, "z", SLOTS, false, List.of(), Set.of(), Set.of())));
             }
             trackers.add(ofNode);
         }
--- a/node/src/test/java/io/persimmonstack/node/placing/QuietRunnersTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/QuietRunnersTest.java
@@ -42,7 +42,7 @@
 
     private static Runner runner(String id, long startedMs) {
         PeerAddress address = new PeerAddress("127.0.0.1", 1);
-        return new Runner(id, startedMs, "s", address, "z", SLOTS, false, List.of(), Set.of(), Set.of());
+        return new Runner(id, startedMs, "v1", "s", address, "z", SLOTS, false, List.of(), Set.of(), Set.of());
     }
 
     private void list(Runner... runners) {
--- a/node/src/test/java/io/persimmonstack/node/placing/RunnerLoadTrackerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/RunnerLoadTrackerTest.java
@@ -18,7 +18,7 @@
 
     private static Runner runner(long startedMs) {
         PeerAddress address = new PeerAddress("127.0.0.1", 1);
-        return new Runner("r1", startedMs, "s", address, "z", 4, false, List.of(), Set.of(), Set.of());
+        return new Runner("r1", startedMs, "v1", "s", address, "z", 4, false, List.of(), Set.of(), Set.of());
     }
 
     @Test
--- a/node/src/test/java/io/persimmonstack/node/planning/AdapterRoomTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/AdapterRoomTest.java
@@ -50,7 +50,17 @@
                 ENGINE,
                 IntStream.range(0, runners)
                         .mapToObj(i -> new Runner(
-                                "r" + i, 1, "s", PlannerFixture.ADDRESS, "z", 4, false, models, Set.of(), Set.of("a")))
+                                "r" + i,
+                                1,
+                                "v1",
+                                "s",
+                                PlannerFixture.ADDRESS,
+                                "z",
+                                4,
+                                false,
+                                models,
+                                Set.of(),
+                                Set.of("a")))
                         .toList());
     }
 
--- a/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
@@ -32,6 +32,7 @@
     private static final Runner RUNNER = new Runner(
             "r1",
             1,
+            "v1",
             "s",
             new PeerAddress("127.0.0.1", 1),
             "z",
--- a/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
@@ -49,7 +49,8 @@
 
     private static FleetView fleet() {
         Engine engine = new Engine(4, 1_000, 100, 0, 3, Map.of("a", new Model("a", 10, 5, 1, 1, 0)));
-        Runner runner = new Runner("r1", 1, "s", PlannerFixture.ADDRESS, "z", 4, false, List.of(), Set.of(), Set.of());
+        Runner runner =
+                new Runner("r1", 1, "v1", "s", PlannerFixture.ADDRESS, "z", 4, false, List.of(), Set.of(), Set.of());
         return PlannerFixture.fleet(engine, List.of(runner));
     }
 
@@ -126,7 +127,7 @@
     /** Returns a fleet with a slow service, which has a runner, and a quick one, which has none. */
     private static FleetView twoServices() {
         Runner runner =
-                new Runner("r1", 1, "slow", PlannerFixture.ADDRESS, "z", 4, false, List.of(), Set.of(), Set.of());
+                new Runner("r1", 1, "v1", "slow", PlannerFixture.ADDRESS, "z", 4, false, List.of(), Set.of(), Set.of());
         RoutingTable routing =
                 RoutingTable.of(1, List.of(), List.of(service("slow", SLOW_LOAD_MS), service("quick", QUICK_LOAD_MS)));
         FleetView view = FleetView.create();
--- a/node/src/test/java/io/persimmonstack/node/planning/QuietRunnerControlTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/QuietRunnerControlTest.java
@@ -46,7 +46,8 @@
             fleet);
 
     private static Runner runner(long startedMs) {
-        return new Runner("r1", startedMs, "s", PlannerFixture.ADDRESS, "z", 4, false, List.of(), Set.of(), Set.of());
+        return new Runner(
+                "r1", startedMs, "v1", "s", PlannerFixture.ADDRESS, "z", 4, false, List.of(), Set.of(), Set.of());
     }
 
     @Test
--- a/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
@@ -22,6 +22,7 @@
     private static final Runner RUNNER = new Runner(
             "r1",
             1,
+            "v1",
             "s",
             new PeerAddress("127.0.0.1", 1),
             "z",
--- a/node/src/test/java/io/persimmonstack/node/sending/Requests.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/Requests.java
@@ -68,7 +68,8 @@
                 model,
                 TokenCount.none(),
                 List.of(),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                Optional.empty());
         return new ActiveRequest(
                 callerRequest, route, new Service("s", "/health", 10, Optional.empty()), receivedNanos);
     }
--- a/node/src/test/java/io/persimmonstack/node/sending/RetryStateTest.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/RetryStateTest.java
@@ -15,8 +15,8 @@
 
 /** Guards against running a request twice that is not idempotent, for instance after its connection was lost. */
 class RetryStateTest {
-    private static final Runner RUNNER =
-            new Runner("r1", 1, "s", new PeerAddress("127.0.0.1", 1), "z", 1, false, List.of(), Set.of(), Set.of());
+    private static final Runner RUNNER = new Runner(
+            "r1", 1, "v1", "s", new PeerAddress("127.0.0.1", 1), "z", 1, false, List.of(), Set.of(), Set.of());
     private static final Outcome LOST = new Outcome.Unknown("connection lost", false);
     private static final Outcome FULL = new Outcome.NotRun(Outcome.Cause.FULL, "no room");
 
