node: a stream goes on only at the software version that began it

Callers saw streams that held events of two software versions: the rest came from another build after a break, after a silence, or when they resumed the stream.

Cause: the rest of a stream was placed as if it were a new request. What a retry, a successor and a resumed request may not have was a set of identifiers that grew by hand at each place, and none of them knew a version. Change: RunnerFilter says which runners may take a request (none that may have run it; for the rest of a stream only the version that began it); the first placement, a retry, a successor, the queue and the selection ask it. The origin of a stream is service and version of the runner whose event was delivered first (OriginRecorder); before that event, versions may be crossed freely. A caller that resumes names the request that brought the first event; its origin decides service and version, also on a route that is split among services. Where nobody knows it, the request is refused with 503, not run. If no runner of the version stays, the rest is refused or broken off at once.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -21,6 +21,10 @@
 import io.persimmonstack.node.store.RunnerFollower;
 import io.persimmonstack.node.store.StoreFollower;
 import io.persimmonstack.node.store.StoreSession;
+import io.persimmonstack.node.streams.OriginDirectory;
+import io.persimmonstack.node.streams.RecentVersions;
+import io.persimmonstack.node.streams.ResumptionResolver;
+import io.persimmonstack.node.streams.SharedOrigins;
 import io.persimmonstack.runtime.Closer;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.runtime.RunningProgram;
@@ -69,9 +73,11 @@
         ExecutorService executor = closer.add(Executors.newVirtualThreadPerTaskExecutor());
         this.drainState = DrainState.withGracePeriod(options.graceMs());
         this.placer = Placer.create(fleet, options.zone());
+        SharedOrigins origins = SharedOrigins.create();
         Dispatcher dispatcher = Dispatcher.of(
-                fleet, placer, RetryBudget.of(options.retryBudget()), ports.connector(), ports.protocol());
-        RequestServer server = RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, drainState);
+                fleet, placer, RetryBudget.of(options.retryBudget()), ports.connector(), ports.protocol(), origins);
+        RequestServer server =
+                RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, drainState, resumptionResolver(origins));
         this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
         followStore(ports);
         Peer self = new Peer(options.name(), startedMs, options.zone(), options.callerAddress(), options.linkAddress());
@@ -94,6 +100,12 @@
         return new Node(options, ports, registry, Closer.create());
     }
 
+    private ResumptionResolver resumptionResolver(OriginDirectory origins) {
+        RecentVersions versions = RecentVersions.create();
+        fleet.onChange(() -> versions.observe(fleet.current().runners().values(), System.nanoTime()));
+        return ResumptionResolver.of(origins, versions);
+    }
+
     private void followStore(NodePorts ports) {
         RunnerFollower runners = RunnerFollower.of(options.runnersPrefix(), ports.runnerDecoder(), fleet);
         PeerFollower peers = PeerFollower.of(fleet);
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -67,7 +67,7 @@
             6105,
             Level.INFO,
             "attempt-failed id={} runner={} version={} sends={} runs={} max-runs={} left-ms={} silent-ms={}"
-                    + " delivered={} cause={} repeat={}"),
+                    + " delivered={} next-version={} cause={} repeat={}"),
     /** Serving a request failed with an unexpected error. */
     REQUEST_ERROR(6106, Level.ERROR, "request-error id={} cause={}"),
     /** The runner of a request is silent and keeps the request, since something that another one needs is missing. */
@@ -75,7 +75,7 @@
     /** A request was not sent to the runner that had been chosen for it, because of what the runner said meanwhile. */
     SEND_WITHHELD(6108, Level.INFO, "send-withheld id={} runner={} cause={}"),
     /** A caller resumes a stream that an earlier request began. */
-    STREAM_RESUMED(6109, Level.INFO, "stream-resumed id={} resumes={} after-event={}"),
+    STREAM_RESUMED(6109, Level.INFO, "stream-resumed id={} resumes={} after-event={} service={} version={}"),
     /** A load or unload order was sent to a runner. */
     ORDER(6201, Level.INFO, "order runner={} order={} term={} sequence={} outcome={} reason={} source={}"),
     /** An order was completed. */
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -17,6 +17,8 @@
 import io.persimmonstack.node.sending.Dispatcher;
 import io.persimmonstack.node.sending.RunnerProtocol;
 import io.persimmonstack.node.sending.SendTracker;
+import io.persimmonstack.node.streams.ResumptionResolver;
+import io.persimmonstack.node.streams.StreamOrigin;
 import io.persimmonstack.router.request.CallerGoneException;
 import io.persimmonstack.router.request.Reply;
 import io.persimmonstack.runtime.event.EventLog;
@@ -24,6 +26,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -40,14 +43,17 @@
     private final Dispatcher dispatcher;
     private final NodeMetrics metrics;
     private final DrainState drainState;
+    private final ResumptionResolver resumptions;
 
     private RequestServer(
             FleetView fleet,
             RunnerProtocol protocol,
             Dispatcher dispatcher,
             NodeMetrics metrics,
-            DrainState drainState) {
+            DrainState drainState,
+            ResumptionResolver resumptions) {
         this.drainState = drainState;
+        this.resumptions = resumptions;
         this.fleet = fleet;
         this.protocol = protocol;
         this.dispatcher = dispatcher;
@@ -62,14 +68,16 @@
      * @param dispatcher forwards requests to runners
      * @param metrics counts requests by their end
      * @param drainState decides which requests a stopping node still accepts
+     * @param resumptions finds out where a stream began that a caller resumes
      */
     public static RequestServer of(
             FleetView fleet,
             RunnerProtocol protocol,
             Dispatcher dispatcher,
             NodeMetrics metrics,
-            DrainState drainState) {
-        return new RequestServer(fleet, protocol, dispatcher, metrics, drainState);
+            DrainState drainState,
+            ResumptionResolver resumptions) {
+        return new RequestServer(fleet, protocol, dispatcher, metrics, drainState, resumptions);
     }
 
     /**
@@ -117,7 +125,7 @@
 
     /** Resolves the route and the service of a request. */
     private ActiveRequest resolve(CallerRequest callerRequest, long receivedNanos, RequestSummary summary)
-            throws RefusedException {
+            throws RefusedException, CallerGoneException {
         Fleet current = fleet.current();
         RoutingTable routing = current.routing().orElse(null);
         if (routing == null || !current.isInitialised()) {
@@ -128,17 +136,37 @@
                 .orElseThrow(() -> new RefusedException(Refusal.noRoute(
                         callerRequest.host() + callerRequest.path() + " in configuration " + routing.version())));
         summary.route = route;
-        String name = route.pickService(ThreadLocalRandom.current().nextDouble());
+        Optional<StreamOrigin> origin = origin(callerRequest, route);
+        String name = origin.map(StreamOrigin::service)
+                .orElseGet(() -> route.pickService(ThreadLocalRandom.current().nextDouble()));
         Service service = routing.service(name)
                 .orElseThrow(
                         () -> new RefusedException(Refusal.notRun("no-service", "service " + name, RETRY_AFTER_MS)));
-        ActiveRequest request = new ActiveRequest(callerRequest, route, service, receivedNanos);
+        ActiveRequest request = new ActiveRequest(callerRequest, route, service, origin, receivedNanos);
         if (!drainState.accepts(request, System.nanoTime())) {
             throw new RefusedException(Refusal.notRun("leaving", "this node is about to end", 0));
         }
         return request;
     }
 
+    /** Returns where the stream began that a request resumes, empty if it starts anew. */
+    private Optional<StreamOrigin> origin(CallerRequest callerRequest, Route route)
+            throws RefusedException, CallerGoneException {
+        try {
+            Optional<StreamOrigin> origin = resumptions.resolve(callerRequest, route);
+            origin.ifPresent(known -> LOG.write(
+                    NodeEvent.STREAM_RESUMED,
+                    callerRequest.id(),
+                    callerRequest.resumedRequest().orElse("-"),
+                    callerRequest.lastEventId().orElse(0),
+                    known.service(),
+                    known.softwareVersion()));
+            return origin;
+        } catch (InterruptedException e) {
+            throw new CallerGoneException("the caller has left while the origin of its stream was looked up", e);
+        }
+    }
+
     private void logServed(RequestSummary summary, Delivery delivery) {
         metrics.recordServed(summary.elapsedMs(), delivery.firstEventMs());
         LOG.write(
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -16,7 +16,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -65,15 +64,15 @@
      * Assigns a request to a runner; blocks until a runner can take it.
      *
      * @param request request to place
-     * @param excludedRunners identifiers of runners that must not be selected
+     * @param runnerFilter runners that may take it
      * @param deadlineNanos latest time to wait for a runner, by the monotonic clock
      * @return the placement, which the caller must close
      * @throws RefusedException if no runner takes the request or can load its model in time, or if this node stops
      * @throws InterruptedException if the thread is interrupted, because the request's caller has disconnected
      */
-    public Placement place(ActiveRequest request, Set<String> excludedRunners, long deadlineNanos)
+    public Placement place(ActiveRequest request, RunnerFilter runnerFilter, long deadlineNanos)
             throws RefusedException, InterruptedException {
-        QueuedRequest queued = new QueuedRequest(request, excludedRunners, deadlineNanos);
+        QueuedRequest queued = new QueuedRequest(request, runnerFilter, deadlineNanos);
         lock.lock();
         try {
             loadCollector.countArrival(request);
@@ -81,6 +80,7 @@
             if (placed.isPresent()) {
                 return placed.get();
             }
+            refuseIfVersionGone(queued);
             refuseIfModelTooLate(queued);
             refuseIfQuietTooLong(queued);
             if (queued.refusal().isPresent()) {
@@ -103,13 +103,13 @@
      * Assigns a request to a runner that has a free slot at present.
      *
      * @param request request to place
-     * @param excludedRunners identifiers of runners that must not be selected
+     * @param runnerFilter runners that may take it
      * @return the placement, which the caller must close; empty if no runner can take the request
      */
-    public Optional<Placement> placeNow(ActiveRequest request, Set<String> excludedRunners) {
+    public Optional<Placement> placeNow(ActiveRequest request, RunnerFilter runnerFilter) {
         lock.lock();
         try {
-            return tryPlace(new QueuedRequest(request, excludedRunners, System.nanoTime()));
+            return tryPlace(new QueuedRequest(request, runnerFilter, System.nanoTime()));
         } finally {
             lock.unlock();
         }
@@ -181,7 +181,7 @@
         return new RunnerSelector.Requirements(
                 callerRequest.model(),
                 callerRequest.tokens().likelyTotal(),
-                queued.excludedRunners(),
+                queued.runnerFilter(),
                 promptAffinity.preferredRunner(callerRequest));
     }
 
@@ -236,6 +236,7 @@
                 fleet.quietUntilNanos(runner, nowNanos).ifPresent(tracker::pauseUntil);
             }
             placeQueuedRequests();
+            refuseQueued(this::refuseIfVersionGone);
             refuseQueued(this::refuseIfQuietTooLong);
         } finally {
             lock.unlock();
@@ -279,6 +280,22 @@
         queue.removeIf(queued -> queued.refusal().isPresent());
     }
 
+    /** Refuses the rest of a stream if no runner of the software version that began it stays. */
+    private void refuseIfVersionGone(QueuedRequest queued) {
+        RunnerFilter filter = queued.runnerFilter();
+        if (filter.softwareVersion().isEmpty()) {
+            return;
+        }
+        boolean left = trackersOf(queued.request().service().name()).stream()
+                .map(RunnerLoadTracker::runner)
+                .anyMatch(runner -> !runner.leaving() && filter.allowsVersionOf(runner));
+        if (!left) {
+            String detail =
+                    "no runner of software version " + filter.softwareVersion().get();
+            queued.refuse(new RefusedException(Refusal.notRun("version-gone", detail, Jitter.spread(RETRY_AFTER_MS))));
+        }
+    }
+
     /** Refuses a request if all runners that could take it want none until after its deadline. */
     private void refuseIfQuietTooLong(QueuedRequest queued) {
         ActiveRequest request = queued.request();
--- a/node/src/main/java/io/persimmonstack/node/placing/QueuedRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/QueuedRequest.java
@@ -3,20 +3,19 @@
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.RefusedException;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 
 /** Request that waits for a runner; its result is a {@link Placement} or a refusal. */
 final class QueuedRequest implements Comparable<QueuedRequest> {
     private final ActiveRequest request;
-    private final Set<String> excludedRunners;
+    private final RunnerFilter runnerFilter;
     private final long deadlineNanos;
     private final CompletableFuture<Placement> result = new CompletableFuture<>();
 
-    QueuedRequest(ActiveRequest request, Set<String> excludedRunners, long deadlineNanos) {
+    QueuedRequest(ActiveRequest request, RunnerFilter runnerFilter, long deadlineNanos) {
         this.request = request;
-        this.excludedRunners = excludedRunners;
+        this.runnerFilter = runnerFilter;
         this.deadlineNanos = deadlineNanos;
     }
 
@@ -24,8 +23,8 @@
         return request;
     }
 
-    Set<String> excludedRunners() {
-        return excludedRunners;
+    RunnerFilter runnerFilter() {
+        return runnerFilter;
     }
 
     /** Returns the monotonic time at which the request stops waiting, in nanoseconds. */
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -137,13 +136,13 @@
      *
      * @param model requested model, empty for services without models
      * @param expectedTokens estimated number of prompt and output tokens
-     * @param excludedRunners identifiers of runners that must not be selected, such as those tried before
+     * @param runnerFilter runners that may take the request
      * @param preferredRunner identifier of the runner that probably caches the start of the prompt
      */
     record Requirements(
             Optional<ModelRef> model,
             long expectedTokens,
-            Set<String> excludedRunners,
+            RunnerFilter runnerFilter,
             Optional<String> preferredRunner) {}
 
     private boolean canRun(RunnerLoadTracker tracker, Requirements requirements) {
@@ -152,7 +151,7 @@
 
     /** Returns whether a runner, if it is available, can run the request. */
     private boolean suits(RunnerLoadTracker tracker, Requirements requirements) {
-        return !requirements.excludedRunners().contains(tracker.runner().id())
+        return requirements.runnerFilter().allows(tracker.runner())
                 && requirements
                         .model()
                         .map(model -> tracker.holds(model, nowNanos))
--- a/node/src/main/java/io/persimmonstack/node/request/ActiveRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/request/ActiveRequest.java
@@ -3,6 +3,8 @@
 import io.persimmonstack.node.config.Route;
 import io.persimmonstack.node.config.RouteKind;
 import io.persimmonstack.node.config.Service;
+import io.persimmonstack.node.streams.StreamOrigin;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -11,9 +13,11 @@
  * @param callerRequest request as the caller sent it
  * @param route route that it matched
  * @param service service picked for it
+ * @param origin where the stream began that it resumes, empty if it starts anew
  * @param receivedNanos monotonic time at which it was received completely
  */
-public record ActiveRequest(CallerRequest callerRequest, Route route, Service service, long receivedNanos) {
+public record ActiveRequest(
+        CallerRequest callerRequest, Route route, Service service, Optional<StreamOrigin> origin, long receivedNanos) {
     private static final int MIN_STREAM_IDLE_TIMEOUT_MS = 2_000;
     /** Smallest idle timeout of a stream, as a multiple of the latency target of its route. */
     private static final int TARGET_LATENCY_FACTOR = 4;
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -37,6 +37,7 @@
     private final RunnerProtocol protocol;
     private final ActiveRequest request;
     private final StreamProgress progress;
+    private final OriginRecorder origin;
     private final Reply reply;
     private final ReservedRunner reserved;
     private final AnswerHeadReader heads;
@@ -50,6 +51,7 @@
             RunnerProtocol protocol,
             ActiveRequest request,
             StreamProgress progress,
+            OriginRecorder origin,
             Reply reply,
             ReservedRunner reserved,
             AnswerHeadReader heads,
@@ -58,6 +60,7 @@
         this.protocol = protocol;
         this.request = request;
         this.progress = progress;
+        this.origin = origin;
         this.reply = reply;
         this.reserved = reserved;
         this.heads = heads;
@@ -69,11 +72,12 @@
             RunnerProtocol protocol,
             ActiveRequest request,
             StreamProgress progress,
+            OriginRecorder origin,
             Reply reply,
             ReservedRunner reserved,
             AnswerHeadReader heads,
             SuccessorFinder successors) {
-        return new Attempt(connector, protocol, request, progress, reply, reserved, heads, successors);
+        return new Attempt(connector, protocol, request, progress, origin, reply, reserved, heads, successors);
     }
 
     /**
@@ -208,6 +212,7 @@
                 if (!reply.begun()) {
                     reply.begin(call.status(), HopByHopHeaders.toReplyHeaders(call.headers()));
                 }
+                origin.beforeEvent(runner());
                 reply.write(event.get().bytes());
                 progress.recordDelivered(event.get());
                 limitSilence(call);
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -9,10 +9,10 @@
 import io.persimmonstack.node.placing.Placer;
 import io.persimmonstack.node.placing.RetryBudget;
 import io.persimmonstack.node.request.ActiveRequest;
-import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.Refusal;
 import io.persimmonstack.node.request.RefusedException;
+import io.persimmonstack.node.streams.OriginDirectory;
 import io.persimmonstack.router.request.CallerGoneException;
 import io.persimmonstack.router.request.Reply;
 import io.persimmonstack.runtime.event.EventLog;
@@ -30,15 +30,22 @@
     private final HttpConnector connector;
     private final RunnerProtocol protocol;
     private final AnswerHeadReader heads;
+    private final OriginDirectory origins;
 
     private Dispatcher(
-            FleetView fleet, Placer placer, RetryBudget budget, HttpConnector connector, RunnerProtocol protocol) {
+            FleetView fleet,
+            Placer placer,
+            RetryBudget budget,
+            HttpConnector connector,
+            RunnerProtocol protocol,
+            OriginDirectory origins) {
         this.fleet = fleet;
         this.placer = placer;
         this.budget = budget;
         this.connector = connector;
         this.protocol = protocol;
         this.heads = AnswerHeadReader.of(protocol, fleet);
+        this.origins = origins;
     }
 
     /**
@@ -49,10 +56,16 @@
      * @param budget limits retries
      * @param connector opens connections to runners
      * @param protocol encodes requests and classifies answers
+     * @param origins keeps where streams began
      */
     public static Dispatcher of(
-            FleetView fleet, Placer placer, RetryBudget budget, HttpConnector connector, RunnerProtocol protocol) {
-        return new Dispatcher(fleet, placer, budget, connector, protocol);
+            FleetView fleet,
+            Placer placer,
+            RetryBudget budget,
+            HttpConnector connector,
+            RunnerProtocol protocol,
+            OriginDirectory origins) {
+        return new Dispatcher(fleet, placer, budget, connector, protocol, origins);
     }
 
     /**
@@ -68,21 +81,28 @@
      */
     public Delivery serve(ActiveRequest request, Reply reply, SendTracker sends)
             throws RefusedException, CallerGoneException {
+        try (OriginRecorder origin = OriginRecorder.of(origins, request)) {
+            return serve(request, reply, sends, origin);
+        }
+    }
+
+    private Delivery serve(ActiveRequest request, Reply reply, SendTracker sends, OriginRecorder origin)
+            throws RefusedException, CallerGoneException {
         ServiceRetries retries =
                 new ServiceRetries(budget, fleet, request.service().name());
         retries.recordRequest();
-        logResumption(request.callerRequest());
         RetryState retryState = new RetryState(request, sends);
         StreamProgress progress =
                 StreamProgress.startingAfter(request.callerRequest().lastEventId(), request.receivedNanos());
-        SuccessorFinder successors = SuccessorFinder.of(request, retryState, placer, connector, heads, retries);
-        ReservedRunner next = ReservedRunner.notSent(place(request, retryState, progress, reply));
+        SuccessorFinder successors = SuccessorFinder.of(request, retryState, origin, placer, connector, heads, retries);
+        ReservedRunner next = ReservedRunner.notSent(place(request, retryState, progress, origin, reply));
         while (true) {
             Runner runner = next.runner();
             if (next.call().isEmpty()) {
                 retryState.recordSend(runner);
             }
-            Attempt attempt = Attempt.of(connector, protocol, request, progress, reply, next, heads, successors);
+            Attempt attempt =
+                    Attempt.of(connector, protocol, request, progress, origin, reply, next, heads, successors);
             Outcome outcome;
             try (ReservedRunner ignored = next) {
                 outcome = attempt.run();
@@ -96,23 +116,13 @@
             }
             reportOutcome(runner, request, outcome);
             boolean retry = mayContinue(runner, retryState, retries, outcome);
-            logFailedAttempt(runner, retryState, request, progress, attempt, outcome, retry);
+            logFailedAttempt(runner, retryState, request, progress, origin, attempt, outcome, retry);
             if (!retry) {
                 return answerFinally(retryState, outcome, progress, reply);
             }
             next = outcome instanceof Outcome.Replaced replaced
                     ? replaced.successor()
-                    : ReservedRunner.notSent(place(request, retryState, progress, reply));
-        }
-    }
-
-    private static void logResumption(CallerRequest request) {
-        if (request.lastEventId().isPresent()) {
-            LOG.write(
-                    NodeEvent.STREAM_RESUMED,
-                    request.id(),
-                    request.resumedRequest().orElse("-"),
-                    request.lastEventId().getAsLong());
+                    : ReservedRunner.notSent(place(request, retryState, progress, origin, reply));
         }
     }
 
@@ -136,6 +146,7 @@
             RetryState retryState,
             ActiveRequest request,
             StreamProgress progress,
+            OriginRecorder origin,
             Attempt attempt,
             Outcome outcome,
             boolean retry) {
@@ -150,14 +161,16 @@
                 request.remainingMs(System.nanoTime()),
                 attempt.silentMs(),
                 progress.deliveredCount(),
+                origin.softwareVersion().orElse("any"),
                 outcome,
                 retry);
     }
 
-    private Placement place(ActiveRequest request, RetryState retryState, StreamProgress progress, Reply reply)
+    private Placement place(
+            ActiveRequest request, RetryState retryState, StreamProgress progress, OriginRecorder origin, Reply reply)
             throws RefusedException, CallerGoneException {
         try {
-            return placeSendable(request, retryState, progress);
+            return placeSendable(request, retryState, progress, origin);
         } catch (InterruptedException e) {
             throw new CallerGoneException("the caller has left", e);
         } catch (RefusedException e) {
@@ -170,10 +183,12 @@
     }
 
     /** Places a request at a runner that, by its own word, may still be sent requests once the wait is over. */
-    private Placement placeSendable(ActiveRequest request, RetryState retryState, StreamProgress progress)
+    private Placement placeSendable(
+            ActiveRequest request, RetryState retryState, StreamProgress progress, OriginRecorder origin)
             throws RefusedException, InterruptedException {
         while (true) {
-            Placement placement = placer.place(request, retryState.excluded(), retryState.latestStartNanos(progress));
+            Placement placement = placer.place(
+                    request, retryState.runnerFilter(origin.softwareVersion()), retryState.latestStartNanos(progress));
             Optional<String> withheld = fleet.withholdReason(placement.runner(), System.nanoTime());
             if (withheld.isEmpty()) {
                 return placement;
--- a/node/src/main/java/io/persimmonstack/node/sending/RetryState.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/RetryState.java
@@ -1,8 +1,10 @@
 package io.persimmonstack.node.sending;
 
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.placing.RunnerFilter;
 import io.persimmonstack.node.request.ActiveRequest;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -56,16 +58,13 @@
         return mayHaveRun;
     }
 
-    /** Returns the identifiers of runners that may have run the request and must not get it again. */
-    Set<String> excluded() {
-        return Set.copyOf(excluded);
-    }
-
-    /** Returns {@link #excluded()} and the given runner. */
-    Set<String> excludedWith(Runner runner) {
-        Set<String> all = new HashSet<>(excluded);
-        all.add(runner.id());
-        return all;
+    /**
+     * Returns which runners may get the request next: none that may have run it.
+     *
+     * @param softwareVersion the only software version at which its stream may go on, empty before the first event
+     */
+    RunnerFilter runnerFilter(Optional<String> softwareVersion) {
+        return new RunnerFilter(excluded, softwareVersion);
     }
 
     /** Returns whether the present attempt may be replaced by one at another runner, although it may have run. */
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -31,6 +31,7 @@
 
     private final ActiveRequest request;
     private final RetryState retryState;
+    private final OriginRecorder origin;
     private final Placer placer;
     private final HttpConnector connector;
     private final AnswerHeadReader heads;
@@ -40,12 +41,14 @@
     private SuccessorFinder(
             ActiveRequest request,
             RetryState retryState,
+            OriginRecorder origin,
             Placer placer,
             HttpConnector connector,
             AnswerHeadReader heads,
             ServiceRetries retries) {
         this.request = request;
         this.retryState = retryState;
+        this.origin = origin;
         this.placer = placer;
         this.connector = connector;
         this.heads = heads;
@@ -57,6 +60,7 @@
      *
      * @param request request being served
      * @param retryState attempts so far
+     * @param origin where its stream began
      * @param placer finds a runner with a free slot
      * @param connector connects to the runner
      * @param heads classifies the head of its answer
@@ -65,11 +69,12 @@
     static SuccessorFinder of(
             ActiveRequest request,
             RetryState retryState,
+            OriginRecorder origin,
             Placer placer,
             HttpConnector connector,
             AnswerHeadReader heads,
             ServiceRetries retries) {
-        return new SuccessorFinder(request, retryState, placer, connector, heads, retries);
+        return new SuccessorFinder(request, retryState, origin, placer, connector, heads, retries);
     }
 
     /** Returns after how long without any data the runner of the present attempt counts as silent, in milliseconds. */
@@ -93,7 +98,8 @@
         if (!retries.allowed()) {
             return keep(silent, "budget");
         }
-        Optional<Placement> placement = placer.placeNow(request, retryState.excludedWith(silent));
+        Optional<Placement> placement = placer.placeNow(
+                request, retryState.runnerFilter(origin.softwareVersion()).without(silent));
         if (placement.isEmpty()) {
             return keep(silent, "slot");
         }
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/streams/ResumptionResolver.java
@@ -0,0 +1,83 @@
+package io.persimmonstack.node.streams;
+
+import io.persimmonstack.node.config.Route;
+import io.persimmonstack.node.config.RouteKind;
+import io.persimmonstack.node.config.ServiceShare;
+import io.persimmonstack.node.request.CallerRequest;
+import io.persimmonstack.node.request.Refusal;
+import io.persimmonstack.node.request.RefusedException;
+import java.util.List;
+import java.util.Optional;
+
+/** Finds out where a stream began that a caller resumes, and refuses what cannot be told. */
+public final class ResumptionResolver {
+    /** Retry-After of a request whose stream no node that was asked knows; another node may know it. */
+    private static final long RETRY_AFTER_MS = 300;
+
+    private final OriginDirectory origins;
+    private final RecentVersions versions;
+
+    private ResumptionResolver(OriginDirectory origins, RecentVersions versions) {
+        this.origins = origins;
+        this.versions = versions;
+    }
+
+    /**
+     * Returns a resolver.
+     *
+     * @param origins origins of the streams of all nodes
+     * @param versions software versions that the services have, or had lately
+     */
+    public static ResumptionResolver of(OriginDirectory origins, RecentVersions versions) {
+        return new ResumptionResolver(origins, versions);
+    }
+
+    /**
+     * Returns where the stream began that a request resumes, empty if the request starts anew.
+     *
+     * @param request request of a caller
+     * @param route route that it matched
+     * @throws RefusedException if it cannot be told, or if the route does not lead to the service any more
+     * @throws InterruptedException if the thread is interrupted, because the caller has disconnected
+     */
+    public Optional<StreamOrigin> resolve(CallerRequest request, Route route)
+            throws RefusedException, InterruptedException {
+        boolean resumes =
+                request.lastEventId().isPresent() || request.resumedRequest().isPresent();
+        if (route.kind() != RouteKind.STREAM || !resumes) {
+            return Optional.empty();
+        }
+        Optional<StreamOrigin> origin = request.resumedRequest().isPresent()
+                ? origins.find(request.resumedRequest().get())
+                : onlyOrigin(route);
+        if (origin.isEmpty()) {
+            String detail = "no node knows where the stream of "
+                    + request.resumedRequest().orElse("an unnamed request") + " began";
+            throw new RefusedException(Refusal.notRun("stream-unknown", detail, RETRY_AFTER_MS));
+        }
+        if (!leadsTo(route, origin.get().service())) {
+            String detail = "route " + route.name() + " does not lead to "
+                    + origin.get().service() + " any more";
+            throw new RefusedException(Refusal.notRun("stream-moved", detail, RETRY_AFTER_MS));
+        }
+        return origin;
+    }
+
+    /** Returns the origin of a stream of an unnamed request: known only if all its runners are of one version. */
+    private Optional<StreamOrigin> onlyOrigin(Route route) {
+        List<String> services = route.shares().stream()
+                .filter(share -> share.weight() > 0)
+                .map(ServiceShare::service)
+                .toList();
+        if (services.size() != 1) {
+            return Optional.empty();
+        }
+        return versions.onlyVersion(services.getFirst(), System.nanoTime())
+                .map(version -> new StreamOrigin(services.getFirst(), version));
+    }
+
+    private static boolean leadsTo(Route route, String service) {
+        return route.shares().stream()
+                .anyMatch(share -> share.weight() > 0 && share.service().equals(service));
+    }
+}
--- a/node/src/test/java/io/persimmonstack/node/placing/ManyNodesTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/ManyNodesTest.java
@@ -32,7 +32,7 @@
     private static final ModelRef NO_MODEL = new ModelRef("", "");
     private static final Service SERVICE = new Service("s", "/health", 10, Optional.empty());
     private static final RunnerSelector.Requirements REQUIREMENTS =
-            new RunnerSelector.Requirements(Optional.empty(), 0, Set.of(), Optional.empty());
+            new RunnerSelector.Requirements(Optional.empty(), 0, RunnerFilter.any(), Optional.empty());
 
     /** Request in progress. */
     private record InProgress(int node, int runner, long endMs) {}
--- a/node/src/test/java/io/persimmonstack/node/placing/PlacerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/PlacerTest.java
@@ -11,7 +11,6 @@
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.node.sending.Requests;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
@@ -87,7 +86,7 @@
         long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
         Thread thread = Thread.ofPlatform().start(() -> {
             try {
-                placer.place(request, Set.of(), deadlineNanos);
+                placer.place(request, RunnerFilter.any(), deadlineNanos);
             } catch (RefusedException | InterruptedException | RuntimeException e) {
                 outcome.set(e);
             }
--- a/node/src/test/java/io/persimmonstack/node/placing/QuietRunnersTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/QuietRunnersTest.java
@@ -55,7 +55,7 @@
     }
 
     private Optional<Placement> placeNow(RouteKind kind) {
-        return placer.placeNow(request(kind), Set.of());
+        return placer.placeNow(request(kind), RunnerFilter.any());
     }
 
     /** Starts a request that waits for a runner for the given time. */
@@ -63,7 +63,7 @@
         threads.add(Thread.ofVirtual().start(() -> {
             try {
                 long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
-                placements.add(placer.place(request(RouteKind.STREAM), Set.of(), deadlineNanos));
+                placements.add(placer.place(request(RouteKind.STREAM), RunnerFilter.any(), deadlineNanos));
             } catch (RefusedException e) {
                 refusals.add(e);
             } catch (InterruptedException e) {
--- a/node/src/test/java/io/persimmonstack/node/sending/Requests.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/Requests.java
@@ -71,6 +71,10 @@
                 OptionalLong.empty(),
                 Optional.empty());
         return new ActiveRequest(
-                callerRequest, route, new Service("s", "/health", 10, Optional.empty()), receivedNanos);
+                callerRequest,
+                route,
+                new Service("s", "/health", 10, Optional.empty()),
+                Optional.empty(),
+                receivedNanos);
     }
 }
--- a/node/src/test/java/io/persimmonstack/node/sending/RetryStateTest.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/RetryStateTest.java
@@ -8,6 +8,7 @@
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -57,7 +58,7 @@
     void excludesRunnerThatMayHaveRunTheRequest() {
         RetryState retryState = sentOnce(RouteKind.STREAM, true, 2);
         retryState.mayRetryAfter(RUNNER, LOST, 0);
-        assertEquals(Set.of("r1"), retryState.excluded());
+        assertEquals(Set.of("r1"), retryState.runnerFilter(Optional.empty()).excludedRunners());
     }
 
     @Test
