node: the rest of a stream is sent only to a process that confirms that it is the expected one

Callers could still get events of two software versions: a runner that comes back under its identifier, or at its address, with other software is known by the entry of the process before until the node has read the new one, which takes up to a second and, without the store, much longer. Runners do not check the version.

Cause: the version belongs to a process, but what was compared was the entry in hand. A runner of which the leader knows a later process than this node takes nothing until the node has its entry.

One status request for each stream that goes on.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -75,7 +75,13 @@
         this.placer = Placer.create(fleet, options.zone());
         SharedOrigins origins = SharedOrigins.create();
         Dispatcher dispatcher = Dispatcher.of(
-                fleet, placer, RetryBudget.of(options.retryBudget()), ports.connector(), ports.protocol(), origins);
+                fleet,
+                placer,
+                RetryBudget.of(options.retryBudget()),
+                ports.connector(),
+                ports.protocol(),
+                origins,
+                ports.processCheck());
         RequestServer server =
                 RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, drainState, resumptionResolver(origins));
         this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
--- a/node/src/main/java/io/persimmonstack/node/NodePorts.java
+++ b/node/src/main/java/io/persimmonstack/node/NodePorts.java
@@ -3,6 +3,7 @@
 import io.persimmonstack.backends.http.HttpConnector;
 import io.persimmonstack.coordination.kv.LeasedKvStore;
 import io.persimmonstack.node.planning.RunnerControl;
+import io.persimmonstack.node.sending.ProcessCheck;
 import io.persimmonstack.node.sending.RunnerProtocol;
 import io.persimmonstack.node.store.RoutingDecoder;
 import io.persimmonstack.node.store.RunnerDecoder;
@@ -15,6 +16,7 @@
  * @param runnerDecoder decodes the runners' entries in the store
  * @param protocol HTTP conventions of callers and runners
  * @param runnerControl sends orders to runners and reads their reports
+ * @param processCheck confirms the process of a runner
  * @param connector opens connections to runners
  */
 public record NodePorts(
@@ -23,4 +25,5 @@
         RunnerDecoder runnerDecoder,
         RunnerProtocol protocol,
         RunnerControl runnerControl,
+        ProcessCheck processCheck,
         HttpConnector connector) {}
--- a/node/src/main/java/io/persimmonstack/node/placing/Availability.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Availability.java
@@ -5,7 +5,7 @@
     /** It may be sent requests. */
     record Open() implements Availability {}
 
-    /** It is avoided for a moment, since it was full or could not be reached. */
+    /** It is avoided for a moment, since it was full, could not be reached or has been replaced by another process. */
     record BackingOff() implements Availability {}
 
     /**
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -254,6 +254,7 @@
                     tracker.applySnapshot(snapshot);
                 } else {
                     allApplied = false;
+                    markReplaced(tracker, snapshot);
                 }
             }
             placeQueuedRequests();
@@ -263,6 +264,13 @@
         }
     }
 
+    /** Avoids a runner of which the leader knows a later process than this node. */
+    private static void markReplaced(RunnerLoadTracker tracker, RunnerSnapshot snapshot) {
+        if (tracker != null && tracker.runner().startedMs() < snapshot.startedMs()) {
+            tracker.markReplaced();
+        }
+    }
+
     /** Replaces the estimates of when models become available; refuses requests whose model comes too late. */
     public void applyModelArrivals(List<ModelArrival> expected) {
         lock.lock();
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
@@ -42,6 +42,7 @@
     private long avoidUntilNanos = Long.MIN_VALUE;
     private long unreachableUntilNanos = Long.MIN_VALUE;
     private OptionalLong quietUntilNanos = OptionalLong.empty();
+    private boolean replaced;
 
     RunnerLoadTracker(Runner runner) {
         this.runner = runner;
@@ -63,6 +64,7 @@
             avoidUntilNanos = Long.MIN_VALUE;
             unreachableUntilNanos = Long.MIN_VALUE;
             quietUntilNanos = OptionalLong.empty();
+            replaced = false;
         }
         runner = newer;
     }
@@ -74,6 +76,14 @@
         tokensElsewhere = snapshot.tokensElsewhere();
     }
 
+    /**
+     * Records that another process has taken the runner's place, of which this node has no entry yet: nothing that is
+     * known of the runner, such as models and software version, is true of it.
+     */
+    void markReplaced() {
+        replaced = true;
+    }
+
     /** Discards the leader's snapshot, so that only the runner's own entry in the store counts. */
     void discardSnapshot() {
         reportedModels = Optional.empty();
@@ -158,7 +168,7 @@
         if (quietUntilNanos.isPresent() && quietUntilNanos.getAsLong() - nowNanos > 0) {
             return new Availability.Quiet(quietUntilNanos.getAsLong());
         }
-        return avoidUntilNanos > nowNanos ? new Availability.BackingOff() : new Availability.Open();
+        return replaced || avoidUntilNanos > nowNanos ? new Availability.BackingOff() : new Availability.Open();
     }
 
     /**
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -8,6 +8,7 @@
 import io.persimmonstack.node.placing.Placement;
 import io.persimmonstack.node.placing.Placer;
 import io.persimmonstack.node.placing.RetryBudget;
+import io.persimmonstack.node.planning.RunnerControlException;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.Refusal;
@@ -23,6 +24,8 @@
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(Dispatcher.class));
     /** Retry-After of a request that no runner ran. */
     private static final long RETRY_AFTER_MS = 300;
+    /** Timeout for a runner to confirm its process before the rest of a stream is sent there. */
+    private static final int CONFIRM_TIMEOUT_MS = 300;
 
     private final FleetView fleet;
     private final Placer placer;
@@ -31,6 +34,7 @@
     private final RunnerProtocol protocol;
     private final AnswerHeadReader heads;
     private final OriginDirectory origins;
+    private final ProcessCheck processes;
 
     private Dispatcher(
             FleetView fleet,
@@ -38,7 +42,8 @@
             RetryBudget budget,
             HttpConnector connector,
             RunnerProtocol protocol,
-            OriginDirectory origins) {
+            OriginDirectory origins,
+            ProcessCheck processes) {
         this.fleet = fleet;
         this.placer = placer;
         this.budget = budget;
@@ -46,6 +51,7 @@
         this.protocol = protocol;
         this.heads = AnswerHeadReader.of(protocol, fleet);
         this.origins = origins;
+        this.processes = processes;
     }
 
     /**
@@ -57,6 +63,7 @@
      * @param connector opens connections to runners
      * @param protocol encodes requests and classifies answers
      * @param origins keeps where streams began
+     * @param processes confirms the process of a runner at which a stream is to go on
      */
     public static Dispatcher of(
             FleetView fleet,
@@ -64,8 +71,9 @@
             RetryBudget budget,
             HttpConnector connector,
             RunnerProtocol protocol,
-            OriginDirectory origins) {
-        return new Dispatcher(fleet, placer, budget, connector, protocol, origins);
+            OriginDirectory origins,
+            ProcessCheck processes) {
+        return new Dispatcher(fleet, placer, budget, connector, protocol, origins, processes);
     }
 
     /**
@@ -94,7 +102,8 @@
         RetryState retryState = new RetryState(request, sends);
         StreamProgress progress =
                 StreamProgress.startingAfter(request.callerRequest().lastEventId(), request.receivedNanos());
-        SuccessorFinder successors = SuccessorFinder.of(request, retryState, origin, placer, connector, heads, retries);
+        SuccessorFinder successors =
+                SuccessorFinder.of(request, retryState, origin, placer, connector, heads, processes, retries);
         ReservedRunner next = ReservedRunner.notSent(place(request, retryState, progress, origin, reply));
         while (true) {
             Runner runner = next.runner();
@@ -189,11 +198,15 @@
         while (true) {
             Placement placement = placer.place(
                     request, retryState.runnerFilter(origin.softwareVersion()), retryState.latestStartNanos(progress));
-            Optional<String> withheld = fleet.withholdReason(placement.runner(), System.nanoTime());
+            Optional<String> withheld = fleet.withholdReason(placement.runner(), System.nanoTime())
+                    .or(() -> unconfirmedReason(placement.runner(), origin));
             if (withheld.isEmpty()) {
                 return placement;
             }
             placement.close();
+            if (Thread.interrupted()) {
+                throw new InterruptedException("the caller has left");
+            }
             LOG.write(
                     NodeEvent.SEND_WITHHELD,
                     request.callerRequest().id(),
@@ -202,6 +215,20 @@
         }
     }
 
+    /** Returns why a stream that has begun may not go on at a runner, empty if its process is the expected one. */
+    private Optional<String> unconfirmedReason(Runner runner, OriginRecorder origin) {
+        if (origin.softwareVersion().isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            processes.confirm(runner, CONFIRM_TIMEOUT_MS);
+            return Optional.empty();
+        } catch (RunnerControlException e) {
+            placer.recordUnreachable(runner);
+            return Optional.of("process not confirmed: " + e.getMessage());
+        }
+    }
+
     /** Reports an unsuccessful attempt to the placer, so that it can avoid the runner. */
     private void reportOutcome(Runner runner, ActiveRequest request, Outcome outcome) {
         switch (outcome) {
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -12,6 +12,7 @@
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.placing.Placement;
 import io.persimmonstack.node.placing.Placer;
+import io.persimmonstack.node.planning.RunnerControlException;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.Optional;
@@ -26,6 +27,8 @@
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(SuccessorFinder.class));
     /** Timeout for connecting to the successor; events of the silent runner wait meanwhile. */
     private static final int CONNECT_TIMEOUT_MS = 100;
+    /** Timeout for the successor to confirm its process; events of the silent runner wait meanwhile. */
+    private static final int CONFIRM_TIMEOUT_MS = 100;
     /** Longest time for which both runners may work on the request. */
     private static final int MAX_OVERLAP_MS = 200;
 
@@ -35,6 +38,7 @@
     private final Placer placer;
     private final HttpConnector connector;
     private final AnswerHeadReader heads;
+    private final ProcessCheck processes;
     private final ServiceRetries retries;
     private String missing = "";
 
@@ -45,6 +49,7 @@
             Placer placer,
             HttpConnector connector,
             AnswerHeadReader heads,
+            ProcessCheck processes,
             ServiceRetries retries) {
         this.request = request;
         this.retryState = retryState;
@@ -52,6 +57,7 @@
         this.placer = placer;
         this.connector = connector;
         this.heads = heads;
+        this.processes = processes;
         this.retries = retries;
     }
 
@@ -64,6 +70,7 @@
      * @param placer finds a runner with a free slot
      * @param connector connects to the runner
      * @param heads classifies the head of its answer
+     * @param processes confirms its process if the stream has begun
      * @param retries retry budget of its service
      */
     static SuccessorFinder of(
@@ -73,8 +80,9 @@
             Placer placer,
             HttpConnector connector,
             AnswerHeadReader heads,
+            ProcessCheck processes,
             ServiceRetries retries) {
-        return new SuccessorFinder(request, retryState, origin, placer, connector, heads, retries);
+        return new SuccessorFinder(request, retryState, origin, placer, connector, heads, processes, retries);
     }
 
     /** Returns after how long without any data the runner of the present attempt counts as silent, in milliseconds. */
@@ -121,6 +129,9 @@
             if (withheld.isPresent()) {
                 return keep(silent, "runner: " + withheld.get());
             }
+            if (origin.softwareVersion().isPresent()) {
+                processes.confirm(runner, CONFIRM_TIMEOUT_MS);
+            }
             if (!retries.trySpend()) {
                 return keep(silent, "budget");
             }
@@ -130,6 +141,8 @@
                 placer.recordUnreachable(runner);
             }
             return keep(silent, "connection: " + e.getMessage());
+        } catch (RunnerControlException e) {
+            return keep(silent, "process: " + e.getMessage());
         }
     }
 
