node: one check before a request is sent, for retries and successors alike

Dispatcher asked the fleet and SuccessorFinder the placer whether a send is withheld, and both asked a runner to confirm its process in code of their own. SendCheck does both for both; nothing else changes.

--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -94,11 +94,6 @@
         return await(queued);
     }
 
-    /** Returns why, by its own word, nothing may be sent to a runner now; empty if requests may be sent. */
-    public Optional<String> withholdReason(Runner runner) {
-        return fleet.withholdReason(runner, System.nanoTime());
-    }
-
     /**
      * Assigns a request to a runner that has a free slot at present.
      *
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -8,7 +8,6 @@
 import io.persimmonstack.node.placing.Placement;
 import io.persimmonstack.node.placing.Placer;
 import io.persimmonstack.node.placing.RetryBudget;
-import io.persimmonstack.node.planning.RunnerControlException;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.Refusal;
@@ -34,7 +33,7 @@
     private final RunnerProtocol protocol;
     private final AnswerHeadReader heads;
     private final OriginDirectory origins;
-    private final ProcessCheck processes;
+    private final SendCheck sendCheck;
 
     private Dispatcher(
             FleetView fleet,
@@ -51,7 +50,7 @@
         this.protocol = protocol;
         this.heads = AnswerHeadReader.of(protocol, fleet);
         this.origins = origins;
-        this.processes = processes;
+        this.sendCheck = SendCheck.of(fleet, processes);
     }
 
     /**
@@ -103,7 +102,7 @@
         StreamProgress progress =
                 StreamProgress.startingAfter(request.callerRequest().lastEventId(), request.receivedNanos());
         SuccessorFinder successors =
-                SuccessorFinder.of(request, retryState, origin, placer, connector, heads, processes, retries);
+                SuccessorFinder.of(request, retryState, origin, placer, connector, heads, sendCheck, retries);
         ReservedRunner next = ReservedRunner.notSent(place(request, retryState, progress, origin, reply));
         while (true) {
             Runner runner = next.runner();
@@ -198,8 +197,8 @@
         while (true) {
             Placement placement = placer.place(
                     request, retryState.runnerFilter(origin.softwareVersion()), retryState.latestStartNanos(progress));
-            Optional<String> withheld = fleet.withholdReason(placement.runner(), System.nanoTime())
-                    .or(() -> unconfirmedReason(placement.runner(), origin));
+            Optional<String> withheld =
+                    sendCheck.withheldBy(placement.runner()).or(() -> unconfirmed(placement.runner(), origin));
             if (withheld.isEmpty()) {
                 return placement;
             }
@@ -215,18 +214,13 @@
         }
     }
 
-    /** Returns why a stream that has begun may not go on at a runner, empty if its process is the expected one. */
-    private Optional<String> unconfirmedReason(Runner runner, OriginRecorder origin) {
-        if (origin.softwareVersion().isEmpty()) {
-            return Optional.empty();
-        }
-        try {
-            processes.confirm(runner, CONFIRM_TIMEOUT_MS);
-            return Optional.empty();
-        } catch (RunnerControlException e) {
+    /** Returns why the rest of a stream may not be sent to a runner, which is then avoided for a while. */
+    private Optional<String> unconfirmed(Runner runner, OriginRecorder origin) {
+        Optional<String> unconfirmed = sendCheck.unconfirmed(runner, origin, CONFIRM_TIMEOUT_MS);
+        if (unconfirmed.isPresent()) {
             placer.recordUnreachable(runner);
-            return Optional.of("process not confirmed: " + e.getMessage());
         }
+        return unconfirmed;
     }
 
     /** Reports an unsuccessful attempt to the placer, so that it can avoid the runner. */
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -12,7 +12,6 @@
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.placing.Placement;
 import io.persimmonstack.node.placing.Placer;
-import io.persimmonstack.node.planning.RunnerControlException;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.Optional;
@@ -38,7 +37,7 @@
     private final Placer placer;
     private final HttpConnector connector;
     private final AnswerHeadReader heads;
-    private final ProcessCheck processes;
+    private final SendCheck sendCheck;
     private final ServiceRetries retries;
     private String missing = "";
 
@@ -49,7 +48,7 @@
             Placer placer,
             HttpConnector connector,
             AnswerHeadReader heads,
-            ProcessCheck processes,
+            SendCheck sendCheck,
             ServiceRetries retries) {
         this.request = request;
         this.retryState = retryState;
@@ -57,7 +56,7 @@
         this.placer = placer;
         this.connector = connector;
         this.heads = heads;
-        this.processes = processes;
+        this.sendCheck = sendCheck;
         this.retries = retries;
     }
 
@@ -70,7 +69,7 @@
      * @param placer finds a runner with a free slot
      * @param connector connects to the runner
      * @param heads classifies the head of its answer
-     * @param processes confirms its process if the stream has begun
+     * @param sendCheck decides whether the request may be sent to it
      * @param retries retry budget of its service
      */
     static SuccessorFinder of(
@@ -80,9 +79,9 @@
             Placer placer,
             HttpConnector connector,
             AnswerHeadReader heads,
-            ProcessCheck processes,
+            SendCheck sendCheck,
             ServiceRetries retries) {
-        return new SuccessorFinder(request, retryState, origin, placer, connector, heads, processes, retries);
+        return new SuccessorFinder(request, retryState, origin, placer, connector, heads, sendCheck, retries);
     }
 
     /** Returns after how long without any data the runner of the present attempt counts as silent, in milliseconds. */
@@ -125,13 +124,11 @@
             if (!peer.isStillSilent()) {
                 return Optional.empty();
             }
-            Optional<String> withheld = placer.withholdReason(runner);
+            Optional<String> withheld =
+                    sendCheck.withheldBy(runner).or(() -> sendCheck.unconfirmed(runner, origin, CONFIRM_TIMEOUT_MS));
             if (withheld.isPresent()) {
                 return keep(silent, "runner: " + withheld.get());
             }
-            if (origin.softwareVersion().isPresent()) {
-                processes.confirm(runner, CONFIRM_TIMEOUT_MS);
-            }
             if (!retries.trySpend()) {
                 return keep(silent, "budget");
             }
@@ -141,8 +138,6 @@
                 placer.recordUnreachable(runner);
             }
             return keep(silent, "connection: " + e.getMessage());
-        } catch (RunnerControlException e) {
-            return keep(silent, "process: " + e.getMessage());
         }
     }
 
--- a/node/src/test/java/io/persimmonstack/node/placing/QuietRunnersTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/QuietRunnersTest.java
@@ -119,7 +119,7 @@
         for (RouteKind kind : RouteKind.values()) {
             assertTrue(placeNow(kind).isEmpty(), kind.toString());
         }
-        assertTrue(placer.withholdReason(runner("r1", 1)).isPresent());
+        assertTrue(fleet.withholdReason(runner("r1", 1), System.nanoTime()).isPresent());
     }
 
     /** A request in progress occupies its slot, and goes on, while its runner is quiet or leaves. */
@@ -188,7 +188,7 @@
             placer.retryQueued();
             Thread.sleep(5);
         }
-        assertFalse(placer.withholdReason(runner("r1", 1)).isPresent());
+        assertFalse(fleet.withholdReason(runner("r1", 1), System.nanoTime()).isPresent());
     }
 
     @Test
