node: origins of streams are kept at two other nodes, and looked up there

Callers saw their streams go on at another software version when they resumed them at another node than the one that had served them. Cause: the origin of a stream was known at most to that node.

The node that delivers a stream now sends its origin to the two nodes that rank first for the request identifier. One thread owns a schedule without I/O (CopySchedule); each call runs on a thread of its own, at most one a node, and what comes meanwhile goes with the next one. While a stream is delivered, its copies follow changes of the fleet (a node left, joined or was restarted) and are renewed before they are no longer valid. A lookup asks the three nodes that rank first at once, each of them twice, and ends after 150 ms. LinkHandler now answers the calls of other nodes and passes them on to LeaderHandler and OriginHandler. Nothing uses the directory in the path of a request yet.

SharedOriginsTest runs over real links on loopback.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -9,6 +9,7 @@
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Peer;
 import io.persimmonstack.node.peers.LeaderHandler;
+import io.persimmonstack.node.peers.LinkHandler;
 import io.persimmonstack.node.peers.LoadReporter;
 import io.persimmonstack.node.placing.Placer;
 import io.persimmonstack.node.placing.RetryBudget;
@@ -21,6 +22,7 @@
 import io.persimmonstack.node.store.RunnerFollower;
 import io.persimmonstack.node.store.StoreFollower;
 import io.persimmonstack.node.store.StoreSession;
+import io.persimmonstack.node.streams.SharedOrigins;
 import io.persimmonstack.runtime.Closer;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.runtime.RunningProgram;
@@ -57,6 +59,7 @@
     private final StoreSession session;
     private final DrainState drainState;
     private final Placer placer;
+    private final SharedOrigins origins;
     private volatile boolean readyLogged;
 
     private Node(NodeOptions options, NodePorts ports, MetricRegistry registry, Closer closer) throws ProgramException {
@@ -69,6 +72,7 @@
         ExecutorService executor = closer.add(Executors.newVirtualThreadPerTaskExecutor());
         this.drainState = DrainState.withGracePeriod(options.graceMs());
         this.placer = Placer.create(fleet, options.zone());
+        this.origins = closer.add(SharedOrigins.start(options.name(), fleet, metrics));
         Dispatcher dispatcher = Dispatcher.of(
                 fleet, placer, RetryBudget.of(options.retryBudget()), ports.connector(), ports.protocol());
         RequestServer server = RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, drainState);
@@ -135,7 +139,8 @@
                 fleet, reports, leadTerm, options, ports.runnerControl(), executor, metrics, session::stepDown));
         LeaderHandler leader = LeaderHandler.of(fleet, reports, planner, leadTerm);
         try {
-            closer.add(ThriftServer.start(options.linkAddress(), new NodeLink.Processor<>(leader)));
+            LinkHandler handler = LinkHandler.of(leader, origins.handler());
+            closer.add(ThriftServer.start(options.linkAddress(), new NodeLink.Processor<>(handler)));
         } catch (WireException e) {
             throw new ProgramException("link " + options.linkAddress() + ": cannot be bound: " + e.getMessage(), e);
         }
@@ -153,6 +158,7 @@
                 "runners.leaving-by-own-word",
                 () -> () -> fleet.leavingByOwnWord().size());
         registry.gauge("runners.quiet", () -> () -> fleet.quietCount(System.nanoTime()));
+        registry.gauge("origins.kept", () -> origins::size);
         registry.gauge("lead.term", () -> () -> session.leadTerm().orElse(0));
     }
 
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -76,6 +76,15 @@
     SEND_WITHHELD(6108, Level.INFO, "send-withheld id={} runner={} cause={}"),
     /** A caller resumes a stream that an earlier request began. */
     STREAM_RESUMED(6109, Level.INFO, "stream-resumed id={} resumes={} after-event={}"),
+    /** The origin of a stream was looked up for a caller that resumes it. */
+    ORIGIN_LOOKUP(
+            6110, Level.INFO, "origin-lookup request={} found={} holder={} version={} asked={} answered={} ms={}"),
+    /** A node did not confirm copies of origins; they are sent again while it is listed. */
+    ORIGIN_HOLDER_SILENT(6111, Level.WARN, "origin-holder-silent holder={} copies={} cause={}"),
+    /** Copies of origins were given up, since too many wait or their validity has ended. */
+    ORIGIN_COPIES_DROPPED(6112, Level.WARN, "origin-copies-dropped copies={}"),
+    /** Scheduling copies of origins failed with an unexpected error; it is tried again. */
+    ORIGIN_COPIES_ERROR(6113, Level.ERROR, "origin-copies-error cause={}"),
     /** A load or unload order was sent to a runner. */
     ORDER(6201, Level.INFO, "order runner={} order={} term={} sequence={} outcome={} reason={} source={}"),
     /** An order was completed. */
--- a/node/src/main/java/io/persimmonstack/node/NodeMetrics.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeMetrics.java
@@ -44,4 +44,19 @@
     public void recordOrder(String outcome) {
         registry.counter("orders." + outcome).inc();
     }
+
+    /** Counts copies of origins that another node has confirmed. */
+    public void recordOriginCopiesSent(long copies) {
+        registry.counter("origins.copies.sent").inc(copies);
+    }
+
+    /** Counts copies of origins that were given up. */
+    public void recordOriginCopiesDropped(long copies) {
+        registry.counter("origins.copies.dropped").inc(copies);
+    }
+
+    /** Counts a lookup of an origin by its outcome, a word in lower case. */
+    public void recordOriginLookup(String outcome) {
+        registry.counter("origins.lookups." + outcome).inc();
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
@@ -4,16 +4,13 @@
 import io.persimmonstack.node.planning.NodeReports;
 import io.persimmonstack.node.planning.Planner;
 import io.persimmonstack.wire.gen.FleetLoad;
-import io.persimmonstack.wire.gen.NodeLink;
 import io.persimmonstack.wire.gen.NodeLoad;
-import io.persimmonstack.wire.gen.StreamOrigin;
 import io.persimmonstack.wire.gen.WireRefusal;
-import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
 
 /** Receives the load reports of all nodes while this node is the leader, and answers with the state of the runners. */
-public final class LeaderHandler implements NodeLink.Iface {
+public final class LeaderHandler {
     private static final String NOT_LEADING = "not-leading";
     private final FleetView fleet;
     private final NodeReports reports;
@@ -41,7 +38,11 @@
         return new LeaderHandler(fleet, reports, planner, leadTerm);
     }
 
-    @Override
+    /**
+     * Takes a load report and returns the load of the fleet.
+     *
+     * @throws WireRefusal if this node is not the leader
+     */
     public FleetLoad exchange(NodeLoad load) throws WireRefusal {
         OptionalLong term = leadTerm.get();
         if (term.isEmpty()) {
@@ -58,12 +59,4 @@
                 planner.snapshotsFor(load.getNode()));
         return LoadMessages.toFleetLoad(fleet, delta, reports.silentNodes(nowNanos), planner.arrivals());
     }
-
-    @Override
-    public void keepOrigins(List<StreamOrigin> origins) {}
-
-    @Override
-    public List<StreamOrigin> findOrigin(String request) {
-        return List.of();
-    }
 }
--- a/node/src/main/java/io/persimmonstack/node/streams/SharedOrigins.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/SharedOrigins.java
@@ -1,26 +1,113 @@
 package io.persimmonstack.node.streams;
 
+import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.NodeMetrics;
+import io.persimmonstack.node.RateLimitedLog;
+import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.runtime.Closer;
+import io.persimmonstack.runtime.event.EventLog;
+import io.persimmonstack.wire.ThriftPeers;
+import io.persimmonstack.wire.gen.NodeLink;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
-/** Origins of the streams that this node delivers. */
-public final class SharedOrigins implements OriginDirectory {
-    private final StreamOrigins local = StreamOrigins.create();
+/** Origins that this node keeps, with copies at {@link OriginHolders#COPIES} other nodes that any node can ask. */
+public final class SharedOrigins implements OriginDirectory, AutoCloseable {
+    private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(SharedOrigins.class));
+    private static final int CONNECT_TIMEOUT_MS = 200;
 
-    private SharedOrigins() {}
+    private final StreamOrigins local;
+    private final CopySender sender;
+    private final OriginLookup lookup;
+    private final NodeMetrics metrics;
+    private final Closer closer;
 
-    /** Returns a directory without any origins. */
-    public static SharedOrigins create() {
-        return new SharedOrigins();
+    private SharedOrigins(
+            StreamOrigins local, CopySender sender, OriginLookup lookup, NodeMetrics metrics, Closer closer) {
+        this.local = local;
+        this.sender = sender;
+        this.lookup = lookup;
+        this.metrics = metrics;
+        this.closer = closer;
+    }
+
+    /**
+     * Starts a directory without any origins.
+     *
+     * @param self name of this node
+     * @param fleet lists the other nodes
+     * @param metrics counts copies and lookups
+     */
+    public static SharedOrigins start(String self, FleetView fleet, NodeMetrics metrics) {
+        Closer closer = Closer.create();
+        StreamOrigins local = StreamOrigins.create();
+        ThriftPeers<NodeLink.Client> links =
+                closer.add(ThriftPeers.of(new NodeLink.Client.Factory(), CONNECT_TIMEOUT_MS));
+        CopySender sender = closer.add(CopySender.of(self, fleet, local, links, metrics));
+        sender.start();
+        return new SharedOrigins(local, sender, OriginLookup.of(self, fleet, links), metrics, closer);
     }
 
     @Override
     public KeptOrigin keep(String request, StreamOrigin origin, long validMs) {
-        local.keep(request, origin, validMs, System.nanoTime());
-        return () -> {};
+        DeliveredStream stream = DeliveredStream.of(request, origin, validMs);
+        if (OriginHandler.isAcceptable(request, origin)) {
+            local.keep(request, origin, validMs, System.nanoTime());
+            sender.add(stream);
+        }
+        return stream;
     }
 
     @Override
     public Optional<StreamOrigin> find(String request) throws InterruptedException {
-        return local.find(request, System.nanoTime());
+        long startedNanos = System.nanoTime();
+        if (!OriginHandler.isAcceptable(request)) {
+            metrics.recordOriginLookup("unknown");
+            LOG.write(NodeEvent.ORIGIN_LOOKUP, "(" + request.length() + " characters)", "unknown", "-", "-", 0, 0, 0);
+            return Optional.empty();
+        }
+        Optional<StreamOrigin> known = local.find(request, startedNanos);
+        if (known.isPresent()) {
+            record(request, "local", known, new OriginLookup.Result(Optional.empty(), "-", 0, 0), startedNanos);
+            return known;
+        }
+        OriginLookup.Result result = lookup.ask(request);
+        result.copy().ifPresent(copy -> local.keep(request, copy.origin(), copy.validMs(), System.nanoTime()));
+        Optional<StreamOrigin> found = local.find(request, System.nanoTime());
+        record(request, found.isPresent() ? "elsewhere" : "unknown", found, result, startedNanos);
+        return found;
+    }
+
+    private void record(
+            String request,
+            String outcome,
+            Optional<StreamOrigin> origin,
+            OriginLookup.Result result,
+            long startedNanos) {
+        metrics.recordOriginLookup(outcome);
+        LOG.write(
+                NodeEvent.ORIGIN_LOOKUP,
+                request,
+                outcome,
+                result.holder(),
+                origin.map(StreamOrigin::softwareVersion).orElse("-"),
+                result.asked(),
+                result.answered(),
+                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos));
+    }
+
+    /** Returns the handler for the calls of other nodes. */
+    public OriginHandler handler() {
+        return OriginHandler.of(local, System::nanoTime);
+    }
+
+    /** Returns the number of origins kept here, own ones and copies, including some that are no longer valid. */
+    public int size() {
+        return local.size();
+    }
+
+    @Override
+    public void close() {
+        closer.close();
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/streams/StreamOrigins.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/StreamOrigins.java
@@ -57,11 +57,18 @@
     }
 
     /** Returns the origin of a stream, empty if it is unknown or no longer valid. */
-    synchronized Optional<StreamOrigin> find(String request, long nowNanos) {
+    Optional<StreamOrigin> find(String request, long nowNanos) {
+        return findCopy(request, nowNanos).map(OriginCopy::origin);
+    }
+
+    /** Returns a copy of an origin with the rest of its validity, empty if it is unknown or no longer valid. */
+    synchronized Optional<OriginCopy> findCopy(String request, long nowNanos) {
         Entry entry = entries.get(request);
-        return entry == null || entry.validUntilNanos() - nowNanos <= 0
-                ? Optional.empty()
-                : Optional.of(entry.origin());
+        if (entry == null || entry.validUntilNanos() - nowNanos <= 0) {
+            return Optional.empty();
+        }
+        long validMs = Math.ceilDiv(entry.validUntilNanos() - nowNanos, TimeUnit.MILLISECONDS.toNanos(1));
+        return Optional.of(new OriginCopy(request, entry.origin(), validMs));
     }
 
     /** Returns the number of origins, including some that are no longer valid. */
