--- a/backends/src/main/java/io/persimmonstack/backends/engine/EngineMessages.java
+++ b/backends/src/main/java/io/persimmonstack/backends/engine/EngineMessages.java
@@ -53,7 +53,8 @@
             long fence,
             boolean leaving,
             List<ModelBody> models,
-            List<CachedBody> cached) {
+            List<CachedBody> cached,
+            String softwareVersion) {
         EngineState toState() {
             return new EngineState(
                     runner,
@@ -68,7 +69,8 @@
                     models.stream().map(ModelBody::toModel).toList(),
                     cached == null
                             ? List.of()
-                            : cached.stream().map(CachedBody::toCheckpoint).toList());
+                            : cached.stream().map(CachedBody::toCheckpoint).toList(),
+                    Optional.ofNullable(softwareVersion).filter(version -> !version.isBlank()));
         }
     }
 
--- a/backends/src/main/java/io/persimmonstack/backends/engine/EngineState.java
+++ b/backends/src/main/java/io/persimmonstack/backends/engine/EngineState.java
@@ -18,6 +18,7 @@
  * @param leaving whether the engine accepts no new work
  * @param models models that are loading, loaded or unloading
  * @param cached checkpoints cached on the engine's host
+ * @param softwareVersion version of the engine's software, empty if the engine does not tell it
  */
 public record EngineState(
         String runner,
@@ -30,7 +31,8 @@
         long fence,
         boolean leaving,
         List<EngineModel> models,
-        List<CachedCheckpoint> cached) {
+        List<CachedCheckpoint> cached,
+        Optional<String> softwareVersion) {
     /** Makes the lists immutable. */
     public EngineState {
         models = List.copyOf(models);
--- a/backends/src/test/java/io/persimmonstack/backends/engine/HttpEngineOrdersTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/engine/HttpEngineOrdersTest.java
@@ -9,6 +9,7 @@
 import io.persimmonstack.backends.http.ScriptedServer;
 import io.persimmonstack.coordination.model.ModelVersion;
 import io.persimmonstack.wire.PeerAddress;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -64,6 +65,26 @@
         assertEquals("NotSent", orders.load(closedPort, order).getClass().getSimpleName());
     }
 
+    /** Engines that do not tell a version, or tell a blank one, are of an unknown version. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "                               |",
+                ", \"softwareVersion\": null       |",
+                ", \"softwareVersion\": \" \"       |",
+                ", \"softwareVersion\": \"2.1-rc3\" | 2.1-rc3"
+            })
+    void softwareVersionIsOptional(String field, String version) throws Exception {
+        String response = "200 {\"runner\":\"r\",\"memoryBytes\":1,\"usedBytes\":0,\"maxConcurrent\":1,\"inFlight\":0,"
+                + "\"queued\":0,\"fencing\":true,\"fence\":1,\"leaving\":false,\"models\":[]"
+                + (field == null ? "" : field) + "}";
+        try (ScriptedServer server = ScriptedServer.start((connection, number) -> respond(connection, response))) {
+            assertEquals(
+                    Optional.ofNullable(version), orders.state(server.address()).softwareVersion());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
--- a/backends/src/test/java/io/persimmonstack/backends/engine/InMemoryEngineOrders.java
+++ b/backends/src/test/java/io/persimmonstack/backends/engine/InMemoryEngineOrders.java
@@ -161,7 +161,18 @@
                     .map(entry -> toEngineModel(entry.getKey(), entry.getValue()))
                     .toList();
             return new EngineState(
-                    runner, memoryBytes, usedBytes(), 8, 0, 0, fencing, fence, false, reported, List.of());
+                    runner,
+                    memoryBytes,
+                    usedBytes(),
+                    8,
+                    0,
+                    0,
+                    fencing,
+                    fence,
+                    false,
+                    reported,
+                    List.of(),
+                    Optional.empty());
         }
 
         private EngineModel toEngineModel(ModelVersion version, Model model) {
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/runner/StatusAnnouncer.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/runner/StatusAnnouncer.java
@@ -72,6 +72,7 @@
         status.setUsedBytes(state.memoryBytes() - tracker.freeBytes());
         status.setCachedInMemory(cachedAt(state, CheckpointPlace.MEMORY));
         status.setCachedOnDisk(cachedAt(state, CheckpointPlace.DISK));
+        state.softwareVersion().ifPresent(status::setSoftwareVersion);
         return status;
     }
 
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/FakePlatform.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/FakePlatform.java
@@ -81,6 +81,8 @@
         /** Highest fencing token of an accepted order. */
         private long fence;
 
+        private Optional<String> softwareVersion = Optional.empty();
+
         FakeEngine(String runner, boolean fencing) {
             this.runner = runner;
             this.fencing = fencing;
@@ -144,6 +146,14 @@
         }
     }
 
+    /** Has a runner's engine tell another software version, as a new process of it does. */
+    public void setSoftwareVersion(String runner, String version) {
+        FakeEngine engine = engines.get(hosts.get(runner).address());
+        synchronized (engine) {
+            engine.softwareVersion = Optional.of(version);
+        }
+    }
+
     /** Returns the highest fencing token that a runner's engine has accepted. */
     public long fence(String runner) {
         return engines.get(hosts.get(runner).address()).fence;
@@ -307,7 +317,8 @@
                     engine.fence,
                     false,
                     models,
-                    List.of());
+                    List.of(),
+                    engine.softwareVersion);
         }
     }
 }
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/runner/EngineTrackerTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/runner/EngineTrackerTest.java
@@ -79,6 +79,7 @@
 
     private static EngineState state(List<EngineModel> models) {
         long used = models.stream().mapToLong(EngineModel::memoryBytes).sum();
-        return new EngineState("runner", MEMORY_BYTES, used, 8, 0, 0, true, 1, false, models, List.of());
+        return new EngineState(
+                "runner", MEMORY_BYTES, used, 8, 0, 0, true, 1, false, models, List.of(), Optional.empty());
     }
 }
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/runner/RunnerAgentTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/runner/RunnerAgentTest.java
@@ -59,6 +59,7 @@
     private long keepAliveMs = KEEP_ALIVE_MS;
     private WeightCatalogueCache catalogueCache;
     private RunnerAgent agent;
+    private volatile RunnerStatus announced;
 
     @BeforeEach
     void start() throws Exception {
@@ -98,7 +99,7 @@
                 StorePermits.of(FleetView.of(membership), catalogueCache, peers, time),
                 LoadHistory.create(),
                 time,
-                status -> {},
+                status -> announced = status,
                 100);
         grants.acquire(RUNNER, fencing ? TakeoverEvidence.fencedEngine() : TakeoverEvidence.handedOver());
         agent = RunnerAgent.start(context, platform.hosts.get(RUNNER), false);
@@ -116,6 +117,21 @@
         return agent.load(key, SLACK_MS, SIZES).get(10, TimeUnit.SECONDS).getResult();
     }
 
+    /** A new process of the engine may be of another software version, while everything else stays. */
+    @Test
+    void softwareVersionOfTheEngineIsAnnouncedWhenItChanges() throws Exception {
+        while (announced == null) {
+            Thread.onSpinWait();
+        }
+        assertFalse(announced.isSetSoftwareVersion());
+        for (String version : List.of("a", "b")) {
+            platform.setSoftwareVersion(RUNNER, version);
+            while (!version.equals(announced.getSoftwareVersion())) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     /** The answer to a load, and the number of load orders that the engine carried out, for each fault. */
     @ParameterizedTest(name = "{0}: {1}, {2} orders")
     @CsvSource({
--- a/standin/src/main/java/io/persimmonstack/standin/engine/ChatCompletionWriter.java
+++ b/standin/src/main/java/io/persimmonstack/standin/engine/ChatCompletionWriter.java
@@ -108,12 +108,13 @@
         out.flush();
     }
 
-    private static Completion completion(GeneratedAnswer answer, Choice choice) {
+    private Completion completion(GeneratedAnswer answer, Choice choice) {
         return completion(answer, "chat.completion.chunk", choice, null);
     }
 
-    private static Completion completion(GeneratedAnswer answer, String object, Choice choice, Usage usage) {
+    private Completion completion(GeneratedAnswer answer, String object, Choice choice, Usage usage) {
         String id = "chatcmpl-" + answer.requestId();
-        return new Completion(id, object, 0, answer.request().model(), List.of(choice), usage);
+        String fingerprint = settings.announcedVersion().orElse(null);
+        return new Completion(id, object, 0, answer.request().model(), fingerprint, List.of(choice), usage);
     }
 }
--- a/standin/src/main/java/io/persimmonstack/standin/engine/EngineApiMessages.java
+++ b/standin/src/main/java/io/persimmonstack/standin/engine/EngineApiMessages.java
@@ -41,7 +41,8 @@
             long fence,
             boolean leaving,
             List<ModelBody> models,
-            List<CachedBody> cached) {}
+            List<CachedBody> cached,
+            String softwareVersion) {}
 
     record ChatMessage(String role, JsonNode content) {}
 
@@ -65,7 +66,15 @@
             @JsonProperty("completion_tokens") int completionTokens,
             @JsonProperty("total_tokens") int totalTokens) {}
 
-    record Completion(String id, String object, long created, String model, List<Choice> choices, Usage usage) {}
+    /** Whole completion or part of a stream; the fingerprint is the version of the software that generated it. */
+    record Completion(
+            String id,
+            String object,
+            long created,
+            String model,
+            @JsonProperty("system_fingerprint") String systemFingerprint,
+            List<Choice> choices,
+            Usage usage) {}
 
     record ListedModel(
             String id,
--- a/standin/src/main/java/io/persimmonstack/standin/engine/EngineGroup.java
+++ b/standin/src/main/java/io/persimmonstack/standin/engine/EngineGroup.java
@@ -22,6 +22,7 @@
  * @param diskBytesPerSecond rate of loads from the host's disk
  * @param memoryBytesPerSecond rate of loads from the host's memory
  * @param cached checkpoints that are on the host's disk at the start, each as {@code model@version}
+ * @param softwareVersion version of the engines' software, told in their state and in their answers; empty to tell none
  * @param orderToken bearer token that orders must carry; absent to accept all orders
  */
 public record EngineGroup(
@@ -40,12 +41,18 @@
         @Setting(min = 1, fallback = "4000000000") long diskBytesPerSecond,
         @Setting(min = 1, fallback = "20000000000") long memoryBytesPerSecond,
         @Setting(fallback = "[]") List<String> cached,
+        @Setting(fallback = "\"1\"") String softwareVersion,
         Optional<String> orderToken) {
     /** Returns the name of the engine at the given zero-based index. */
     public String engineName(int index) {
         return count == 1 ? name : name + "-" + (index + 1);
     }
 
+    /** Returns the version of the software that the engines tell, empty if they tell none. */
+    Optional<String> announcedVersion() {
+        return softwareVersion.isBlank() ? Optional.empty() : Optional.of(softwareVersion);
+    }
+
     /** Returns the port of the engine at the given zero-based index, 0 for any free port. */
     public int port(int index) {
         return firstPort == 0 ? 0 : firstPort + index;
--- a/standin/src/main/java/io/persimmonstack/standin/engine/EngineStandin.java
+++ b/standin/src/main/java/io/persimmonstack/standin/engine/EngineStandin.java
@@ -176,6 +176,7 @@
                 .filter(body -> body.model() != null)
                 .orElseThrow(() -> new IllegalArgumentException("body: expected a chat completion with a model"));
         exchange.setHeader("X-Request-Id", requestId);
+        settings.announcedVersion().ifPresent(version -> exchange.setHeader("X-Software-Version", version));
         if (leaving) {
             exchange.setHeader("X-Leaving", "true");
             exchange.respond(SERVICE_UNAVAILABLE, ErrorBody.of(name + " is leaving", "leaving"));
@@ -261,7 +262,8 @@
                 memory.highestFencingToken(),
                 leaving,
                 memory.modelBodies(),
-                memory.cachedBodies());
+                memory.cachedBodies(),
+                settings.announcedVersion().orElse(null));
     }
 
     private ModelList modelList() {
--- a/standin/src/test/java/io/persimmonstack/standin/EngineRequestsTest.java
+++ b/standin/src/test/java/io/persimmonstack/standin/EngineRequestsTest.java
@@ -16,6 +16,7 @@
 import io.persimmonstack.backends.http.HttpTimeouts;
 import io.persimmonstack.coordination.model.ModelVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -85,6 +86,29 @@
         assertEquals(1, standins.standins().runTracker().runCount());
     }
 
+    @Test
+    void softwareVersionIsToldInTheStateAndInEachPartOfAnAnswer() throws Exception {
+        assertEquals(Optional.of("1"), state("runner-1").softwareVersion());
+        try (HttpCall call = standins.connector()
+                .open(standins.address("runner-1"), chat("a", true, 2), TestStandins.LONG_TIMEOUTS)) {
+            assertEquals(Optional.of("1"), call.header("X-Software-Version"));
+            String body = new String(call.readAll(MAX_RESPONSE_BYTES), StandardCharsets.UTF_8);
+            assertEquals(4, body.split("\"system_fingerprint\":\"1\"", -1).length, body);
+        }
+    }
+
+    @Test
+    void engineWithoutASoftwareVersionTellsNone() throws Exception {
+        assertEquals(Optional.empty(), state("plain").softwareVersion());
+        loadAndAwait("plain");
+        HttpRequest request = chat("a", false, 2);
+        try (HttpCall call =
+                standins.connector().open(standins.address("plain"), request, TestStandins.LONG_TIMEOUTS)) {
+            assertEquals(Optional.empty(), call.header("X-Software-Version"));
+            assertTrue(!new String(call.readAll(MAX_RESPONSE_BYTES), StandardCharsets.UTF_8).contains("fingerprint"));
+        }
+    }
+
     @Test
     void rejectedRequestsGetTheMatchingStatus() throws Exception {
         HttpRequest unloadedModel = HttpRequest.postJson("/v1/chat/completions", "{\"model\":\"lease@1\"}");
--- a/standin/src/test/java/io/persimmonstack/standin/TestStandins.java
+++ b/standin/src/test/java/io/persimmonstack/standin/TestStandins.java
@@ -40,7 +40,7 @@
                "zones": ["zone-b"], "region": "cairo"}""";
     private static final String NON_FENCING_ENGINE = """
             , {"name": "plain", "firstPort": 0, "memoryBytes": 150, "fencing": false, "resumes": false,
-               "zones": ["zone-b"], "region": "cairo"}""";
+               "softwareVersion": "", "zones": ["zone-b"], "region": "cairo"}""";
     private final Closer closer = Closer.create();
     private final Standins standins;
     private final HttpConnector connector;
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RunnerStatus.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RunnerStatus.java
@@ -30,6 +30,7 @@
   private static final org.apache.thrift.protocol.TField USED_BYTES_FIELD_DESC = new org.apache.thrift.protocol.TField("usedBytes", org.apache.thrift.protocol.TType.I64, (short)15);
   private static final org.apache.thrift.protocol.TField CACHED_IN_MEMORY_FIELD_DESC = new org.apache.thrift.protocol.TField("cachedInMemory", org.apache.thrift.protocol.TType.LIST, (short)16);
   private static final org.apache.thrift.protocol.TField CACHED_ON_DISK_FIELD_DESC = new org.apache.thrift.protocol.TField("cachedOnDisk", org.apache.thrift.protocol.TType.LIST, (short)17);
+  private static final org.apache.thrift.protocol.TField SOFTWARE_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("softwareVersion", org.apache.thrift.protocol.TType.STRING, (short)18);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RunnerStatusStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RunnerStatusTupleSchemeFactory();
@@ -51,6 +52,7 @@
   private long usedBytes; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> cachedInMemory; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> cachedOnDisk; // optional
+  private @org.apache.thrift.annotation.Nullable java.lang.String softwareVersion; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -70,7 +72,8 @@
     MAX_CONCURRENT((short)14, "maxConcurrent"),
     USED_BYTES((short)15, "usedBytes"),
     CACHED_IN_MEMORY((short)16, "cachedInMemory"),
-    CACHED_ON_DISK((short)17, "cachedOnDisk");
+    CACHED_ON_DISK((short)17, "cachedOnDisk"),
+    SOFTWARE_VERSION((short)18, "softwareVersion");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -120,6 +123,8 @@
           return CACHED_IN_MEMORY;
         case 17: // CACHED_ON_DISK
           return CACHED_ON_DISK;
+        case 18: // SOFTWARE_VERSION
+          return SOFTWARE_VERSION;
         default:
           return null;
       }
@@ -172,7 +177,7 @@
   private static final int __MAXCONCURRENT_ISSET_ID = 6;
   private static final int __USEDBYTES_ISSET_ID = 7;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.USED_BYTES,_Fields.CACHED_IN_MEMORY,_Fields.CACHED_ON_DISK};
+  private static final _Fields optionals[] = {_Fields.USED_BYTES,_Fields.CACHED_IN_MEMORY,_Fields.CACHED_ON_DISK,_Fields.SOFTWARE_VERSION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -214,6 +219,8 @@
     tmpMap.put(_Fields.CACHED_ON_DISK, new org.apache.thrift.meta_data.FieldMetaData("cachedOnDisk", org.apache.thrift.TFieldRequirementType.OPTIONAL,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.SOFTWARE_VERSION, new org.apache.thrift.meta_data.FieldMetaData("softwareVersion", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RunnerStatus.class, metaDataMap);
   }
@@ -308,6 +315,9 @@
       java.util.List<java.lang.String> __this__cachedOnDisk = new java.util.ArrayList<java.lang.String>(other.cachedOnDisk);
       this.cachedOnDisk = __this__cachedOnDisk;
     }
+    if (other.isSetSoftwareVersion()) {
+      this.softwareVersion = other.softwareVersion;
+    }
   }
 
   @Override
@@ -342,6 +352,7 @@
     this.usedBytes = 0;
     this.cachedInMemory = null;
     this.cachedOnDisk = null;
+    this.softwareVersion = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -817,6 +828,31 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getSoftwareVersion() {
+    return this.softwareVersion;
+  }
+
+  public RunnerStatus setSoftwareVersion(@org.apache.thrift.annotation.Nullable java.lang.String softwareVersion) {
+    this.softwareVersion = softwareVersion;
+    return this;
+  }
+
+  public void unsetSoftwareVersion() {
+    this.softwareVersion = null;
+  }
+
+  /** Returns true if field softwareVersion is set (has been assigned a value) and false otherwise */
+  public boolean isSetSoftwareVersion() {
+    return this.softwareVersion != null;
+  }
+
+  public void setSoftwareVersionIsSet(boolean value) {
+    if (!value) {
+      this.softwareVersion = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -956,6 +992,14 @@
       }
       break;
 
+    case SOFTWARE_VERSION:
+      if (value == null) {
+        unsetSoftwareVersion();
+      } else {
+        setSoftwareVersion((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -1014,6 +1058,9 @@
     case CACHED_ON_DISK:
       return getCachedOnDisk();
 
+    case SOFTWARE_VERSION:
+      return getSoftwareVersion();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1060,6 +1107,8 @@
       return isSetCachedInMemory();
     case CACHED_ON_DISK:
       return isSetCachedOnDisk();
+    case SOFTWARE_VERSION:
+      return isSetSoftwareVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1230,6 +1279,15 @@
         return false;
     }
 
+    boolean this_present_softwareVersion = true && this.isSetSoftwareVersion();
+    boolean that_present_softwareVersion = true && that.isSetSoftwareVersion();
+    if (this_present_softwareVersion || that_present_softwareVersion) {
+      if (!(this_present_softwareVersion && that_present_softwareVersion))
+        return false;
+      if (!this.softwareVersion.equals(that.softwareVersion))
+        return false;
+    }
+
     return true;
   }
 
@@ -1291,6 +1349,10 @@
     if (isSetCachedOnDisk())
       hashCode = hashCode * 8191 + cachedOnDisk.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSoftwareVersion()) ? 131071 : 524287);
+    if (isSetSoftwareVersion())
+      hashCode = hashCode * 8191 + softwareVersion.hashCode();
+
     return hashCode;
   }
 
@@ -1472,6 +1534,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSoftwareVersion(), other.isSetSoftwareVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSoftwareVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.softwareVersion, other.softwareVersion);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1605,6 +1677,16 @@
       }
       first = false;
     }
+    if (isSetSoftwareVersion()) {
+      if (!first) sb.append(", ");
+      sb.append("softwareVersion:");
+      if (this.softwareVersion == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.softwareVersion);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1857,6 +1939,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 18: // SOFTWARE_VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.softwareVersion = iprot.readString();
+              struct.setSoftwareVersionIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1997,6 +2087,13 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.softwareVersion != null) {
+        if (struct.isSetSoftwareVersion()) {
+          oprot.writeFieldBegin(SOFTWARE_VERSION_FIELD_DESC);
+          oprot.writeString(struct.softwareVersion);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2051,7 +2148,10 @@
       if (struct.isSetCachedOnDisk()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetSoftwareVersion()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetUsedBytes()) {
         oprot.writeI64(struct.usedBytes);
       }
@@ -2073,6 +2173,9 @@
           }
         }
       }
+      if (struct.isSetSoftwareVersion()) {
+        oprot.writeString(struct.softwareVersion);
+      }
     }
 
     @Override
@@ -2125,7 +2228,7 @@
       struct.setFencingIsSet(true);
       struct.maxConcurrent = iprot.readI32();
       struct.setMaxConcurrentIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.usedBytes = iprot.readI64();
         struct.setUsedBytesIsSet(true);
@@ -2156,6 +2259,10 @@
         }
         struct.setCachedOnDiskIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.softwareVersion = iprot.readString();
+        struct.setSoftwareVersionIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -112,6 +112,7 @@
   15: optional i64 usedBytes                // memory of what is loaded or loading
   16: optional list<string> cachedInMemory  // model@version whose checkpoint is in the host's memory
   17: optional list<string> cachedOnDisk    // model@version whose checkpoint is on the host's disk
+  18: optional string softwareVersion       // of the engine's process, absent where it does not tell
 }
 
 /** One instance of a plain service, from the host list. */
