router: a stream goes on only at the software version that began it

Callers got streams that hold tokens of two software versions: a broken or silent stream was resumed at any target with the model and a free place, since placement, queue, SuccessorFinder and hedges each kept a set of excluded targets and none knew of versions. A process replaced under its name went on with streams of its predecessor.

With its first token a stream is bound to its StreamOrigin. TargetFilter is now the one type for the targets that may take a request, in Placer, Admission, SuccessorFinder and RequestHedger. An unknown version equals none; only the same name and address, without a version again, fit it. The view may be older than the process, so that the head of an answer is checked before it is relayed (DispatchFilter); what it tells is kept in TargetState until the view shows another version. Streams that wait for their version have a queue of their own, ahead of new requests, and end at once with the error event when no target of the version is left. A hedge can no longer start once something of a stream was delivered. Log lines 2003 and 2012 to 2014 tell the version asked for and found.

--- a/router/src/main/java/io/persimmonstack/router/RouterEvent.java
+++ b/router/src/main/java/io/persimmonstack/router/RouterEvent.java
@@ -11,7 +11,7 @@
     /** A call to a coordinator failed, or its snapshot could not be read. */
     COORDINATOR_FAILED(2002, Level.WARN, "call to coordinator {} failed: {}"),
     /** An attempt to have a request answered by a target failed. */
-    TARGET_FAILED(2003, Level.WARN, "target {} failed request {}: {}"),
+    TARGET_FAILED(2003, Level.WARN, "target {} of software version {} failed request {} after {} tokens: {}"),
     /** A target sent an answer that carries the identifier of another request. */
     ANSWER_CROSSED(2004, Level.ERROR, "request {} received the answer to another request, connection closed: {}"),
     /** The circuit breaker of a target opened. */
@@ -27,7 +27,19 @@
     /** The router waits for the requests in progress before it stops. */
     DRAINING(2010, Level.INFO, "draining, {} requests in progress"),
     /** The drain timeout passed and the router stops with requests in progress. */
-    DRAIN_CUT(2011, Level.ERROR, "drain timeout passed with {} requests in progress");
+    DRAIN_CUT(2011, Level.ERROR, "drain timeout passed with {} requests in progress"),
+    /** A stream goes on at a target; both versions are given, that of the stream first. */
+    STREAM_RESUMED(
+            2012,
+            Level.INFO,
+            "request {} goes on after {} tokens at target {}: software version {} required, {} found"),
+    /** A target that was to go on with a stream answered, but is of another software version. */
+    VERSION_DIFFERS(
+            2013,
+            Level.WARN,
+            "request {} does not go on after {} tokens at target {}: software version {} required, {} found"),
+    /** A stream ended with an error event after its first token, since no target of its software version goes on. */
+    STREAM_ENDED(2014, Level.WARN, "request {} ends after {} tokens of software version {}: {}");
 
     private final EventDefinition definition;
 
--- a/router/src/main/java/io/persimmonstack/router/admission/Admission.java
+++ b/router/src/main/java/io/persimmonstack/router/admission/Admission.java
@@ -7,6 +7,8 @@
 import io.persimmonstack.router.request.RefusalCode;
 import io.persimmonstack.router.request.RefusalException;
 import io.persimmonstack.router.request.Request;
+import io.persimmonstack.router.request.StreamOrigin;
+import io.persimmonstack.router.request.TargetFilter;
 import io.persimmonstack.router.request.Work;
 import io.persimmonstack.router.snapshot.FleetView;
 import io.persimmonstack.router.snapshot.FleetViews;
@@ -15,7 +17,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
@@ -73,15 +74,19 @@
     /**
      * Refuses a request that is predicted to miss its deadline. This is checked before its idempotency key is claimed.
      * If no target has the model loaded, its load is requested all the same; with free capacity, one request every
-     * 250 ms is let through as a probe.
+     * 250 ms is let through as a probe. A stream that is to go on is refused if no target may go on with it.
      *
      * @param request request to check
      * @throws RefusalException if the predicted time to the answer exceeds the time left until the deadline
      */
     public void checkDeadline(Request request) throws RefusalException {
-        AdmissionQueue queue = queue(request.work());
+        TargetFilter filter = request.targetFilter().whileWaiting();
+        AdmissionQueue queue = queue(request.work(), filter);
         FleetView view = views.current();
-        List<Target> targets = placer.eligibleTargets(request.work(), view);
+        List<Target> targets = placer.eligibleTargets(request.work(), view, filter);
+        if (targets.isEmpty() && queue.isForBegunStreams()) {
+            throw strandedRefusal(queue).exception();
+        }
         double predictedMs = predictedMs(queue, request, targets, view);
         if (predictedMs <= request.remainingMs()) {
             return;
@@ -103,9 +108,10 @@
      * @throws InterruptedException if the thread is interrupted while it waits
      */
     public Reservation admit(Request request) throws RefusalException, InterruptedException {
-        AdmissionQueue queue = queue(request.work());
+        TargetFilter filter = request.targetFilter().whileWaiting();
+        AdmissionQueue queue = queue(request.work(), filter);
         if (queue.waiting() == 0) {
-            Optional<Reservation> reservation = reserve(request.work());
+            Optional<Reservation> reservation = placer.reserve(request.work(), views.current(), filter);
             if (reservation.isPresent()) {
                 return reservation.get();
             }
@@ -119,7 +125,7 @@
         Optional<QueuedRequest> evictedRequest = queue.offer(queued);
         evictedRequest.ifPresent(evicted -> evicted.decide(new Decision.Refused(overloadRefusal(queue, evicted))));
         requestLoadIfNeeded(queue, request.work(), request.trace());
-        queue.admitWaiting(this::reserve);
+        admitWaiting(queue);
         Decision decision;
         try {
             decision = queued.awaitDecision(
@@ -135,10 +141,10 @@
 
     /**
      * Requests a load if no target can do the work, or one more replica if more requests are waiting than the targets
-     * may have in flight.
+     * may have in flight. A load may get any software version, so none is requested for streams that are to go on.
      */
     private void requestLoadIfNeeded(AdmissionQueue queue, Work work, Context trace) {
-        if (!(work instanceof Work.Completion completion)) {
+        if (queue.isForBegunStreams() || !(work instanceof Work.Completion completion)) {
             return;
         }
         List<Target> targets = placer.eligibleTargets(completion, views.current());
@@ -158,8 +164,8 @@
         return Math.max(0, request.remainingMs() - reservedMs);
     }
 
-    private Optional<Reservation> reserve(Work work) {
-        return placer.reserve(work, views.current(), Set.of());
+    private Optional<Reservation> reserve(QueuedRequest queued) {
+        return placer.reserve(queued.work(), views.current(), queued.filter());
     }
 
     /** Returns the predicted time in milliseconds until the request would be answered completely. */
@@ -202,9 +208,10 @@
     }
 
     private Refusal notAdmittedRefusal(AdmissionQueue queue, Request request) {
-        long retryAfterMs = retryAfterMs(queue, request.work(), request.priority());
+        TargetFilter filter = request.targetFilter().whileWaiting();
+        long retryAfterMs = retryAfterMs(queue, request.work(), filter, request.priority());
         boolean noTargets =
-                placer.eligibleTargets(request.work(), views.current()).isEmpty();
+                placer.eligibleTargets(request.work(), views.current(), filter).isEmpty();
         if (noTargets) {
             return Refusal.notRun(
                     RefusalCode.NO_TARGET, queue.resourceName() + ": no target became ready in time", retryAfterMs);
@@ -216,16 +223,22 @@
     private Refusal overloadRefusal(AdmissionQueue queue, QueuedRequest evicted) {
         String detail = "%s: %d requests wait; one of priority %d gives way"
                 .formatted(queue.resourceName(), queue.waiting(), evicted.priority());
-        return Refusal.notRun(RefusalCode.OVERLOADED, detail, retryAfterMs(queue, evicted.work(), evicted.priority()));
+        long retryAfterMs = retryAfterMs(queue, evicted.work(), evicted.filter(), evicted.priority());
+        return Refusal.notRun(RefusalCode.OVERLOADED, detail, retryAfterMs);
+    }
+
+    /** Returns the refusal of streams that no target may go on with, so that waiting is of no use. */
+    private static Refusal strandedRefusal(AdmissionQueue queue) {
+        return Refusal.notRun(RefusalCode.NO_TARGET, queue.resourceName() + ": no target may go on with the stream");
     }
 
     /**
      * Returns a retry delay in milliseconds: the predicted time until a load in progress is complete and the waiting
      * requests of the given or a more urgent priority are served.
      */
-    private long retryAfterMs(AdmissionQueue queue, Work work, int priority) {
+    private long retryAfterMs(AdmissionQueue queue, Work work, TargetFilter filter, int priority) {
         FleetView view = views.current();
-        List<Target> targets = placer.eligibleTargets(work, view);
+        List<Target> targets = placer.eligibleTargets(work, view, filter);
         double predictedLoadMs = targets.isEmpty() ? predictedLoadMs(queue, work, view) : 0;
         double queueMs =
                 queue.serviceTime().meanMs() * (queue.countAhead(priority) + 1) / Math.max(1, placer.capacity(targets));
@@ -257,13 +270,25 @@
                 work.resourceName(), resourceName -> new AdmissionQueue(resourceName, queueBound));
     }
 
+    /** Returns the queue of the requests for the same work that the same targets may take. */
+    private AdmissionQueue queue(Work work, TargetFilter filter) {
+        AdmissionQueue queue = queue(work);
+        return filter.origin().map(origin -> queueOfBegunStreams(queue, origin)).orElse(queue);
+    }
+
+    private AdmissionQueue queueOfBegunStreams(AdmissionQueue queue, StreamOrigin origin) {
+        AdmissionQueue added = queue.forBegunStreams(origin, queueBound);
+        AdmissionQueue present = queues.putIfAbsent(added.resourceName(), added);
+        return present == null ? added : present;
+    }
+
     private int waiting() {
         return queues.values().stream().mapToInt(AdmissionQueue::waiting).sum();
     }
 
     /**
      * Admits waiting requests of all queues while there is capacity, beginning with the queue whose head is most
-     * urgent.
+     * urgent; among equally urgent ones, streams that are to go on come first.
      */
     void admitWaiting() {
         List<AdmissionQueue> nonEmptyQueues =
@@ -272,8 +297,22 @@
             return;
         }
         nonEmptyQueues.stream()
-                .sorted(Comparator.comparingInt(Admission::headPriority))
-                .forEach(queue -> queue.admitWaiting(this::reserve));
+                .sorted(Comparator.comparingInt(Admission::headPriority)
+                        .thenComparing(queue -> !queue.isForBegunStreams()))
+                .forEach(this::admitWaiting);
+    }
+
+    /** Admits waiting requests of a queue, and refuses streams that no target may go on with any more. */
+    private void admitWaiting(AdmissionQueue queue) {
+        queue.admitWaiting(this::reserve);
+        if (queue.isForBegunStreams() && queue.head().filter(this::isStranded).isPresent()) {
+            queue.refuseAll(strandedRefusal(queue));
+        }
+    }
+
+    private boolean isStranded(QueuedRequest head) {
+        return placer.eligibleTargets(head.work(), views.current(), head.filter())
+                .isEmpty();
     }
 
     private static int headPriority(AdmissionQueue queue) {
--- a/router/src/main/java/io/persimmonstack/router/admission/AdmissionQueue.java
+++ b/router/src/main/java/io/persimmonstack/router/admission/AdmissionQueue.java
@@ -2,7 +2,7 @@
 
 import io.persimmonstack.router.admission.QueuedRequest.Decision;
 import io.persimmonstack.router.request.Refusal;
-import io.persimmonstack.router.request.Work;
+import io.persimmonstack.router.request.StreamOrigin;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -13,7 +13,8 @@
 
 /**
  * Waiting requests for one model, adapter or service, and the measured service and load times that wait predictions
- * use. Thread-safe.
+ * use. Streams that are to go on wait apart, one queue for each origin, so that those without a free target do not hold
+ * up requests that other targets may take. Thread-safe.
  */
 final class AdmissionQueue {
     private static final long REPLICA_REQUEST_INTERVAL_NANOS = 1_000_000_000L;
@@ -21,16 +22,35 @@
     private final String resourceName;
     private final ReentrantLock lock = new ReentrantLock();
     private final WaitQueue queue;
-    private final Ewma serviceTime = new Ewma();
-    private final Ewma loadTime = new Ewma();
+    private final boolean forBegunStreams;
+    private final Ewma serviceTime;
+    private final Ewma loadTime;
     private final AtomicBoolean loadRequestInFlight = new AtomicBoolean();
     private final AtomicLong lastReplicaRequestNanos = new AtomicLong();
     private final AtomicLong lastProbeNanos = new AtomicLong();
     private volatile int waiting;
 
     AdmissionQueue(String resourceName, int capacity) {
+        this(resourceName, false, capacity, new Ewma(), new Ewma());
+    }
+
+    private AdmissionQueue(
+            String resourceName, boolean forBegunStreams, int capacity, Ewma serviceTime, Ewma loadTime) {
         this.resourceName = resourceName;
+        this.forBegunStreams = forBegunStreams;
         this.queue = WaitQueue.of(capacity);
+        this.serviceTime = serviceTime;
+        this.loadTime = loadTime;
+    }
+
+    /** Returns a queue for streams of one origin that are to go on, with the measured times of this queue. */
+    AdmissionQueue forBegunStreams(StreamOrigin origin, int capacity) {
+        return new AdmissionQueue(resourceName + " at " + origin.name(), true, capacity, serviceTime, loadTime);
+    }
+
+    /** Returns whether the requests are streams that are to go on where they began. */
+    boolean isForBegunStreams() {
+        return forBegunStreams;
     }
 
     String resourceName() {
@@ -129,14 +149,14 @@
      * Admits waiting requests in order until {@code reserve} finds no capacity. {@code reserve} is called with the
      * lock held and must not block.
      */
-    void admitWaiting(Function<Work, Optional<Reservation>> reserve) {
+    void admitWaiting(Function<QueuedRequest, Optional<Reservation>> reserve) {
         List<Reservation> unusedReservations = new ArrayList<>();
         lock.lock();
         try {
             for (Optional<QueuedRequest> head = queue.head(); head.isPresent(); head = queue.head()) {
                 if (head.get().isDecided()) {
                     queue.remove(head.get());
-                } else if (!admit(head.get(), reserve.apply(head.get().work()), unusedReservations)) {
+                } else if (!admit(head.get(), reserve.apply(head.get()), unusedReservations)) {
                     break;
                 }
             }
--- a/router/src/main/java/io/persimmonstack/router/admission/Placer.java
+++ b/router/src/main/java/io/persimmonstack/router/admission/Placer.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.router.admission;
 
 import io.persimmonstack.coordination.hash.RendezvousHash;
+import io.persimmonstack.router.request.TargetFilter;
 import io.persimmonstack.router.request.Work;
 import io.persimmonstack.router.snapshot.FleetView;
 import io.persimmonstack.router.snapshot.Target;
@@ -8,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -60,41 +60,53 @@
      * @return the targets, including those without free capacity
      */
     public List<Target> eligibleTargets(Work work, FleetView view) {
-        return switch (work) {
-            case Work.Completion completion -> completionTargets(completion, view);
-            case Work.ServiceCall call ->
-                view.serviceTargets(call.service()).stream()
-                        .filter(target -> !target.leaving())
-                        .toList();
-        };
-    }
-
-    private List<Target> completionTargets(Work.Completion completion, FleetView view) {
         long now = System.nanoTime();
-        String resourceName = completion.resourceName();
-        return view.modelTargets(completion.model().toString()).stream()
+        return targets(work, view).stream()
                 .filter(target -> !target.leaving())
-                .filter(target ->
-                        completion.adapter().map(target.adapters()::contains).orElse(true))
-                .filter(target -> !state(target).lacks(resourceName, now))
+                .filter(target -> holds(target, work, now))
                 .toList();
     }
 
+    /**
+     * Returns the targets that can do the work and may take the request.
+     *
+     * @param work work to be done
+     * @param view current view of the fleet
+     * @param filter targets that may take the request
+     * @return the targets, including those without free capacity
+     */
+    public List<Target> eligibleTargets(Work work, FleetView view, TargetFilter filter) {
+        return eligibleTargets(work, view).stream()
+                .filter(target -> filter.admits(target, softwareVersion(target)))
+                .toList();
+    }
+
+    /** Returns whether a target with the model has the adapter too, and has not reported that either is gone. */
+    private boolean holds(Target target, Work work, long now) {
+        return switch (work) {
+            case Work.Completion completion ->
+                completion.adapter().map(target.adapters()::contains).orElse(true)
+                        && !state(target).lacks(completion.resourceName(), now);
+            case Work.ServiceCall call -> true;
+        };
+    }
+
     /**
      * Reserves capacity at the best target that has any. Never blocks.
      *
      * @param work work to be done
      * @param view current view of the fleet
-     * @param failedTargets targets that failed the request; they are excluded and their zones avoided where possible
+     * @param filter targets that may take the request
      * @return the reservation, or empty if no target has capacity
      */
-    public Optional<Reservation> reserve(Work work, FleetView view, Set<Target> failedTargets) {
+    public Optional<Reservation> reserve(Work work, FleetView view, TargetFilter filter) {
         long now = System.nanoTime();
-        List<Target> candidates = eligibleTargets(work, view).stream()
-                .filter(target -> failedTargets.stream().noneMatch(t -> t.id().equals(target.id())))
-                .toList();
-        if (!failedTargets.isEmpty()) {
-            Optional<Reservation> elsewhere = reserveNearest(work, excludeZonesOf(candidates, failedTargets), now);
+        List<Target> candidates = eligibleTargets(work, view, filter);
+        if (!filter.failed().isEmpty()) {
+            List<Target> inOtherZones = candidates.stream()
+                    .filter(target -> !filter.avoidsZoneOf(target))
+                    .toList();
+            Optional<Reservation> elsewhere = reserveNearest(work, inOtherZones, now);
             if (elsewhere.isPresent()) {
                 return elsewhere;
             }
@@ -113,10 +125,33 @@
         return state.tryAcquire(System.nanoTime()) ? Optional.of(newReservation(target, state)) : Optional.empty();
     }
 
-    private static List<Target> excludeZonesOf(List<Target> candidates, Set<Target> failedTargets) {
-        return candidates.stream()
-                .filter(target -> failedTargets.stream().noneMatch(t -> t.zone().equals(target.zone())))
-                .toList();
+    /**
+     * Returns whether a target that has had the request may take it again. A target that has left the view is judged by
+     * what was known of it before.
+     *
+     * @param work work to be done
+     * @param view current view of the fleet
+     * @param filter targets that may take the request
+     * @param target target of an earlier attempt, as an earlier view showed it
+     */
+    public boolean mayTakeAgain(Work work, FleetView view, TargetFilter filter, Target target) {
+        Target current = targets(work, view).stream()
+                .filter(other -> other.id().equals(target.id()))
+                .findFirst()
+                .orElse(target);
+        return filter.admits(current, softwareVersion(current));
+    }
+
+    private static List<Target> targets(Work work, FleetView view) {
+        return switch (work) {
+            case Work.Completion completion ->
+                view.modelTargets(completion.model().toString());
+            case Work.ServiceCall call -> view.serviceTargets(call.service());
+        };
+    }
+
+    private Optional<String> softwareVersion(Target target) {
+        return state(target).softwareVersion(target);
     }
 
     private Optional<Reservation> reserveNearest(Work work, List<Target> candidates, long now) {
--- a/router/src/main/java/io/persimmonstack/router/admission/QueuedRequest.java
+++ b/router/src/main/java/io/persimmonstack/router/admission/QueuedRequest.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.router.request.Refusal;
 import io.persimmonstack.router.request.Request;
+import io.persimmonstack.router.request.TargetFilter;
 import io.persimmonstack.router.request.Work;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -15,6 +16,7 @@
     private static final AtomicLong ARRIVAL_NUMBERS = new AtomicLong();
     private final long arrivalNumber = ARRIVAL_NUMBERS.incrementAndGet();
     private final Work work;
+    private final TargetFilter filter;
     private final String caller;
     private final int priority;
     private final long deadlineNanos;
@@ -29,19 +31,25 @@
         record Refused(Refusal refusal) implements Decision {}
     }
 
-    private QueuedRequest(Work work, String caller, int priority, long deadlineNanos) {
+    private QueuedRequest(Work work, TargetFilter filter, String caller, int priority, long deadlineNanos) {
         this.work = work;
+        this.filter = filter;
         this.caller = caller;
         this.priority = priority;
         this.deadlineNanos = deadlineNanos;
     }
 
     static QueuedRequest of(Request request) {
-        return new QueuedRequest(request.work(), request.caller(), request.priority(), request.deadlineNanos());
+        return new QueuedRequest(
+                request.work(),
+                request.targetFilter().whileWaiting(),
+                request.caller(),
+                request.priority(),
+                request.deadlineNanos());
     }
 
     static QueuedRequest of(Work work, String caller, int priority, long deadlineNanos) {
-        return new QueuedRequest(work, caller, priority, deadlineNanos);
+        return new QueuedRequest(work, TargetFilter.any(), caller, priority, deadlineNanos);
     }
 
     /** Returns a number that grows with each arrival, for ordering requests with equal deadlines. */
@@ -53,6 +61,11 @@
         return work;
     }
 
+    /** Returns which targets may take the request. */
+    TargetFilter filter() {
+        return filter;
+    }
+
     String caller() {
         return caller;
     }
--- a/router/src/main/java/io/persimmonstack/router/admission/TargetState.java
+++ b/router/src/main/java/io/persimmonstack/router/admission/TargetState.java
@@ -2,10 +2,12 @@
 
 import io.persimmonstack.router.snapshot.Target;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * What this router has observed of a target, which is newer than any snapshot: its own requests in flight there, the
@@ -26,9 +28,13 @@
     private final AtomicLong leavingSinceNanos = new AtomicLong(NEVER);
     private final AtomicLong fullSinceNanos = new AtomicLong(NEVER);
     private final AtomicLong lastSuccessNanos = new AtomicLong(NEVER);
+    private final AtomicReference<ToldVersion> toldVersion = new AtomicReference<>();
     private final CircuitBreaker circuit = new CircuitBreaker();
     private final Map<String, Long> absentSinceNanos = new ConcurrentHashMap<>();
 
+    /** Software version that an answer told while the view showed another one, or none. */
+    private record ToldVersion(Optional<String> shown, String told) {}
+
     TargetState(Target target) {
         this.id = target.id();
         this.limit = new AtomicInteger(target.maxConcurrent());
@@ -39,6 +45,28 @@
         return id;
     }
 
+    /**
+     * Records the software version that the target told in an answer.
+     *
+     * @param target the target as the view showed it when the request was sent
+     * @param version version told, which is newer than the one in the view
+     */
+    public void recordSoftwareVersion(Target target, String version) {
+        toldVersion.set(new ToldVersion(target.softwareVersion(), version));
+    }
+
+    /**
+     * Returns the software version of the target: the one that it told last, until the view shows another than then.
+     *
+     * @param target the target as the view shows it
+     * @return the version, empty if it is not known
+     */
+    public Optional<String> softwareVersion(Target target) {
+        ToldVersion latest = toldVersion.get();
+        boolean newerThanView = latest != null && latest.shown().equals(target.softwareVersion());
+        return newerThanView ? Optional.of(latest.told()) : target.softwareVersion();
+    }
+
     /** Returns how many requests this router has in flight at the target. */
     public int inFlightCount() {
         return inFlight.get();
--- a/router/src/main/java/io/persimmonstack/router/filter/DispatchFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/DispatchFilter.java
@@ -16,8 +16,10 @@
 import io.persimmonstack.router.request.AttemptException;
 import io.persimmonstack.router.request.Request;
 import io.persimmonstack.router.request.RouterException;
+import io.persimmonstack.router.request.StreamOrigin;
 import io.persimmonstack.router.request.Successor;
 import io.persimmonstack.router.request.Work;
+import io.persimmonstack.router.snapshot.Target;
 import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.runtime.trace.Tracing;
 import io.persimmonstack.wire.PeerAddress;
@@ -31,6 +33,9 @@
  * is cancelled at the deadline.
  */
 public final class DispatchFilter implements Filter {
+    /** Header in which the process that answers tells the version of its software. */
+    static final String SOFTWARE_VERSION = "X-Software-Version";
+
     private static final EventLog LOG = EventLog.of(DispatchFilter.class);
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
@@ -111,6 +116,7 @@
             try {
                 request.answer(call);
                 requireUsableAnswer(request, request.reservation().orElseThrow(), call);
+                requireVersionOfStream(request, request.reservation().orElseThrow(), call);
                 next.proceed(request);
             } finally {
                 deadlineTimer.cancel(false);
@@ -212,6 +218,37 @@
         }
     }
 
+    /**
+     * Records where the answer comes from. Fails the attempt if it is to go on with a stream that another software
+     * version began; the process that answers may be newer than what the view shows of its target.
+     */
+    private static void requireVersionOfStream(Request request, Reservation reservation, HttpCall call)
+            throws AttemptException {
+        Target target = reservation.target();
+        Optional<String> told = call.header(SOFTWARE_VERSION).filter(version -> !version.isBlank());
+        told.ifPresent(version -> reservation.state().recordSoftwareVersion(target, version));
+        Optional<String> found = told.or(() -> reservation.state().softwareVersion(target));
+        request.answerOrigin(new StreamOrigin(target, found));
+        Optional<StreamOrigin> origin = request.targetFilter().origin();
+        if (origin.isEmpty()) {
+            return;
+        }
+        boolean fits = origin.get().fits(target, found);
+        LOG.write(
+                fits ? RouterEvent.STREAM_RESUMED : RouterEvent.VERSION_DIFFERS,
+                request.id(),
+                request.relayed().tokens(),
+                target.id(),
+                origin.get().versionText(),
+                StreamOrigin.text(found));
+        if (!fits) {
+            String message = "%s is of software version %s; the stream began at %s"
+                    .formatted(
+                            target.id(), StreamOrigin.text(found), origin.get().name());
+            throw new AttemptException(AttemptException.Kind.OTHER_VERSION, message, null);
+        }
+    }
+
     private static AttemptException attemptFailure(AttemptException.Kind kind, Reservation reservation, int status) {
         String target =
                 reservation.target().id() + " at " + reservation.target().address();
--- a/router/src/main/java/io/persimmonstack/router/filter/DispatchTimeouts.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/DispatchTimeouts.java
@@ -32,7 +32,7 @@
      * @param serviceMs mean service time of such requests, 0 while unknown
      */
     int headSilenceMs(Request request, double serviceMs) {
-        if (!request.grant().repeatable() || !request.failedTargets().isEmpty()) {
+        if (!request.grant().repeatable() || !request.targetFilter().failed().isEmpty()) {
             return Integer.MAX_VALUE;
         }
         double lateMs =
--- a/router/src/main/java/io/persimmonstack/router/filter/PlaceFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/PlaceFilter.java
@@ -62,19 +62,19 @@
     private Reservation reserveForRetry(Request request) throws RouterException, InterruptedException {
         Optional<Reservation> reservation = reserveForResume(request);
         if (reservation.isEmpty()) {
-            reservation = placer.reserve(request.work(), views.current(), request.failedTargets());
+            reservation = placer.reserve(request.work(), views.current(), request.targetFilter());
         }
         return reservation.isPresent() ? reservation.get() : admission.admit(request);
     }
 
-    /** Reserves capacity at the target of a broken stream; empty if nothing was relayed or that target is avoided. */
+    /** Reserves capacity at the target of a broken stream; empty if nothing was relayed or it may not go on. */
     private Optional<Reservation> reserveForResume(Request request) {
         if (request.relayed().tokens() == 0) {
             return Optional.empty();
         }
         Optional<Target> lastTarget = request.reservation().map(Reservation::target);
         return lastTarget
-                .filter(target -> !request.failedTargets().contains(target))
+                .filter(target -> placer.mayTakeAgain(request.work(), views.current(), request.targetFilter(), target))
                 .flatMap(placer::reserveAt);
     }
 }
--- a/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
@@ -35,7 +35,14 @@
     private static final int CHUNK_BYTES = 16 << 10;
     static final String EVENT_STREAM = "text/event-stream";
     private static final Set<String> SKIPPED_HEADERS = Set.of(
-            "connection", "content-length", "date", "keep-alive", "trailer", "transfer-encoding", "x-request-id");
+            "connection",
+            "content-length",
+            "date",
+            "keep-alive",
+            "trailer",
+            "transfer-encoding",
+            "x-request-id",
+            DispatchFilter.SOFTWARE_VERSION.toLowerCase(Locale.ROOT));
 
     private final RouterMetrics metrics;
     private final int progressMs;
@@ -132,6 +139,9 @@
             if (resumed && beforeFirstToken) {
                 continue;
             }
+            if (!beforeFirstToken) {
+                request.bindToAnswerOrigin();
+            }
             request.reply().write(event.bytes());
             long tokens = request.relayed().tokens() + event.tokens();
             request.relayed(RelayedAnswer.stream(
--- a/router/src/main/java/io/persimmonstack/router/filter/RequestHedger.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RequestHedger.java
@@ -7,14 +7,13 @@
 import io.persimmonstack.router.admission.Reservation;
 import io.persimmonstack.router.admission.RetryBudget;
 import io.persimmonstack.router.request.Request;
+import io.persimmonstack.router.request.TargetFilter;
 import io.persimmonstack.router.request.Work;
 import io.persimmonstack.router.snapshot.FleetViews;
 import io.persimmonstack.router.snapshot.Target;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -80,7 +79,7 @@
         return hedgeAfterMs > 0
                 && wholeAnswer
                 && request.grant().repeatable()
-                && request.failedTargets().isEmpty()
+                && request.targetFilter().equals(TargetFilter.any())
                 && request.remainingMs() > hedgeAfterMs;
     }
 
@@ -99,19 +98,22 @@
         try {
             Reservation firstReservation = request.reservation().orElseThrow();
             race.start(firstReservation, preparer.prepare(firstReservation), false);
-            Set<Target> targets = new LinkedHashSet<>(Set.of(firstReservation.target()));
+            TargetFilter filter = request.targetFilter().excluding(firstReservation.target());
             List<HttpFailure> failures = new ArrayList<>();
             int waitMs = hedgeAfterMs;
             Optional<AttemptResult> next = race.poll(waitMs);
             while (next.isEmpty() || next.get().call().isEmpty()) {
                 if (next.isPresent()) {
                     failures.add(next.get().failure().orElseThrow());
-                    if (failures.size() == targets.size()) {
+                    if (failures.size() == filter.failed().size()) {
                         throw mostUncertain(failures);
                     }
-                } else if (targets.size() < MAX_ATTEMPTS) {
-                    boolean started = startHedge(race, request, targets, preparer);
-                    waitMs = started ? Math.max(hedgeAfterMs, silentAfterMs) : HEDGE_RETRY_INTERVAL_MS;
+                } else if (filter.failed().size() < MAX_ATTEMPTS) {
+                    Optional<Target> started = startHedge(race, request, filter, preparer);
+                    if (started.isPresent()) {
+                        filter = filter.excluding(started.get());
+                    }
+                    waitMs = started.isPresent() ? Math.max(hedgeAfterMs, silentAfterMs) : HEDGE_RETRY_INTERVAL_MS;
                 }
                 next = race.poll(waitMs);
             }
@@ -130,22 +132,21 @@
     /**
      * Starts another attempt if a target and budget are available.
      *
-     * @param targets targets of the attempts so far, to which the new one is added
-     * @return whether the attempt was started
+     * @param filter excludes the targets of the attempts so far
+     * @return target of the attempt, empty if none was started
      */
-    private boolean startHedge(AttemptRace race, Request request, Set<Target> targets, CallPreparer preparer) {
-        Optional<Reservation> reservation = placer.reserve(request.work(), views.current(), targets);
+    private Optional<Target> startHedge(AttemptRace race, Request request, TargetFilter filter, CallPreparer preparer) {
+        Optional<Reservation> reservation = placer.reserve(request.work(), views.current(), filter);
         if (reservation.isEmpty()) {
-            return false;
+            return Optional.empty();
         }
         if (!budget.spend()) {
             reservation.get().close();
-            return false;
+            return Optional.empty();
         }
-        targets.add(reservation.get().target());
         metrics.hedges().inc();
         race.start(reservation.get(), preparer.prepare(reservation.get()), true);
-        return true;
+        return reservation.map(Reservation::target);
     }
 
     /** Returns a failure after which the request may have run, if there is one, and else the first failure. */
--- a/router/src/main/java/io/persimmonstack/router/filter/RetryFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RetryFilter.java
@@ -11,6 +11,7 @@
 import io.persimmonstack.router.request.RefusalException;
 import io.persimmonstack.router.request.Request;
 import io.persimmonstack.router.request.RouterException;
+import io.persimmonstack.router.request.StreamOrigin;
 import io.persimmonstack.router.request.Successor;
 import io.persimmonstack.router.request.Work;
 import io.persimmonstack.runtime.event.EventLog;
@@ -57,7 +58,7 @@
                 return;
             } catch (AttemptException e) {
                 mayHaveRun |= !e.provablyNotRun();
-                if (e.kind() == AttemptException.Kind.REFUSED_BY_TARGET) {
+                if (e.turnedAway()) {
                     targetRefusals++;
                 } else {
                     request.countFailedAttempt();
@@ -70,15 +71,29 @@
                     request.reservation(request.successor().get().reservation());
                 } else if (exhausted || !mayRetry(request, e)) {
                     request.takeSuccessor().ifPresent(Successor::close);
-                    throw toRefusal(request, e, mayHaveRun).exception();
+                    throw ended(request, toRefusal(request, e, mayHaveRun));
                 }
                 metrics.retries().inc();
             } catch (RefusalException e) {
-                throw mayHaveRun ? afterEarlierAttempt(e.refusal()).exception() : e;
+                throw mayHaveRun ? ended(request, afterEarlierAttempt(e.refusal())) : e;
             }
         }
     }
 
+    /** Logs the end of a stream that has begun, and returns the exception that carries the refusal. */
+    private static RefusalException ended(Request request, Refusal refusal) {
+        Optional<StreamOrigin> origin = request.targetFilter().origin();
+        if (origin.isPresent()) {
+            LOG.write(
+                    RouterEvent.STREAM_ENDED,
+                    request.id(),
+                    request.relayed().tokens(),
+                    origin.get().versionText(),
+                    refusal.detail());
+        }
+        return refusal.exception();
+    }
+
     /**
      * Logs the failure, updates the circuit of the target and releases the reservation, unless the next attempt uses
      * it. Later attempts avoid the target, except that a broken stream is resumed there once. A silent target that
@@ -87,7 +102,13 @@
     private static void recordFailure(Request request, AttemptException e) {
         Reservation reservation = request.reservation().orElseThrow();
         String target = reservation.target().id();
-        LOG.write(RouterEvent.TARGET_FAILED, target, request.id(), e.getMessage());
+        LOG.write(
+                RouterEvent.TARGET_FAILED,
+                target,
+                StreamOrigin.text(reservation.state().softwareVersion(reservation.target())),
+                request.id(),
+                request.relayed().tokens(),
+                e.getMessage());
         Optional<Reservation> successor = request.successor().map(Successor::reservation);
         boolean sameTarget = successor.isPresent() && successor.get() == reservation;
         if (!sameTarget && countsForCircuit(reservation, e.kind())) {
@@ -107,7 +128,7 @@
         boolean resumable = request.relayed().tokens() > 0 && broken;
         boolean elsewhere = successor.isPresent() && !sameTarget;
         if (elsewhere || !resumable || !request.takeSameTargetResume()) {
-            request.failedTargets().add(reservation.target());
+            request.excludeTarget(reservation.target());
         }
     }
 
@@ -116,17 +137,17 @@
         return switch (kind) {
             case BROKEN, NOT_SENT -> true;
             case SILENT -> reservation.targetSilent();
-            case REFUSED_BY_TARGET, EXPIRED, DEADLINE -> false;
+            case REFUSED_BY_TARGET, OTHER_VERSION, EXPIRED, DEADLINE -> false;
         };
     }
 
-    /** Returns whether to retry; spends retry budget unless the request provably did not run. */
+    /** Returns whether to retry; spends retry budget unless the target turned the request away or did not run it. */
     private boolean mayRetry(Request request, AttemptException e) {
         boolean late = e.kind() == AttemptException.Kind.DEADLINE || request.remainingMs() == 0;
         if (late || !mayBeRepeated(request)) {
             return false;
         }
-        return e.provablyNotRun() || budget.spend();
+        return e.turnedAway() || e.provablyNotRun() || budget.spend();
     }
 
     /** Returns whether another attempt could follow the present one, apart from the retry budget. */
--- a/router/src/main/java/io/persimmonstack/router/filter/SuccessorFinder.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/SuccessorFinder.java
@@ -9,11 +9,10 @@
 import io.persimmonstack.router.admission.RetryBudget;
 import io.persimmonstack.router.request.Request;
 import io.persimmonstack.router.request.Successor;
+import io.persimmonstack.router.request.TargetFilter;
+import io.persimmonstack.router.snapshot.FleetView;
 import io.persimmonstack.router.snapshot.FleetViews;
-import io.persimmonstack.router.snapshot.Target;
-import java.util.LinkedHashSet;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Reserves what another attempt needs while the target of the present one is silent: capacity, a connection and the
@@ -67,10 +66,14 @@
         if (!timeLeft || !RetryFilter.mayFollow(request) || !budget.available()) {
             return Optional.empty();
         }
-        boolean sameTarget = request.relayed().tokens() > 0 && !request.sameTargetResumeUsed();
+        FleetView view = views.current();
+        TargetFilter filter = request.targetFilter();
+        boolean sameTarget = request.relayed().tokens() > 0
+                && !request.sameTargetResumeUsed()
+                && placer.mayTakeAgain(request.work(), view, filter, silent.target());
         Optional<Successor> successor = sameTarget ? connect(silent) : Optional.empty();
         if (successor.isEmpty()) {
-            successor = placer.reserve(request.work(), views.current(), failedTargets(request, silent))
+            successor = placer.reserve(request.work(), view, filter.excluding(silent.target()))
                     .flatMap(this::connectOrRelease);
         }
         if (successor.isPresent() && !(peer.isStillSilent() && budget.spend())) {
@@ -80,12 +83,6 @@
         return successor;
     }
 
-    private static Set<Target> failedTargets(Request request, Reservation silent) {
-        Set<Target> failed = new LinkedHashSet<>(request.failedTargets());
-        failed.add(silent.target());
-        return failed;
-    }
-
     private Optional<Successor> connect(Reservation reservation) {
         try {
             IdleConnection connection = connector.connect(reservation.target().address(), connectMs);
--- a/router/src/main/java/io/persimmonstack/router/request/AttemptException.java
+++ b/router/src/main/java/io/persimmonstack/router/request/AttemptException.java
@@ -12,6 +12,8 @@
         EXPIRED,
         /** The target refused the request without running it. */
         REFUSED_BY_TARGET,
+        /** The target is of another software version than the one that began the stream. */
+        OTHER_VERSION,
         /** The connection broke or the answer was an error or invalid; the target may have run the request. */
         BROKEN,
         /** Nothing was received within the timeout; the target may have run the request. */
@@ -39,6 +41,11 @@
         return kind;
     }
 
+    /** Returns whether the attempt ended at the head of the answer without a failure of the target. */
+    public boolean turnedAway() {
+        return kind == Kind.REFUSED_BY_TARGET || kind == Kind.OTHER_VERSION;
+    }
+
     /** Returns whether the target certainly did not run the request, so that any request may be sent again. */
     public boolean provablyNotRun() {
         return kind == Kind.NOT_SENT || kind == Kind.EXPIRED || kind == Kind.REFUSED_BY_TARGET;
--- a/router/src/main/java/io/persimmonstack/router/request/Request.java
+++ b/router/src/main/java/io/persimmonstack/router/request/Request.java
@@ -4,9 +4,7 @@
 import io.persimmonstack.backends.http.HttpCall;
 import io.persimmonstack.router.admission.Reservation;
 import io.persimmonstack.router.snapshot.Target;
-import java.util.LinkedHashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -26,13 +24,14 @@
     private long deadlineNanos;
     private Optional<String> idempotencyKey = Optional.empty();
     private Reservation reservation;
-    private final Set<Target> failedTargets = new LinkedHashSet<>();
+    private TargetFilter targetFilter = TargetFilter.any();
     private boolean reservationUnused;
     private boolean sameTargetResumeUsed;
     private int failedAttempts;
     private Optional<Successor> successor = Optional.empty();
     private AnswerPart awaitedPart = AnswerPart.HEAD;
     private HttpCall answer;
+    private StreamOrigin answerOrigin;
     private RelayedAnswer relayed = RelayedAnswer.none();
     private volatile boolean cancellable = true;
 
@@ -178,9 +177,26 @@
         this.cancellable = false;
     }
 
-    /** Returns the modifiable set of targets that failed the request and that further attempts avoid. */
-    public Set<Target> failedTargets() {
-        return failedTargets;
+    /** Returns which targets may take the next attempt. */
+    public TargetFilter targetFilter() {
+        return targetFilter;
+    }
+
+    /** Excludes a target, which failed the request, from further attempts. */
+    public void excludeTarget(Target target) {
+        targetFilter = targetFilter.excluding(target);
+    }
+
+    /** Sets where the answer in the current attempt comes from. */
+    public void answerOrigin(StreamOrigin origin) {
+        this.answerOrigin = origin;
+    }
+
+    /** Binds further attempts to the origin of the current answer, of which the caller is about to get a token. */
+    public void bindToAnswerOrigin() {
+        if (targetFilter.origin().isEmpty()) {
+            targetFilter = targetFilter.boundTo(answerOrigin);
+        }
     }
 
     /** Returns whether a broken stream may be resumed at the same target: true for the first call, then false. */
--- a/router/src/main/java/io/persimmonstack/router/snapshot/SnapshotConverter.java
+++ b/router/src/main/java/io/persimmonstack/router/snapshot/SnapshotConverter.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /** Converts a snapshot sent by a coordinator into a {@link FleetView}. */
@@ -113,7 +114,8 @@
                 runner.getRegion(),
                 Math.max(1, runner.getMaxConcurrent()),
                 runner.isLeaving(),
-                Set.copyOf(model.getAdapters()));
+                Set.copyOf(model.getAdapters()),
+                Optional.ofNullable(runner.getSoftwareVersion()));
     }
 
     private void addServiceInstance(ServiceInstance instance, Map<String, List<Target>> services) {
@@ -125,6 +127,7 @@
                         instance.getRegion(),
                         serviceConcurrency,
                         instance.isLeaving(),
-                        Set.of()));
+                        Set.of(),
+                        Optional.empty()));
     }
 }
--- a/router/src/main/java/io/persimmonstack/router/snapshot/Target.java
+++ b/router/src/main/java/io/persimmonstack/router/snapshot/Target.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.router.snapshot;
 
 import io.persimmonstack.wire.PeerAddress;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -13,6 +14,7 @@
  * @param maxConcurrent most requests that it serves at once
  * @param leaving whether it is leaving and must get no new requests
  * @param adapters adapters loaded with the model, empty for a service
+ * @param softwareVersion version of its software, empty if it is not known
  */
 public record Target(
         String id,
@@ -21,7 +23,8 @@
         String region,
         int maxConcurrent,
         boolean leaving,
-        Set<String> adapters) {
+        Set<String> adapters,
+        Optional<String> softwareVersion) {
     /** Makes the set immutable. */
     public Target {
         adapters = Set.copyOf(adapters);
--- a/router/src/test/java/io/persimmonstack/router/FakeFleet.java
+++ b/router/src/test/java/io/persimmonstack/router/FakeFleet.java
@@ -56,6 +56,12 @@
         return this;
     }
 
+    /** Sets the software version that the runner added last tells. */
+    FakeFleet softwareVersion(String version) {
+        runners.getLast().setSoftwareVersion(version);
+        return this;
+    }
+
     FakeFleet runnerLoading(String runner, String model, long readyInMs) {
         LoadedModel loadingModel = new LoadedModel(model, LoadState.LOADING, 1, List.of());
         loadingModel.setReadyInMs(readyInMs);
--- a/router/src/test/java/io/persimmonstack/router/admission/PlacerTest.java
+++ b/router/src/test/java/io/persimmonstack/router/admission/PlacerTest.java
@@ -7,6 +7,7 @@
 
 import io.persimmonstack.configuration.FleetConfiguration;
 import io.persimmonstack.coordination.model.ModelVersion;
+import io.persimmonstack.router.request.TargetFilter;
 import io.persimmonstack.router.request.Work;
 import io.persimmonstack.router.snapshot.FleetView;
 import io.persimmonstack.router.snapshot.Target;
@@ -22,7 +23,15 @@
     private static final ModelVersion MODEL = ModelVersion.of("deed", "v1");
 
     private static Target target(String id, String zone, int maxConcurrent, String... adapters) {
-        return new Target(id, new PeerAddress("127.0.0.1", 1), zone, "r1", maxConcurrent, false, Set.of(adapters));
+        return new Target(
+                id,
+                new PeerAddress("127.0.0.1", 1),
+                zone,
+                "r1",
+                maxConcurrent,
+                false,
+                Set.of(adapters),
+                Optional.empty());
     }
 
     private static FleetView view(Target... targets) {
@@ -42,7 +51,8 @@
     }
 
     private static Reservation reserve(Placer placer, long prefix, FleetView view) {
-        return placer.reserve(work(prefix, Optional.empty()), view, Set.of()).orElseThrow();
+        return placer.reserve(work(prefix, Optional.empty()), view, TargetFilter.any())
+                .orElseThrow();
     }
 
     @Test
@@ -54,7 +64,8 @@
             order.add(reserve(placer, i, view).target().id());
         }
         assertEquals(List.of("near", "near", "far", "far"), order);
-        assertTrue(placer.reserve(work(9, Optional.empty()), view, Set.of()).isEmpty());
+        assertTrue(placer.reserve(work(9, Optional.empty()), view, TargetFilter.any())
+                .isEmpty());
     }
 
     @Test
@@ -81,13 +92,17 @@
         Placer placer = Placer.of("z1", "r1");
         Target bad = target("bad", "z1", 9);
         FleetView view = view(bad, target("neighbour", "z1", 9), target("away", "z2", 9));
-        Reservation other =
-                placer.reserve(work(1, Optional.empty()), view, Set.of(bad)).orElseThrow();
+        Reservation other = placer.reserve(
+                        work(1, Optional.empty()), view, TargetFilter.any().excluding(bad))
+                .orElseThrow();
         assertEquals("away", other.target().id());
         FleetView sameZoneOnly = view(bad, target("neighbour", "z1", 9));
         assertNotEquals(
                 "bad",
-                placer.reserve(work(1, Optional.empty()), sameZoneOnly, Set.of(bad))
+                placer.reserve(
+                                work(1, Optional.empty()),
+                                sameZoneOnly,
+                                TargetFilter.any().excluding(bad))
                         .orElseThrow()
                         .target()
                         .id());
@@ -100,7 +115,10 @@
         Work work = work(1, Optional.of("clause"));
         assertEquals(
                 "dressed",
-                placer.reserve(work, view, Set.of()).orElseThrow().target().id());
+                placer.reserve(work, view, TargetFilter.any())
+                        .orElseThrow()
+                        .target()
+                        .id());
         assertTrue(placer.eligibleTargets(work(1, Optional.of("other")), view).isEmpty());
     }
 
