router: a stream whose resumption is answered whole ends with an error event

The caller's connection was closed in the middle of the stream, without an error event (event 2008, "response has already been started"), when a target answered the request to resume with something that is no event stream: RelayFilter began a second answer. It now counts as a failed attempt.

TargetFaultsTest.streamWhoseResumptionIsAnsweredWholeEndsWithAnErrorEvent failed before with a cut answer and passes, with the other tests of TargetFaultsTest.

--- a/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
@@ -74,6 +74,11 @@
         try {
             if (isStream(request, call)) {
                 relayStream(request, call);
+            } else if (request.reply().begun()) {
+                throw new AttemptException(
+                        AttemptException.Kind.BROKEN,
+                        "rest of a stream has media type '" + contentType(call) + "'; expected " + EVENT_STREAM,
+                        null);
             } else {
                 request.awaitedPart(AnswerPart.BODY);
                 relayBody(request, call);
--- a/router/src/test/java/io/persimmonstack/router/TargetFaultsTest.java
+++ b/router/src/test/java/io/persimmonstack/router/TargetFaultsTest.java
@@ -135,6 +135,21 @@
         assertFalse(answer.body().contains("[DONE]"));
     }
 
+    /** The caller's connection used to be closed without an error event. */
+    @Test
+    void streamWhoseResumptionIsAnsweredWholeEndsWithAnErrorEvent() throws Exception {
+        FakeTarget runner = fixture.target("r1", (exchange, received) -> {
+            FakeTarget.Behaviour behaviour =
+                    received.resumeFrom().isEmpty() ? FakeTarget.stream(40, 15) : FakeTarget.completion("whole");
+            behaviour.answer(exchange, received);
+        });
+        fixture.publish(fixture.fleet().runner(runner, "z1", 4, "deed@v1"));
+        HttpResponse<String> answer = fixture.send(fixture.chatRequest(0, "deed", true, "X-Deadline-Ms", "2000"));
+        assertEquals(StreamTokens.upTo(15), StreamTokens.parse(answer.body()));
+        assertTrue(answer.body().contains("event: error\n"), answer.body());
+        assertFalse(answer.body().contains("whole"), answer.body());
+    }
+
     @Test
     void stalledStreamIsResumedOnANewConnection() throws Exception {
         FakeTarget runner = fixture.target("r1", (exchange, received) -> {
