router: events before the first token come from the target that sends it

When a target broke after its opening event, which names the role, the caller had that event and then the tokens of another target, of another software version too, whose own opening event was left out. Events before the first token are now held back until it comes, up to 64 KiB, and dropped with a failed attempt.

In a resumed stream all events without a token were left out, not only the opening ones, so that the usage at its end was lost. Only those before the first token of the attempt are left out now.

--- a/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
@@ -12,13 +12,13 @@
 import io.persimmonstack.router.request.Request;
 import io.persimmonstack.router.request.RouterException;
 import io.persimmonstack.router.request.Work;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -29,6 +29,8 @@
     private static final int MAX_BUFFERED_BYTES = 256 << 10;
     /** Bytes that may follow the last event of a stream for its connection to be reused. */
     private static final int MAX_TAIL_BYTES = 256;
+    /** Most bytes of the events before the first token of a stream. */
+    private static final int MAX_OPENING_BYTES = 64 << 10;
     /** Initial buffer size for answers without a content length. */
     private static final int DEFAULT_BUFFER_BYTES = 1_024;
 
@@ -114,7 +116,7 @@
         metrics.streamsOpen().inc();
         try {
             request.awaitedPart(AnswerPart.FIRST_TOKEN);
-            relayEvents(request, call, resumed);
+            relayEvents(request, call);
             request.awaitedPart(AnswerPart.END);
             call.shortenProgressTimeout(progressMs);
             drain(call);
@@ -125,35 +127,57 @@
         }
     }
 
-    /** Relays events up to the last one. A resumed stream repeats its opening events, which are skipped. */
-    private void relayEvents(Request request, HttpCall call, boolean resumed) throws IOException, RouterException {
+    /**
+     * Relays events up to the last one. Those before the first token are held back until it comes, so that none of an
+     * attempt that fails before stays in the answer. A resumed stream repeats them, and there they are left out.
+     */
+    private static void relayEvents(Request request, HttpCall call) throws IOException, RouterException {
         SseReader reader = SseReader.of(call.body());
-        boolean last = false;
-        while (!last) {
-            Optional<StreamEvent> nextEvent = reader.next();
-            if (nextEvent.isEmpty()) {
-                throw new AttemptException(
-                        AttemptException.Kind.BROKEN, "stream of the engine ended before [DONE]", null);
+        ByteArrayOutputStream opening = new ByteArrayOutputStream();
+        boolean openingRelayed = request.targetFilter().origin().isPresent();
+        StreamEvent event = nextEvent(reader);
+        while (isOpening(event)) {
+            if (!openingRelayed) {
+                opening.write(event.bytes());
             }
-            StreamEvent event = nextEvent.get();
-            last = event.last();
-            if (event.tokens() > 0) {
-                request.awaitedPart(AnswerPart.BODY);
+            if (opening.size() > MAX_OPENING_BYTES) {
+                throw broken("has more than " + MAX_OPENING_BYTES + " bytes before its first token");
             }
-            boolean beforeFirstToken = event.tokens() == 0 && !event.hasFinishReason() && !last;
-            if (resumed && beforeFirstToken) {
-                continue;
-            }
-            if (!beforeFirstToken) {
-                request.bindToAnswerOrigin();
-            }
-            request.reply().write(event.bytes());
-            long tokens = request.relayed().tokens() + event.tokens();
-            request.relayed(RelayedAnswer.stream(
-                    request.relayed().status(), request.relayed().contentType(), tokens));
+            event = nextEvent(reader);
+        }
+        request.bindToAnswerOrigin();
+        if (opening.size() > 0) {
+            request.reply().write(opening.toByteArray());
+        }
+        relay(request, event);
+        while (!event.last()) {
+            event = nextEvent(reader);
+            relay(request, event);
         }
     }
 
+    private static StreamEvent nextEvent(SseReader reader) throws IOException, AttemptException {
+        return reader.next().orElseThrow(() -> broken("ended before [DONE]"));
+    }
+
+    private static boolean isOpening(StreamEvent event) {
+        return event.tokens() == 0 && !event.hasFinishReason() && !event.last();
+    }
+
+    private static void relay(Request request, StreamEvent event) throws RouterException {
+        if (event.tokens() > 0) {
+            request.awaitedPart(AnswerPart.BODY);
+        }
+        request.reply().write(event.bytes());
+        RelayedAnswer relayed = request.relayed();
+        request.relayed(
+                RelayedAnswer.stream(relayed.status(), relayed.contentType(), relayed.tokens() + event.tokens()));
+    }
+
+    private static AttemptException broken(String problem) {
+        return new AttemptException(AttemptException.Kind.BROKEN, "stream of the engine " + problem, null);
+    }
+
     /** Reads the rest of the body, so that the connection can be reused. */
     private static void drain(HttpCall call) {
         try {
--- a/router/src/test/java/io/persimmonstack/router/StreamResumptionVersionTest.java
+++ b/router/src/test/java/io/persimmonstack/router/StreamResumptionVersionTest.java
@@ -161,6 +161,28 @@
         assertEquals(1, other.receivedRequests().size());
     }
 
+    /** The opening event of the first target used to stand before the tokens of the other one. */
+    @Test
+    void openingEventsOfAnAbandonedTargetAreNotRelayed() throws Exception {
+        FakeTarget first = fixture.target("first", (exchange, received) -> {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+            FakeTarget.send(
+                    exchange,
+                    "data: {\"system_fingerprint\":\"a\",\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n");
+            IoUtils.safeClose(exchange.getConnection());
+        });
+        FakeTarget other = fixture.target("other", wholeStream());
+        fixture.publish(fixture.fleet()
+                .runner(first, "z1", 4, "deed@v1")
+                .softwareVersion("a")
+                .runner(other, "z2", 4, "deed@v1")
+                .softwareVersion("b"));
+        HttpResponse<String> answer = sendStream();
+        assertWhole(answer);
+        assertFalse(answer.body().contains("system_fingerprint"), answer.body());
+        assertEquals(2, answer.body().split("\"role\"", -1).length, answer.body());
+    }
+
     /** The snapshot is older than the process that answers: its answer tells the version. */
     @Test
     void processReplacedUnderTheSameNameDoesNotGoOn() throws Exception {
--- a/router/src/test/java/io/persimmonstack/router/TargetFaultsTest.java
+++ b/router/src/test/java/io/persimmonstack/router/TargetFaultsTest.java
@@ -150,6 +150,27 @@
         assertFalse(answer.body().contains("whole"), answer.body());
     }
 
+    /** Events without a token used to be left out of the whole rest of a resumed stream. */
+    @Test
+    void usageAtTheEndOfAResumedStreamIsRelayed() throws Exception {
+        FakeTarget runner = fixture.target("r1", (exchange, received) -> {
+            if (received.resumeFrom().isEmpty()) {
+                FakeTarget.stream(4, 2).answer(exchange, received);
+                return;
+            }
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+            FakeTarget.send(exchange, "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n");
+            FakeTarget.send(exchange, "data: {\"choices\":[{\"delta\":{\"content\":\"t3 \"}}]}\n\n");
+            FakeTarget.send(exchange, "data: {\"choices\":[],\"usage\":{\"total_tokens\":3}}\n\ndata: [DONE]\n\n");
+            exchange.endExchange();
+        });
+        fixture.publish(fixture.fleet().runner(runner, "z1", 4, "deed@v1"));
+        HttpResponse<String> answer = fixture.send(fixture.chatRequest(0, "deed", true));
+        assertEquals(StreamTokens.upTo(3), StreamTokens.parse(answer.body()));
+        assertTrue(answer.body().contains("total_tokens"), answer.body());
+        assertEquals(2, answer.body().split("\"role\"", -1).length, answer.body());
+    }
+
     @Test
     void stalledStreamIsResumedOnANewConnection() throws Exception {
         FakeTarget runner = fixture.target("r1", (exchange, received) -> {
