load: a stream with events of two software versions is a wrong answer

The load generator compared the text alone, which is the same at all stand-ins, so that a stream of two versions passed.

--- a/load/src/test/java/io/persimmonstack/load/ChatStreamReaderTest.java
+++ b/load/src/test/java/io/persimmonstack/load/ChatStreamReaderTest.java
@@ -20,6 +20,20 @@
         assertEquals(new RequestOutcome.Refused("target-failed", "unknown"), read(FIRST_TOKEN_EVENT + problem));
     }
 
+    /** An engine names its software version as the fingerprint of each event. */
+    @Test
+    void streamWithEventsOfTwoSoftwareVersionsIsIncorrect() throws IOException {
+        String first = FIRST_TOKEN_EVENT.replace("{\"choices\"", "{\"system_fingerprint\":\"a\",\"choices\"");
+        String second = "data: {\"system_fingerprint\":\"%s\",\"choices\":[{\"delta\":{\"content\":\" t1\"}}]}\n\n";
+        String done = "data: [DONE]\n\n";
+        assertEquals(
+                new RequestOutcome.Incorrect("the stream has events of software versions a and b"),
+                read(first + second.formatted("b") + done));
+        assertEquals(
+                RequestOutcome.Complete.class,
+                read(first + second.formatted("a") + done).getClass());
+    }
+
     @Test
     void streamEndingWithoutDoneIsIncorrect() throws IOException {
         assertEquals(new RequestOutcome.Incorrect("the stream ended without [DONE]"), read(FIRST_TOKEN_EVENT));
