coordination: a ranking scores each node once

The choice of the nodes that hold copies of a stream's origin took 235 us of processor time a stream at 370 nodes. Cause: the comparator hashed both nodes again at each comparison. Scores are now computed once a node; the order is the same, which RendezvousHashTest checks against the order of preference as nodes leave, and against a ranking taken from the code before.

--- a/coordination/src/main/java/io/persimmonstack/coordination/hash/RendezvousHash.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/hash/RendezvousHash.java
@@ -38,7 +38,21 @@
      * @return the nodes, most preferred first
      */
     public static List<String> ranked(String key, Collection<String> nodes) {
-        return nodes.stream().sorted(byScore(key).reversed()).toList();
+        long keyHash = hash(key);
+        return nodes.stream()
+                .map(node -> new ScoredNode(node, score(keyHash, node)))
+                .sorted(Comparator.reverseOrder())
+                .map(ScoredNode::node)
+                .toList();
+    }
+
+    /** Node with its score for one key, computed once for all comparisons. */
+    private record ScoredNode(String node, long score) implements Comparable<ScoredNode> {
+        @Override
+        public int compareTo(ScoredNode other) {
+            int byScore = Long.compare(score, other.score);
+            return byScore == 0 ? node.compareTo(other.node) : byScore;
+        }
     }
 
     /**
@@ -58,8 +72,11 @@
 
     private static Comparator<String> byScore(String key) {
         long keyHash = hash(key);
-        return Comparator.<String>comparingLong(node -> mix(keyHash ^ hash(node)))
-                .thenComparing(Comparator.naturalOrder());
+        return Comparator.<String>comparingLong(node -> score(keyHash, node)).thenComparing(Comparator.naturalOrder());
+    }
+
+    private static long score(long keyHash, String node) {
+        return mix(keyHash ^ hash(node));
     }
 
     /** Applies the SplitMix64 finaliser, which spreads every input bit over the whole value. */
