node: the rest of a stream waits before new requests of its priority

Callers whose stream broke off during a release waited in vain for the two runners that were left of its version: a third of new streams found no place, but two thirds to three quarters of those that go on.

Cause: a node's queue is ordered by priority and age. New streams, which may go anywhere, took the freed places of the old version by their age; the rest of a stream can go nowhere else. Change: within a priority, the rest of a stream comes first.

--- a/node/src/main/java/io/persimmonstack/node/placing/QueuedRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/QueuedRequest.java
@@ -2,12 +2,18 @@
 
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.RefusedException;
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 
 /** Request that waits for a runner; its result is a {@link Placement} or a refusal. */
 final class QueuedRequest implements Comparable<QueuedRequest> {
+    private static final Comparator<QueuedRequest> ORDER = Comparator.comparingInt(
+                    (QueuedRequest queued) -> queued.request.route().priority())
+            .thenComparing(QueuedRequest::isNew)
+            .thenComparingLong(queued -> queued.request.receivedNanos());
+
     private final ActiveRequest request;
     private final RunnerFilter runnerFilter;
     private final long deadlineNanos;
@@ -52,11 +58,16 @@
                 : Optional.empty();
     }
 
-    /** Orders by route priority, lower values first, then by time of receipt. */
+    /**
+     * Orders by route priority, lower values first, then the rest of streams before new requests, since it can go to
+     * one software version only and its caller has part of the answer, then by time of receipt.
+     */
     @Override
     public int compareTo(QueuedRequest other) {
-        int byPriority = Integer.compare(
-                request.route().priority(), other.request.route().priority());
-        return byPriority != 0 ? byPriority : Long.compare(request.receivedNanos(), other.request.receivedNanos());
+        return ORDER.compare(this, other);
+    }
+
+    private boolean isNew() {
+        return runnerFilter.softwareVersion().isEmpty();
     }
 }
