node: new requests leave a share of a version on its way out to streams that go on

Cause: new streams filled all slots and the token memory of these runners, and a place that was freed went to the node that had freed it, where a stream that goes on seldom waited. Change: OutgoingVersions tells, when the fleet changes, which versions are on their way out: one of their runners is leaving or has left in the last five minutes, by its entry, its own word or another version in its place, while another version takes requests. Of a runner of such a version, new requests leave a tenth of the slots (at least one; none of fewer than four) and of the usable token memory. An idle runner still takes any request; a service with a single version, or with several that stay, keeps nothing back.

--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -38,6 +38,7 @@
     private final PriorityQueue<QueuedRequest> queue = new PriorityQueue<>();
     private final PromptAffinityCache promptAffinity = new PromptAffinityCache();
     private final ModelArrivalTracker modelArrivals = new ModelArrivalTracker();
+    private final OutgoingVersions outgoingVersions = new OutgoingVersions();
     private final LocalLoadCollector loadCollector = new LocalLoadCollector(modelArrivals);
     private final FleetView fleet;
     private final String zone;
@@ -230,9 +231,11 @@
             trackers.values()
                     .removeIf(tracker -> !runners.containsKey(tracker.runner().id()));
             long nowNanos = System.nanoTime();
+            outgoingVersions.update(runners, nowNanos);
             for (Runner runner : runners.values()) {
                 RunnerLoadTracker tracker = trackers.computeIfAbsent(runner.id(), id -> new RunnerLoadTracker(runner));
                 tracker.updateRunner(runner);
+                tracker.updateOutgoing(outgoingVersions.outgoingUntilNanos(runner));
                 fleet.quietUntilNanos(runner, nowNanos).ifPresent(tracker::pauseUntil);
             }
             placeQueuedRequests();
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
@@ -42,6 +42,7 @@
     private long avoidUntilNanos = Long.MIN_VALUE;
     private long unreachableUntilNanos = Long.MIN_VALUE;
     private OptionalLong quietUntilNanos = OptionalLong.empty();
+    private OptionalLong outgoingUntilNanos = OptionalLong.empty();
 
     RunnerLoadTracker(Runner runner) {
         this.runner = runner;
@@ -147,6 +148,16 @@
         quietUntilNanos = OptionalLong.of(untilNanos);
     }
 
+    /** Sets until when the runner's software version counts as on its way out; empty if it does not. */
+    void updateOutgoing(OptionalLong untilNanos) {
+        outgoingUntilNanos = untilNanos;
+    }
+
+    /** Returns whether the runner's software version is on its way out. */
+    boolean isOutgoing(long nowNanos) {
+        return outgoingUntilNanos.isPresent() && outgoingUntilNanos.getAsLong() - nowNanos > 0;
+    }
+
     /**
      * Returns whether the runner may be sent new requests. That it is shutting down outweighs a pause that it asked
      * for, which outweighs a backoff after failures. Requests in progress at the runner go on in any case.
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
@@ -27,6 +27,11 @@
     /** Share of the token cache that the requests at a runner may fill. */
     private static final double USABLE_MEMORY_SHARE = 0.92;
 
+    /** Share of the slots and the token cache that new requests leave where the version is on its way out. */
+    private static final double KEPT_SHARE = 0.1;
+    /** Slots from which a runner keeps at least one. */
+    private static final int MIN_SLOTS_TO_KEEP_ONE = 4;
+
     /** Number of nodes up to which each of them may choose among all runners. */
     private static final int MAX_NODES_FOR_FREE_CHOICE = 8;
     /** Smallest number of runners to choose among. */
@@ -69,7 +74,7 @@
     Optional<RunnerLoadTracker> choose(Collection<RunnerLoadTracker> trackers, Requirements requirements) {
         List<RunnerLoadTracker> eligible = trackers.stream()
                 .filter(tracker -> canRun(tracker, requirements))
-                .filter(tracker -> hasCapacity(tracker, requirements.expectedTokens()))
+                .filter(tracker -> hasCapacity(tracker, requirements))
                 .toList();
         return sample(eligible, requirements).stream()
                 .min(Comparator.comparingDouble(tracker -> cost(tracker, requirements)));
@@ -143,7 +148,12 @@
             Optional<ModelRef> model,
             long expectedTokens,
             RunnerFilter runnerFilter,
-            Optional<String> preferredRunner) {}
+            Optional<String> preferredRunner) {
+        /** Returns whether the request is not the rest of a stream. */
+        boolean isNew() {
+            return runnerFilter.softwareVersion().isEmpty();
+        }
+    }
 
     private boolean canRun(RunnerLoadTracker tracker, Requirements requirements) {
         return tracker.availability(nowNanos) instanceof Availability.Open && suits(tracker, requirements);
@@ -158,14 +168,28 @@
                         .orElse(true);
     }
 
-    /** Returns whether a runner has a free slot and enough memory; an idle one takes a request of any size. */
-    private boolean hasCapacity(RunnerLoadTracker tracker, long expectedTokens) {
-        if (tracker.totalRequests() >= tracker.slotLimit(nowNanos)) {
+    /**
+     * Returns whether a runner has a free slot and enough memory; an idle one takes a request of any size. Of a runner
+     * whose version is on its way out, new requests leave a share to the rest of streams, which has to go there.
+     */
+    private boolean hasCapacity(RunnerLoadTracker tracker, Requirements requirements) {
+        if (tracker.totalRequests() == 0) {
+            return true;
+        }
+        boolean keepsShare = requirements.isNew() && tracker.isOutgoing(nowNanos);
+        int slots = tracker.slotLimit(nowNanos);
+        int usableSlots = keepsShare ? slots - keptSlots(tracker.runner().slots()) : slots;
+        if (tracker.totalRequests() >= usableSlots) {
             return false;
         }
         long capacityTokens = service.engine().map(Engine::cacheTokens).orElse(Long.MAX_VALUE);
-        return tracker.totalRequests() == 0
-                || tracker.totalTokens() + expectedTokens <= capacityTokens * USABLE_MEMORY_SHARE;
+        double usableShare = keepsShare ? USABLE_MEMORY_SHARE * (1 - KEPT_SHARE) : USABLE_MEMORY_SHARE;
+        return tracker.totalTokens() + requirements.expectedTokens() <= capacityTokens * usableShare;
+    }
+
+    /** Returns the number of slots that new requests leave to the rest of streams: at least one, but not of a few. */
+    private static int keptSlots(int slots) {
+        return slots < MIN_SLOTS_TO_KEEP_ONE ? 0 : Math.max(1, (int) (slots * KEPT_SHARE));
     }
 
     private double cost(RunnerLoadTracker tracker, Requirements requirements) {
--- a/node/src/test/java/io/persimmonstack/node/placing/ReleaseRoomTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/ReleaseRoomTest.java
@@ -183,7 +183,6 @@
             }
         }
         String shares = "go on: " + goingOn + ", new: " + newStreams;
-        System.out.printf("%d slots, seed %d: %s%n", slots, seed, shares);
         assertTrue(goingOn.share() >= MIN_RATIO * newStreams.share(), shares);
         assertEquals(
                 0, requests.values().stream().filter(count -> count > slots).count());
