--- a/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadMessages.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** Converts between the node's types and the Thrift messages of the load exchange. */
 final class LoadMessages {
@@ -86,8 +87,15 @@
                 fleet.runnersRevision(),
                 delta.snapshots().stream().map(LoadMessages::toRunnerHolding).toList(),
                 new ArrayList<>(silentNodes),
-                arrivals.stream().map(LoadMessages::toArrivalMessage).toList(),
+                arrivals.stream()
+                        .filter(arrival -> arrival.softwareVersion().isEmpty())
+                        .map(LoadMessages::toArrivalMessage)
+                        .toList(),
                 delta.answerId().number());
+        message.setVersionArrivals(arrivals.stream()
+                .filter(arrival -> arrival.softwareVersion().isPresent())
+                .map(LoadMessages::toArrivalMessage)
+                .toList());
         message.setLeaving(toProcessMessages(view.leavingByOwnWord()));
         return message;
     }
@@ -110,7 +118,8 @@
                         need.getWaiting(),
                         need.getArrived(),
                         need.getOldestMs(),
-                        need.getTargetMs()))
+                        need.getTargetMs(),
+                        Optional.ofNullable(need.getSoftwareVersion())))
                 .toList();
     }
 
@@ -129,13 +138,22 @@
     }
 
     static List<ModelArrival> arrivals(FleetLoad load) {
-        return load.getArrivals().stream()
-                .map(arrival -> new ModelArrival(arrival.getServiceName(), arrival.getModel(), arrival.getEarliestMs()))
+        return Stream.of(Optional.of(load.getArrivals()), Optional.ofNullable(load.getVersionArrivals()))
+                .flatMap(Optional::stream)
+                .flatMap(List::stream)
+                .map(arrival -> new ModelArrival(
+                        arrival.getServiceName(),
+                        arrival.getModel(),
+                        arrival.getEarliestMs(),
+                        Optional.ofNullable(arrival.getSoftwareVersion())))
                 .toList();
     }
 
     private static io.persimmonstack.wire.gen.ModelArrival toArrivalMessage(ModelArrival arrival) {
-        return new io.persimmonstack.wire.gen.ModelArrival(arrival.service(), arrival.model(), arrival.earliestMs());
+        io.persimmonstack.wire.gen.ModelArrival message =
+                new io.persimmonstack.wire.gen.ModelArrival(arrival.service(), arrival.model(), arrival.earliestMs());
+        arrival.softwareVersion().ifPresent(message::setSoftwareVersion);
+        return message;
     }
 
     private static RunnerUse toRunnerUse(RunnerUsage usage) {
@@ -144,7 +162,7 @@
     }
 
     private static ModelNeed toModelNeed(ModelDemand demand) {
-        return new ModelNeed(
+        ModelNeed message = new ModelNeed(
                 demand.service(),
                 demand.model().model(),
                 demand.model().adapter(),
@@ -152,6 +170,8 @@
                 demand.arrived(),
                 demand.oldestWaitMs(),
                 demand.targetLatencyMs());
+        demand.softwareVersion().ifPresent(message::setSoftwareVersion);
+        return message;
     }
 
     private static RunnerHolding toRunnerHolding(RunnerSnapshot snapshot) {
--- a/node/src/main/java/io/persimmonstack/node/placing/LocalLoadCollector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/LocalLoadCollector.java
@@ -21,7 +21,15 @@
 
     private final ModelArrivalTracker modelArrivals;
 
-    private record DemandKey(String service, ModelRef model) {}
+    /** Model or adapter of a service, and the only software version that may serve the requests for it, if any. */
+    private record DemandKey(String service, ModelRef model, Optional<String> softwareVersion) {
+        static DemandKey of(QueuedRequest queued, ModelRef model) {
+            return new DemandKey(
+                    queued.request().service().name(),
+                    model,
+                    queued.runnerFilter().softwareVersion());
+        }
+    }
 
     /**
      * Creates a collector that has counted no arrivals.
@@ -36,8 +44,8 @@
     void countArrival(ActiveRequest request) {
         request.callerRequest()
                 .model()
-                .ifPresent(model ->
-                        arrivalCounts.merge(new DemandKey(request.service().name(), model), 1, Integer::sum));
+                .ifPresent(model -> arrivalCounts.merge(
+                        new DemandKey(request.service().name(), model, Optional.empty()), 1, Integer::sum));
     }
 
     /**
@@ -61,13 +69,11 @@
             Collection<RunnerLoadTracker> trackers, Collection<QueuedRequest> queue, long nowNanos) {
         Map<DemandKey, List<ActiveRequest>> requestsByKey = new HashMap<>();
         arrivalCounts.keySet().forEach(key -> requestsByKey.put(key, new ArrayList<>()));
-        queue.forEach(queued -> queued.request()
-                .callerRequest()
-                .model()
-                .ifPresent(model -> addTo(requestsByKey, queued.request(), model)));
+        queue.forEach(queued ->
+                queued.request().callerRequest().model().ifPresent(model -> addTo(requestsByKey, queued, model)));
         modelArrivals.expectedRetries(nowNanos).stream()
                 .filter(retry -> !isHeld(retry, trackers, nowNanos))
-                .forEach(retry -> addTo(requestsByKey, retry.request(), retry.model()));
+                .forEach(retry -> addTo(requestsByKey, retry.queued(), retry.model()));
         List<ModelDemand> demands = new ArrayList<>();
         requestsByKey.forEach((key, requests) -> demands.add(demand(key, requests, nowNanos)));
         arrivalCounts.clear();
@@ -80,16 +86,18 @@
      */
     private static boolean isHeld(
             ModelArrivalTracker.ExpectedRetry retry, Collection<RunnerLoadTracker> trackers, long nowNanos) {
-        String service = retry.request().service().name();
+        String service = retry.queued().request().service().name();
+        RunnerFilter filter = retry.queued().runnerFilter();
         return trackers.stream()
                 .filter(tracker -> tracker.runner().service().equals(service))
+                .filter(tracker -> filter.allowsVersionOf(tracker.runner()))
                 .anyMatch(tracker -> !tracker.runner().leaving() && tracker.holds(retry.model(), nowNanos));
     }
 
-    private static void addTo(
-            Map<DemandKey, List<ActiveRequest>> requestsByKey, ActiveRequest request, ModelRef model) {
-        DemandKey key = new DemandKey(request.service().name(), model);
-        requestsByKey.computeIfAbsent(key, ignored -> new ArrayList<>()).add(request);
+    private static void addTo(Map<DemandKey, List<ActiveRequest>> requestsByKey, QueuedRequest queued, ModelRef model) {
+        requestsByKey
+                .computeIfAbsent(DemandKey.of(queued, model), ignored -> new ArrayList<>())
+                .add(queued.request());
     }
 
     private ModelDemand demand(DemandKey key, List<ActiveRequest> requests, long nowNanos) {
@@ -101,6 +109,7 @@
                 arrivalCounts.getOrDefault(key, 0),
                 oldest.map(request -> TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos()))
                         .orElse(0L),
-                oldest.map(request -> (long) request.route().targetLatencyMs()).orElse(0L));
+                oldest.map(request -> (long) request.route().targetLatencyMs()).orElse(0L),
+                key.softwareVersion());
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/placing/ModelArrivalTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/ModelArrivalTracker.java
@@ -1,11 +1,11 @@
 package io.persimmonstack.node.placing;
 
-import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.ModelRef;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -25,53 +25,57 @@
     private final List<ExpectedRetry> expectedRetries = new ArrayList<>();
     private long updatedNanos;
 
-    private record ModelKey(String service, String model) {}
+    private record ModelKey(String service, String model, Optional<String> softwareVersion) {}
 
     /**
      * Refused request whose caller is expected to retry.
      *
-     * @param request refused request
+     * @param queued refused request
      * @param model requested model or adapter
      * @param expiresNanos monotonic time from which the request no longer counts as demand
      */
-    record ExpectedRetry(ActiveRequest request, ModelRef model, long expiresNanos) {}
+    record ExpectedRetry(QueuedRequest queued, ModelRef model, long expiresNanos) {}
 
     /** Replaces all estimates. */
     void update(List<ModelArrival> arrivals, long nowNanos) {
         updatedNanos = nowNanos;
         earliestAvailableNanos.clear();
         for (ModelArrival arrival : arrivals) {
-            ModelKey key = new ModelKey(arrival.service(), arrival.model());
+            ModelKey key = new ModelKey(arrival.service(), arrival.model(), arrival.softwareVersion());
             earliestAvailableNanos.put(key, nowNanos + TimeUnit.MILLISECONDS.toNanos(arrival.earliestMs()));
         }
     }
 
     /**
      * Returns how long the model of a request stays unavailable, in milliseconds, if that exceeds the request's
-     * deadline; empty if the model may be available in time or if the estimates are outdated.
+     * deadline; empty if the model may be available in time or if the estimates are outdated. For the rest of a stream
+     * only an estimate for its software version counts, since one for all runners need not hold for these few.
      *
-     * @param request waiting request
-     * @param deadlineNanos latest time to wait for a runner, by the monotonic clock
+     * @param queued waiting request
      * @param nowNanos current monotonic time
      */
-    OptionalLong unavailableForMs(ActiveRequest request, long deadlineNanos, long nowNanos) {
-        if (request.callerRequest().model().isEmpty() || nowNanos - updatedNanos > ESTIMATE_VALID_NANOS) {
+    OptionalLong unavailableForMs(QueuedRequest queued, long nowNanos) {
+        Optional<ModelRef> model = queued.request().callerRequest().model();
+        if (model.isEmpty() || nowNanos - updatedNanos > ESTIMATE_VALID_NANOS) {
             return OptionalLong.empty();
         }
         ModelKey key = new ModelKey(
-                request.service().name(), request.callerRequest().model().get().model());
+                queued.request().service().name(),
+                model.get().model(),
+                queued.runnerFilter().softwareVersion());
         Long availableNanos = earliestAvailableNanos.get(key);
-        return availableNanos == null || availableNanos - deadlineNanos <= 0
+        return availableNanos == null || availableNanos - queued.deadlineNanos() <= 0
                 ? OptionalLong.empty()
                 : OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(availableNanos - nowNanos));
     }
 
     /** Records a refused request, which counts as demand until its caller is expected to have retried. */
-    void recordRefusal(ActiveRequest request, long retryAfterMs, long nowNanos) {
+    void recordRefusal(QueuedRequest queued, long retryAfterMs, long nowNanos) {
         long expiresNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(retryAfterMs) + RETRY_GRACE_NANOS;
-        request.callerRequest()
+        queued.request()
+                .callerRequest()
                 .model()
-                .ifPresent(model -> expectedRetries.add(new ExpectedRetry(request, model, expiresNanos)));
+                .ifPresent(model -> expectedRetries.add(new ExpectedRetry(queued, model, expiresNanos)));
     }
 
     /** Returns the refused requests whose callers are still expected to retry. */
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -315,17 +315,14 @@
 
     /** Refuses a request whose model cannot be loaded before its deadline, with the time to retry after. */
     private void refuseIfModelTooLate(QueuedRequest queued) {
-        ActiveRequest request = queued.request();
         long nowNanos = System.nanoTime();
-        modelArrivals
-                .unavailableForMs(request, queued.deadlineNanos(), nowNanos)
-                .ifPresent(earliestMs -> {
-                    long retryAfterMs = Jitter.spread(earliestMs);
-                    modelArrivals.recordRefusal(request, retryAfterMs, nowNanos);
-                    String detail = request.callerRequest().model().orElse(NO_MODEL) + " is not loaded for at least "
-                            + earliestMs + " ms";
-                    queued.refuse(new RefusedException(Refusal.notRun("model-not-loaded", detail, retryAfterMs)));
-                });
+        modelArrivals.unavailableForMs(queued, nowNanos).ifPresent(earliestMs -> {
+            long retryAfterMs = Jitter.spread(earliestMs);
+            modelArrivals.recordRefusal(queued, retryAfterMs, nowNanos);
+            String detail = queued.request().callerRequest().model().orElse(NO_MODEL) + " is not loaded for at least "
+                    + earliestMs + " ms";
+            queued.refuse(new RefusedException(Refusal.notRun("model-not-loaded", detail, retryAfterMs)));
+        });
     }
 
     /** Discards the snapshots of a silent leader, so that the runners' own entries in the store count. */
--- a/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
@@ -39,7 +39,7 @@
     private AdapterPolicy(ServiceState state) {
         this.state = state;
         for (FleetDemand demand : state.demands()) {
-            rates.put(demand.model(), demand.perSecond());
+            rates.merge(demand.model(), demand.perSecond(), Double::sum);
             if (demand.waiting() > 0) {
                 refsWithWaitingRequests.add(demand.model());
             }
@@ -57,13 +57,14 @@
         state.demands().stream()
                 .filter(demand -> demand.model().hasAdapter() && demand.waiting() > 0)
                 .sorted(Comparator.comparingLong(FleetDemand::oldestWaitMs).reversed())
-                .forEach(demand -> policy.planLoad(demand.model()));
+                .forEach(policy::planLoad);
         return policy.directives;
     }
 
-    private void planLoad(ModelRef adapter) {
+    private void planLoad(FleetDemand demand) {
+        ModelRef adapter = demand.model();
         boolean available = state.runners().stream()
-                .filter(runner -> !runner.leaving())
+                .filter(runner -> !runner.leaving() && demand.allows(runner))
                 .anyMatch(runner -> runner.loadingAdapters().contains(adapter)
                         || runner.holds(adapter) && runner.utilisation() < 1);
         Model model = state.engine().models().get(adapter.model());
@@ -71,7 +72,7 @@
             return;
         }
         state.runners().stream()
-                .filter(runner -> canLoad(runner, adapter))
+                .filter(runner -> demand.allows(runner) && canLoad(runner, adapter))
                 .map(runner -> loadOption(runner, model))
                 .flatMap(Optional::stream)
                 .min(Comparator.comparingDouble(LoadOption::cost))
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -68,8 +68,13 @@
     /** Way to load a model on a runner: the models to evict first and the total cost. */
     private record LoadOption(RunnerState runner, List<String> victims, double costMs) {}
 
-    /** Model that needs another replica; cold if no runner holds it. */
-    private record ReplicaNeed(FleetDemand demand, boolean cold, double urgency) {}
+    /** Model that needs another replica; cold if no runner holds it that may serve the demand. */
+    private record ReplicaNeed(FleetDemand demand, boolean cold, double urgency) {
+        /** Returns whether the replica may be at any runner; a need that few runners can meet is planned first. */
+        boolean anyRunner() {
+            return demand.softwareVersion().isEmpty();
+        }
+    }
 
     private ModelPolicy(ServiceState state) {
         this.state = state;
@@ -98,11 +103,13 @@
     }
 
     private void planNeededReplicas() {
-        demands.values().stream()
+        ServiceAggregates.demandByModelAndVersion(state).stream()
                 .filter(demand -> engine().models().containsKey(demand.model().model()))
                 .map(this::replicaNeed)
                 .flatMap(Optional::stream)
-                .sorted(Comparator.comparingDouble(ReplicaNeed::urgency).reversed())
+                .sorted(Comparator.comparing(ReplicaNeed::anyRunner)
+                        .thenComparing(
+                                Comparator.comparingDouble(ReplicaNeed::urgency).reversed()))
                 .forEach(this::planReplica);
     }
 
@@ -110,16 +117,16 @@
      * Returns the need of a model for another replica, empty if a load is in progress or the existing replicas suffice.
      */
     private Optional<ReplicaNeed> replicaNeed(FleetDemand demand) {
-        String model = demand.model().model();
-        if (index.isLoading(model)) {
+        if (index.isLoading(demand)) {
             return Optional.empty();
         }
-        if (index.holders(model).isEmpty()) {
+        List<RunnerState> holders = index.holders(demand);
+        if (holders.isEmpty()) {
             return demand.waiting() > 0
                     ? Optional.of(new ReplicaNeed(demand, true, coldUrgency(demand)))
                     : Optional.empty();
         }
-        boolean crowded = index.holders(model).stream().allMatch(runner -> runner.utilisation() > CROWDED_UTILISATION);
+        boolean crowded = holders.stream().allMatch(runner -> runner.utilisation() > CROWDED_UTILISATION);
         double urgency = demand.waiting() + demand.perSecond();
         return crowded ? Optional.of(new ReplicaNeed(demand, false, urgency)) : Optional.empty();
     }
@@ -137,7 +144,7 @@
     private void planReplica(ReplicaNeed need) {
         String model = need.demand().model().model();
         state.runners().stream()
-                .filter(runner -> canLoad(runner, model))
+                .filter(runner -> need.demand().allows(runner) && canLoad(runner, model))
                 .map(runner -> loadOption(runner, model, victim -> mayEvict(runner, victim, need)))
                 .flatMap(Optional::stream)
                 .min(Comparator.comparingDouble(LoadOption::costMs))
@@ -152,6 +159,7 @@
     private boolean shouldWaitForCopy(ReplicaNeed need) {
         String model = need.demand().model().model();
         boolean hasCopy = state.runners().stream()
+                .filter(runner -> need.demand().allows(runner))
                 .anyMatch(runner -> !runner.leaving() && !runner.holds(model) && runner.hasLocalCopy(model));
         return hasCopy && need.demand().oldestWaitMs() < MAX_WAIT_FOR_COPY_MS;
     }
@@ -310,7 +318,7 @@
                     || need.demand().perSecond() > BUSY_RATE_PER_SECOND;
             return !hasWaitingRequests && (!inUse || urgent && demandRate(victim) < need.urgency());
         }
-        int replicas = index.holders(need.demand().model().model()).size();
+        int replicas = index.holders(need.demand()).size();
         double ratePerReplica = need.demand().perSecond() / (1 + replicas);
         return !inUse && (isSpareReplica(runner, victim) || demandRate(victim) < ratePerReplica / 2);
     }
--- a/node/src/main/java/io/persimmonstack/node/planning/NodeReports.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/NodeReports.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -32,6 +33,9 @@
 
     private record DemandKey(String service, ModelRef model) {}
 
+    /** Model or adapter, and the only software version that may serve the requests for it, if any. */
+    private record DemandTarget(ModelRef model, Optional<String> softwareVersion) {}
+
     private NodeReports() {}
 
     /** Returns a collection without any reports. */
@@ -56,6 +60,9 @@
         }
         totalLoads.add(report.usages());
         for (ModelDemand demand : demands) {
+            if (demand.softwareVersion().isPresent()) {
+                continue;
+            }
             rateMeters
                     .computeIfAbsent(new DemandKey(demand.service(), demand.model()), key -> new RateMeter())
                     .add(demand.arrived(), nowNanos);
@@ -96,10 +103,11 @@
 
     /**
      * Returns the total demand of all nodes for each model and adapter of a service, without those that have neither
-     * waiting requests nor a request rate. Forgets rates that have decayed to 0.
+     * waiting requests nor a request rate. Requests that only one software version may serve are demand of their own.
+     * Forgets rates that have decayed to 0.
      */
     synchronized List<FleetDemand> demands(String service, long nowNanos) {
-        Map<ModelRef, FleetDemand> totals = new HashMap<>();
+        Map<DemandTarget, FleetDemand> totals = new HashMap<>();
         rateMeters.entrySet().removeIf(entry -> {
             if (!entry.getKey().service().equals(service)) {
                 return false;
@@ -107,7 +115,7 @@
             double perSecond = entry.getValue().perSecond(nowNanos);
             if (perSecond > 0) {
                 ModelRef model = entry.getKey().model();
-                totals.put(model, new FleetDemand(model, 0, 0, 0, perSecond));
+                totals.put(new DemandTarget(model, Optional.empty()), new FleetDemand(model, 0, 0, 0, perSecond));
             }
             return perSecond == 0;
         });
@@ -115,21 +123,21 @@
                 .filter(report -> nowNanos - report.receivedNanos() <= REPORT_VALID_NANOS)
                 .flatMap(report -> report.demands().stream())
                 .filter(demand -> demand.service().equals(service) && demand.waiting() > 0)
-                .forEach(demand -> totals.compute(demand.model(), (model, total) -> add(total, demand)));
+                .forEach(demand -> totals.merge(
+                        new DemandTarget(demand.model(), demand.softwareVersion()),
+                        fleetDemand(demand),
+                        FleetDemand::plus));
         return new ArrayList<>(totals.values());
     }
 
-    /** Adds the demand of one node to a total, which is null if there is none yet. */
-    private static FleetDemand add(FleetDemand total, ModelDemand demand) {
-        if (total == null) {
-            return new FleetDemand(
-                    demand.model(), demand.waiting(), demand.oldestWaitMs(), demand.targetLatencyMs(), 0);
-        }
+    /** Returns the waiting requests of one node; the request rates are metered over all nodes. */
+    private static FleetDemand fleetDemand(ModelDemand demand) {
         return new FleetDemand(
-                total.model(),
-                total.waiting() + demand.waiting(),
-                Math.max(total.oldestWaitMs(), demand.oldestWaitMs()),
-                Math.max(total.targetLatencyMs(), demand.targetLatencyMs()),
-                total.perSecond());
+                demand.model(),
+                demand.waiting(),
+                demand.oldestWaitMs(),
+                demand.targetLatencyMs(),
+                0,
+                demand.softwareVersion());
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -121,7 +121,10 @@
         runners.stream().map(trackers::get).filter(Objects::nonNull).forEach(tracker -> tracker.suspect(nowNanos));
     }
 
-    /** Returns when models that requests wait for and that no runner holds become available, by the last plan. */
+    /**
+     * Returns when models that requests wait for and that no runner holds which they may use become available, by the
+     * last plan.
+     */
     public List<ModelArrival> arrivals() {
         return arrivals;
     }
@@ -231,12 +234,11 @@
         ServiceState state = observed.withUnmet(unmetDemand.durationsMs(service, nowNanos));
         ModelPolicy.plan(state).forEach(directive -> submit(directive, state));
         AdapterPolicy.plan(state).forEach(directive -> submit(directive, state));
-        Map<String, Long> remainingLoadMs = new HashMap<>();
-        trackers.values().stream()
+        List<RunnerStateTracker.LoadInProgress> loads = trackers.values().stream()
                 .filter(tracker -> tracker.runner().service().equals(service))
                 .flatMap(tracker -> tracker.loadInProgress(nowNanos).stream())
-                .forEach(load -> remainingLoadMs.merge(load.model(), load.remainingMs(), Math::min));
-        return ArrivalEstimator.estimate(service, state, remainingLoadMs);
+                .toList();
+        return ArrivalEstimator.estimate(service, state, loads);
     }
 
     /** Returns whether the rate limit of the weight store allows another load now. */
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
@@ -11,6 +11,7 @@
  *
  * @param id identifier
  * @param zone availability zone
+ * @param softwareVersion version of its software
  * @param stateKnown whether its state is known, so that orders can be sent to it
  * @param idle whether it takes an order now: no directive for it is in progress, and it has asked for no pause
  * @param leaving whether it accepts no new work
@@ -28,6 +29,7 @@
 record RunnerState(
         String id,
         String zone,
+        String softwareVersion,
         boolean stateKnown,
         boolean idle,
         boolean leaving,
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
@@ -281,17 +281,20 @@
     /** Returns the load of a model in progress, empty if there is none. */
     synchronized Optional<LoadInProgress> loadInProgress(long nowNanos) {
         return loadingModel()
-                .map(model ->
-                        new LoadInProgress(model, Math.max(0, TimeUnit.NANOSECONDS.toMillis(loadEndNanos - nowNanos))));
+                .map(model -> new LoadInProgress(
+                        model,
+                        runner.softwareVersion(),
+                        Math.max(0, TimeUnit.NANOSECONDS.toMillis(loadEndNanos - nowNanos))));
     }
 
     /**
      * Load of a model in progress.
      *
      * @param model name of the model
+     * @param softwareVersion software version of the runner
      * @param remainingMs estimated remaining time, in milliseconds; 0 if the load takes longer than expected
      */
-    record LoadInProgress(String model, long remainingMs) {}
+    record LoadInProgress(String model, String softwareVersion, long remainingMs) {}
 
     /** Returns whether the runner is loading a model from the weight store. */
     synchronized boolean loadsFromStore() {
@@ -335,6 +338,7 @@
         return new RunnerState(
                 runner.id(),
                 runner.zone(),
+                runner.softwareVersion(),
                 stateKnown,
                 takesOrders && activeDirective.isEmpty(),
                 runner.leaving() || System.nanoTime() - unavailableUntilNanos < 0,
--- a/node/src/main/java/io/persimmonstack/node/planning/ServiceAggregates.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ServiceAggregates.java
@@ -2,45 +2,45 @@
 
 import io.persimmonstack.node.config.Engine;
 import io.persimmonstack.node.config.Model;
-import io.persimmonstack.node.request.ModelRef;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Stream;
 
 /** Sums of demand and memory over models and their adapters. */
 final class ServiceAggregates {
     private ServiceAggregates() {}
 
-    /** Returns the demand for each model by name, with that for its adapters included. */
+    /** Returns the demand for each model by name, with that for its adapters and at all software versions included. */
     static Map<String, FleetDemand> demandByModel(ServiceState state) {
         Map<String, FleetDemand> demandByModel = new HashMap<>();
         for (FleetDemand demand : state.demands()) {
-            String model = demand.model().model();
-            FleetDemand baseDemand = new FleetDemand(
-                    new ModelRef(model, ""),
-                    demand.waiting(),
-                    demand.oldestWaitMs(),
-                    demand.targetLatencyMs(),
-                    demand.perSecond());
-            demandByModel.merge(model, baseDemand, ServiceAggregates::sum);
+            demandByModel.merge(demand.model().model(), demand.ofModel(Optional.empty()), FleetDemand::plus);
         }
         return demandByModel;
     }
 
+    /**
+     * Returns the demand for each model, with that for its adapters included, apart by the software version that may
+     * serve it.
+     */
+    static List<FleetDemand> demandByModelAndVersion(ServiceState state) {
+        Map<Optional<String>, Map<String, FleetDemand>> demands = new HashMap<>();
+        for (FleetDemand demand : state.demands()) {
+            demands.computeIfAbsent(demand.softwareVersion(), version -> new HashMap<>())
+                    .merge(demand.model().model(), demand.ofModel(demand.softwareVersion()), FleetDemand::plus);
+        }
+        return demands.values().stream()
+                .flatMap(byModel -> byModel.values().stream())
+                .toList();
+    }
+
     /** Returns whether a runner that is not leaving holds a model. */
     static boolean isHeld(ServiceState state, String model) {
         return state.runners().stream().anyMatch(runner -> !runner.leaving() && runner.holds(model));
     }
 
-    private static FleetDemand sum(FleetDemand one, FleetDemand other) {
-        return new FleetDemand(
-                one.model(),
-                one.waiting() + other.waiting(),
-                Math.max(one.oldestWaitMs(), other.oldestWaitMs()),
-                Math.max(one.targetLatencyMs(), other.targetLatencyMs()),
-                one.perSecond() + other.perSecond());
-    }
-
     /** Returns the accelerator memory of the weights that a runner holds or is loading, in megabytes. */
     static double weightsMb(Engine engine, RunnerState runner) {
         double held = runner.models().keySet().stream()
--- a/node/src/main/java/io/persimmonstack/node/planning/ServiceIndex.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ServiceIndex.java
@@ -54,6 +54,24 @@
         return holders.getOrDefault(model, List.of());
     }
 
+    /** Returns the holders of a model that may serve the demand for it. */
+    List<RunnerState> holders(FleetDemand demand) {
+        List<RunnerState> all = holders(demand.model().model());
+        return demand.softwareVersion().isEmpty()
+                ? all
+                : all.stream().filter(demand::allows).toList();
+    }
+
+    /** Returns whether a runner that may serve the demand for a model is loading it. */
+    boolean isLoading(FleetDemand demand) {
+        String model = demand.model().model();
+        return isLoading(model)
+                && (demand.softwareVersion().isEmpty()
+                        || state.runners().stream()
+                                .anyMatch(runner ->
+                                        !runner.leaving() && demand.allows(runner) && runner.isLoading(model)));
+    }
+
     /** Returns whether a runner is loading a model. */
     boolean isLoading(String model) {
         return loadingModels.contains(model);
--- a/node/src/test/java/io/persimmonstack/node/planning/ArrivalEstimatorTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/ArrivalEstimatorTest.java
@@ -5,7 +5,6 @@
 import io.persimmonstack.node.config.Engine;
 import io.persimmonstack.node.placing.ModelArrival;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class ArrivalEstimatorTest {
@@ -23,7 +22,8 @@
                 PlanningTestData.waitingDemand("absent", 1),
                 PlanningTestData.waitingDemand("coming", 1),
                 PlanningTestData.demand("quiet", 3));
-        List<ModelArrival> arrivals = ArrivalEstimator.estimate("s", state, Map.of("coming", 70L));
+        List<ModelArrival> arrivals = ArrivalEstimator.estimate(
+                "s", state, List.of(new RunnerStateTracker.LoadInProgress("coming", "v1", 70)));
         assertEquals(1_000, earliestMs(arrivals, "copied"));
         assertEquals(6_000, earliestMs(arrivals, "absent"));
         assertEquals(70, earliestMs(arrivals, "coming"));
--- a/node/src/test/java/io/persimmonstack/node/planning/RunnerStateBuilder.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RunnerStateBuilder.java
@@ -11,6 +11,7 @@
 final class RunnerStateBuilder {
     private final String id;
     private final Map<String, HeldModel> models = new HashMap<>();
+    private String softwareVersion = "v1";
     private boolean stateKnown = true;
     private boolean idle = true;
     private Set<String> recentlyLoaded = Set.of();
@@ -33,6 +34,7 @@
     static RunnerStateBuilder from(RunnerState state) {
         RunnerStateBuilder builder = new RunnerStateBuilder(state.id());
         builder.models.putAll(state.models());
+        builder.softwareVersion = state.softwareVersion();
         builder.stateKnown = state.stateKnown();
         builder.idle = state.idle();
         builder.recentlyLoaded = state.recentlyLoaded();
@@ -59,6 +61,11 @@
         return this;
     }
 
+    RunnerStateBuilder softwareVersion(String newSoftwareVersion) {
+        softwareVersion = newSoftwareVersion;
+        return this;
+    }
+
     /** Lets the runner load a model, which makes it busy. */
     RunnerStateBuilder loading(String model) {
         loadingModel = Optional.of(model);
@@ -86,6 +93,7 @@
         return new RunnerState(
                 id,
                 "zone-a",
+                softwareVersion,
                 stateKnown,
                 idle,
                 false,
--- a/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/RunnerStateTrackerTest.java
@@ -127,10 +127,10 @@
                 PlanningTestData.engine("a", "b"),
                 now));
         assertEquals(
-                new RunnerStateTracker.LoadInProgress("b", 6_000),
+                new RunnerStateTracker.LoadInProgress("b", RUNNER.softwareVersion(), 6_000),
                 tracker.loadInProgress(now).orElseThrow());
         assertEquals(
-                new RunnerStateTracker.LoadInProgress("b", 0),
+                new RunnerStateTracker.LoadInProgress("b", RUNNER.softwareVersion(), 0),
                 tracker.loadInProgress(now + TimeUnit.SECONDS.toNanos(7)).orElseThrow());
     }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
@@ -8597,15 +8597,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map256 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map256.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key257;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val258;
-                  for (int _i259 = 0; _i259 < _map256.size; ++_i259)
+                  org.apache.thrift.protocol.TMap _map264 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map264.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key265;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val266;
+                  for (int _i267 = 0; _i267 < _map264.size; ++_i267)
                   {
-                    _key257 = iprot.readString();
-                    _val258 = iprot.readString();
-                    struct.trace.put(_key257, _val258);
+                    _key265 = iprot.readString();
+                    _val266 = iprot.readString();
+                    struct.trace.put(_key265, _val266);
                   }
                   iprot.readMapEnd();
                 }
@@ -8639,10 +8639,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter260 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter268 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter260.getKey());
-              oprot.writeString(_iter260.getValue());
+              oprot.writeString(_iter268.getKey());
+              oprot.writeString(_iter268.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -8680,10 +8680,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter261 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter269 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter261.getKey());
-              oprot.writeString(_iter261.getValue());
+              oprot.writeString(_iter269.getKey());
+              oprot.writeString(_iter269.getValue());
             }
           }
         }
@@ -8700,15 +8700,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map262 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map262.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key263;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val264;
-            for (int _i265 = 0; _i265 < _map262.size; ++_i265)
+            org.apache.thrift.protocol.TMap _map270 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map270.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key271;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val272;
+            for (int _i273 = 0; _i273 < _map270.size; ++_i273)
             {
-              _key263 = iprot.readString();
-              _val264 = iprot.readString();
-              struct.trace.put(_key263, _val264);
+              _key271 = iprot.readString();
+              _val272 = iprot.readString();
+              struct.trace.put(_key271, _val272);
             }
           }
           struct.setTraceIsSet(true);
@@ -9620,14 +9620,14 @@
             case 1: // USES
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list266 = iprot.readListBegin();
-                  struct.uses = new java.util.ArrayList<ModelUse>(_list266.size);
-                  @org.apache.thrift.annotation.Nullable ModelUse _elem267;
-                  for (int _i268 = 0; _i268 < _list266.size; ++_i268)
+                  org.apache.thrift.protocol.TList _list274 = iprot.readListBegin();
+                  struct.uses = new java.util.ArrayList<ModelUse>(_list274.size);
+                  @org.apache.thrift.annotation.Nullable ModelUse _elem275;
+                  for (int _i276 = 0; _i276 < _list274.size; ++_i276)
                   {
-                    _elem267 = new ModelUse();
-                    _elem267.read(iprot);
-                    struct.uses.add(_elem267);
+                    _elem275 = new ModelUse();
+                    _elem275.read(iprot);
+                    struct.uses.add(_elem275);
                   }
                   iprot.readListEnd();
                 }
@@ -9664,9 +9664,9 @@
           oprot.writeFieldBegin(USES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-            for (ModelUse _iter269 : struct.uses)
+            for (ModelUse _iter277 : struct.uses)
             {
-              _iter269.write(oprot);
+              _iter277.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -9704,9 +9704,9 @@
         if (struct.isSetUses()) {
           {
             oprot.writeI32(struct.uses.size());
-            for (ModelUse _iter270 : struct.uses)
+            for (ModelUse _iter278 : struct.uses)
             {
-              _iter270.write(oprot);
+              _iter278.write(oprot);
             }
           }
         }
@@ -9721,14 +9721,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list271 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.uses = new java.util.ArrayList<ModelUse>(_list271.size);
-            @org.apache.thrift.annotation.Nullable ModelUse _elem272;
-            for (int _i273 = 0; _i273 < _list271.size; ++_i273)
+            org.apache.thrift.protocol.TList _list279 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.uses = new java.util.ArrayList<ModelUse>(_list279.size);
+            @org.apache.thrift.annotation.Nullable ModelUse _elem280;
+            for (int _i281 = 0; _i281 < _list279.size; ++_i281)
             {
-              _elem272 = new ModelUse();
-              _elem272.read(iprot);
-              struct.uses.add(_elem272);
+              _elem280 = new ModelUse();
+              _elem280.read(iprot);
+              struct.uses.add(_elem280);
             }
           }
           struct.setUsesIsSet(true);
@@ -14385,14 +14385,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list274 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StatusLine>(_list274.size);
-                  @org.apache.thrift.annotation.Nullable StatusLine _elem275;
-                  for (int _i276 = 0; _i276 < _list274.size; ++_i276)
+                  org.apache.thrift.protocol.TList _list282 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StatusLine>(_list282.size);
+                  @org.apache.thrift.annotation.Nullable StatusLine _elem283;
+                  for (int _i284 = 0; _i284 < _list282.size; ++_i284)
                   {
-                    _elem275 = new StatusLine();
-                    _elem275.read(iprot);
-                    struct.success.add(_elem275);
+                    _elem283 = new StatusLine();
+                    _elem283.read(iprot);
+                    struct.success.add(_elem283);
                   }
                   iprot.readListEnd();
                 }
@@ -14430,9 +14430,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StatusLine _iter277 : struct.success)
+            for (StatusLine _iter285 : struct.success)
             {
-              _iter277.write(oprot);
+              _iter285.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -14472,9 +14472,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StatusLine _iter278 : struct.success)
+            for (StatusLine _iter286 : struct.success)
             {
-              _iter278.write(oprot);
+              _iter286.write(oprot);
             }
           }
         }
@@ -14489,14 +14489,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list279 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StatusLine>(_list279.size);
-            @org.apache.thrift.annotation.Nullable StatusLine _elem280;
-            for (int _i281 = 0; _i281 < _list279.size; ++_i281)
+            org.apache.thrift.protocol.TList _list287 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StatusLine>(_list287.size);
+            @org.apache.thrift.annotation.Nullable StatusLine _elem288;
+            for (int _i289 = 0; _i289 < _list287.size; ++_i289)
             {
-              _elem280 = new StatusLine();
-              _elem280.read(iprot);
-              struct.success.add(_elem280);
+              _elem288 = new StatusLine();
+              _elem288.read(iprot);
+              struct.success.add(_elem288);
             }
           }
           struct.setSuccessIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
@@ -21,6 +21,7 @@
   private static final org.apache.thrift.protocol.TField ARRIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("arrivals", org.apache.thrift.protocol.TType.LIST, (short)6);
   private static final org.apache.thrift.protocol.TField NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("number", org.apache.thrift.protocol.TType.I64, (short)7);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)8);
+  private static final org.apache.thrift.protocol.TField VERSION_ARRIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("versionArrivals", org.apache.thrift.protocol.TType.LIST, (short)9);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FleetLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FleetLoadTupleSchemeFactory();
@@ -33,6 +34,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<ModelArrival> arrivals; // required
   private long number; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerProcess> leaving; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<ModelArrival> versionArrivals; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -43,7 +45,8 @@
     SILENT_NODES((short)5, "silentNodes"),
     ARRIVALS((short)6, "arrivals"),
     NUMBER((short)7, "number"),
-    LEAVING((short)8, "leaving");
+    LEAVING((short)8, "leaving"),
+    VERSION_ARRIVALS((short)9, "versionArrivals");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -75,6 +78,8 @@
           return NUMBER;
         case 8: // LEAVING
           return LEAVING;
+        case 9: // VERSION_ARRIVALS
+          return VERSION_ARRIVALS;
         default:
           return null;
       }
@@ -123,7 +128,7 @@
   private static final int __RUNNERSREVISION_ISSET_ID = 2;
   private static final int __NUMBER_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.LEAVING};
+  private static final _Fields optionals[] = {_Fields.LEAVING,_Fields.VERSION_ARRIVALS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -147,6 +152,9 @@
     tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RunnerProcess.class))));
+    tmpMap.put(_Fields.VERSION_ARRIVALS, new org.apache.thrift.meta_data.FieldMetaData("versionArrivals", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ModelArrival.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FleetLoad.class, metaDataMap);
   }
@@ -211,6 +219,13 @@
       }
       this.leaving = __this__leaving;
     }
+    if (other.isSetVersionArrivals()) {
+      java.util.List<ModelArrival> __this__versionArrivals = new java.util.ArrayList<ModelArrival>(other.versionArrivals.size());
+      for (ModelArrival other_element : other.versionArrivals) {
+        __this__versionArrivals.add(new ModelArrival(other_element));
+      }
+      this.versionArrivals = __this__versionArrivals;
+    }
   }
 
   @Override
@@ -232,6 +247,7 @@
     setNumberIsSet(false);
     this.number = 0;
     this.leaving = null;
+    this.versionArrivals = null;
   }
 
   public long getTerm() {
@@ -490,6 +506,47 @@
     }
   }
 
+  public int getVersionArrivalsSize() {
+    return (this.versionArrivals == null) ? 0 : this.versionArrivals.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<ModelArrival> getVersionArrivalsIterator() {
+    return (this.versionArrivals == null) ? null : this.versionArrivals.iterator();
+  }
+
+  public void addToVersionArrivals(ModelArrival elem) {
+    if (this.versionArrivals == null) {
+      this.versionArrivals = new java.util.ArrayList<ModelArrival>();
+    }
+    this.versionArrivals.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<ModelArrival> getVersionArrivals() {
+    return this.versionArrivals;
+  }
+
+  public FleetLoad setVersionArrivals(@org.apache.thrift.annotation.Nullable java.util.List<ModelArrival> versionArrivals) {
+    this.versionArrivals = versionArrivals;
+    return this;
+  }
+
+  public void unsetVersionArrivals() {
+    this.versionArrivals = null;
+  }
+
+  /** Returns true if field versionArrivals is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersionArrivals() {
+    return this.versionArrivals != null;
+  }
+
+  public void setVersionArrivalsIsSet(boolean value) {
+    if (!value) {
+      this.versionArrivals = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -557,6 +614,14 @@
       }
       break;
 
+    case VERSION_ARRIVALS:
+      if (value == null) {
+        unsetVersionArrivals();
+      } else {
+        setVersionArrivals((java.util.List<ModelArrival>)value);
+      }
+      break;
+
     }
   }
 
@@ -588,6 +653,9 @@
     case LEAVING:
       return getLeaving();
 
+    case VERSION_ARRIVALS:
+      return getVersionArrivals();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -616,6 +684,8 @@
       return isSetNumber();
     case LEAVING:
       return isSetLeaving();
+    case VERSION_ARRIVALS:
+      return isSetVersionArrivals();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -705,6 +775,15 @@
         return false;
     }
 
+    boolean this_present_versionArrivals = true && this.isSetVersionArrivals();
+    boolean that_present_versionArrivals = true && that.isSetVersionArrivals();
+    if (this_present_versionArrivals || that_present_versionArrivals) {
+      if (!(this_present_versionArrivals && that_present_versionArrivals))
+        return false;
+      if (!this.versionArrivals.equals(that.versionArrivals))
+        return false;
+    }
+
     return true;
   }
 
@@ -736,6 +815,10 @@
     if (isSetLeaving())
       hashCode = hashCode * 8191 + leaving.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetVersionArrivals()) ? 131071 : 524287);
+    if (isSetVersionArrivals())
+      hashCode = hashCode * 8191 + versionArrivals.hashCode();
+
     return hashCode;
   }
 
@@ -827,6 +910,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetVersionArrivals(), other.isSetVersionArrivals());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersionArrivals()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.versionArrivals, other.versionArrivals);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -900,6 +993,16 @@
       }
       first = false;
     }
+    if (isSetVersionArrivals()) {
+      if (!first) sb.append(", ");
+      sb.append("versionArrivals:");
+      if (this.versionArrivals == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.versionArrivals);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1067,6 +1170,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 9: // VERSION_ARRIVALS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list236 = iprot.readListBegin();
+                struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list236.size);
+                @org.apache.thrift.annotation.Nullable ModelArrival _elem237;
+                for (int _i238 = 0; _i238 < _list236.size; ++_i238)
+                {
+                  _elem237 = new ModelArrival();
+                  _elem237.read(iprot);
+                  struct.versionArrivals.add(_elem237);
+                }
+                iprot.readListEnd();
+              }
+              struct.setVersionArrivalsIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1108,9 +1230,9 @@
         oprot.writeFieldBegin(RUNNERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.runners.size()));
-          for (RunnerHolding _iter236 : struct.runners)
+          for (RunnerHolding _iter239 : struct.runners)
           {
-            _iter236.write(oprot);
+            _iter239.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1120,9 +1242,9 @@
         oprot.writeFieldBegin(SILENT_NODES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.silentNodes.size()));
-          for (java.lang.String _iter237 : struct.silentNodes)
+          for (java.lang.String _iter240 : struct.silentNodes)
           {
-            oprot.writeString(_iter237);
+            oprot.writeString(_iter240);
           }
           oprot.writeListEnd();
         }
@@ -1132,9 +1254,9 @@
         oprot.writeFieldBegin(ARRIVALS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.arrivals.size()));
-          for (ModelArrival _iter238 : struct.arrivals)
+          for (ModelArrival _iter241 : struct.arrivals)
           {
-            _iter238.write(oprot);
+            _iter241.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1148,9 +1270,23 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (RunnerProcess _iter239 : struct.leaving)
+            for (RunnerProcess _iter242 : struct.leaving)
             {
-              _iter239.write(oprot);
+              _iter242.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.versionArrivals != null) {
+        if (struct.isSetVersionArrivals()) {
+          oprot.writeFieldBegin(VERSION_ARRIVALS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.versionArrivals.size()));
+            for (ModelArrival _iter243 : struct.versionArrivals)
+            {
+              _iter243.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1180,23 +1316,23 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.runners.size());
-        for (RunnerHolding _iter240 : struct.runners)
+        for (RunnerHolding _iter244 : struct.runners)
         {
-          _iter240.write(oprot);
+          _iter244.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.silentNodes.size());
-        for (java.lang.String _iter241 : struct.silentNodes)
+        for (java.lang.String _iter245 : struct.silentNodes)
         {
-          oprot.writeString(_iter241);
+          oprot.writeString(_iter245);
         }
       }
       {
         oprot.writeI32(struct.arrivals.size());
-        for (ModelArrival _iter242 : struct.arrivals)
+        for (ModelArrival _iter246 : struct.arrivals)
         {
-          _iter242.write(oprot);
+          _iter246.write(oprot);
         }
       }
       oprot.writeI64(struct.number);
@@ -1204,13 +1340,25 @@
       if (struct.isSetLeaving()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetVersionArrivals()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (RunnerProcess _iter243 : struct.leaving)
+          for (RunnerProcess _iter247 : struct.leaving)
           {
-            _iter243.write(oprot);
+            _iter247.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetVersionArrivals()) {
+        {
+          oprot.writeI32(struct.versionArrivals.size());
+          for (ModelArrival _iter248 : struct.versionArrivals)
+          {
+            _iter248.write(oprot);
           }
         }
       }
@@ -1226,57 +1374,71 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list244 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.runners = new java.util.ArrayList<RunnerHolding>(_list244.size);
-        @org.apache.thrift.annotation.Nullable RunnerHolding _elem245;
-        for (int _i246 = 0; _i246 < _list244.size; ++_i246)
+        org.apache.thrift.protocol.TList _list249 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.runners = new java.util.ArrayList<RunnerHolding>(_list249.size);
+        @org.apache.thrift.annotation.Nullable RunnerHolding _elem250;
+        for (int _i251 = 0; _i251 < _list249.size; ++_i251)
         {
-          _elem245 = new RunnerHolding();
-          _elem245.read(iprot);
-          struct.runners.add(_elem245);
+          _elem250 = new RunnerHolding();
+          _elem250.read(iprot);
+          struct.runners.add(_elem250);
         }
       }
       struct.setRunnersIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list247 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list247.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem248;
-        for (int _i249 = 0; _i249 < _list247.size; ++_i249)
+        org.apache.thrift.protocol.TList _list252 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list252.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem253;
+        for (int _i254 = 0; _i254 < _list252.size; ++_i254)
         {
-          _elem248 = iprot.readString();
-          struct.silentNodes.add(_elem248);
+          _elem253 = iprot.readString();
+          struct.silentNodes.add(_elem253);
         }
       }
       struct.setSilentNodesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list250 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list250.size);
-        @org.apache.thrift.annotation.Nullable ModelArrival _elem251;
-        for (int _i252 = 0; _i252 < _list250.size; ++_i252)
+        org.apache.thrift.protocol.TList _list255 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list255.size);
+        @org.apache.thrift.annotation.Nullable ModelArrival _elem256;
+        for (int _i257 = 0; _i257 < _list255.size; ++_i257)
         {
-          _elem251 = new ModelArrival();
-          _elem251.read(iprot);
-          struct.arrivals.add(_elem251);
+          _elem256 = new ModelArrival();
+          _elem256.read(iprot);
+          struct.arrivals.add(_elem256);
         }
       }
       struct.setArrivalsIsSet(true);
       struct.number = iprot.readI64();
       struct.setNumberIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list253 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list253.size);
-          @org.apache.thrift.annotation.Nullable RunnerProcess _elem254;
-          for (int _i255 = 0; _i255 < _list253.size; ++_i255)
+          org.apache.thrift.protocol.TList _list258 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list258.size);
+          @org.apache.thrift.annotation.Nullable RunnerProcess _elem259;
+          for (int _i260 = 0; _i260 < _list258.size; ++_i260)
           {
-            _elem254 = new RunnerProcess();
-            _elem254.read(iprot);
-            struct.leaving.add(_elem254);
+            _elem259 = new RunnerProcess();
+            _elem259.read(iprot);
+            struct.leaving.add(_elem259);
           }
         }
         struct.setLeavingIsSet(true);
       }
+      if (incoming.get(1)) {
+        {
+          org.apache.thrift.protocol.TList _list261 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list261.size);
+          @org.apache.thrift.annotation.Nullable ModelArrival _elem262;
+          for (int _i263 = 0; _i263 < _list261.size; ++_i263)
+          {
+            _elem262 = new ModelArrival();
+            _elem262.read(iprot);
+            struct.versionArrivals.add(_elem262);
+          }
+        }
+        struct.setVersionArrivalsIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/ModelArrival.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/ModelArrival.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField MODEL_FIELD_DESC = new org.apache.thrift.protocol.TField("model", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField EARLIEST_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("earliestMs", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField SOFTWARE_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("softwareVersion", org.apache.thrift.protocol.TType.STRING, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ModelArrivalStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ModelArrivalTupleSchemeFactory();
@@ -23,12 +24,14 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String model; // required
   private long earliestMs; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String softwareVersion; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SERVICE_NAME((short)1, "serviceName"),
     MODEL((short)2, "model"),
-    EARLIEST_MS((short)3, "earliestMs");
+    EARLIEST_MS((short)3, "earliestMs"),
+    SOFTWARE_VERSION((short)4, "softwareVersion");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,6 +53,8 @@
           return MODEL;
         case 3: // EARLIEST_MS
           return EARLIEST_MS;
+        case 4: // SOFTWARE_VERSION
+          return SOFTWARE_VERSION;
         default:
           return null;
       }
@@ -95,6 +100,7 @@
   // isset id assignments
   private static final int __EARLIESTMS_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SOFTWARE_VERSION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -104,6 +110,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.EARLIEST_MS, new org.apache.thrift.meta_data.FieldMetaData("earliestMs", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SOFTWARE_VERSION, new org.apache.thrift.meta_data.FieldMetaData("softwareVersion", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ModelArrival.class, metaDataMap);
   }
@@ -135,6 +143,9 @@
       this.model = other.model;
     }
     this.earliestMs = other.earliestMs;
+    if (other.isSetSoftwareVersion()) {
+      this.softwareVersion = other.softwareVersion;
+    }
   }
 
   @Override
@@ -148,6 +159,7 @@
     this.model = null;
     setEarliestMsIsSet(false);
     this.earliestMs = 0;
+    this.softwareVersion = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -223,6 +235,31 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EARLIESTMS_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getSoftwareVersion() {
+    return this.softwareVersion;
+  }
+
+  public ModelArrival setSoftwareVersion(@org.apache.thrift.annotation.Nullable java.lang.String softwareVersion) {
+    this.softwareVersion = softwareVersion;
+    return this;
+  }
+
+  public void unsetSoftwareVersion() {
+    this.softwareVersion = null;
+  }
+
+  /** Returns true if field softwareVersion is set (has been assigned a value) and false otherwise */
+  public boolean isSetSoftwareVersion() {
+    return this.softwareVersion != null;
+  }
+
+  public void setSoftwareVersionIsSet(boolean value) {
+    if (!value) {
+      this.softwareVersion = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -250,6 +287,14 @@
       }
       break;
 
+    case SOFTWARE_VERSION:
+      if (value == null) {
+        unsetSoftwareVersion();
+      } else {
+        setSoftwareVersion((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -266,6 +311,9 @@
     case EARLIEST_MS:
       return getEarliestMs();
 
+    case SOFTWARE_VERSION:
+      return getSoftwareVersion();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -284,6 +332,8 @@
       return isSetModel();
     case EARLIEST_MS:
       return isSetEarliestMs();
+    case SOFTWARE_VERSION:
+      return isSetSoftwareVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -328,6 +378,15 @@
         return false;
     }
 
+    boolean this_present_softwareVersion = true && this.isSetSoftwareVersion();
+    boolean that_present_softwareVersion = true && that.isSetSoftwareVersion();
+    if (this_present_softwareVersion || that_present_softwareVersion) {
+      if (!(this_present_softwareVersion && that_present_softwareVersion))
+        return false;
+      if (!this.softwareVersion.equals(that.softwareVersion))
+        return false;
+    }
+
     return true;
   }
 
@@ -345,6 +404,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(earliestMs);
 
+    hashCode = hashCode * 8191 + ((isSetSoftwareVersion()) ? 131071 : 524287);
+    if (isSetSoftwareVersion())
+      hashCode = hashCode * 8191 + softwareVersion.hashCode();
+
     return hashCode;
   }
 
@@ -386,6 +449,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSoftwareVersion(), other.isSetSoftwareVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSoftwareVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.softwareVersion, other.softwareVersion);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -429,6 +502,16 @@
     sb.append("earliestMs:");
     sb.append(this.earliestMs);
     first = false;
+    if (isSetSoftwareVersion()) {
+      if (!first) sb.append(", ");
+      sb.append("softwareVersion:");
+      if (this.softwareVersion == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.softwareVersion);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -507,6 +590,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // SOFTWARE_VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.softwareVersion = iprot.readString();
+              struct.setSoftwareVersionIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -539,6 +630,13 @@
       oprot.writeFieldBegin(EARLIEST_MS_FIELD_DESC);
       oprot.writeI64(struct.earliestMs);
       oprot.writeFieldEnd();
+      if (struct.softwareVersion != null) {
+        if (struct.isSetSoftwareVersion()) {
+          oprot.writeFieldBegin(SOFTWARE_VERSION_FIELD_DESC);
+          oprot.writeString(struct.softwareVersion);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -560,6 +658,14 @@
       oprot.writeString(struct.serviceName);
       oprot.writeString(struct.model);
       oprot.writeI64(struct.earliestMs);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetSoftwareVersion()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetSoftwareVersion()) {
+        oprot.writeString(struct.softwareVersion);
+      }
     }
 
     @Override
@@ -571,6 +677,11 @@
       struct.setModelIsSet(true);
       struct.earliestMs = iprot.readI64();
       struct.setEarliestMsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.softwareVersion = iprot.readString();
+        struct.setSoftwareVersionIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/ModelNeed.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/ModelNeed.java
@@ -20,6 +20,7 @@
   private static final org.apache.thrift.protocol.TField ARRIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("arrived", org.apache.thrift.protocol.TType.I32, (short)5);
   private static final org.apache.thrift.protocol.TField OLDEST_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("oldestMs", org.apache.thrift.protocol.TType.I64, (short)6);
   private static final org.apache.thrift.protocol.TField TARGET_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("targetMs", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField SOFTWARE_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("softwareVersion", org.apache.thrift.protocol.TType.STRING, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ModelNeedStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ModelNeedTupleSchemeFactory();
@@ -31,6 +32,7 @@
   private int arrived; // required
   private long oldestMs; // required
   private long targetMs; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String softwareVersion; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +42,8 @@
     WAITING((short)4, "waiting"),
     ARRIVED((short)5, "arrived"),
     OLDEST_MS((short)6, "oldestMs"),
-    TARGET_MS((short)7, "targetMs");
+    TARGET_MS((short)7, "targetMs"),
+    SOFTWARE_VERSION((short)8, "softwareVersion");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -70,6 +73,8 @@
           return OLDEST_MS;
         case 7: // TARGET_MS
           return TARGET_MS;
+        case 8: // SOFTWARE_VERSION
+          return SOFTWARE_VERSION;
         default:
           return null;
       }
@@ -118,6 +123,7 @@
   private static final int __OLDESTMS_ISSET_ID = 2;
   private static final int __TARGETMS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SOFTWARE_VERSION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -135,6 +141,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.TARGET_MS, new org.apache.thrift.meta_data.FieldMetaData("targetMs", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SOFTWARE_VERSION, new org.apache.thrift.meta_data.FieldMetaData("softwareVersion", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ModelNeed.class, metaDataMap);
   }
@@ -183,6 +191,9 @@
     this.arrived = other.arrived;
     this.oldestMs = other.oldestMs;
     this.targetMs = other.targetMs;
+    if (other.isSetSoftwareVersion()) {
+      this.softwareVersion = other.softwareVersion;
+    }
   }
 
   @Override
@@ -203,6 +214,7 @@
     this.oldestMs = 0;
     setTargetMsIsSet(false);
     this.targetMs = 0;
+    this.softwareVersion = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -372,6 +384,31 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TARGETMS_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getSoftwareVersion() {
+    return this.softwareVersion;
+  }
+
+  public ModelNeed setSoftwareVersion(@org.apache.thrift.annotation.Nullable java.lang.String softwareVersion) {
+    this.softwareVersion = softwareVersion;
+    return this;
+  }
+
+  public void unsetSoftwareVersion() {
+    this.softwareVersion = null;
+  }
+
+  /** Returns true if field softwareVersion is set (has been assigned a value) and false otherwise */
+  public boolean isSetSoftwareVersion() {
+    return this.softwareVersion != null;
+  }
+
+  public void setSoftwareVersionIsSet(boolean value) {
+    if (!value) {
+      this.softwareVersion = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -431,6 +468,14 @@
       }
       break;
 
+    case SOFTWARE_VERSION:
+      if (value == null) {
+        unsetSoftwareVersion();
+      } else {
+        setSoftwareVersion((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -459,6 +504,9 @@
     case TARGET_MS:
       return getTargetMs();
 
+    case SOFTWARE_VERSION:
+      return getSoftwareVersion();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -485,6 +533,8 @@
       return isSetOldestMs();
     case TARGET_MS:
       return isSetTargetMs();
+    case SOFTWARE_VERSION:
+      return isSetSoftwareVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -565,6 +615,15 @@
         return false;
     }
 
+    boolean this_present_softwareVersion = true && this.isSetSoftwareVersion();
+    boolean that_present_softwareVersion = true && that.isSetSoftwareVersion();
+    if (this_present_softwareVersion || that_present_softwareVersion) {
+      if (!(this_present_softwareVersion && that_present_softwareVersion))
+        return false;
+      if (!this.softwareVersion.equals(that.softwareVersion))
+        return false;
+    }
+
     return true;
   }
 
@@ -592,6 +651,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(targetMs);
 
+    hashCode = hashCode * 8191 + ((isSetSoftwareVersion()) ? 131071 : 524287);
+    if (isSetSoftwareVersion())
+      hashCode = hashCode * 8191 + softwareVersion.hashCode();
+
     return hashCode;
   }
 
@@ -673,6 +736,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSoftwareVersion(), other.isSetSoftwareVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSoftwareVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.softwareVersion, other.softwareVersion);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -736,6 +809,16 @@
     sb.append("targetMs:");
     sb.append(this.targetMs);
     first = false;
+    if (isSetSoftwareVersion()) {
+      if (!first) sb.append(", ");
+      sb.append("softwareVersion:");
+      if (this.softwareVersion == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.softwareVersion);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -852,6 +935,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 8: // SOFTWARE_VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.softwareVersion = iprot.readString();
+              struct.setSoftwareVersionIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -907,6 +998,13 @@
       oprot.writeFieldBegin(TARGET_MS_FIELD_DESC);
       oprot.writeI64(struct.targetMs);
       oprot.writeFieldEnd();
+      if (struct.softwareVersion != null) {
+        if (struct.isSetSoftwareVersion()) {
+          oprot.writeFieldBegin(SOFTWARE_VERSION_FIELD_DESC);
+          oprot.writeString(struct.softwareVersion);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -932,6 +1030,14 @@
       oprot.writeI32(struct.arrived);
       oprot.writeI64(struct.oldestMs);
       oprot.writeI64(struct.targetMs);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetSoftwareVersion()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetSoftwareVersion()) {
+        oprot.writeString(struct.softwareVersion);
+      }
     }
 
     @Override
@@ -951,6 +1057,11 @@
       struct.setOldestMsIsSet(true);
       struct.targetMs = iprot.readI64();
       struct.setTargetMsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.softwareVersion = iprot.readString();
+        struct.setSoftwareVersionIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
@@ -1799,14 +1799,14 @@
             case 1: // ORIGINS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list302 = iprot.readListBegin();
-                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list302.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem303;
-                  for (int _i304 = 0; _i304 < _list302.size; ++_i304)
+                  org.apache.thrift.protocol.TList _list310 = iprot.readListBegin();
+                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list310.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem311;
+                  for (int _i312 = 0; _i312 < _list310.size; ++_i312)
                   {
-                    _elem303 = new StreamOrigin();
-                    _elem303.read(iprot);
-                    struct.origins.add(_elem303);
+                    _elem311 = new StreamOrigin();
+                    _elem311.read(iprot);
+                    struct.origins.add(_elem311);
                   }
                   iprot.readListEnd();
                 }
@@ -1835,9 +1835,9 @@
           oprot.writeFieldBegin(ORIGINS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.origins.size()));
-            for (StreamOrigin _iter305 : struct.origins)
+            for (StreamOrigin _iter313 : struct.origins)
             {
-              _iter305.write(oprot);
+              _iter313.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1869,9 +1869,9 @@
         if (struct.isSetOrigins()) {
           {
             oprot.writeI32(struct.origins.size());
-            for (StreamOrigin _iter306 : struct.origins)
+            for (StreamOrigin _iter314 : struct.origins)
             {
-              _iter306.write(oprot);
+              _iter314.write(oprot);
             }
           }
         }
@@ -1883,14 +1883,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list307 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.origins = new java.util.ArrayList<StreamOrigin>(_list307.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem308;
-            for (int _i309 = 0; _i309 < _list307.size; ++_i309)
+            org.apache.thrift.protocol.TList _list315 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.origins = new java.util.ArrayList<StreamOrigin>(_list315.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem316;
+            for (int _i317 = 0; _i317 < _list315.size; ++_i317)
             {
-              _elem308 = new StreamOrigin();
-              _elem308.read(iprot);
-              struct.origins.add(_elem308);
+              _elem316 = new StreamOrigin();
+              _elem316.read(iprot);
+              struct.origins.add(_elem316);
             }
           }
           struct.setOriginsIsSet(true);
@@ -2876,14 +2876,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list310 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StreamOrigin>(_list310.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem311;
-                  for (int _i312 = 0; _i312 < _list310.size; ++_i312)
+                  org.apache.thrift.protocol.TList _list318 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StreamOrigin>(_list318.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem319;
+                  for (int _i320 = 0; _i320 < _list318.size; ++_i320)
                   {
-                    _elem311 = new StreamOrigin();
-                    _elem311.read(iprot);
-                    struct.success.add(_elem311);
+                    _elem319 = new StreamOrigin();
+                    _elem319.read(iprot);
+                    struct.success.add(_elem319);
                   }
                   iprot.readListEnd();
                 }
@@ -2912,9 +2912,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StreamOrigin _iter313 : struct.success)
+            for (StreamOrigin _iter321 : struct.success)
             {
-              _iter313.write(oprot);
+              _iter321.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2946,9 +2946,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StreamOrigin _iter314 : struct.success)
+            for (StreamOrigin _iter322 : struct.success)
             {
-              _iter314.write(oprot);
+              _iter322.write(oprot);
             }
           }
         }
@@ -2960,14 +2960,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list315 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StreamOrigin>(_list315.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem316;
-            for (int _i317 = 0; _i317 < _list315.size; ++_i317)
+            org.apache.thrift.protocol.TList _list323 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StreamOrigin>(_list323.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem324;
+            for (int _i325 = 0; _i325 < _list323.size; ++_i325)
             {
-              _elem316 = new StreamOrigin();
-              _elem316.read(iprot);
-              struct.success.add(_elem316);
+              _elem324 = new StreamOrigin();
+              _elem324.read(iprot);
+              struct.success.add(_elem324);
             }
           }
           struct.setSuccessIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
@@ -947,15 +947,15 @@
             case 3: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map282 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map282.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key283;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val284;
-                  for (int _i285 = 0; _i285 < _map282.size; ++_i285)
+                  org.apache.thrift.protocol.TMap _map290 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map290.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key291;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val292;
+                  for (int _i293 = 0; _i293 < _map290.size; ++_i293)
                   {
-                    _key283 = iprot.readString();
-                    _val284 = iprot.readString();
-                    struct.trace.put(_key283, _val284);
+                    _key291 = iprot.readString();
+                    _val292 = iprot.readString();
+                    struct.trace.put(_key291, _val292);
                   }
                   iprot.readMapEnd();
                 }
@@ -992,10 +992,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter286 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter294 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter286.getKey());
-              oprot.writeString(_iter286.getValue());
+              oprot.writeString(_iter294.getKey());
+              oprot.writeString(_iter294.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1039,10 +1039,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter287 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter295 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter287.getKey());
-              oprot.writeString(_iter287.getValue());
+              oprot.writeString(_iter295.getKey());
+              oprot.writeString(_iter295.getValue());
             }
           }
         }
@@ -1063,15 +1063,15 @@
         }
         if (incoming.get(2)) {
           {
-            org.apache.thrift.protocol.TMap _map288 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map288.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key289;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val290;
-            for (int _i291 = 0; _i291 < _map288.size; ++_i291)
+            org.apache.thrift.protocol.TMap _map296 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map296.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key297;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val298;
+            for (int _i299 = 0; _i299 < _map296.size; ++_i299)
             {
-              _key289 = iprot.readString();
-              _val290 = iprot.readString();
-              struct.trace.put(_key289, _val290);
+              _key297 = iprot.readString();
+              _val298 = iprot.readString();
+              struct.trace.put(_key297, _val298);
             }
           }
           struct.setTraceIsSet(true);
@@ -1991,15 +1991,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map292 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map292.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key293;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val294;
-                  for (int _i295 = 0; _i295 < _map292.size; ++_i295)
+                  org.apache.thrift.protocol.TMap _map300 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map300.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key301;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val302;
+                  for (int _i303 = 0; _i303 < _map300.size; ++_i303)
                   {
-                    _key293 = iprot.readString();
-                    _val294 = iprot.readString();
-                    struct.trace.put(_key293, _val294);
+                    _key301 = iprot.readString();
+                    _val302 = iprot.readString();
+                    struct.trace.put(_key301, _val302);
                   }
                   iprot.readMapEnd();
                 }
@@ -2033,10 +2033,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter296 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter304 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter296.getKey());
-              oprot.writeString(_iter296.getValue());
+              oprot.writeString(_iter304.getKey());
+              oprot.writeString(_iter304.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -2074,10 +2074,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter297 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter305 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter297.getKey());
-              oprot.writeString(_iter297.getValue());
+              oprot.writeString(_iter305.getKey());
+              oprot.writeString(_iter305.getValue());
             }
           }
         }
@@ -2094,15 +2094,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map298 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map298.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key299;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val300;
-            for (int _i301 = 0; _i301 < _map298.size; ++_i301)
+            org.apache.thrift.protocol.TMap _map306 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map306.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key307;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val308;
+            for (int _i309 = 0; _i309 < _map306.size; ++_i309)
             {
-              _key299 = iprot.readString();
-              _val300 = iprot.readString();
-              struct.trace.put(_key299, _val300);
+              _key307 = iprot.readString();
+              _val308 = iprot.readString();
+              struct.trace.put(_key307, _val308);
             }
           }
           struct.setTraceIsSet(true);
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -310,6 +310,7 @@
   5: required i32 arrived                   // requests that arrived since the last report
   6: required i64 oldestMs                  // how long the oldest waiting request has waited
   7: required i64 targetMs                  // latency target of that request
+  8: optional string softwareVersion        // of the runners that may serve the waiting requests; absent for any
 }
 
 /** One process of a runner. */
@@ -353,6 +354,7 @@
   1: required string serviceName
   2: required string model
   3: required i64 earliestMs                // time until a runner can hold it at the earliest
+  4: optional string softwareVersion        // of the runners that the requests may use; absent for any
 }
 
 /** Answer of the leader to a report. */
@@ -365,6 +367,7 @@
   6: required list<ModelArrival> arrivals
   7: required i64 number                    // rises with each answer to a node
   8: optional list<RunnerProcess> leaving   // processes that have said, to any node, that they are shutting down
+  9: optional list<ModelArrival> versionArrivals // of models that the rest of streams waits for; nodes without this field ignore them
 }
 
 /** Where a stream began, so that its caller can resume it through any node. */
