--- a/node/src/test/java/io/persimmonstack/node/planning/VersionDemandTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/VersionDemandTest.java
@@ -14,6 +14,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Pattern: a release, in which the rest of a stream waits for a model or an adapter that runners of another software
@@ -108,6 +110,22 @@
         assertEquals(Set.of("r1 a"), loads(AdapterPolicy.plan(state)));
     }
 
+    /** Pattern: two models in use, of which runners of the version hold only one elsewhere; a third is cold. */
+    @ParameterizedTest
+    @CsvSource({"a, b", "b, a"})
+    void onlyReplicaWithinTheVersionStaysIfAnotherVictimIsThere(String only, String spare) {
+        Map<ModelRef, Integer> inUse = Map.of(new ModelRef(only, ""), 1, new ModelRef(spare, ""), 1);
+        RunnerState old = runner("r1", "old", only, spare).requests(inUse).build();
+        RunnerState otherOld = runner("r2", "old", spare).unknown().build();
+        RunnerState ofNew = runner("r3", "new", only).unknown().build();
+        FleetDemand longWaiting = new FleetDemand(new ModelRef("c", ""), 3, 6_000, 9_000, 0.5, OLD);
+        List<Directive> directives =
+                ModelPolicy.plan(PlanningTestData.state(ENGINE, List.of(old, otherOld, ofNew), longWaiting));
+        assertEquals(
+                List.of(new PlacementOrder.UnloadModel(spare), new PlacementOrder.LoadModel("c")),
+                directives.getFirst().orders());
+    }
+
     @Test
     void estimateOfArrivalIsForTheRunnersOfTheVersion() {
         RunnerState old = runner("r1", "old").copies(Set.of(), Set.of("a")).build();
