--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -38,6 +38,7 @@
     private final PriorityQueue<QueuedRequest> queue = new PriorityQueue<>();
     private final PromptAffinityCache promptAffinity = new PromptAffinityCache();
     private final ModelArrivalTracker modelArrivals = new ModelArrivalTracker();
+    private final OutgoingVersions outgoingVersions = new OutgoingVersions();
     private final LocalLoadCollector loadCollector = new LocalLoadCollector(modelArrivals);
     private final FleetView fleet;
     private final String zone;
@@ -225,9 +226,11 @@
             trackers.values()
                     .removeIf(tracker -> !runners.containsKey(tracker.runner().id()));
             long nowNanos = System.nanoTime();
+            outgoingVersions.update(runners, nowNanos);
             for (Runner runner : runners.values()) {
                 RunnerLoadTracker tracker = trackers.computeIfAbsent(runner.id(), id -> new RunnerLoadTracker(runner));
                 tracker.updateRunner(runner);
+                tracker.updateOutgoing(outgoingVersions.outgoingUntilNanos(runner));
                 fleet.quietUntilNanos(runner, nowNanos).ifPresent(tracker::pauseUntil);
             }
             placeQueuedRequests();
@@ -315,17 +318,14 @@
 
     /** Refuses a request whose model cannot be loaded before its deadline, with the time to retry after. */
     private void refuseIfModelTooLate(QueuedRequest queued) {
-        ActiveRequest request = queued.request();
         long nowNanos = System.nanoTime();
-        modelArrivals
-                .unavailableForMs(request, queued.deadlineNanos(), nowNanos)
-                .ifPresent(earliestMs -> {
-                    long retryAfterMs = Jitter.spread(earliestMs);
-                    modelArrivals.recordRefusal(request, retryAfterMs, nowNanos);
-                    String detail = request.callerRequest().model().orElse(NO_MODEL) + " is not loaded for at least "
-                            + earliestMs + " ms";
-                    queued.refuse(new RefusedException(Refusal.notRun("model-not-loaded", detail, retryAfterMs)));
-                });
+        modelArrivals.unavailableForMs(queued, nowNanos).ifPresent(earliestMs -> {
+            long retryAfterMs = Jitter.spread(earliestMs);
+            modelArrivals.recordRefusal(queued, retryAfterMs, nowNanos);
+            String detail = queued.request().callerRequest().model().orElse(NO_MODEL) + " is not loaded for at least "
+                    + earliestMs + " ms";
+            queued.refuse(new RefusedException(Refusal.notRun("model-not-loaded", detail, retryAfterMs)));
+        });
     }
 
     /** Discards the snapshots of a silent leader, so that the runners' own entries in the store count. */
