--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -9,6 +9,7 @@
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Peer;
 import io.persimmonstack.node.peers.LeaderHandler;
+import io.persimmonstack.node.peers.LinkHandler;
 import io.persimmonstack.node.peers.LoadReporter;
 import io.persimmonstack.node.placing.Placer;
 import io.persimmonstack.node.placing.RetryBudget;
@@ -21,6 +22,10 @@
 import io.persimmonstack.node.store.RunnerFollower;
 import io.persimmonstack.node.store.StoreFollower;
 import io.persimmonstack.node.store.StoreSession;
+import io.persimmonstack.node.streams.OriginDirectory;
+import io.persimmonstack.node.streams.RecentVersions;
+import io.persimmonstack.node.streams.ResumptionResolver;
+import io.persimmonstack.node.streams.SharedOrigins;
 import io.persimmonstack.runtime.Closer;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.runtime.RunningProgram;
@@ -57,6 +62,7 @@
     private final StoreSession session;
     private final DrainState drainState;
     private final Placer placer;
+    private final SharedOrigins origins;
     private volatile boolean readyLogged;
 
     private Node(NodeOptions options, NodePorts ports, MetricRegistry registry, Closer closer) throws ProgramException {
@@ -69,9 +75,17 @@
         ExecutorService executor = closer.add(Executors.newVirtualThreadPerTaskExecutor());
         this.drainState = DrainState.withGracePeriod(options.graceMs());
         this.placer = Placer.create(fleet, options.zone());
+        this.origins = closer.add(SharedOrigins.start(options.name(), fleet, metrics));
         Dispatcher dispatcher = Dispatcher.of(
-                fleet, placer, RetryBudget.of(options.retryBudget()), ports.connector(), ports.protocol());
-        RequestServer server = RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, drainState);
+                fleet,
+                placer,
+                RetryBudget.of(options.retryBudget()),
+                ports.connector(),
+                ports.protocol(),
+                origins,
+                ports.processCheck());
+        RequestServer server =
+                RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, drainState, resumptionResolver(origins));
         this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
         followStore(ports);
         Peer self = new Peer(options.name(), startedMs, options.zone(), options.callerAddress(), options.linkAddress());
@@ -94,6 +108,12 @@
         return new Node(options, ports, registry, Closer.create());
     }
 
+    private ResumptionResolver resumptionResolver(OriginDirectory origins) {
+        RecentVersions versions = RecentVersions.create();
+        fleet.onChange(() -> versions.observe(fleet.current().runners().values(), System.nanoTime()));
+        return ResumptionResolver.of(origins, versions);
+    }
+
     private void followStore(NodePorts ports) {
         RunnerFollower runners = RunnerFollower.of(options.runnersPrefix(), ports.runnerDecoder(), fleet);
         PeerFollower peers = PeerFollower.of(fleet);
@@ -135,7 +155,8 @@
                 fleet, reports, leadTerm, options, ports.runnerControl(), executor, metrics, session::stepDown));
         LeaderHandler leader = LeaderHandler.of(fleet, reports, planner, leadTerm);
         try {
-            closer.add(ThriftServer.start(options.linkAddress(), new NodeLink.Processor<>(leader)));
+            LinkHandler handler = LinkHandler.of(leader, origins.handler());
+            closer.add(ThriftServer.start(options.linkAddress(), new NodeLink.Processor<>(handler)));
         } catch (WireException e) {
             throw new ProgramException("link " + options.linkAddress() + ": cannot be bound: " + e.getMessage(), e);
         }
@@ -153,6 +174,7 @@
                 "runners.leaving-by-own-word",
                 () -> () -> fleet.leavingByOwnWord().size());
         registry.gauge("runners.quiet", () -> () -> fleet.quietCount(System.nanoTime()));
+        registry.gauge("origins.kept", () -> origins::size);
         registry.gauge("lead.term", () -> () -> session.leadTerm().orElse(0));
     }
 
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -26,29 +26,37 @@
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(SuccessorFinder.class));
     /** Timeout for connecting to the successor; events of the silent runner wait meanwhile. */
     private static final int CONNECT_TIMEOUT_MS = 100;
+    /** Timeout for the successor to confirm its process; events of the silent runner wait meanwhile. */
+    private static final int CONFIRM_TIMEOUT_MS = 100;
     /** Longest time for which both runners may work on the request. */
     private static final int MAX_OVERLAP_MS = 200;
 
     private final ActiveRequest request;
     private final RetryState retryState;
+    private final OriginRecorder origin;
     private final Placer placer;
     private final HttpConnector connector;
     private final AnswerHeadReader heads;
+    private final SendCheck sendCheck;
     private final ServiceRetries retries;
     private String missing = "";
 
     private SuccessorFinder(
             ActiveRequest request,
             RetryState retryState,
+            OriginRecorder origin,
             Placer placer,
             HttpConnector connector,
             AnswerHeadReader heads,
+            SendCheck sendCheck,
             ServiceRetries retries) {
         this.request = request;
         this.retryState = retryState;
+        this.origin = origin;
         this.placer = placer;
         this.connector = connector;
         this.heads = heads;
+        this.sendCheck = sendCheck;
         this.retries = retries;
     }
 
@@ -57,19 +65,23 @@
      *
      * @param request request being served
      * @param retryState attempts so far
+     * @param origin where its stream began
      * @param placer finds a runner with a free slot
      * @param connector connects to the runner
      * @param heads classifies the head of its answer
+     * @param sendCheck decides whether the request may be sent to it
      * @param retries retry budget of its service
      */
     static SuccessorFinder of(
             ActiveRequest request,
             RetryState retryState,
+            OriginRecorder origin,
             Placer placer,
             HttpConnector connector,
             AnswerHeadReader heads,
+            SendCheck sendCheck,
             ServiceRetries retries) {
-        return new SuccessorFinder(request, retryState, placer, connector, heads, retries);
+        return new SuccessorFinder(request, retryState, origin, placer, connector, heads, sendCheck, retries);
     }
 
     /** Returns after how long without any data the runner of the present attempt counts as silent, in milliseconds. */
@@ -93,7 +105,8 @@
         if (!retries.allowed()) {
             return keep(silent, "budget");
         }
-        Optional<Placement> placement = placer.placeNow(request, retryState.excludedWith(silent));
+        Optional<Placement> placement = placer.placeNow(
+                request, retryState.runnerFilter(origin.softwareVersion()).without(silent));
         if (placement.isEmpty()) {
             return keep(silent, "slot");
         }
@@ -111,7 +124,8 @@
             if (!peer.isStillSilent()) {
                 return Optional.empty();
             }
-            Optional<String> withheld = placer.withholdReason(runner);
+            Optional<String> withheld =
+                    sendCheck.withheldBy(runner).or(() -> sendCheck.unconfirmed(runner, origin, CONFIRM_TIMEOUT_MS));
             if (withheld.isPresent()) {
                 return keep(silent, "runner: " + withheld.get());
             }
