--- a/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
@@ -12,13 +12,13 @@
 import io.persimmonstack.router.request.Request;
 import io.persimmonstack.router.request.RouterException;
 import io.persimmonstack.router.request.Work;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -29,13 +29,22 @@
     private static final int MAX_BUFFERED_BYTES = 256 << 10;
     /** Bytes that may follow the last event of a stream for its connection to be reused. */
     private static final int MAX_TAIL_BYTES = 256;
+    /** Most bytes of the events before the first token of a stream. */
+    private static final int MAX_OPENING_BYTES = 64 << 10;
     /** Initial buffer size for answers without a content length. */
     private static final int DEFAULT_BUFFER_BYTES = 1_024;
 
     private static final int CHUNK_BYTES = 16 << 10;
     static final String EVENT_STREAM = "text/event-stream";
     private static final Set<String> SKIPPED_HEADERS = Set.of(
-            "connection", "content-length", "date", "keep-alive", "trailer", "transfer-encoding", "x-request-id");
+            "connection",
+            "content-length",
+            "date",
+            "keep-alive",
+            "trailer",
+            "transfer-encoding",
+            "x-request-id",
+            DispatchFilter.SOFTWARE_VERSION.toLowerCase(Locale.ROOT));
 
     private final RouterMetrics metrics;
     private final int progressMs;
@@ -67,6 +76,11 @@
         try {
             if (isStream(request, call)) {
                 relayStream(request, call);
+            } else if (request.reply().begun()) {
+                throw new AttemptException(
+                        AttemptException.Kind.BROKEN,
+                        "rest of a stream has media type '" + contentType(call) + "'; expected " + EVENT_STREAM,
+                        null);
             } else {
                 request.awaitedPart(AnswerPart.BODY);
                 relayBody(request, call);
@@ -102,7 +116,7 @@
         metrics.streamsOpen().inc();
         try {
             request.awaitedPart(AnswerPart.FIRST_TOKEN);
-            relayEvents(request, call, resumed);
+            relayEvents(request, call);
             request.awaitedPart(AnswerPart.END);
             call.shortenProgressTimeout(progressMs);
             drain(call);
@@ -113,32 +127,57 @@
         }
     }
 
-    /** Relays events up to the last one. A resumed stream repeats its opening events, which are skipped. */
-    private void relayEvents(Request request, HttpCall call, boolean resumed) throws IOException, RouterException {
+    /**
+     * Relays events up to the last one. Those before the first token are held back until it comes, so that none of an
+     * attempt that fails before stays in the answer. A resumed stream repeats them, and there they are left out.
+     */
+    private static void relayEvents(Request request, HttpCall call) throws IOException, RouterException {
         SseReader reader = SseReader.of(call.body());
-        boolean last = false;
-        while (!last) {
-            Optional<StreamEvent> nextEvent = reader.next();
-            if (nextEvent.isEmpty()) {
-                throw new AttemptException(
-                        AttemptException.Kind.BROKEN, "stream of the engine ended before [DONE]", null);
+        ByteArrayOutputStream opening = new ByteArrayOutputStream();
+        boolean openingRelayed = request.targetFilter().origin().isPresent();
+        StreamEvent event = nextEvent(reader);
+        while (isOpening(event)) {
+            if (!openingRelayed) {
+                opening.write(event.bytes());
             }
-            StreamEvent event = nextEvent.get();
-            last = event.last();
-            if (event.tokens() > 0) {
-                request.awaitedPart(AnswerPart.BODY);
+            if (opening.size() > MAX_OPENING_BYTES) {
+                throw broken("has more than " + MAX_OPENING_BYTES + " bytes before its first token");
             }
-            boolean beforeFirstToken = event.tokens() == 0 && !event.hasFinishReason() && !last;
-            if (resumed && beforeFirstToken) {
-                continue;
-            }
-            request.reply().write(event.bytes());
-            long tokens = request.relayed().tokens() + event.tokens();
-            request.relayed(RelayedAnswer.stream(
-                    request.relayed().status(), request.relayed().contentType(), tokens));
+            event = nextEvent(reader);
+        }
+        request.bindToAnswerOrigin();
+        if (opening.size() > 0) {
+            request.reply().write(opening.toByteArray());
+        }
+        relay(request, event);
+        while (!event.last()) {
+            event = nextEvent(reader);
+            relay(request, event);
         }
     }
 
+    private static StreamEvent nextEvent(SseReader reader) throws IOException, AttemptException {
+        return reader.next().orElseThrow(() -> broken("ended before [DONE]"));
+    }
+
+    private static boolean isOpening(StreamEvent event) {
+        return event.tokens() == 0 && !event.hasFinishReason() && !event.last();
+    }
+
+    private static void relay(Request request, StreamEvent event) throws RouterException {
+        if (event.tokens() > 0) {
+            request.awaitedPart(AnswerPart.BODY);
+        }
+        request.reply().write(event.bytes());
+        RelayedAnswer relayed = request.relayed();
+        request.relayed(
+                RelayedAnswer.stream(relayed.status(), relayed.contentType(), relayed.tokens() + event.tokens()));
+    }
+
+    private static AttemptException broken(String problem) {
+        return new AttemptException(AttemptException.Kind.BROKEN, "stream of the engine " + problem, null);
+    }
+
     /** Reads the rest of the body, so that the connection can be reused. */
     private static void drain(HttpCall call) {
         try {
