node: an entry that cannot be read names no runner to use

Callers' new streams were sent to a process by the entry of an earlier one under the same identifier, and counted as of its software version, if the newer entry could not be read, for example because it named no version: RunnerFollower logged such an entry and kept the one before. The runner is now removed until an entry can be read again, also around an outage of the store.

--- a/node/src/main/java/io/persimmonstack/node/store/OutageTolerantEntries.java
+++ b/node/src/main/java/io/persimmonstack/node/store/OutageTolerantEntries.java
@@ -66,6 +66,12 @@
         return true;
     }
 
+    /** Removes an entry whether or not a grace period is running; returns whether there was one. */
+    boolean removeNow(String key) {
+        removalNanos.remove(key);
+        return entries.remove(key) != null;
+    }
+
     /**
      * Removes all entries that are not listed, as {@link #remove} does.
      *
--- a/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
@@ -107,6 +107,10 @@
             }
         } catch (UnreadableException e) {
             LOG.write(NodeEvent.RUNNER_UNREADABLE, id + " " + e.getMessage(), entry.revision());
+            // Such an entry names no runner to use, whatever an earlier one said.
+            if (runners.removeNow(id)) {
+                logRemoved(List.of(id), "entry unreadable");
+            }
         }
     }
 
