node: a stream does not go on if the process that began it may have been another one

Cause: the version of an origin was that of the entry in hand, and only the runner at which a stream was to go on had to confirm its process. The origin names the process of the entry now, also in its copies. Before the rest of a stream is sent, the runner that began it is asked too: if another process answers, or if its entry tells of another process with another version, the stream is in doubt and ends, or its caller is refused with 503, not run. A runner that is gone or does not answer cannot be asked; its entry is relied on. No request is made for streams that do not go on.

--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -194,6 +194,7 @@
     private Placement placeSendable(
             ActiveRequest request, RetryState retryState, StreamProgress progress, OriginRecorder origin)
             throws RefusedException, InterruptedException {
+        refuseIfOriginInDoubt(origin);
         while (true) {
             Placement placement = placer.place(
                     request, retryState.runnerFilter(origin.softwareVersion()), retryState.latestStartNanos(progress));
@@ -214,11 +215,21 @@
         }
     }
 
+    private void refuseIfOriginInDoubt(OriginRecorder origin) throws RefusedException, InterruptedException {
+        Optional<String> doubt = sendCheck.doubtAbout(origin, CONFIRM_TIMEOUT_MS);
+        if (Thread.interrupted()) {
+            throw new InterruptedException("the caller has left");
+        }
+        if (doubt.isPresent()) {
+            throw new RefusedException(Refusal.notRun("stream-in-doubt", doubt.get(), RETRY_AFTER_MS));
+        }
+    }
+
     /** Returns why the rest of a stream may not be sent to a runner, which is then avoided for a while. */
     private Optional<String> unconfirmed(Runner runner, OriginRecorder origin) {
         Optional<String> unconfirmed = sendCheck.unconfirmed(runner, origin, CONFIRM_TIMEOUT_MS);
         if (unconfirmed.isPresent()) {
-            placer.recordUnreachable(runner);
+            placer.recordFull(runner);
         }
         return unconfirmed;
     }
--- a/node/src/main/java/io/persimmonstack/node/sending/OriginRecorder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/OriginRecorder.java
@@ -19,6 +19,7 @@
     private final ActiveRequest request;
     private Optional<StreamOrigin> origin;
     private Optional<OriginDirectory.KeptOrigin> kept = Optional.empty();
+    private boolean proven;
 
     private OriginRecorder(OriginDirectory directory, ActiveRequest request) {
         this.directory = directory;
@@ -36,13 +37,23 @@
         return origin.map(StreamOrigin::softwareVersion);
     }
 
+    /** Returns where the stream began, empty before its first event and once its process has been proven. */
+    Optional<StreamOrigin> unproven() {
+        return proven ? Optional.empty() : origin;
+    }
+
+    /** Records that the process that began the stream is the one that the origin names. */
+    void prove() {
+        proven = true;
+    }
+
     /** Records that an event of a runner is about to be delivered. */
     void beforeEvent(Runner runner) {
         if (kept.isPresent()) {
             return;
         }
-        StreamOrigin known =
-                origin.orElseGet(() -> new StreamOrigin(request.service().name(), runner.softwareVersion()));
+        StreamOrigin known = origin.orElseGet(() ->
+                new StreamOrigin(request.service().name(), runner.softwareVersion(), Optional.of(runner.process())));
         origin = Optional.of(known);
         if (request.route().isIdempotent()) {
             kept = Optional.of(directory.keep(firstRequest(), known, validMs()));
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/sending/ProcessAnswer.java
@@ -0,0 +1,21 @@
+package io.persimmonstack.node.sending;
+
+/** What a runner answers when it is asked for its process. */
+public sealed interface ProcessAnswer {
+    /** The process is the expected one. */
+    record Expected() implements ProcessAnswer {}
+
+    /**
+     * Another process has the runner's identifier and address.
+     *
+     * @param startedMs start of that process, in Unix milliseconds
+     */
+    record Other(long startedMs) implements ProcessAnswer {}
+
+    /**
+     * There was no usable answer in time.
+     *
+     * @param cause explanation for the log
+     */
+    record None(String cause) implements ProcessAnswer {}
+}
--- a/node/src/main/java/io/persimmonstack/node/sending/ProcessCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/ProcessCheck.java
@@ -1,7 +1,6 @@
 package io.persimmonstack.node.sending;
 
 import io.persimmonstack.node.fleet.Runner;
-import io.persimmonstack.node.planning.RunnerControlException;
 
 /**
  * Asks a runner whether its process is still the one that its entry describes. A runner that came back under its
@@ -9,11 +8,10 @@
  */
 public interface ProcessCheck {
     /**
-     * Returns if a runner has answered in time and is the expected process; blocks at most so long.
+     * Asks a runner for its process; blocks until it answers or the timeout passes.
      *
-     * @param runner expected process
+     * @param expected expected process
      * @param timeoutMs timeout for connecting and for the answer each, in milliseconds
-     * @throws RunnerControlException if there was no answer, or one of another process
      */
-    void confirm(Runner runner, int timeoutMs) throws RunnerControlException;
+    ProcessAnswer ask(Runner expected, int timeoutMs);
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -2,12 +2,13 @@
 
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
-import io.persimmonstack.node.planning.RunnerControlException;
+import io.persimmonstack.node.fleet.RunnerProcess;
+import io.persimmonstack.node.streams.StreamOrigin;
 import java.util.Optional;
 
 /**
  * Last check before a request is sent to the runner that was chosen for it: what the runner has said about itself
- * meanwhile and, for the rest of a stream, whether its process is the expected one. Thread-safe.
+ * meanwhile and, for the rest of a stream, whether the processes are those that the entries describe. Thread-safe.
  */
 final class SendCheck {
     private final FleetView fleet;
@@ -21,7 +22,7 @@
     /**
      * Returns a check.
      *
-     * @param fleet knows what runners said about themselves
+     * @param fleet knows the runners and what they said about themselves
      * @param processes confirms processes of runners
      */
     static SendCheck of(FleetView fleet, ProcessCheck processes) {
@@ -44,11 +45,41 @@
         if (origin.softwareVersion().isEmpty()) {
             return Optional.empty();
         }
-        try {
-            processes.confirm(runner, timeoutMs);
+        return switch (processes.ask(runner, timeoutMs)) {
+            case ProcessAnswer.Expected expected -> Optional.empty();
+            case ProcessAnswer.Other other -> Optional.of("process not confirmed: " + other);
+            case ProcessAnswer.None none -> Optional.of("process not confirmed: " + none.cause());
+        };
+    }
+
+    /**
+     * Returns why the software version that began a stream is in doubt; empty if it is not. The entry by which the
+     * version was told may have been that of an earlier process: a runner that came back with other software serves new
+     * streams before its entry tells so. A runner that is gone cannot be asked; its entry is then relied on.
+     *
+     * @param origin where the stream began
+     * @param timeoutMs timeout for the runner that sent the first event, in milliseconds
+     */
+    Optional<String> doubtAbout(OriginRecorder origin, int timeoutMs) {
+        Optional<StreamOrigin> known = origin.unproven();
+        Optional<RunnerProcess> process = known.flatMap(StreamOrigin::process);
+        Optional<Runner> listed = process.map(began -> fleet.current().runners().get(began.runner()));
+        if (listed.isEmpty()) {
             return Optional.empty();
-        } catch (RunnerControlException e) {
-            return Optional.of("process not confirmed: " + e.getMessage());
         }
+        Runner runner = listed.get();
+        if (!runner.process().equals(process.get())) {
+            return runner.softwareVersion().equals(known.get().softwareVersion())
+                    ? Optional.empty()
+                    : Optional.of(runner.id() + " came back at " + runner.softwareVersion());
+        }
+        return switch (processes.ask(runner, timeoutMs)) {
+            case ProcessAnswer.Expected expected -> {
+                origin.prove();
+                yield Optional.empty();
+            }
+            case ProcessAnswer.Other other -> Optional.of(runner.id() + " came back: " + other);
+            case ProcessAnswer.None none -> Optional.empty();
+        };
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -124,8 +124,10 @@
             if (!peer.isStillSilent()) {
                 return Optional.empty();
             }
-            Optional<String> withheld =
-                    sendCheck.withheldBy(runner).or(() -> sendCheck.unconfirmed(runner, origin, CONFIRM_TIMEOUT_MS));
+            Optional<String> withheld = sendCheck
+                    .withheldBy(runner)
+                    .or(() -> sendCheck.doubtAbout(origin, CONFIRM_TIMEOUT_MS))
+                    .or(() -> sendCheck.unconfirmed(runner, origin, CONFIRM_TIMEOUT_MS));
             if (withheld.isPresent()) {
                 return keep(silent, "runner: " + withheld.get());
             }
