--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -271,28 +271,30 @@
         }
         Model model = engine().models().get(victim);
         double restartMs = runner.hasLocalCopy(victim) ? model.diskLoadMs() : model.storeLoadMs();
-        boolean lastReplica = index.holders(victim).stream().noneMatch(other -> canTakeOver(other, runner, victim));
+        List<RunnerState> holders = index.holders(victim);
+        boolean lastReplica = holders.size() <= 1
+                || inUseCost > 0 && holders.stream().noneMatch(other -> isOtherOfSameVersion(other, runner));
         double lastReplicaFactor = lastReplica ? LAST_REPLICA_FACTOR : 1;
         return demandRate(victim) * restartMs * lastReplicaFactor + inUseCost;
     }
 
     /** Returns whether the other replicas of a model have enough free slots to take over its requests on a runner. */
     private boolean isSpareReplica(RunnerState runner, String model) {
+        boolean inUse = runner.requestsOf(model) > 0;
         double freeSlotCount = index.holders(model).stream()
-                .filter(other -> canTakeOver(other, runner, model) && !assignedRunners.contains(other.id()))
+                .filter(other -> inUse
+                        ? isOtherOfSameVersion(other, runner)
+                        : !other.id().equals(runner.id()))
+                .filter(other -> !assignedRunners.contains(other.id()))
                 .mapToDouble(other -> CROWDED_UTILISATION * other.slots() - other.requests())
                 .filter(freeSlots -> freeSlots > 0)
                 .sum();
         return freeSlotCount > runner.requestsOf(model);
     }
 
-    /**
-     * Returns whether another holder of a model can take over its requests on a runner. Streams in progress can go on
-     * only at the same software version.
-     */
-    private static boolean canTakeOver(RunnerState other, RunnerState runner, String model) {
-        return !other.id().equals(runner.id())
-                && (runner.requestsOf(model) == 0 || other.softwareVersion().equals(runner.softwareVersion()));
+    /** Returns whether streams in progress at a runner can go on at another one. */
+    private static boolean isOtherOfSameVersion(RunnerState other, RunnerState runner) {
+        return !other.id().equals(runner.id()) && other.softwareVersion().equals(runner.softwareVersion());
     }
 
     /** Adds the directive for a load, unless the limits of the weight store forbid it. */
