node: a stream that no runner confirms in time is refused at its deadline

Callers that resumed a stream got no answer, long past their deadline, while the runners of its version answered status requests later than the node waits for them: Dispatcher.placeSendable took the next runner without a look at the deadline, and a runner that was avoided after a missing confirmation was free again before the others had been tried. The request is now refused as not run once its latest start has passed.

Test with 8 runners that answer status requests after 500 ms and a request with a deadline of 4 s: no answer within 10 s and 33 status requests before, a refusal within the test's limit after. The test failed before.

--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -195,9 +195,10 @@
             ActiveRequest request, RetryState retryState, StreamProgress progress, OriginRecorder origin)
             throws RefusedException, InterruptedException {
         refuseIfOriginInDoubt(origin);
+        long latestStartNanos = retryState.latestStartNanos(progress);
         while (true) {
-            Placement placement = placer.place(
-                    request, retryState.runnerFilter(origin.softwareVersion()), retryState.latestStartNanos(progress));
+            Placement placement =
+                    placer.place(request, retryState.runnerFilter(origin.softwareVersion()), latestStartNanos);
             Optional<String> withheld =
                     sendCheck.withheldBy(placement.runner()).or(() -> unconfirmed(placement.runner(), origin));
             if (withheld.isEmpty()) {
@@ -212,6 +213,9 @@
                     request.callerRequest().id(),
                     placement.runner().id(),
                     withheld.get());
+            if (latestStartNanos - System.nanoTime() <= 0) {
+                throw new RefusedException(Refusal.notRun("no-place", withheld.get(), RETRY_AFTER_MS));
+            }
         }
     }
 
