node: a runner that is silent, or that another process has replaced, does not vouch for where a stream began

A runner that accepts a connection but does not answer in time leaves the stream in doubt now; only one that cannot be reached is taken for ended. A silent runner that is to be replaced is not asked.

--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -23,10 +23,8 @@
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(Dispatcher.class));
     /** Retry-After of a request that no runner ran. */
     private static final long RETRY_AFTER_MS = 300;
-    /** Timeout for a runner to confirm its process before the rest of a stream is sent there. */
+    /** Timeout for a runner to tell its process before the rest of a stream is sent. */
     private static final int CONFIRM_TIMEOUT_MS = 800;
-    /** Timeout for the runner that began a stream to tell its process. */
-    private static final int ORIGIN_TIMEOUT_MS = 300;
 
     private final FleetView fleet;
     private final Placer placer;
@@ -222,7 +220,7 @@
     }
 
     private void refuseIfOriginInDoubt(OriginRecorder origin) throws RefusedException, InterruptedException {
-        Optional<String> doubt = sendCheck.doubtAbout(origin, ORIGIN_TIMEOUT_MS);
+        Optional<String> doubt = sendCheck.doubtAbout(origin, Optional.empty(), CONFIRM_TIMEOUT_MS);
         if (Thread.interrupted()) {
             throw new InterruptedException("the caller has left");
         }
--- a/node/src/main/java/io/persimmonstack/node/sending/ProcessAnswer.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/ProcessAnswer.java
@@ -13,9 +13,16 @@
     record Other(long startedMs) implements ProcessAnswer {}
 
     /**
-     * There was no usable answer in time.
+     * No connection could be opened, or it was closed: the process has probably ended.
      *
      * @param cause explanation for the log
      */
-    record None(String cause) implements ProcessAnswer {}
+    record Unreachable(String cause) implements ProcessAnswer {}
+
+    /**
+     * A connection was opened, but there was no usable answer in time.
+     *
+     * @param cause explanation for the log
+     */
+    record Silent(String cause) implements ProcessAnswer {}
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -126,7 +126,7 @@
             }
             Optional<String> withheld = sendCheck
                     .withheldBy(runner)
-                    .or(() -> sendCheck.doubtAbout(origin, CONFIRM_TIMEOUT_MS))
+                    .or(() -> sendCheck.doubtAbout(origin, Optional.of(silent), CONFIRM_TIMEOUT_MS))
                     .or(() -> sendCheck.unconfirmed(runner, origin, CONFIRM_TIMEOUT_MS));
             if (withheld.isPresent()) {
                 return keep(silent, "runner: " + withheld.get());
