node: a stream begins on a connection whose process is known, and its version is that of this process

Cause: the version of a stream was told by the entry of its runner at the time, and proof was sought only when the stream went on, by asking the runner's address again. Class: a fact about a process kept under a name that outlives it.

Change: what does not outlive a process is a connection to it. The origin of a stream is the process that sent its first event; its version is that of the entry that describes this process, whenever it is read. The rest goes only to a connection whose process is the one in the entry. The questions asked afterwards (doubtAbout, the memory of replaced processes, the process in the copies) are gone.

--- a/backends/src/main/java/io/persimmonstack/backends/http/ConnectionPool.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ConnectionPool.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 
 /** Idle connections by target, most recently used first. Thread-safe. */
-final class ConnectionPool {
+final class ConnectionPool implements ConnectionOwner {
     private final Map<PeerAddress, Deque<PooledConnection>> idle = new ConcurrentHashMap<>();
     private final HttpConnectorOptions options;
     private volatile boolean closed;
@@ -38,13 +38,9 @@
         return Optional.empty();
     }
 
-    /**
-     * Returns a connection to the pool, or closes it if it may not stay idle or the pool of its target is full.
-     *
-     * @param connection connection without an exchange
-     * @param peerIdleMs how long the peer keeps the idle connection open, in milliseconds; empty if it did not say
-     */
-    void release(PooledConnection connection, OptionalInt peerIdleMs) {
+    /** Keeps the connection, or closes it if it may not stay idle or the pool of its target is full. */
+    @Override
+    public void release(PooledConnection connection, OptionalInt peerIdleMs) {
         int idleMs = Math.min(options.idleMs(), peerIdleMs.orElse(options.idleMs()));
         if (!connection.isOpen()) {
             return;
@@ -64,8 +60,8 @@
         }
     }
 
-    /** Closes all idle connections to a target after another connection to it timed out. */
-    void closeIdle(PeerAddress target) {
+    @Override
+    public void closeIdle(PeerAddress target) {
         Deque<PooledConnection> connections = idle.get(target);
         if (connections != null) {
             closeAll(connections, CloseCause.SUSPECT);
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
@@ -16,8 +16,8 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * HTTP call whose response head has arrived. Closing the call returns the connection to the pool if the body was read
- * to its end, and closes the connection otherwise.
+ * HTTP call whose response head has arrived. Closing the call returns the connection to its owner, mostly the pool, if
+ * the body was read to its end, and closes the connection otherwise.
  *
  * <pre>{@code
  * try (HttpCall call = connector.open(target, HttpRequest.get("/hosts"), timeouts)) {
@@ -36,7 +36,7 @@
     private static final int MIN_REDIRECT_STATUS = 300;
 
     private final PooledConnection connection;
-    private final ConnectionPool pool;
+    private final ConnectionOwner owner;
     private final ExchangeDriver driver;
     private final ResponseBuffer buffer;
     private final HttpTimeouts timeouts;
@@ -50,13 +50,13 @@
 
     private HttpCall(
             PooledConnection connection,
-            ConnectionPool pool,
+            ConnectionOwner owner,
             ExchangeDriver driver,
             ResponseBuffer buffer,
             HttpTimeouts timeouts,
             SilenceWatcher watcher) {
         this.connection = connection;
-        this.pool = pool;
+        this.owner = owner;
         this.driver = driver;
         this.buffer = buffer;
         this.timeouts = timeouts;
@@ -68,7 +68,7 @@
     /** Sends a request on a connection and waits for the response head. The connection is closed if that fails. */
     static HttpCall open(
             PooledConnection connection,
-            ConnectionPool pool,
+            ConnectionOwner owner,
             HttpRequest request,
             HttpTimeouts timeouts,
             SilenceWatcher watcher,
@@ -77,7 +77,7 @@
             throws HttpFailure {
         ResponseBuffer buffer = ResponseBuffer.ofCapacity(maxBufferedBytes);
         ExchangeDriver driver = ExchangeDriver.of(connection, request, buffer);
-        HttpCall call = new HttpCall(connection, pool, driver, buffer, timeouts, watcher);
+        HttpCall call = new HttpCall(connection, owner, driver, buffer, timeouts, watcher);
         guard.add(driver);
         try {
             driver.start();
@@ -310,7 +310,7 @@
             connection.close(CloseCause.of(kind));
             if (CloseCause.of(kind) == CloseCause.SILENT) {
                 LOG.write(BackendEvent.CONNECTION_SILENT, failure.getMessage());
-                pool.closeIdle(connection.target());
+                owner.closeIdle(connection.target());
             }
         }
         return failure;
@@ -321,7 +321,7 @@
             return;
         }
         if (driver.requestComplete() && isReusable()) {
-            pool.release(
+            owner.release(
                     connection,
                     KeepAliveHeader.maxIdleMs(head.getResponseHeaders().getFirst("Keep-Alive")));
         } else {
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
@@ -130,6 +130,19 @@
         return IdleConnection.of(this, connect(target, connectMs, "connect to " + target));
     }
 
+    /**
+     * Takes an idle connection from the pool, or opens a new one if there is none.
+     *
+     * @param target address to connect to
+     * @param connectMs timeout for a new connection, in milliseconds
+     * @return the connection, to be closed after use
+     * @throws HttpFailure if no connection could be opened
+     */
+    public IdleConnection idleOrNew(PeerAddress target, int connectMs) throws HttpFailure {
+        Optional<PooledConnection> idle = pool.acquire(target);
+        return idle.isPresent() ? IdleConnection.of(this, idle.get()) : connect(target, connectMs);
+    }
+
     /**
      * Sends a request on a new connection. Meant for requests that may not be repeated: an idle connection may have
      * died without notice, which would leave their outcome unknown.
@@ -169,12 +182,32 @@
 
     HttpCall openCall(PooledConnection connection, HttpRequest request, HttpTimeouts timeouts, SilenceWatcher watcher)
             throws HttpFailure {
-        return HttpCall.open(connection, pool, request, timeouts, watcher, options.maxBufferedBytes(), guard);
+        return openCall(connection, request, timeouts, watcher, pool);
+    }
+
+    HttpCall openCall(
+            PooledConnection connection,
+            HttpRequest request,
+            HttpTimeouts timeouts,
+            SilenceWatcher watcher,
+            ConnectionOwner owner)
+            throws HttpFailure {
+        return HttpCall.open(connection, owner, request, timeouts, watcher, options.maxBufferedBytes(), guard);
+    }
+
+    /**
+     * Leaves a connection without an exchange to the pool.
+     *
+     * @param connection connection, open or closed
+     * @param peerIdleMs how long the peer keeps the idle connection open, in milliseconds; empty if it did not say
+     */
+    void release(PooledConnection connection, OptionalInt peerIdleMs) {
+        pool.release(connection, peerIdleMs);
     }
 
-    /** Leaves an open connection without an exchange to the pool. */
-    void release(PooledConnection connection) {
-        pool.release(connection, OptionalInt.empty());
+    /** Closes all idle connections to a target after another connection to it timed out. */
+    void closeIdle(PeerAddress target) {
+        pool.closeIdle(target);
     }
 
     private static String describe(PeerAddress target, HttpRequest request) {
--- a/backends/src/main/java/io/persimmonstack/backends/http/PooledConnection.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/PooledConnection.java
@@ -4,6 +4,7 @@
 import io.persimmonstack.wire.PeerAddress;
 import io.undertow.client.ClientConnection;
 import java.io.IOException;
+import java.util.OptionalLong;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -17,6 +18,7 @@
     private final MetricRegistry metrics;
     private final AtomicBoolean closed = new AtomicBoolean();
     private volatile XnioExecutor.Key expiryTask;
+    private volatile OptionalLong peerStartedMs = OptionalLong.empty();
 
     private PooledConnection(PeerAddress target, ClientConnection connection, MetricRegistry metrics) {
         this.target = target;
@@ -44,6 +46,15 @@
         return !closed.get() && connection.isOpen();
     }
 
+    /** Returns the start time that the process at the other end told, in Unix milliseconds; empty if it did not. */
+    OptionalLong peerStartedMs() {
+        return peerStartedMs;
+    }
+
+    void recordPeerStart(long startedMs) {
+        peerStartedMs = OptionalLong.of(startedMs);
+    }
+
     long bytesWritten() {
         return connection.getStatistics().getWritten();
     }
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -85,6 +85,8 @@
     ORIGIN_COPIES_DROPPED(6112, Level.WARN, "origin-copies-dropped copies={}"),
     /** Scheduling copies of origins failed with an unexpected error; it is tried again. */
     ORIGIN_COPIES_ERROR(6113, Level.ERROR, "origin-copies-error cause={}"),
+    /** The process that a connection leads to is not known; a stream that begins on it cannot go on elsewhere. */
+    PROCESS_UNKNOWN(6114, Level.INFO, "process-unknown id={} runner={} cause={}"),
     /** A load or unload order was sent to a runner. */
     ORDER(6201, Level.INFO, "order runner={} order={} term={} sequence={} outcome={} reason={} source={}"),
     /** An order was completed. */
--- a/node/src/main/java/io/persimmonstack/node/NodePorts.java
+++ b/node/src/main/java/io/persimmonstack/node/NodePorts.java
@@ -16,7 +16,7 @@
  * @param runnerDecoder decodes the runners' entries in the store
  * @param protocol HTTP conventions of callers and runners
  * @param runnerControl sends orders to runners and reads their reports
- * @param processCheck confirms the process of a runner
+ * @param processCheck asks which process of a runner a connection leads to
  * @param connector opens connections to runners
  */
 public record NodePorts(
--- a/node/src/main/java/io/persimmonstack/node/fleet/Fleet.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/Fleet.java
@@ -34,6 +34,13 @@
                 .toList();
     }
 
+    /** Returns the software version of a process; empty unless the entry of its runner describes it. */
+    public Optional<String> softwareVersion(RunnerProcess process) {
+        return Optional.ofNullable(runners.get(process.runner()))
+                .filter(runner -> runner.process().equals(process))
+                .map(Runner::softwareVersion);
+    }
+
     /** Returns whether the configuration and the runners have been read, so that requests can be served. */
     public boolean isInitialised() {
         return routing.isPresent() && runnersRevision > 0;
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -8,6 +8,7 @@
 import io.persimmonstack.backends.http.HttpTimeouts;
 import io.persimmonstack.backends.http.SilenceWatcher;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.fleet.RunnerProcess;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.router.request.CallerGoneException;
 import io.persimmonstack.router.request.Reply;
@@ -42,6 +43,9 @@
     private final ReservedRunner reserved;
     private final AnswerHeadReader heads;
     private final SuccessorFinder successors;
+    /** Process that gets the request, empty if it is not known. */
+    private Optional<RunnerProcess> process;
+
     private Optional<ReservedRunner> successor = Optional.empty();
     private boolean refused;
     private long lastReceivedNanos;
@@ -65,6 +69,7 @@
         this.reserved = reserved;
         this.heads = heads;
         this.successors = successors;
+        this.process = reserved.process();
     }
 
     static Attempt of(
@@ -110,7 +115,22 @@
         }
         int waitMs = (int) Math.min(Integer.MAX_VALUE, remainingMs);
         HttpTimeouts timeouts = HttpTimeouts.of(Math.min(CONNECT_TIMEOUT_MS, waitMs), waitMs, waitMs);
-        return connector.open(runner().address(), encode(runner()), timeouts, this);
+        return reserved.connection().isPresent()
+                ? openOn(reserved.connection().get(), timeouts)
+                : connector.open(runner().address(), encode(runner()), timeouts, this);
+    }
+
+    /** Sends the request on a connection; if it was closed meanwhile, a stream can still begin on another one. */
+    private HttpCall openOn(RunnerConnection connection, HttpTimeouts timeouts) throws HttpFailure {
+        try {
+            return connection.idle().open(encode(runner()), timeouts, this);
+        } catch (HttpFailure e) {
+            if (e.sent() || e.kind() != HttpFailure.Kind.LOST || origin.hasBegun()) {
+                throw e;
+            }
+            process = Optional.empty();
+            return connector.open(runner().address(), encode(runner()), timeouts, this);
+        }
     }
 
     /** Encodes the request for a runner, or the rest of a stream that has begun. */
@@ -212,7 +232,7 @@
                 if (!reply.begun()) {
                     reply.begin(call.status(), HopByHopHeaders.toReplyHeaders(call.headers()));
                 }
-                origin.beforeEvent(runner());
+                origin.beforeEvent(process);
                 reply.write(event.get().bytes());
                 progress.recordDelivered(event.get());
                 limitSilence(call);
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -23,7 +23,9 @@
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(Dispatcher.class));
     /** Retry-After of a request that no runner ran. */
     private static final long RETRY_AFTER_MS = 300;
-    /** Timeout for a runner to tell its process before the rest of a stream is sent. */
+    /** Timeout for a process to tell its start before a stream that may be resumed is sent to it. */
+    private static final int NEW_STREAM_CONFIRM_TIMEOUT_MS = 300;
+    /** The same for the rest of a stream, which cannot be sent otherwise. */
     private static final int CONFIRM_TIMEOUT_MS = 800;
 
     private final FleetView fleet;
@@ -50,7 +52,7 @@
         this.protocol = protocol;
         this.heads = AnswerHeadReader.of(protocol, fleet);
         this.origins = origins;
-        this.sendCheck = SendCheck.of(fleet, processes);
+        this.sendCheck = SendCheck.of(fleet, RunnerConnections.of(connector, processes));
     }
 
     /**
@@ -62,7 +64,7 @@
      * @param connector opens connections to runners
      * @param protocol encodes requests and classifies answers
      * @param origins keeps where streams began
-     * @param processes confirms the process of a runner at which a stream is to go on
+     * @param processes asks which process of a runner a connection leads to
      */
     public static Dispatcher of(
             FleetView fleet,
@@ -88,7 +90,7 @@
      */
     public Delivery serve(ActiveRequest request, Reply reply, SendTracker sends)
             throws RefusedException, CallerGoneException {
-        try (OriginRecorder origin = OriginRecorder.of(origins, request)) {
+        try (OriginRecorder origin = OriginRecorder.of(origins, fleet, request)) {
             return serve(request, reply, sends, origin);
         }
     }
@@ -103,7 +105,7 @@
                 StreamProgress.startingAfter(request.callerRequest().lastEventId(), request.receivedNanos());
         SuccessorFinder successors =
                 SuccessorFinder.of(request, retryState, origin, placer, connector, heads, sendCheck, retries);
-        ReservedRunner next = ReservedRunner.notSent(place(request, retryState, progress, origin, reply));
+        ReservedRunner next = place(request, retryState, progress, origin, reply);
         while (true) {
             Runner runner = next.runner();
             if (next.call().isEmpty()) {
@@ -130,7 +132,7 @@
             }
             next = outcome instanceof Outcome.Replaced replaced
                     ? replaced.successor()
-                    : ReservedRunner.notSent(place(request, retryState, progress, origin, reply));
+                    : place(request, retryState, progress, origin, reply);
         }
     }
 
@@ -174,7 +176,7 @@
                 retry);
     }
 
-    private Placement place(
+    private ReservedRunner place(
             ActiveRequest request, RetryState retryState, StreamProgress progress, OriginRecorder origin, Reply reply)
             throws RefusedException, CallerGoneException {
         try {
@@ -191,51 +193,55 @@
     }
 
     /** Places a request at a runner that, by its own word, may still be sent requests once the wait is over. */
-    private Placement placeSendable(
+    private ReservedRunner placeSendable(
             ActiveRequest request, RetryState retryState, StreamProgress progress, OriginRecorder origin)
             throws RefusedException, InterruptedException {
-        refuseIfOriginInDoubt(origin);
+        refuseIfOriginUnknown(origin);
+        int timeoutMs = origin.hasBegun() ? CONFIRM_TIMEOUT_MS : NEW_STREAM_CONFIRM_TIMEOUT_MS;
         long latestStartNanos = retryState.latestStartNanos(progress);
         while (true) {
             Placement placement =
                     placer.place(request, retryState.runnerFilter(origin.softwareVersion()), latestStartNanos);
-            Optional<String> withheld =
-                    sendCheck.withheldBy(placement.runner()).or(() -> unconfirmed(placement.runner(), origin));
-            if (withheld.isEmpty()) {
-                return placement;
-            }
-            placement.close();
+            SendPermit permit = sendCheck.check(placement.runner(), request, origin, timeoutMs);
             if (Thread.interrupted()) {
+                ReservedRunner.notSent(placement, permit.connection()).close();
                 throw new InterruptedException("the caller has left");
             }
-            LOG.write(
-                    NodeEvent.SEND_WITHHELD,
-                    request.callerRequest().id(),
-                    placement.runner().id(),
-                    withheld.get());
-            if (latestStartNanos - System.nanoTime() <= 0) {
-                throw new RefusedException(Refusal.notRun("no-place", withheld.get(), RETRY_AFTER_MS));
+            switch (permit) {
+                case SendPermit.Granted granted -> {
+                    return ReservedRunner.notSent(placement, granted.connection());
+                }
+                case SendPermit.Withheld withheld -> {
+                    placer.recordFull(placement.runner());
+                    release(placement, request, withheld.reason(), latestStartNanos);
+                }
+                case SendPermit.Unreachable unreachable -> {
+                    placer.recordUnreachable(placement.runner());
+                    release(placement, request, unreachable.reason(), latestStartNanos);
+                }
             }
         }
     }
 
-    private void refuseIfOriginInDoubt(OriginRecorder origin) throws RefusedException, InterruptedException {
-        Optional<String> doubt = sendCheck.doubtAbout(origin, Optional.empty(), CONFIRM_TIMEOUT_MS);
-        if (Thread.interrupted()) {
-            throw new InterruptedException("the caller has left");
-        }
-        if (doubt.isPresent()) {
-            throw new RefusedException(Refusal.notRun("stream-in-doubt", doubt.get(), RETRY_AFTER_MS));
+    /** Gives back a placement at which nothing was sent; refuses the request if it is too late for another one. */
+    private static void release(Placement placement, ActiveRequest request, String reason, long latestStartNanos)
+            throws RefusedException {
+        placement.close();
+        LOG.write(
+                NodeEvent.SEND_WITHHELD,
+                request.callerRequest().id(),
+                placement.runner().id(),
+                reason);
+        if (latestStartNanos - System.nanoTime() <= 0) {
+            throw new RefusedException(Refusal.notRun("no-place", reason, RETRY_AFTER_MS));
         }
     }
 
-    /** Returns why the rest of a stream may not be sent to a runner, which is then avoided for a while. */
-    private Optional<String> unconfirmed(Runner runner, OriginRecorder origin) {
-        Optional<String> unconfirmed = sendCheck.unconfirmed(runner, origin, CONFIRM_TIMEOUT_MS);
-        if (unconfirmed.isPresent()) {
-            placer.recordFull(runner);
+    private static void refuseIfOriginUnknown(OriginRecorder origin) throws RefusedException {
+        if (origin.hasBegun() && origin.softwareVersion().isEmpty()) {
+            String detail = "no entry tells the software version of the process that began the stream";
+            throw new RefusedException(Refusal.notRun("stream-in-doubt", detail, RETRY_AFTER_MS));
         }
-        return unconfirmed;
     }
 
     /** Reports an unsuccessful attempt to the placer, so that it can avoid the runner. */
--- a/node/src/main/java/io/persimmonstack/node/sending/ProcessCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/ProcessCheck.java
@@ -1,17 +1,21 @@
 package io.persimmonstack.node.sending;
 
+import io.persimmonstack.backends.http.IdleConnection;
 import io.persimmonstack.node.fleet.Runner;
 
 /**
- * Asks a runner whether its process is still the one that its entry describes. A runner that came back under its
- * identifier may have other software, and does not check what it is asked to go on with.
+ * Asks which process is at the other end of a connection to a runner. A runner that came back under its identifier may
+ * have other software, and does not check what it is asked to go on with.
  */
 public interface ProcessCheck {
     /**
-     * Asks a runner for its process; blocks until it answers or the timeout passes.
+     * Asks for the start time of the process; blocks until it answers or the timeout passes.
      *
-     * @param expected expected process
-     * @param timeoutMs timeout for connecting and for the answer each, in milliseconds
+     * @param runner runner that is expected at the other end
+     * @param connection connection to it
+     * @param timeoutMs timeout for the answer, in milliseconds
+     * @return start time, in Unix milliseconds
+     * @throws ProcessUnknownException if there was no usable answer
      */
-    ProcessAnswer ask(Runner expected, int timeoutMs);
+    long startedMs(Runner runner, IdleConnection connection, int timeoutMs) throws ProcessUnknownException;
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/ReservedRunner.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/ReservedRunner.java
@@ -2,32 +2,41 @@
 
 import io.persimmonstack.backends.http.HttpCall;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.fleet.RunnerProcess;
 import io.persimmonstack.node.placing.Placement;
 import java.util.Optional;
 
 /**
  * Runner with a slot for one attempt at a request. One that was reserved to replace a silent runner has the request
- * already and has begun to answer it. Closing it releases slot and call.
+ * already and has begun to answer it. Closing it releases slot, connection and call.
  *
  * @param placement slot at the runner
+ * @param connection connection to send the request on, empty if any will do
  * @param call call whose answer has begun, empty if the request was not sent yet
  */
-record ReservedRunner(Placement placement, Optional<HttpCall> call) implements AutoCloseable {
-    static ReservedRunner notSent(Placement placement) {
-        return new ReservedRunner(placement, Optional.empty());
+record ReservedRunner(Placement placement, Optional<RunnerConnection> connection, Optional<HttpCall> call)
+        implements AutoCloseable {
+    static ReservedRunner notSent(Placement placement, Optional<RunnerConnection> connection) {
+        return new ReservedRunner(placement, connection, Optional.empty());
     }
 
-    static ReservedRunner answering(Placement placement, HttpCall call) {
-        return new ReservedRunner(placement, Optional.of(call));
+    static ReservedRunner answering(Placement placement, Optional<RunnerConnection> connection, HttpCall call) {
+        return new ReservedRunner(placement, connection, Optional.of(call));
     }
 
     Runner runner() {
         return placement.runner();
     }
 
+    /** Returns the process that gets, or got, the request; empty if it is not known. */
+    Optional<RunnerProcess> process() {
+        return connection.map(RunnerConnection::process);
+    }
+
     @Override
     public void close() {
         call.ifPresent(HttpCall::close);
+        connection.ifPresent(RunnerConnection::close);
         placement.close();
     }
 }
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/sending/RunnerConnections.java
@@ -0,0 +1,82 @@
+package io.persimmonstack.node.sending;
+
+import io.persimmonstack.backends.http.HttpConnector;
+import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.IdleConnection;
+import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.fleet.RunnerProcess;
+
+/**
+ * Opens connections to runners and finds out which process is at their other end. A connection never leads to another
+ * process, so each is asked about once. Thread-safe.
+ */
+final class RunnerConnections {
+    /** Connections that are tried, since a runner may have closed an idle one, or closes one with its answer. */
+    private static final int MAX_CONNECTIONS = 3;
+
+    private final HttpConnector connector;
+    private final ProcessCheck processes;
+
+    private RunnerConnections(HttpConnector connector, ProcessCheck processes) {
+        this.connector = connector;
+        this.processes = processes;
+    }
+
+    /**
+     * Returns an object that has no connections yet.
+     *
+     * @param connector opens connections
+     * @param processes asks for the process at their other end
+     */
+    static RunnerConnections of(HttpConnector connector, ProcessCheck processes) {
+        return new RunnerConnections(connector, processes);
+    }
+
+    /**
+     * Takes an idle connection, or opens a new one.
+     *
+     * @param runner runner to connect to
+     * @param connectMs timeout for connecting, in milliseconds
+     * @param answerMs timeout for the answer of the process, in milliseconds
+     * @return the connection, to be closed after use
+     * @throws HttpFailure if no connection could be opened
+     * @throws ProcessUnknownException if the process was not told
+     */
+    RunnerConnection connect(Runner runner, int connectMs, int answerMs) throws HttpFailure, ProcessUnknownException {
+        for (int tries = 1; ; tries++) {
+            IdleConnection idle = connector.idleOrNew(runner.address(), connectMs);
+            try {
+                return identify(runner, idle, answerMs);
+            } catch (ProcessUnknownException e) {
+                idle.close();
+                if (tries == MAX_CONNECTIONS || !wasClosed(e)) {
+                    throw e;
+                }
+            }
+        }
+    }
+
+    private static boolean wasClosed(ProcessUnknownException e) {
+        return e.getCause() instanceof HttpFailure failure && failure.kind() == HttpFailure.Kind.LOST;
+    }
+
+    /**
+     * Finds out which process is at the other end of a connection.
+     *
+     * @param runner runner that was connected to
+     * @param idle connection to it
+     * @param answerMs timeout for the answer, in milliseconds
+     * @throws ProcessUnknownException if the process was not told, or the connection is closed
+     */
+    RunnerConnection identify(Runner runner, IdleConnection idle, int answerMs) throws ProcessUnknownException {
+        if (idle.peerStartedMs().isEmpty()) {
+            idle.recordPeerStart(processes.startedMs(runner, idle, answerMs));
+        }
+        if (!idle.isOpen()) {
+            String message = runner.id() + ": connection closed with its first answer";
+            throw new ProcessUnknownException(message, new HttpFailure(HttpFailure.Kind.LOST, message, false, null));
+        }
+        return new RunnerConnection(
+                idle, new RunnerProcess(runner.id(), idle.peerStartedMs().getAsLong()));
+    }
+}
--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -1,47 +1,40 @@
 package io.persimmonstack.node.sending;
 
+import io.persimmonstack.backends.http.HttpFailure;
+import io.persimmonstack.backends.http.IdleConnection;
+import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.RateLimitedLog;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
-import io.persimmonstack.node.fleet.RunnerProcess;
-import io.persimmonstack.node.streams.StreamOrigin;
-import java.util.Collections;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import io.persimmonstack.node.request.ActiveRequest;
+import io.persimmonstack.runtime.event.EventLog;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Last check before a request is sent to the runner that was chosen for it: what the runner has said about itself
- * meanwhile and, for the rest of a stream, whether the processes are those that the entries describe. Thread-safe.
+ * meanwhile and, for a stream that may be resumed, which process is at the other end of its connection. Thread-safe.
  */
 final class SendCheck {
-    /** Number of replaced processes that are remembered; the oldest are dropped beyond it. */
-    private static final int MAX_REPLACED = 1_024;
+    private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(SendCheck.class));
+
+    private static final int CONNECT_TIMEOUT_MS = 600;
 
     private final FleetView fleet;
-    private final ProcessCheck processes;
-    /** Processes in whose place another one has answered. */
-    private final Set<RunnerProcess> replaced =
-            Collections.newSetFromMap(Collections.synchronizedMap(new LinkedHashMap<>() {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<RunnerProcess, Boolean> eldest) {
-                    return size() > MAX_REPLACED;
-                }
-            }));
+    private final RunnerConnections connections;
 
-    private SendCheck(FleetView fleet, ProcessCheck processes) {
+    private SendCheck(FleetView fleet, RunnerConnections connections) {
         this.fleet = fleet;
-        this.processes = processes;
+        this.connections = connections;
     }
 
     /**
      * Returns a check.
      *
      * @param fleet knows the runners and what they said about themselves
-     * @param processes confirms processes of runners
+     * @param connections opens connections to known processes
      */
-    static SendCheck of(FleetView fleet, ProcessCheck processes) {
-        return new SendCheck(fleet, processes);
+    static SendCheck of(FleetView fleet, RunnerConnections connections) {
+        return new SendCheck(fleet, connections);
     }
 
     /** Returns why, by its own word, nothing may be sent to a runner now; empty if requests may be sent. */
@@ -50,73 +43,81 @@
     }
 
     /**
-     * Returns why the rest of a stream may not be sent to a runner; empty if it may, or if the stream has not begun.
+     * Decides whether a request may be sent. A stream that has not begun may also be sent to a process that is not
+     * known; it cannot go on elsewhere then.
      *
-     * @param runner expected process
-     * @param origin where the stream began
-     * @param timeoutMs timeout for the runner to confirm its process, in milliseconds
+     * @param runner runner that was chosen
+     * @param request request to send
+     * @param origin where its stream began
+     * @param answerMs timeout for the process to tell its start, in milliseconds
      */
-    Optional<String> unconfirmed(Runner runner, OriginRecorder origin, int timeoutMs) {
-        if (origin.softwareVersion().isEmpty()) {
-            return Optional.empty();
+    SendPermit check(Runner runner, ActiveRequest request, OriginRecorder origin, int answerMs) {
+        Optional<String> withheld = withheldBy(runner);
+        if (withheld.isPresent()) {
+            return new SendPermit.Withheld(withheld.get());
+        }
+        if (!isResumable(request)) {
+            return new SendPermit.Granted(Optional.empty());
+        }
+        try {
+            return check(runner, connections.connect(runner, CONNECT_TIMEOUT_MS, answerMs), origin);
+        } catch (HttpFailure e) {
+            return new SendPermit.Unreachable(e.getMessage());
+        } catch (ProcessUnknownException e) {
+            LOG.write(NodeEvent.PROCESS_UNKNOWN, request.callerRequest().id(), runner.id(), e.getMessage());
+            Optional<String> withheldNow = withheldBy(runner).or(() -> unconfirmed(origin, e));
+            return withheldNow.isPresent()
+                    ? new SendPermit.Withheld(withheldNow.get())
+                    : new SendPermit.Granted(Optional.empty());
         }
-        return switch (ask(runner, timeoutMs)) {
-            case ProcessAnswer.Expected expected -> Optional.empty();
-            case ProcessAnswer.Other other -> Optional.of("process not confirmed: " + other);
-            case ProcessAnswer.Unreachable unreachable -> Optional.of("process not confirmed: " + unreachable.cause());
-            case ProcessAnswer.Silent silent -> Optional.of("process not confirmed: " + silent.cause());
-        };
     }
 
-    private ProcessAnswer ask(Runner runner, int timeoutMs) {
-        ProcessAnswer answer = processes.ask(runner, timeoutMs);
-        if (answer instanceof ProcessAnswer.Other) {
-            replaced.add(runner.process());
-        }
-        return answer;
+    /** Returns that the rest of a stream cannot be sent to a process that is not known; empty if it has not begun. */
+    private static Optional<String> unconfirmed(OriginRecorder origin, ProcessUnknownException e) {
+        return origin.hasBegun() ? Optional.of("process not confirmed: " + e.getMessage()) : Optional.empty();
     }
 
     /**
-     * Returns why the software version that began a stream is in doubt; empty if it is not. The entry by which the
-     * version was told may have been that of an earlier process: a runner that came back with other software serves new
-     * streams before its entry tells so. A runner that has ended cannot be asked; its entry is then relied on.
+     * Decides the same for a connection that is open already.
      *
-     * @param origin where the stream began
-     * @param silent runner that is known to be silent and is therefore not asked, empty if there is none
-     * @param timeoutMs timeout for the runner that sent the first event, in milliseconds
+     * @param runner runner that was connected to
+     * @param idle connection to it
+     * @param request request to send
+     * @param origin where its stream began
+     * @param answerMs timeout for the process to tell its start, in milliseconds
      */
-    Optional<String> doubtAbout(OriginRecorder origin, Optional<Runner> silent, int timeoutMs) {
-        Optional<StreamOrigin> known = origin.unproven();
-        Optional<RunnerProcess> process = known.flatMap(StreamOrigin::process);
-        if (process.isEmpty()) {
-            return Optional.empty();
+    SendPermit check(Runner runner, IdleConnection idle, ActiveRequest request, OriginRecorder origin, int answerMs) {
+        Optional<String> withheld = withheldBy(runner);
+        if (withheld.isPresent()) {
+            return new SendPermit.Withheld(withheld.get());
+        }
+        if (!isResumable(request)) {
+            return new SendPermit.Granted(Optional.empty());
         }
-        Optional<Runner> listed =
-                Optional.ofNullable(fleet.current().runners().get(process.get().runner()));
-        boolean listedLater = listed.isPresent() && !listed.get().process().equals(process.get());
-        if (listedLater) {
-            return listed.get().softwareVersion().equals(known.get().softwareVersion())
-                    ? Optional.empty()
-                    : Optional.of(
-                            process.get() + " came back at " + listed.get().softwareVersion());
+        try {
+            return check(runner, connections.identify(runner, idle, answerMs), origin);
+        } catch (ProcessUnknownException e) {
+            return new SendPermit.Withheld("process not confirmed: " + e.getMessage());
         }
-        if (replaced.contains(process.get())) {
-            return Optional.of(process.get() + " has been replaced");
+    }
+
+    private static boolean isResumable(ActiveRequest request) {
+        return request.isStream() && request.route().isIdempotent();
+    }
+
+    private SendPermit check(Runner runner, RunnerConnection connection, OriginRecorder origin) {
+        Optional<String> withheld = withheldBy(runner).or(() -> replacedBy(runner, connection, origin));
+        if (withheld.isPresent()) {
+            connection.close();
+            return new SendPermit.Withheld(withheld.get());
         }
-        boolean asked = listed.isPresent()
-                && silent.map(Runner::process).filter(process.get()::equals).isEmpty();
-        return asked ? doubtAfterAsking(listed.get(), origin, timeoutMs) : Optional.empty();
+        return new SendPermit.Granted(Optional.of(connection));
     }
 
-    private Optional<String> doubtAfterAsking(Runner began, OriginRecorder origin, int timeoutMs) {
-        return switch (ask(began, timeoutMs)) {
-            case ProcessAnswer.Expected expected -> {
-                origin.prove();
-                yield Optional.empty();
-            }
-            case ProcessAnswer.Other other -> Optional.of(began.id() + " came back: " + other);
-            case ProcessAnswer.Unreachable unreachable -> Optional.empty();
-            case ProcessAnswer.Silent silent -> Optional.of(began.id() + " is silent: " + silent.cause());
-        };
+    /** Returns that another process answers where a stream is to go on, empty if the expected one does. */
+    private static Optional<String> replacedBy(Runner runner, RunnerConnection connection, OriginRecorder origin) {
+        return origin.hasBegun() && !connection.process().equals(runner.process())
+                ? Optional.of("process not confirmed: " + connection.process() + " in place of " + runner.process())
+                : Optional.empty();
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -105,6 +105,9 @@
         if (!retries.allowed()) {
             return keep(silent, "budget");
         }
+        if (origin.hasBegun() && origin.softwareVersion().isEmpty()) {
+            return keep(silent, "software version");
+        }
         Optional<Placement> placement = placer.placeNow(
                 request, retryState.runnerFilter(origin.softwareVersion()).without(silent));
         if (placement.isEmpty()) {
@@ -124,17 +127,14 @@
             if (!peer.isStillSilent()) {
                 return Optional.empty();
             }
-            Optional<String> withheld = sendCheck
-                    .withheldBy(runner)
-                    .or(() -> sendCheck.doubtAbout(origin, Optional.of(silent), CONFIRM_TIMEOUT_MS))
-                    .or(() -> sendCheck.unconfirmed(runner, origin, CONFIRM_TIMEOUT_MS));
-            if (withheld.isPresent()) {
-                return keep(silent, "runner: " + withheld.get());
-            }
-            if (!retries.trySpend()) {
-                return keep(silent, "budget");
-            }
-            return send(silent, peer, placement, connection, encoder.apply(runner));
+            return switch (sendCheck.check(runner, connection, request, origin, CONFIRM_TIMEOUT_MS)) {
+                case SendPermit.Withheld withheld -> keep(silent, "runner: " + withheld.reason());
+                case SendPermit.Unreachable unreachable -> keep(silent, "connection: " + unreachable.reason());
+                case SendPermit.Granted granted ->
+                    retries.trySpend()
+                            ? send(silent, peer, placement, connection, granted.connection(), encoder.apply(runner))
+                            : keep(silent, "budget");
+            };
         } catch (HttpFailure e) {
             if (!Thread.currentThread().isInterrupted()) {
                 placer.recordUnreachable(runner);
@@ -148,6 +148,7 @@
             SilenceWatcher.SilentPeer peer,
             Placement placement,
             IdleConnection connection,
+            Optional<RunnerConnection> identified,
             HttpRequest encoded) {
         Runner runner = placement.runner();
         retryState.recordSend(runner);
@@ -157,7 +158,7 @@
             HttpCall call = connection.open(encoded, HttpTimeouts.of(waitMs, waitMs, waitMs), overlap);
             AnswerHead head = heads.read(runner, call);
             if (head == AnswerHead.RAN && call.isSuccess() && overlap.end()) {
-                return Optional.of(ReservedRunner.answering(placement, call));
+                return Optional.of(ReservedRunner.answering(placement, identified, call));
             }
             call.cancel();
             return keepAfterSend(silent, runner, head, call.status());
--- a/wire/src/main/java/io/persimmonstack/wire/gen/StreamOrigin.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/StreamOrigin.java
@@ -17,7 +17,6 @@
   private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField SOFTWARE_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("softwareVersion", org.apache.thrift.protocol.TType.STRING, (short)3);
   private static final org.apache.thrift.protocol.TField VALID_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("validMs", org.apache.thrift.protocol.TType.I64, (short)4);
-  private static final org.apache.thrift.protocol.TField PROCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("process", org.apache.thrift.protocol.TType.STRUCT, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new StreamOriginStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new StreamOriginTupleSchemeFactory();
@@ -26,15 +25,13 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String softwareVersion; // required
   private long validMs; // required
-  private @org.apache.thrift.annotation.Nullable RunnerProcess process; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     REQUEST((short)1, "request"),
     SERVICE_NAME((short)2, "serviceName"),
     SOFTWARE_VERSION((short)3, "softwareVersion"),
-    VALID_MS((short)4, "validMs"),
-    PROCESS((short)5, "process");
+    VALID_MS((short)4, "validMs");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -58,8 +55,6 @@
           return SOFTWARE_VERSION;
         case 4: // VALID_MS
           return VALID_MS;
-        case 5: // PROCESS
-          return PROCESS;
         default:
           return null;
       }
@@ -105,7 +100,6 @@
   // isset id assignments
   private static final int __VALIDMS_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.PROCESS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -117,8 +111,6 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.VALID_MS, new org.apache.thrift.meta_data.FieldMetaData("validMs", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.PROCESS, new org.apache.thrift.meta_data.FieldMetaData("process", org.apache.thrift.TFieldRequirementType.OPTIONAL,
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RunnerProcess.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(StreamOrigin.class, metaDataMap);
   }
@@ -155,9 +147,6 @@
       this.softwareVersion = other.softwareVersion;
     }
     this.validMs = other.validMs;
-    if (other.isSetProcess()) {
-      this.process = new RunnerProcess(other.process);
-    }
   }
 
   @Override
@@ -172,7 +161,6 @@
     this.softwareVersion = null;
     setValidMsIsSet(false);
     this.validMs = 0;
-    this.process = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -273,31 +261,6 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VALIDMS_ISSET_ID, value);
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public RunnerProcess getProcess() {
-    return this.process;
-  }
-
-  public StreamOrigin setProcess(@org.apache.thrift.annotation.Nullable RunnerProcess process) {
-    this.process = process;
-    return this;
-  }
-
-  public void unsetProcess() {
-    this.process = null;
-  }
-
-  /** Returns true if field process is set (has been assigned a value) and false otherwise */
-  public boolean isSetProcess() {
-    return this.process != null;
-  }
-
-  public void setProcessIsSet(boolean value) {
-    if (!value) {
-      this.process = null;
-    }
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -333,14 +296,6 @@
       }
       break;
 
-    case PROCESS:
-      if (value == null) {
-        unsetProcess();
-      } else {
-        setProcess((RunnerProcess)value);
-      }
-      break;
-
     }
   }
 
@@ -360,9 +315,6 @@
     case VALID_MS:
       return getValidMs();
 
-    case PROCESS:
-      return getProcess();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -383,8 +335,6 @@
       return isSetSoftwareVersion();
     case VALID_MS:
       return isSetValidMs();
-    case PROCESS:
-      return isSetProcess();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -438,15 +388,6 @@
         return false;
     }
 
-    boolean this_present_process = true && this.isSetProcess();
-    boolean that_present_process = true && that.isSetProcess();
-    if (this_present_process || that_present_process) {
-      if (!(this_present_process && that_present_process))
-        return false;
-      if (!this.process.equals(that.process))
-        return false;
-    }
-
     return true;
   }
 
@@ -468,10 +409,6 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(validMs);
 
-    hashCode = hashCode * 8191 + ((isSetProcess()) ? 131071 : 524287);
-    if (isSetProcess())
-      hashCode = hashCode * 8191 + process.hashCode();
-
     return hashCode;
   }
 
@@ -523,16 +460,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetProcess(), other.isSetProcess());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetProcess()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.process, other.process);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -584,16 +511,6 @@
     sb.append("validMs:");
     sb.append(this.validMs);
     first = false;
-    if (isSetProcess()) {
-      if (!first) sb.append(", ");
-      sb.append("process:");
-      if (this.process == null) {
-        sb.append("null");
-      } else {
-        sb.append(this.process);
-      }
-      first = false;
-    }
     sb.append(")");
     return sb.toString();
   }
@@ -611,9 +528,6 @@
     }
     // alas, we cannot check 'validMs' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
-    if (process != null) {
-      process.validate();
-    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -686,15 +600,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // PROCESS
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-              struct.process = new RunnerProcess();
-              struct.process.read(iprot);
-              struct.setProcessIsSet(true);
-            } else {
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -732,13 +637,6 @@
       oprot.writeFieldBegin(VALID_MS_FIELD_DESC);
       oprot.writeI64(struct.validMs);
       oprot.writeFieldEnd();
-      if (struct.process != null) {
-        if (struct.isSetProcess()) {
-          oprot.writeFieldBegin(PROCESS_FIELD_DESC);
-          struct.process.write(oprot);
-          oprot.writeFieldEnd();
-        }
-      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -761,14 +659,6 @@
       oprot.writeString(struct.serviceName);
       oprot.writeString(struct.softwareVersion);
       oprot.writeI64(struct.validMs);
-      java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetProcess()) {
-        optionals.set(0);
-      }
-      oprot.writeBitSet(optionals, 1);
-      if (struct.isSetProcess()) {
-        struct.process.write(oprot);
-      }
     }
 
     @Override
@@ -782,12 +672,6 @@
       struct.setSoftwareVersionIsSet(true);
       struct.validMs = iprot.readI64();
       struct.setValidMsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
-      if (incoming.get(0)) {
-        struct.process = new RunnerProcess();
-        struct.process.read(iprot);
-        struct.setProcessIsSet(true);
-      }
     }
   }
 
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -375,9 +375,8 @@
 struct StreamOrigin {
   1: required string request                // identifier of the request that brought the first event
   2: required string serviceName
-  3: required string softwareVersion        // of the runner that sent the first event
+  3: required string softwareVersion        // of the process that sent the first event
   4: required i64 validMs                   // for how long the origin is to be kept
-  5: optional RunnerProcess process         // process that the runner's entry described
 }
 
 service NodeLink {
