router: a load that is requested for a waiting request belongs to the request's trace

Cause: a request enters the queue before its load is requested. The ticker of admission requests missing loads every 20 ms, without a trace. If it comes between the two, or finds the request waiting after its targets have gone, the spans of the load are missing from the request's trace.

Change: a queued request keeps its trace context, and the ticker's load request carries that of the head.

Measured: trials on with a pause of 100 ms between the entry and the load request: ColdTraceTest failed at line 173, with no span coordinator.load and all others present; with the change and the same pause it passed. Without the pause LoadTraceTest failed before the change (trace of the load: '') and passes with it, as do WaitQueueTest, ColdBurstTest and RouterTest; one run each.

Callers saw nothing of it: the load was requested and the request served. Operators missed the load in `persimmonctl trace`.

--- a/router/src/main/java/io/persimmonstack/router/admission/Admission.java
+++ b/router/src/main/java/io/persimmonstack/router/admission/Admission.java
@@ -331,10 +331,13 @@
         }
     }
 
-    /** Requests a load for requests that began to wait while an earlier load request for the queue was ending. */
+    /**
+     * Requests a load for waiting requests, as part of the trace of the first of them: for those that began to wait
+     * while an earlier load request was ending, or whose targets have gone.
+     */
     private void requestMissingLoad(AdmissionQueue queue) {
         if (queue.waiting() > 0) {
-            queue.head().ifPresent(head -> requestLoadIfNeeded(queue, head.work(), Context.root()));
+            queue.head().ifPresent(head -> requestLoadIfNeeded(queue, head.work(), head.trace()));
         }
     }
 
--- a/router/src/main/java/io/persimmonstack/router/admission/QueuedRequest.java
+++ b/router/src/main/java/io/persimmonstack/router/admission/QueuedRequest.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.router.admission;
 
+import io.opentelemetry.context.Context;
 import io.persimmonstack.router.request.Refusal;
 import io.persimmonstack.router.request.Request;
 import io.persimmonstack.router.request.TargetFilter;
@@ -20,6 +21,7 @@
     private final String caller;
     private final int priority;
     private final long deadlineNanos;
+    private final Context trace;
     private final CompletableFuture<Decision> decision = new CompletableFuture<>();
 
     /** Decision about a waiting request. */
@@ -31,12 +33,14 @@
         record Refused(Refusal refusal) implements Decision {}
     }
 
-    private QueuedRequest(Work work, TargetFilter filter, String caller, int priority, long deadlineNanos) {
+    private QueuedRequest(
+            Work work, TargetFilter filter, String caller, int priority, long deadlineNanos, Context trace) {
         this.work = work;
         this.filter = filter;
         this.caller = caller;
         this.priority = priority;
         this.deadlineNanos = deadlineNanos;
+        this.trace = trace;
     }
 
     static QueuedRequest of(Request request) {
@@ -45,11 +49,12 @@
                 request.targetFilter().whileWaiting(),
                 request.caller(),
                 request.priority(),
-                request.deadlineNanos());
+                request.deadlineNanos(),
+                request.trace());
     }
 
     static QueuedRequest of(Work work, String caller, int priority, long deadlineNanos) {
-        return new QueuedRequest(work, TargetFilter.any(), caller, priority, deadlineNanos);
+        return new QueuedRequest(work, TargetFilter.any(), caller, priority, deadlineNanos, Context.root());
     }
 
     /** Returns a number that grows with each arrival, for ordering requests with equal deadlines. */
@@ -79,6 +84,11 @@
         return deadlineNanos;
     }
 
+    /** Returns the trace context that the request had when it began to wait. */
+    Context trace() {
+        return trace;
+    }
+
     /** Sets the decision; returns false, without effect, if there already is one. */
     boolean decide(Decision outcome) {
         return decision.complete(outcome);
--- a/router/src/test/java/io/persimmonstack/router/FakeCoordinator.java
+++ b/router/src/test/java/io/persimmonstack/router/FakeCoordinator.java
@@ -24,6 +24,7 @@
     private final String node;
     private final ThriftServer server;
     private final List<LoadRequest> loadRequests = new CopyOnWriteArrayList<>();
+    private final List<Map<String, String>> loadTraces = new CopyOnWriteArrayList<>();
     private final Map<String, RouterState> routerStates = new ConcurrentHashMap<>();
     private volatile Function<LoadRequest, LoadAnswer> loadAnswers =
             request -> new LoadAnswer(LoadResult.REFUSED_MEMORY).setReason("no room");
@@ -38,7 +39,7 @@
                 new Class<?>[] {Coordinator.Iface.class},
                 (proxy, method, arguments) -> switch (method.getName()) {
                     case "awaitSnapshot" -> awaitSnapshot((SnapshotRequest) arguments[0]);
-                    case "load" -> load((LoadRequest) arguments[0]);
+                    case "load" -> load((LoadRequest) arguments[0], traceHeaders(arguments[1]));
                     case "reportUse" -> null;
                     default -> throw new UnsupportedOperationException(method.getName());
                 });
@@ -72,6 +73,11 @@
         return loadRequests;
     }
 
+    /** Returns the trace headers that came with each load request, in the same order. */
+    List<Map<String, String>> loadTraces() {
+        return loadTraces;
+    }
+
     /** Returns the state that a router last reported, or null. */
     RouterState stateOf(String router) {
         return routerStates.get(router);
@@ -104,7 +110,13 @@
         return publishedSnapshot == null ? FakeFleet.of().snapshot(node, 0) : publishedSnapshot;
     }
 
-    private LoadAnswer load(LoadRequest request) {
+    @SuppressWarnings("unchecked")
+    private static Map<String, String> traceHeaders(Object argument) {
+        return (Map<String, String>) argument;
+    }
+
+    private LoadAnswer load(LoadRequest request, Map<String, String> trace) {
+        loadTraces.add(trace);
         loadRequests.add(request);
         return loadAnswers.apply(request);
     }
