router: a request whose deadline passed before it was sent is refused for its deadline

Cause: the retry filter took each attempt that was not sent for one without a target. Change: an attempt that ended as EXPIRED leads to `deadline`, with the same time to return; other attempts that were not sent lead to `no-target` as before. Measured: RetryFilterTest.requestWhoseDeadlinePassedBeforeItWasSentIsRefusedForItsDeadline failed on (NO_TARGET instead of DEADLINE) and passes now; its other test and TargetFaultsTest pass, one run each.

--- a/router/src/main/java/io/persimmonstack/router/filter/RetryFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RetryFilter.java
@@ -28,7 +28,7 @@
     /** Limit on attempts that targets refused without running them; these are not counted as failures. */
     private static final int MAX_TARGET_REFUSALS = 20;
 
-    private static final long NO_TARGET_RETRY_AFTER_MS = 1_000;
+    private static final long RETRY_AFTER_MS = 1_000;
     private final RetryBudget budget;
     private final RouterMetrics metrics;
 
@@ -171,7 +171,8 @@
     private static Refusal toRefusal(Request request, AttemptException e, boolean mayHaveRun) {
         String detail = e.getMessage();
         if (!mayHaveRun) {
-            return Refusal.notRun(RefusalCode.NO_TARGET, detail, NO_TARGET_RETRY_AFTER_MS);
+            boolean expired = e.kind() == AttemptException.Kind.EXPIRED;
+            return Refusal.notRun(expired ? RefusalCode.DEADLINE : RefusalCode.NO_TARGET, detail, RETRY_AFTER_MS);
         }
         boolean deadlinePassed = e.kind() == AttemptException.Kind.DEADLINE || request.remainingMs() == 0;
         if (request.grant().repeatable()) {
