--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -9,10 +9,7 @@
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.router.request.Jitter;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
@@ -34,18 +31,18 @@
 
     private static final ModelRef NO_MODEL = new ModelRef("", "");
     private final ReentrantLock lock = new ReentrantLock();
-    private final Map<String, RunnerLoadTracker> trackers = new HashMap<>();
     private final PriorityQueue<QueuedRequest> queue = new PriorityQueue<>();
     private final PromptAffinityCache promptAffinity = new PromptAffinityCache();
     private final ModelArrivalTracker modelArrivals = new ModelArrivalTracker();
-    private final OutgoingVersions outgoingVersions = new OutgoingVersions();
     private final LocalLoadCollector loadCollector = new LocalLoadCollector(modelArrivals);
     private final FleetView fleet;
+    private final RunnerLoadTrackers trackers;
     private final String zone;
     private volatile Runnable onQueued = () -> {};
 
     private Placer(FleetView fleet, String zone) {
         this.fleet = fleet;
+        this.trackers = RunnerLoadTrackers.of(fleet);
         this.zone = zone;
     }
 
@@ -163,7 +160,7 @@
         ActiveRequest request = queued.request();
         RunnerSelector.Requirements requirements = requirements(queued);
         return selector(request)
-                .choose(trackersOf(request.service().name()), requirements)
+                .choose(trackers.ofService(request.service().name()), requirements)
                 .map(tracker -> occupySlot(tracker, request, requirements.expectedTokens()));
     }
 
@@ -181,12 +178,6 @@
                 promptAffinity.preferredRunner(callerRequest));
     }
 
-    private Collection<RunnerLoadTracker> trackersOf(String service) {
-        return trackers.values().stream()
-                .filter(tracker -> tracker.runner().service().equals(service))
-                .toList();
-    }
-
     /** Occupies a slot of a runner; closing the placement releases it and places queued requests. */
     private Placement occupySlot(RunnerLoadTracker tracker, ActiveRequest request, long expectedTokens) {
         ModelRef model = request.callerRequest().model().orElse(NO_MODEL);
@@ -222,17 +213,7 @@
     private void updateRunners() {
         lock.lock();
         try {
-            Map<String, Runner> runners = fleet.current().runners();
-            trackers.values()
-                    .removeIf(tracker -> !runners.containsKey(tracker.runner().id()));
-            long nowNanos = System.nanoTime();
-            outgoingVersions.update(runners, nowNanos);
-            for (Runner runner : runners.values()) {
-                RunnerLoadTracker tracker = trackers.computeIfAbsent(runner.id(), id -> new RunnerLoadTracker(runner));
-                tracker.updateRunner(runner);
-                tracker.updateOutgoing(outgoingVersions.outgoingUntilNanos(runner));
-                fleet.quietUntilNanos(runner, nowNanos).ifPresent(tracker::pauseUntil);
-            }
+            trackers.update(System.nanoTime());
             placeQueuedRequests();
             refuseQueued(this::refuseIfVersionGone);
             refuseQueued(this::refuseIfQuietTooLong);
@@ -245,16 +226,7 @@
     public boolean applySnapshots(List<RunnerSnapshot> snapshots) {
         lock.lock();
         try {
-            boolean allApplied = true;
-            for (RunnerSnapshot snapshot : snapshots) {
-                RunnerLoadTracker tracker = trackers.get(snapshot.runner());
-                if (tracker != null && tracker.runner().startedMs() == snapshot.startedMs()) {
-                    tracker.applySnapshot(snapshot);
-                } else {
-                    allApplied = false;
-                    markReplaced(tracker, snapshot);
-                }
-            }
+            boolean allApplied = trackers.applySnapshots(snapshots);
             placeQueuedRequests();
             return allApplied;
         } finally {
@@ -262,13 +234,6 @@
         }
     }
 
-    /** Avoids a runner of which the leader knows a later process than this node. */
-    private static void markReplaced(RunnerLoadTracker tracker, RunnerSnapshot snapshot) {
-        if (tracker != null && tracker.runner().startedMs() < snapshot.startedMs()) {
-            tracker.markReplaced();
-        }
-    }
-
     /** Replaces the estimates of when models become available; refuses requests whose model comes too late. */
     public void applyModelArrivals(List<ModelArrival> expected) {
         lock.lock();
@@ -292,7 +257,7 @@
         if (filter.softwareVersion().isEmpty()) {
             return;
         }
-        boolean left = trackersOf(queued.request().service().name()).stream()
+        boolean left = trackers.ofService(queued.request().service().name()).stream()
                 .map(RunnerLoadTracker::runner)
                 .anyMatch(runner -> !runner.leaving() && filter.allowsVersionOf(runner));
         if (!left) {
@@ -305,8 +270,8 @@
     /** Refuses a request if all runners that could take it want none until after its deadline. */
     private void refuseIfQuietTooLong(QueuedRequest queued) {
         ActiveRequest request = queued.request();
-        OptionalLong untilNanos =
-                selector(request).quietUntilNanos(trackersOf(request.service().name()), requirements(queued));
+        OptionalLong untilNanos = selector(request)
+                .quietUntilNanos(trackers.ofService(request.service().name()), requirements(queued));
         if (untilNanos.isEmpty() || untilNanos.getAsLong() - queued.deadlineNanos() < 0) {
             return;
         }
@@ -332,7 +297,7 @@
     public void discardSnapshots() {
         lock.lock();
         try {
-            trackers.values().forEach(RunnerLoadTracker::discardSnapshot);
+            trackers.discardSnapshots();
             placeQueuedRequests();
         } finally {
             lock.unlock();
@@ -377,10 +342,7 @@
     private void updateTracker(Runner runner, Consumer<RunnerLoadTracker> update) {
         lock.lock();
         try {
-            RunnerLoadTracker tracker = trackers.get(runner.id());
-            if (tracker != null && tracker.runner().isSameProcess(runner)) {
-                update.accept(tracker);
-            }
+            trackers.ofProcess(runner).ifPresent(update);
         } finally {
             lock.unlock();
         }
@@ -410,7 +372,7 @@
     public LocalLoad drainLoad() {
         lock.lock();
         try {
-            return loadCollector.drain(trackers.values(), queue, System.nanoTime());
+            return loadCollector.drain(trackers.all(), queue, System.nanoTime());
         } finally {
             lock.unlock();
         }
