node: a request counts once as arrived, however often it is placed

Cause: each call of Placer.place counted an arrival. A request whose placement is withheld is placed again, and so counted twice in the node's report, from which the leader meters the rate of requests for a model. Change: the dispatcher records the arrival when it begins to serve a request; place counts nothing. By the same change a request that is placed again after a failed attempt counts once, and one that is refused since its stream's origin is in doubt, before it is placed, counts too; neither has a test of its own. Callers saw nothing of it; a model could seem to be in more demand than it was. PlacerTest, VersionWaitTest, QuietRunnersTest and StreamPlacementTest pass.

--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -58,6 +58,16 @@
         onQueued = action;
     }
 
+    /** Counts a request that has arrived at this node as demand for its model; to be called once for each. */
+    public void recordArrival(ActiveRequest request) {
+        lock.lock();
+        try {
+            loadCollector.countArrival(request);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Assigns a request to a runner; blocks until a runner can take it.
      *
@@ -73,7 +83,6 @@
         QueuedRequest queued = new QueuedRequest(request, runnerFilter, deadlineNanos);
         lock.lock();
         try {
-            loadCollector.countArrival(request);
             Optional<Placement> placed = tryPlace(queued);
             if (placed.isPresent()) {
                 return placed.get();
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -98,6 +98,7 @@
         ServiceRetries retries =
                 new ServiceRetries(budget, fleet, request.service().name());
         retries.recordRequest();
+        placer.recordArrival(request);
         RetryState retryState = new RetryState(request, sends);
         StreamProgress progress =
                 StreamProgress.startingAfter(request.callerRequest().lastEventId(), request.receivedNanos());
