node: reports are looked through for outdated ones only when there may be one

Cause: a plan asks for the requests at each runner, and the leader for the loads of each report's sender; each of these calls looked through the reports of all nodes. Change: NodeReports keeps a time before which none of its reports was received, and looks through them only once that is older than the age up to which a report counts. Later calls of one plan find nothing to do. The time of a plan was not measured.

--- a/node/src/main/java/io/persimmonstack/node/planning/NodeReports.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/NodeReports.java
@@ -28,6 +28,9 @@
     /** Sum of the usages of all reports that are kept. */
     private final RunnerLoads totalLoads = RunnerLoads.empty();
 
+    /** Monotonic time before which none of the reports that are kept was received. */
+    private long oldestNanos;
+
     /** One report; its loads are the sums of its usages. */
     private record Report(long receivedNanos, List<RunnerUsage> usages, RunnerLoads loads, List<ModelDemand> demands) {}
 
@@ -54,6 +57,9 @@
     public synchronized void update(String node, List<RunnerUsage> usages, List<ModelDemand> demands, long nowNanos) {
         lastReportNanos.put(node, nowNanos);
         Report report = new Report(nowNanos, List.copyOf(usages), RunnerLoads.of(usages), List.copyOf(demands));
+        if (reports.isEmpty() || nowNanos - oldestNanos < 0) {
+            oldestNanos = nowNanos;
+        }
         Report before = reports.put(node, report);
         if (before != null) {
             totalLoads.remove(before.usages());
@@ -91,7 +97,11 @@
         return totalLoads.requestsByModel(runner);
     }
 
+    /** Drops outdated reports; looks through them only if there may be one. */
     private void dropOutdated(long nowNanos) {
+        if (nowNanos - oldestNanos <= REPORT_VALID_NANOS) {
+            return;
+        }
         reports.values().removeIf(report -> {
             boolean outdated = nowNanos - report.receivedNanos() > REPORT_VALID_NANOS;
             if (outdated) {
@@ -99,6 +109,9 @@
             }
             return outdated;
         });
+        oldestNanos = reports.values().stream()
+                .map(Report::receivedNanos)
+                .reduce(nowNanos, (one, other) -> one - other < 0 ? one : other);
     }
 
     /**
