node: one class for threads that repeat an action and can be woken

Cause: CopySender and LoadReporter had the same loop, with the same semaphore and the same way to wake it. Change: WakeableThread has it; both give it their interval and their action. The load reporter's pause after a report is part of its action. Result: the tests of node/streams, node/peers and node/planning pass unchanged.

--- a/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.node.peers;
 
 import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.WakeableThread;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Leader;
 import io.persimmonstack.node.placing.Placer;
@@ -14,7 +15,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
 /** Reports this node's load to the leader periodically and applies the runner states in the leader's answers. */
@@ -37,8 +37,7 @@
     private final Placer placer;
     private final LeaderHandler localLeader;
     private final ThriftPeers<NodeLink.Client> peers;
-    private final Semaphore wakeUp = new Semaphore(0);
-    private final Thread thread = Thread.ofVirtual().name("load-reporter").unstarted(this::run);
+    private final WakeableThread thread = WakeableThread.of("load-reporter", this::intervalMs, this::run);
     private SnapshotDeltas.AnswerId acknowledged = SnapshotDeltas.AnswerId.NONE;
     private long sequence;
     private long lastAnswerNanos;
@@ -73,31 +72,19 @@
             LeaderHandler localLeader,
             ThriftPeers<NodeLink.Client> peers) {
         LoadReporter reporter = new LoadReporter(node, fleet, placer, localLeader, peers);
-        placer.onQueued(reporter::wake);
+        placer.onQueued(reporter.thread::wake);
         reporter.thread.start();
         return reporter;
     }
 
-    /** Triggers a report before the interval has passed, since a request has been queued. */
-    private void wake() {
-        if (wakeUp.availablePermits() == 0) {
-            wakeUp.release();
-        }
+    private int intervalMs() {
+        return placer.queuedCount() > 0 ? QUEUED_INTERVAL_MS : IDLE_INTERVAL_MS;
     }
 
-    private void run() {
-        try {
-            while (true) {
-                wakeUp.tryAcquire(
-                        placer.queuedCount() > 0 ? QUEUED_INTERVAL_MS : IDLE_INTERVAL_MS, TimeUnit.MILLISECONDS);
-                wakeUp.drainPermits();
-                report();
-                placer.retryQueued();
-                TimeUnit.MILLISECONDS.sleep(MIN_INTERVAL_MS);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    private void run() throws InterruptedException {
+        report();
+        placer.retryQueued();
+        TimeUnit.MILLISECONDS.sleep(MIN_INTERVAL_MS);
     }
 
     private void report() {
@@ -144,6 +131,6 @@
 
     @Override
     public void close() {
-        thread.interrupt();
+        thread.close();
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/streams/CopySender.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/CopySender.java
@@ -3,6 +3,7 @@
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.node.NodeMetrics;
 import io.persimmonstack.node.RateLimitedLog;
+import io.persimmonstack.node.WakeableThread;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Peer;
 import io.persimmonstack.runtime.event.EventLog;
@@ -14,8 +15,6 @@
 import java.util.Queue;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 
 /**
@@ -40,8 +39,7 @@
     private final Queue<DeliveredStream> added = new ArrayBlockingQueue<>(MAX_QUEUED);
     private final Queue<FinishedCall> finishedCalls = new ConcurrentLinkedQueue<>();
     private final LongAdder droppedUnlogged = new LongAdder();
-    private final Semaphore wakeUp = new Semaphore(0);
-    private final Thread thread = Thread.ofVirtual().name("origin-copies").unstarted(this::run);
+    private final WakeableThread thread = WakeableThread.of("origin-copies", () -> RENEW_INTERVAL_MS, this::sendDue);
     private volatile Map<String, Peer> scheduledPeers = Map.of();
 
     private record FinishedCall(CopySchedule.Batch batch, boolean confirmed) {}
@@ -86,7 +84,7 @@
     /** Queues the copies of a stream; drops them if too many streams are queued. Never blocks. */
     void add(DeliveredStream stream) {
         if (added.offer(stream)) {
-            wake();
+            thread.wake();
         } else {
             metrics.recordOriginCopiesDropped(OriginHolders.COPIES);
             droppedUnlogged.add(OriginHolders.COPIES);
@@ -95,25 +93,7 @@
 
     private void onFleetChange() {
         if (fleet.current().peers() != scheduledPeers) {
-            wake();
-        }
-    }
-
-    private void wake() {
-        if (wakeUp.availablePermits() == 0) {
-            wakeUp.release();
-        }
-    }
-
-    private void run() {
-        try {
-            while (true) {
-                wakeUp.tryAcquire(RENEW_INTERVAL_MS, TimeUnit.MILLISECONDS);
-                wakeUp.drainPermits();
-                sendDue();
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            thread.wake();
         }
     }
 
@@ -168,7 +148,7 @@
                     e.toString());
         } finally {
             finishedCalls.add(new FinishedCall(batch, confirmed));
-            wake();
+            thread.wake();
         }
     }
 
@@ -196,6 +176,6 @@
 
     @Override
     public void close() {
-        thread.interrupt();
+        thread.close();
     }
 }
