node: a receiver of notices does not end that quiet runners are left alone

Cause: QuietRunnerControl.onNotice passed its receiver on to the control it uses, in place of the record in the view by which it keeps quiet. Change: the receiver gets the notices besides the view.

--- a/node/src/main/java/io/persimmonstack/node/planning/QuietRunnerControl.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/QuietRunnerControl.java
@@ -20,9 +20,13 @@
         return new QuietRunnerControl(control, fleet);
     }
 
+    /** Sets the receiver of the notices, which the view records as before. */
     @Override
     public void onNotice(RunnerNoticeListener listener) {
-        control.onNotice(listener);
+        control.onNotice((runner, notice) -> {
+            fleet.recordNotice(runner, notice);
+            listener.onNotice(runner, notice);
+        });
     }
 
     /** Returns {@link OrderAnswer#WITHHELD} without sending the order while the runner wants quiet. */
--- a/node/src/test/java/io/persimmonstack/node/planning/QuietRunnerControlTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/QuietRunnerControlTest.java
@@ -7,6 +7,7 @@
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.fleet.RunnerNotice;
 import io.persimmonstack.node.fleet.RunnerNoticeListener;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -76,4 +77,16 @@
         control.status(runner(1));
         assertEquals(true, fleet.current().runners().get("r1").leaving());
     }
+
+    /** Failure: another receiver of the notices took the place of the record by which the control keeps quiet. */
+    @Test
+    void runnerThatAsksForQuietGetsNothingMoreAlsoWhenOthersReceiveTheNotices() {
+        List<RunnerNotice> received = new ArrayList<>();
+        control.onNotice((runner, notice) -> received.add(notice));
+        answer = RunnerNotice.quiet(false, 20_000);
+        control.order(runner(1), LOAD, PRECONDITION);
+        assertEquals(List.of(answer), received);
+        assertEquals(OrderAnswer.WITHHELD, control.order(runner(1), LOAD, PRECONDITION));
+        assertEquals(1, calls);
+    }
 }
