node tests: one set-up for two cases of ModelPolicyTest

Cause: the last two cases built the same two runners, of which only the name of the shared model differs. Change: planBesideUnknownRunner builds them and plans. Demands and expectations are the same.

--- a/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/ModelPolicyTest.java
@@ -200,17 +200,21 @@
                 .isEmpty());
     }
 
-    /** The spare replica of a model in demand is cheaper to evict than the idle model, but not for a preload. */
-    @Test
-    void preloadReplacesIdleModelBesideSpareReplicaOfBusyOne() {
-        Engine engine = PlanningTestData.engine("busy", "idle", "new");
+    /** Plans for a full runner with a shared and an idle model, and one in an unknown state that has the shared one. */
+    private static List<Directive> planBesideUnknownRunner(String shared, FleetDemand... demands) {
+        Engine engine = PlanningTestData.engine(shared, "idle", "new");
         RunnerState both =
-                PlanningTestData.runner("r1", PlanningTestData.heldModel("busy"), PlanningTestData.heldModel("idle"));
-        RunnerState other = RunnerStateBuilder.from(PlanningTestData.runner("r2", PlanningTestData.heldModel("busy")))
+                PlanningTestData.runner("r1", PlanningTestData.heldModel(shared), PlanningTestData.heldModel("idle"));
+        RunnerState other = RunnerStateBuilder.from(PlanningTestData.runner("r2", PlanningTestData.heldModel(shared)))
                 .unknown()
                 .build();
-        List<Directive> plan = ModelPolicy.plan(
-                PlanningTestData.state(engine, List.of(both, other), PlanningTestData.demand("busy", 3)));
+        return ModelPolicy.plan(PlanningTestData.state(engine, List.of(both, other), demands));
+    }
+
+    /** The spare replica of a model in demand is cheaper to evict than the idle model, but not for a preload. */
+    @Test
+    void preloadReplacesIdleModelBesideSpareReplicaOfBusyOne() {
+        List<Directive> plan = planBesideUnknownRunner("busy", PlanningTestData.demand("busy", 3));
         assertEquals(
                 List.of(new PlacementOrder.UnloadModel("idle"), new PlacementOrder.LoadModel("new")),
                 plan.getFirst().orders());
@@ -219,17 +223,8 @@
     /** A model that requests wait for stays, but another one makes room for the one that no runner holds. */
     @Test
     void waitingModelReplacesTheOneThatMayGo() {
-        Engine engine = PlanningTestData.engine("asked", "idle", "new");
-        RunnerState runner =
-                PlanningTestData.runner("r1", PlanningTestData.heldModel("asked"), PlanningTestData.heldModel("idle"));
-        RunnerState other = RunnerStateBuilder.from(PlanningTestData.runner("r2", PlanningTestData.heldModel("asked")))
-                .unknown()
-                .build();
-        List<Directive> plan = ModelPolicy.plan(PlanningTestData.state(
-                engine,
-                List.of(runner, other),
-                PlanningTestData.waitingDemand("asked", 2),
-                PlanningTestData.waitingDemand("new", 1)));
+        List<Directive> plan = planBesideUnknownRunner(
+                "asked", PlanningTestData.waitingDemand("asked", 2), PlanningTestData.waitingDemand("new", 1));
         assertEquals(
                 List.of(new PlacementOrder.UnloadModel("idle"), new PlacementOrder.LoadModel("new")),
                 plan.getFirst().orders());
