node: one class for maps that drop their eldest entry

Cause: RunnerNotices and PromptAffinityCache each had a LinkedHashMap with a limit of its own. Change: BoundedMap, which drops the entry added first or the one least recently used; the limits are the same.

--- a/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotices.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotices.java
@@ -1,7 +1,7 @@
 package io.persimmonstack.node.fleet;
 
+import io.persimmonstack.node.BoundedMap;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -18,12 +18,7 @@
     /** Number of remembered processes that are shutting down; the oldest are dropped beyond it. */
     private static final int MAX_LEAVING = 4_096;
 
-    private final Map<RunnerProcess, Long> leavingSinceNanos = new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<RunnerProcess, Long> eldest) {
-            return size() > MAX_LEAVING;
-        }
-    };
+    private final Map<RunnerProcess, Long> leavingSinceNanos = BoundedMap.droppingFirstAdded(MAX_LEAVING);
 
     private final Map<RunnerProcess, Long> quietUntilNanos = new HashMap<>();
 
--- a/node/src/main/java/io/persimmonstack/node/placing/PromptAffinityCache.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/PromptAffinityCache.java
@@ -1,8 +1,8 @@
 package io.persimmonstack.node.placing;
 
+import io.persimmonstack.node.BoundedMap;
 import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.PromptPart;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,14 +13,7 @@
  */
 final class PromptAffinityCache {
     private static final int MAX_ENTRIES = 4_096;
-    private final Map<String, String> runnerByPart = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
-            return size() > MAX_ENTRIES;
-        }
-    };
+    private final Map<String, String> runnerByPart = BoundedMap.droppingLeastUsed(MAX_ENTRIES);
 
     /** Records that a runner processes the prompt of a request. */
     void recordRunner(CallerRequest request, String runner) {
