node: one comparison of times in the notices of runners

Cause: RunnerNotices compared times of the monotonic clock in four places, each with the difference that an overflow needs. Change: isLater has the comparison.

--- a/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotices.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotices.java
@@ -44,8 +44,13 @@
      */
     synchronized void recordQuiet(RunnerProcess process, long quietMs, long nowNanos) {
         long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(Math.min(quietMs, MAX_QUIET_MS));
-        quietUntilNanos.values().removeIf(until -> until - nowNanos <= 0);
-        quietUntilNanos.merge(process, untilNanos, (one, other) -> one - other > 0 ? one : other);
+        quietUntilNanos.values().removeIf(until -> !isLater(until, nowNanos));
+        quietUntilNanos.merge(process, untilNanos, (one, other) -> isLater(one, other) ? one : other);
+    }
+
+    /** Returns whether one time of the monotonic clock, which may overflow, is later than another. */
+    private static boolean isLater(long oneNanos, long otherNanos) {
+        return oneNanos - otherNanos > 0;
     }
 
     /** Returns the processes that are shutting down by their own word. */
@@ -56,13 +61,13 @@
     /** Returns the end of the pause that a process asked for, by the monotonic clock; empty if there is none. */
     synchronized OptionalLong quietUntilNanos(RunnerProcess process, long nowNanos) {
         Long untilNanos = quietUntilNanos.get(process);
-        return untilNanos == null || untilNanos - nowNanos <= 0 ? OptionalLong.empty() : OptionalLong.of(untilNanos);
+        return untilNanos != null && isLater(untilNanos, nowNanos) ? OptionalLong.of(untilNanos) : OptionalLong.empty();
     }
 
     /** Returns the number of processes that want no requests now. */
     synchronized int quietCount(long nowNanos) {
         return (int) quietUntilNanos.values().stream()
-                .filter(until -> until - nowNanos > 0)
+                .filter(until -> isLater(until, nowNanos))
                 .count();
     }
 
