node: the utilisation of a crowded runner is defined once

Cause: ModelPolicy and AdapterPolicy each defined it, with the same value. Change: RunnerState has it. Result: the 83 tests of node/planning pass unchanged.

--- a/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/AdapterPolicy.java
@@ -20,8 +20,6 @@
     /** Adapters that a runner may load at once. */
     private static final int MAX_LOADING_PER_RUNNER = 4;
 
-    /** Utilisation above which a runner counts as crowded. */
-    private static final double CROWDED_UTILISATION = 0.6;
     /** Cost per unit of utilisation above the crowded threshold. */
     private static final double CROWDED_COST = 100;
 
@@ -92,7 +90,7 @@
 
     /** Returns how to load an adapter of a model on a runner, empty if not enough adapters can be evicted. */
     private Optional<LoadOption> loadOption(RunnerState runner, Model model) {
-        double crowdingCost = CROWDED_COST * Math.max(0, runner.utilisation() - CROWDED_UTILISATION);
+        double crowdingCost = CROWDED_COST * Math.max(0, runner.utilisation() - RunnerState.CROWDED_UTILISATION);
         return victims(runner, model)
                 .map(victims ->
                         new LoadOption(runner, victims, crowdingCost + runner.utilisation() + evictionCost(victims)));
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -21,8 +21,6 @@
 final class ModelPolicy {
     /** Loads that the weight store serves concurrently at full speed; more slow each other down. */
     private static final int MAX_STORE_LOADS = 4;
-    /** Utilisation above which a runner counts as crowded. */
-    private static final double CROWDED_UTILISATION = 0.6;
     /** Limit of concurrent loads from the weight store for models above the busy rate. */
     private static final int MAX_URGENT_STORE_LOADS = 6;
 
@@ -126,7 +124,7 @@
                     ? Optional.of(new ReplicaNeed(demand, true, coldUrgency(demand)))
                     : Optional.empty();
         }
-        boolean crowded = holders.stream().allMatch(runner -> runner.utilisation() > CROWDED_UTILISATION);
+        boolean crowded = holders.stream().allMatch(runner -> runner.utilisation() > RunnerState.CROWDED_UTILISATION);
         double urgency = demand.waiting() + demand.perSecond();
         return crowded ? Optional.of(new ReplicaNeed(demand, false, urgency)) : Optional.empty();
     }
@@ -286,7 +284,7 @@
                         ? isOtherOfSameVersion(other, runner)
                         : !other.id().equals(runner.id()))
                 .filter(other -> !assignedRunners.contains(other.id()))
-                .mapToDouble(other -> CROWDED_UTILISATION * other.slots() - other.requests())
+                .mapToDouble(other -> RunnerState.CROWDED_UTILISATION * other.slots() - other.requests())
                 .filter(freeSlots -> freeSlots > 0)
                 .sum();
         return freeSlotCount > runner.requestsOf(model);
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerState.java
@@ -43,6 +43,8 @@
         Set<String> onDisk,
         RequestCounts requestCounts,
         int slots) {
+    /** Utilisation above which a runner counts as crowded. */
+    static final double CROWDED_UTILISATION = 0.6;
 
     /** Returns the number of requests in progress. */
     int requests() {
