node: the refusals of requests that are not placed are made in one class

Change: PlacementRefusals makes them, with the same reasons, texts and times. Result: the 46 tests of node/placing and DispatcherArrivalsTest pass unchanged.

--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -5,7 +5,6 @@
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.ModelRef;
-import io.persimmonstack.node.request.Refusal;
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.router.request.Jitter;
 import java.util.ArrayList;
@@ -23,12 +22,6 @@
 
 /** Assigns requests to runners, or queues them by priority and age. Thread-safe; only {@link #place} waits. */
 public final class Placer {
-    /** Base of the randomised retry time advised to a caller whose request timed out. */
-    private static final long RETRY_AFTER_MS = 500;
-
-    /** Mean time over which callers return after a pause of the runners. */
-    private static final long RETURN_SPREAD_MS = 200;
-
     private static final ModelRef NO_MODEL = new ModelRef("", "");
     private final ReentrantLock lock = new ReentrantLock();
     private final PriorityQueue<QueuedRequest> queue = new PriorityQueue<>();
@@ -141,12 +134,7 @@
         if (queued.placement().isPresent()) {
             return queued.placement().get();
         }
-        ActiveRequest request = queued.request();
-        String detail = request.callerRequest()
-                        .model()
-                        .map(model -> "no runner with " + model)
-                        .orElse("no runner") + " before the deadline";
-        throw new RefusedException(Refusal.notRun("no-place", detail, Jitter.spread(RETRY_AFTER_MS)));
+        throw PlacementRefusals.noPlace(queued.request());
     }
 
     /** Removes a request whose caller has disconnected, and releases its slot if it was placed at the same moment. */
@@ -270,9 +258,7 @@
                 .map(RunnerLoadTracker::runner)
                 .anyMatch(runner -> !runner.leaving() && filter.allowsVersionOf(runner));
         if (!left) {
-            String detail =
-                    "no runner of software version " + filter.softwareVersion().get();
-            queued.refuse(new RefusedException(Refusal.notRun("version-gone", detail, Jitter.spread(RETRY_AFTER_MS))));
+            queued.refuse(PlacementRefusals.versionGone(filter.softwareVersion().get()));
         }
     }
 
@@ -285,9 +271,7 @@
             return;
         }
         long quietMs = TimeUnit.NANOSECONDS.toMillis(untilNanos.getAsLong() - System.nanoTime());
-        String detail = "all runners want no requests for " + quietMs + " ms";
-        long retryAfterMs = Math.max(0, quietMs) + Jitter.spread(RETURN_SPREAD_MS);
-        queued.refuse(new RefusedException(Refusal.notRun("runners-quiet", detail, retryAfterMs)));
+        queued.refuse(PlacementRefusals.runnersQuiet(quietMs));
     }
 
     /** Refuses a request whose model cannot be loaded before its deadline, with the time to retry after. */
@@ -296,9 +280,8 @@
         modelArrivals.unavailableForMs(queued, nowNanos).ifPresent(earliestMs -> {
             long retryAfterMs = Jitter.spread(earliestMs);
             modelArrivals.recordRefusal(queued, retryAfterMs, nowNanos);
-            String detail = queued.request().callerRequest().model().orElse(NO_MODEL) + " is not loaded for at least "
-                    + earliestMs + " ms";
-            queued.refuse(new RefusedException(Refusal.notRun("model-not-loaded", detail, retryAfterMs)));
+            ModelRef model = queued.request().callerRequest().model().orElse(NO_MODEL);
+            queued.refuse(PlacementRefusals.modelNotLoaded(model, earliestMs, retryAfterMs));
         });
     }
 
@@ -321,8 +304,7 @@
                     .filter(queued -> !mayStay.test(queued.request()))
                     .toList();
             queue.removeAll(refused);
-            refused.forEach(queued ->
-                    queued.refuse(new RefusedException(Refusal.notRun("leaving", "this node is shutting down", 0))));
+            refused.forEach(queued -> queued.refuse(PlacementRefusals.leaving()));
         } finally {
             lock.unlock();
         }
