--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -5,14 +5,10 @@
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.ModelRef;
-import io.persimmonstack.node.request.Refusal;
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.router.request.Jitter;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
@@ -26,26 +22,20 @@
 
 /** Assigns requests to runners, or queues them by priority and age. Thread-safe; only {@link #place} waits. */
 public final class Placer {
-    /** Base of the randomised retry time advised to a caller whose request timed out. */
-    private static final long RETRY_AFTER_MS = 500;
-
-    /** Mean time over which callers return after a pause of the runners. */
-    private static final long RETURN_SPREAD_MS = 200;
-
     private static final ModelRef NO_MODEL = new ModelRef("", "");
     private final ReentrantLock lock = new ReentrantLock();
-    private final Map<String, RunnerLoadTracker> trackers = new HashMap<>();
     private final PriorityQueue<QueuedRequest> queue = new PriorityQueue<>();
     private final PromptAffinityCache promptAffinity = new PromptAffinityCache();
     private final ModelArrivalTracker modelArrivals = new ModelArrivalTracker();
-    private final OutgoingVersions outgoingVersions = new OutgoingVersions();
     private final LocalLoadCollector loadCollector = new LocalLoadCollector(modelArrivals);
     private final FleetView fleet;
+    private final RunnerLoadTrackers trackers;
     private final String zone;
     private volatile Runnable onQueued = () -> {};
 
     private Placer(FleetView fleet, String zone) {
         this.fleet = fleet;
+        this.trackers = RunnerLoadTrackers.of(fleet);
         this.zone = zone;
     }
 
@@ -61,6 +51,16 @@
         onQueued = action;
     }
 
+    /** Counts a request that has arrived at this node as demand for its model; to be called once for each. */
+    public void recordArrival(ActiveRequest request) {
+        lock.lock();
+        try {
+            loadCollector.countArrival(request);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Assigns a request to a runner; blocks until a runner can take it.
      *
@@ -76,7 +76,6 @@
         QueuedRequest queued = new QueuedRequest(request, runnerFilter, deadlineNanos);
         lock.lock();
         try {
-            loadCollector.countArrival(request);
             Optional<Placement> placed = tryPlace(queued);
             if (placed.isPresent()) {
                 return placed.get();
@@ -135,12 +134,7 @@
         if (queued.placement().isPresent()) {
             return queued.placement().get();
         }
-        ActiveRequest request = queued.request();
-        String detail = request.callerRequest()
-                        .model()
-                        .map(model -> "no runner with " + model)
-                        .orElse("no runner") + " before the deadline";
-        throw new RefusedException(Refusal.notRun("no-place", detail, Jitter.spread(RETRY_AFTER_MS)));
+        throw PlacementRefusals.noPlace(queued.request());
     }
 
     /** Removes a request whose caller has disconnected, and releases its slot if it was placed at the same moment. */
@@ -163,7 +157,7 @@
         ActiveRequest request = queued.request();
         RunnerSelector.Requirements requirements = requirements(queued);
         return selector(request)
-                .choose(trackersOf(request.service().name()), requirements)
+                .choose(trackers.ofService(request.service().name()), requirements)
                 .map(tracker -> occupySlot(tracker, request, requirements.expectedTokens()));
     }
 
@@ -181,12 +175,6 @@
                 promptAffinity.preferredRunner(callerRequest));
     }
 
-    private Collection<RunnerLoadTracker> trackersOf(String service) {
-        return trackers.values().stream()
-                .filter(tracker -> tracker.runner().service().equals(service))
-                .toList();
-    }
-
     /** Occupies a slot of a runner; closing the placement releases it and places queued requests. */
     private Placement occupySlot(RunnerLoadTracker tracker, ActiveRequest request, long expectedTokens) {
         ModelRef model = request.callerRequest().model().orElse(NO_MODEL);
@@ -222,17 +210,7 @@
     private void updateRunners() {
         lock.lock();
         try {
-            Map<String, Runner> runners = fleet.current().runners();
-            trackers.values()
-                    .removeIf(tracker -> !runners.containsKey(tracker.runner().id()));
-            long nowNanos = System.nanoTime();
-            outgoingVersions.update(runners, nowNanos);
-            for (Runner runner : runners.values()) {
-                RunnerLoadTracker tracker = trackers.computeIfAbsent(runner.id(), id -> new RunnerLoadTracker(runner));
-                tracker.updateRunner(runner);
-                tracker.updateOutgoing(outgoingVersions.outgoingUntilNanos(runner));
-                fleet.quietUntilNanos(runner, nowNanos).ifPresent(tracker::pauseUntil);
-            }
+            trackers.update(System.nanoTime());
             placeQueuedRequests();
             refuseQueued(this::refuseIfVersionGone);
             refuseQueued(this::refuseIfQuietTooLong);
@@ -245,16 +223,7 @@
     public boolean applySnapshots(List<RunnerSnapshot> snapshots) {
         lock.lock();
         try {
-            boolean allApplied = true;
-            for (RunnerSnapshot snapshot : snapshots) {
-                RunnerLoadTracker tracker = trackers.get(snapshot.runner());
-                if (tracker != null && tracker.runner().startedMs() == snapshot.startedMs()) {
-                    tracker.applySnapshot(snapshot);
-                } else {
-                    allApplied = false;
-                    markReplaced(tracker, snapshot);
-                }
-            }
+            boolean allApplied = trackers.applySnapshots(snapshots);
             placeQueuedRequests();
             return allApplied;
         } finally {
@@ -262,13 +231,6 @@
         }
     }
 
-    /** Avoids a runner of which the leader knows a later process than this node. */
-    private static void markReplaced(RunnerLoadTracker tracker, RunnerSnapshot snapshot) {
-        if (tracker != null && tracker.runner().startedMs() < snapshot.startedMs()) {
-            tracker.markReplaced();
-        }
-    }
-
     /** Replaces the estimates of when models become available; refuses requests whose model comes too late. */
     public void applyModelArrivals(List<ModelArrival> expected) {
         lock.lock();
@@ -292,28 +254,24 @@
         if (filter.softwareVersion().isEmpty()) {
             return;
         }
-        boolean left = trackersOf(queued.request().service().name()).stream()
+        boolean left = trackers.ofService(queued.request().service().name()).stream()
                 .map(RunnerLoadTracker::runner)
                 .anyMatch(runner -> !runner.leaving() && filter.allowsVersionOf(runner));
         if (!left) {
-            String detail =
-                    "no runner of software version " + filter.softwareVersion().get();
-            queued.refuse(new RefusedException(Refusal.notRun("version-gone", detail, Jitter.spread(RETRY_AFTER_MS))));
+            queued.refuse(PlacementRefusals.versionGone(filter.softwareVersion().get()));
         }
     }
 
     /** Refuses a request if all runners that could take it want none until after its deadline. */
     private void refuseIfQuietTooLong(QueuedRequest queued) {
         ActiveRequest request = queued.request();
-        OptionalLong untilNanos =
-                selector(request).quietUntilNanos(trackersOf(request.service().name()), requirements(queued));
+        OptionalLong untilNanos = selector(request)
+                .quietUntilNanos(trackers.ofService(request.service().name()), requirements(queued));
         if (untilNanos.isEmpty() || untilNanos.getAsLong() - queued.deadlineNanos() < 0) {
             return;
         }
         long quietMs = TimeUnit.NANOSECONDS.toMillis(untilNanos.getAsLong() - System.nanoTime());
-        String detail = "all runners want no requests for " + quietMs + " ms";
-        long retryAfterMs = Math.max(0, quietMs) + Jitter.spread(RETURN_SPREAD_MS);
-        queued.refuse(new RefusedException(Refusal.notRun("runners-quiet", detail, retryAfterMs)));
+        queued.refuse(PlacementRefusals.runnersQuiet(quietMs));
     }
 
     /** Refuses a request whose model cannot be loaded before its deadline, with the time to retry after. */
@@ -322,9 +280,8 @@
         modelArrivals.unavailableForMs(queued, nowNanos).ifPresent(earliestMs -> {
             long retryAfterMs = Jitter.spread(earliestMs);
             modelArrivals.recordRefusal(queued, retryAfterMs, nowNanos);
-            String detail = queued.request().callerRequest().model().orElse(NO_MODEL) + " is not loaded for at least "
-                    + earliestMs + " ms";
-            queued.refuse(new RefusedException(Refusal.notRun("model-not-loaded", detail, retryAfterMs)));
+            ModelRef model = queued.request().callerRequest().model().orElse(NO_MODEL);
+            queued.refuse(PlacementRefusals.modelNotLoaded(model, earliestMs, retryAfterMs));
         });
     }
 
@@ -332,7 +289,7 @@
     public void discardSnapshots() {
         lock.lock();
         try {
-            trackers.values().forEach(RunnerLoadTracker::discardSnapshot);
+            trackers.discardSnapshots();
             placeQueuedRequests();
         } finally {
             lock.unlock();
@@ -347,8 +304,7 @@
                     .filter(queued -> !mayStay.test(queued.request()))
                     .toList();
             queue.removeAll(refused);
-            refused.forEach(queued ->
-                    queued.refuse(new RefusedException(Refusal.notRun("leaving", "this node is shutting down", 0))));
+            refused.forEach(queued -> queued.refuse(PlacementRefusals.leaving()));
         } finally {
             lock.unlock();
         }
@@ -377,10 +333,7 @@
     private void updateTracker(Runner runner, Consumer<RunnerLoadTracker> update) {
         lock.lock();
         try {
-            RunnerLoadTracker tracker = trackers.get(runner.id());
-            if (tracker != null && tracker.runner().isSameProcess(runner)) {
-                update.accept(tracker);
-            }
+            trackers.ofProcess(runner).ifPresent(update);
         } finally {
             lock.unlock();
         }
@@ -410,7 +363,7 @@
     public LocalLoad drainLoad() {
         lock.lock();
         try {
-            return loadCollector.drain(trackers.values(), queue, System.nanoTime());
+            return loadCollector.drain(trackers.all(), queue, System.nanoTime());
         } finally {
             lock.unlock();
         }
