node: a runner that is silent itself gets no request of another silent one

The second one got the request unasked, had not refused it after 200 ms, so that the first one was disconnected, and refused it once it went on. Cause: an open connection was taken for a sign of life. The system accepts connections also for a process that does not run. Only the rest of a stream was sent after a status request; whole answers, and streams before their first event, were not. Change: each successor has to answer a status request before it is sent the request, whatever the kind of request. If the silent runner has spoken meanwhile, nothing is sent. What callers saw: 502 while the first runner was about to answer. And a stream that its runner began late was worked on by the other runner, too, once that one went on, for as long as the stream lasted.

Tests: silentRunnerIsKeptWhileTheOtherOneIsSilentToo failed before (expected 200, was 502), and runnerThatIsSilentTooGetsNoStreamOfAnotherOne as well (the second runner had executed the request). With the change SilentRunnerTest (13 tests, without the second new one) and LeavingRunnerTest (5) passed, and the two new ones in a run of their own. Left: a runner that falls silent between its answer to the status request and the arrival of the request, and then refuses it. The router's own SuccessorFinder also takes an open connection for enough; not changed here.

--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -57,9 +57,16 @@
      * @param timeoutMs timeout for the runner to confirm its process, in milliseconds
      */
     Optional<String> unconfirmed(Runner runner, OriginRecorder origin, int timeoutMs) {
-        if (origin.softwareVersion().isEmpty()) {
-            return Optional.empty();
-        }
+        return origin.softwareVersion().isEmpty() ? Optional.empty() : unconfirmed(runner, timeoutMs);
+    }
+
+    /**
+     * Returns why it is not known that a runner answers now and is the process of its entry; empty if it does.
+     *
+     * @param runner expected process
+     * @param timeoutMs timeout for the runner to confirm its process, in milliseconds
+     */
+    Optional<String> unconfirmed(Runner runner, int timeoutMs) {
         return switch (ask(runner, timeoutMs)) {
             case ProcessAnswer.Expected expected -> Optional.empty();
             case ProcessAnswer.Other other -> Optional.of("process not confirmed: " + other);
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -20,7 +20,8 @@
 /**
  * Finds another runner for a request whose runner is silent. The silent runner may be sound, so it is kept until the
  * other one has begun to answer, or has not refused the request for a moment. An attempt, the retry budget, a free slot
- * and a connection are needed first. Not thread-safe.
+ * and a connection are needed first, and an answer to a status request: a runner that is silent as well may refuse the
+ * request once it goes on. Not thread-safe.
  */
 final class SuccessorFinder {
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(SuccessorFinder.class));
@@ -127,10 +128,13 @@
             Optional<String> withheld = sendCheck
                     .withheldBy(runner)
                     .or(() -> sendCheck.doubtAbout(origin, Optional.of(silent), CONFIRM_TIMEOUT_MS))
-                    .or(() -> sendCheck.unconfirmed(runner, origin, CONFIRM_TIMEOUT_MS));
+                    .or(() -> sendCheck.unconfirmed(runner, CONFIRM_TIMEOUT_MS));
             if (withheld.isPresent()) {
                 return keep(silent, "runner: " + withheld.get());
             }
+            if (!peer.isStillSilent()) {
+                return Optional.empty();
+            }
             if (!retries.trySpend()) {
                 return keep(silent, "budget");
             }
