node: a stream goes on at the other runner once that has begun, even if the silent one has spoken

Cause: then the silent runner was kept and the other one cancelled at the head of its answer, when it had begun to run. The first one worked on for as long as the rest of its stream lasted, 0.4 s or more after the other one had begun. Change: the head of a successful answer to a stream makes its runner the one that goes on; the first one is disconnected, and what it has sent unread is left, since the other one was asked to go on before it. The head of a whole answer comes when the work is done, so there the first one that speaks is still used, and nobody is cut off. Result: SilentRunnerTest.streamGoesOnAtTheOtherRunnerOnceThatHasBegun failed before in two of two runs (the last events came from the first runner, log "answer: status 200" of the second), passed in two of two with the change, and in a run of SilentRunnerTest (15), LeavingRunnerTest (5), SoakHistoryTest (12), StreamVersionTest (10) and RestartedRunnerVersionTest (3), all passed. What callers saw: nothing. A runner's work was in vain, and two runners were at work on one stream for longer than 0.4 s, counted from the begin of the second.

--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -162,7 +162,7 @@
         try {
             HttpCall call = connection.open(encoded, HttpTimeouts.of(waitMs, waitMs, waitMs), overlap);
             AnswerHead head = heads.read(runner, call);
-            if (head == AnswerHead.RAN && call.isSuccess() && overlap.end()) {
+            if (head == AnswerHead.RAN && call.isSuccess() && overlap.endAtAnswer(request.isStream())) {
                 return Optional.of(ReservedRunner.answering(placement, identified, call));
             }
             call.cancel();
@@ -194,6 +194,19 @@
             return ended;
         }
 
+        /**
+         * Ends the time at the head of the successor's answer; returns whether that answer is used. A stream goes on at
+         * the successor even if the silent runner has spoken: both would work on it otherwise, one of them in vain. The
+         * head of a whole answer comes when the work is done, so the first one is used.
+         */
+        private boolean endAtAnswer(boolean stream) {
+            if (!ended && stream) {
+                ended = true;
+                silent.disconnect();
+            }
+            return end();
+        }
+
         @Override
         public int silentAfterMs() {
             return MAX_OVERLAP_MS;
