--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -78,22 +78,19 @@
     }
 
     /**
-     * Decides the same for a connection that is open already.
+     * Decides whether a request of any kind may be sent on a new connection: only if the process tells its start. One
+     * that does not may be silent, and refuse the request later.
      *
      * @param runner runner that was connected to
      * @param idle connection to it
-     * @param request request to send
-     * @param origin where its stream began
+     * @param origin where the stream of the request began
      * @param answerMs timeout for the process to tell its start, in milliseconds
      */
-    SendPermit check(Runner runner, IdleConnection idle, ActiveRequest request, OriginRecorder origin, int answerMs) {
+    SendPermit checkAnswering(Runner runner, IdleConnection idle, OriginRecorder origin, int answerMs) {
         Optional<String> withheld = withheldBy(runner);
         if (withheld.isPresent()) {
             return new SendPermit.Withheld(withheld.get());
         }
-        if (!isResumable(request)) {
-            return new SendPermit.Granted(Optional.empty());
-        }
         try {
             return check(runner, connections.identify(runner, idle, answerMs), origin);
         } catch (ProcessUnknownException e) {
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -20,7 +20,8 @@
 /**
  * Finds another runner for a request whose runner is silent. The silent runner may be sound, so it is kept until the
  * other one has begun to answer, or has not refused the request for a moment. An attempt, the retry budget, a free slot
- * and a connection are needed first. Not thread-safe.
+ * and a connection are needed first, and an answer to a status request: a runner that is silent as well may refuse the
+ * request once it goes on. Not thread-safe.
  */
 final class SuccessorFinder {
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(SuccessorFinder.class));
@@ -127,13 +128,17 @@
             if (!peer.isStillSilent()) {
                 return Optional.empty();
             }
-            return switch (sendCheck.check(runner, connection, request, origin, CONFIRM_TIMEOUT_MS)) {
+            return switch (sendCheck.checkAnswering(runner, connection, origin, CONFIRM_TIMEOUT_MS)) {
                 case SendPermit.Withheld withheld -> keep(silent, "runner: " + withheld.reason());
                 case SendPermit.Unreachable unreachable -> keep(silent, "connection: " + unreachable.reason());
-                case SendPermit.Granted granted ->
-                    retries.trySpend()
+                case SendPermit.Granted granted -> {
+                    if (!peer.isStillSilent()) {
+                        yield Optional.empty();
+                    }
+                    yield retries.trySpend()
                             ? send(silent, peer, placement, connection, granted.connection(), encoder.apply(runner))
                             : keep(silent, "budget");
+                }
             };
         } catch (HttpFailure e) {
             if (!Thread.currentThread().isInterrupted()) {
@@ -157,7 +162,7 @@
         try {
             HttpCall call = connection.open(encoded, HttpTimeouts.of(waitMs, waitMs, waitMs), overlap);
             AnswerHead head = heads.read(runner, call);
-            if (head == AnswerHead.RAN && call.isSuccess() && overlap.end()) {
+            if (head == AnswerHead.RAN && call.isSuccess() && overlap.endAtAnswer(request.isStream())) {
                 return Optional.of(ReservedRunner.answering(placement, identified, call));
             }
             call.cancel();
@@ -189,6 +194,19 @@
             return ended;
         }
 
+        /**
+         * Ends the time at the head of the successor's answer; returns whether that answer is used. A stream goes on at
+         * the successor even if the silent runner has spoken: both would work on it otherwise, one of them in vain. The
+         * head of a whole answer comes when the work is done, so the first one is used.
+         */
+        private boolean endAtAnswer(boolean stream) {
+            if (!ended && stream) {
+                ended = true;
+                silent.disconnect();
+            }
+            return end();
+        }
+
         @Override
         public int silentAfterMs() {
             return MAX_OVERLAP_MS;
