node: the entry of a runner is read again after its process was asked

Callers saw nothing so far. Cause: between the choice of a runner and the send there are up to 0.6 s for a connection and 0.3 or 0.8 s for the answer of its process, three times if connections are closed; what the store told meanwhile, that the runner leaves or is gone, was not looked at. Where requests may come 2 s after the store knew (drain_ms), and the node reads the store up to a second late, this is too much. Change: SendCheck compares the entry again after the wait.

--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -37,9 +37,18 @@
         return new SendCheck(fleet, connections);
     }
 
-    /** Returns why, by its own word, nothing may be sent to a runner now; empty if requests may be sent. */
-    Optional<String> withheldBy(Runner runner) {
-        return fleet.withholdReason(runner, System.nanoTime());
+    /** Returns why nothing may be sent to a runner now, by its own word or its entry; empty if requests may be sent. */
+    private Optional<String> withheldBy(Runner runner) {
+        return fleet.withholdReason(runner, System.nanoTime()).or(() -> outdated(runner));
+    }
+
+    /** Returns that the entry by which a runner was chosen is no longer true of it, empty if it is. */
+    private Optional<String> outdated(Runner chosen) {
+        Optional<Runner> listed = Optional.ofNullable(fleet.current().runners().get(chosen.id()));
+        if (listed.filter(chosen::isSameProcess).isEmpty()) {
+            return Optional.of("gone or replaced since it was chosen");
+        }
+        return listed.filter(Runner::leaving).map(runner -> "leaving since it was chosen");
     }
 
     /**
