node: the rest of a stream goes to a confirmed process on every route

What a caller could see: events of two software versions, if it resumes a stream on a route that is not resumable, or not any more since the configuration changed. Cause: the process was asked only on resumable routes, while the version was bound on all.

--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -65,7 +65,7 @@
         if (withheld.isPresent()) {
             return new SendPermit.Withheld(withheld.get());
         }
-        if (!isResumable(request)) {
+        if (!needsProcess(request, origin)) {
             return new SendPermit.Granted(Optional.empty());
         }
         try {
@@ -100,7 +100,7 @@
         if (withheld.isPresent()) {
             return new SendPermit.Withheld(withheld.get());
         }
-        if (!isResumable(request)) {
+        if (!needsProcess(request, origin)) {
             return new SendPermit.Granted(Optional.empty());
         }
         try {
@@ -110,8 +110,9 @@
         }
     }
 
-    private static boolean isResumable(ActiveRequest request) {
-        return request.isStream() && request.route().isIdempotent();
+    /** Returns whether the process has to be known: its stream may go on elsewhere, or goes on there. */
+    private static boolean needsProcess(ActiveRequest request, OriginRecorder origin) {
+        return request.isStream() && (request.route().isIdempotent() || origin.hasBegun());
     }
 
     private SendPermit check(Runner runner, RunnerConnection connection, OriginRecorder origin) {
