node: the process of a runner is not awaited beyond the deadline of the request

What a caller saw: a refusal after its deadline, by up to 1.4 s where a runner neither accepts connections nor answers (0.6 s and 0.8 s); the route's timeout allows half a second. Cause: both timeouts were fixed. Change: they end with the request, but for 50 ms, so that a late request does not mark a sound runner as unreachable.

--- a/node/src/main/java/io/persimmonstack/node/sending/RunnerConnections.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/RunnerConnections.java
@@ -5,6 +5,7 @@
 import io.persimmonstack.backends.http.IdleConnection;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.fleet.RunnerProcess;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Opens connections to runners and finds out which process is at their other end. A connection never leads to another
@@ -13,6 +14,8 @@
 final class RunnerConnections {
     /** Connections that are tried, since a runner may have closed an idle one, or closes one with its answer. */
     private static final int MAX_CONNECTIONS = 3;
+    /** Shortest timeout, since a shorter one would take a sound runner for one that cannot be reached. */
+    private static final int MIN_TIMEOUT_MS = 50;
 
     private final HttpConnector connector;
     private final ProcessCheck processes;
@@ -38,15 +41,17 @@
      * @param runner runner to connect to
      * @param connectMs timeout for connecting, in milliseconds
      * @param answerMs timeout for the answer of the process, in milliseconds
+     * @param deadlineNanos monotonic time beyond which neither is awaited
      * @return the connection, to be closed after use
      * @throws HttpFailure if no connection could be opened
      * @throws ProcessUnknownException if the process was not told
      */
-    RunnerConnection connect(Runner runner, int connectMs, int answerMs) throws HttpFailure, ProcessUnknownException {
+    RunnerConnection connect(Runner runner, int connectMs, int answerMs, long deadlineNanos)
+            throws HttpFailure, ProcessUnknownException {
         for (int tries = 1; ; tries++) {
-            IdleConnection idle = connector.idleOrNew(runner.address(), connectMs);
+            IdleConnection idle = connector.idleOrNew(runner.address(), timeoutMs(connectMs, deadlineNanos));
             try {
-                return identify(runner, idle, answerMs);
+                return identify(runner, idle, answerMs, deadlineNanos);
             } catch (ProcessUnknownException e) {
                 idle.close();
                 if (tries == MAX_CONNECTIONS || !wasClosed(e)) {
@@ -56,6 +61,11 @@
         }
     }
 
+    private static int timeoutMs(int longestMs, long deadlineNanos) {
+        long leftMs = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        return (int) Math.clamp(leftMs, MIN_TIMEOUT_MS, longestMs);
+    }
+
     private static boolean wasClosed(ProcessUnknownException e) {
         return e.getCause() instanceof HttpFailure failure && failure.kind() == HttpFailure.Kind.LOST;
     }
@@ -68,9 +78,10 @@
      * @param answerMs timeout for the answer, in milliseconds
      * @throws ProcessUnknownException if the process was not told, or the connection is closed
      */
-    RunnerConnection identify(Runner runner, IdleConnection idle, int answerMs) throws ProcessUnknownException {
+    RunnerConnection identify(Runner runner, IdleConnection idle, int answerMs, long deadlineNanos)
+            throws ProcessUnknownException {
         if (idle.peerStartedMs().isEmpty()) {
-            idle.recordPeerStart(processes.startedMs(runner, idle, answerMs));
+            idle.recordPeerStart(processes.startedMs(runner, idle, timeoutMs(answerMs, deadlineNanos)));
         }
         if (!idle.isOpen()) {
             String message = runner.id() + ": connection closed with its first answer";
--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -69,7 +69,8 @@
             return new SendPermit.Granted(Optional.empty());
         }
         try {
-            return check(runner, connections.connect(runner, CONNECT_TIMEOUT_MS, answerMs), origin);
+            return check(
+                    runner, connections.connect(runner, CONNECT_TIMEOUT_MS, answerMs, request.deadlineNanos()), origin);
         } catch (HttpFailure e) {
             return new SendPermit.Unreachable(e.getMessage());
         } catch (ProcessUnknownException e) {
@@ -104,7 +105,7 @@
             return new SendPermit.Granted(Optional.empty());
         }
         try {
-            return check(runner, connections.identify(runner, idle, answerMs), origin);
+            return check(runner, connections.identify(runner, idle, answerMs, request.deadlineNanos()), origin);
         } catch (ProcessUnknownException e) {
             return new SendPermit.Withheld("process not confirmed: " + e.getMessage());
         }
