node: a silent runner is replaced before the first event by one that is slow to tell its process

What a caller saw: no answer before its deadline, although another runner was free; before that one took over. Cause: on a connection that is open already a process that is not told withheld the request, also before the first event, when it may go anywhere. Change: the same rule as for first sends; the successor gets a new connection where the question closed the first one.

--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -74,14 +74,20 @@
         } catch (HttpFailure e) {
             return new SendPermit.Unreachable(e.getMessage());
         } catch (ProcessUnknownException e) {
-            LOG.write(NodeEvent.PROCESS_UNKNOWN, request.callerRequest().id(), runner.id(), e.getMessage());
-            Optional<String> withheldNow = withheldBy(runner).or(() -> unconfirmed(origin, e));
-            return withheldNow.isPresent()
-                    ? new SendPermit.Withheld(withheldNow.get())
-                    : new SendPermit.Granted(Optional.empty());
+            return withoutProcess(runner, request, origin, e);
         }
     }
 
+    /** Decides whether a request may be sent to a process that is not known. */
+    private SendPermit withoutProcess(
+            Runner runner, ActiveRequest request, OriginRecorder origin, ProcessUnknownException e) {
+        LOG.write(NodeEvent.PROCESS_UNKNOWN, request.callerRequest().id(), runner.id(), e.getMessage());
+        Optional<String> withheld = withheldBy(runner).or(() -> unconfirmed(origin, e));
+        return withheld.isPresent()
+                ? new SendPermit.Withheld(withheld.get())
+                : new SendPermit.Granted(Optional.empty());
+    }
+
     /** Returns that the rest of a stream cannot be sent to a process that is not known; empty if it has not begun. */
     private static Optional<String> unconfirmed(OriginRecorder origin, ProcessUnknownException e) {
         return origin.hasBegun() ? Optional.of("process not confirmed: " + e.getMessage()) : Optional.empty();
@@ -107,7 +113,7 @@
         try {
             return check(runner, connections.identify(runner, idle, answerMs, request.deadlineNanos()), origin);
         } catch (ProcessUnknownException e) {
-            return new SendPermit.Withheld("process not confirmed: " + e.getMessage());
+            return withoutProcess(runner, request, origin, e);
         }
     }
 
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -130,10 +130,7 @@
             return switch (sendCheck.check(runner, connection, request, origin, CONFIRM_TIMEOUT_MS)) {
                 case SendPermit.Withheld withheld -> keep(silent, "runner: " + withheld.reason());
                 case SendPermit.Unreachable unreachable -> keep(silent, "connection: " + unreachable.reason());
-                case SendPermit.Granted granted ->
-                    retries.trySpend()
-                            ? send(silent, peer, placement, connection, granted.connection(), encoder.apply(runner))
-                            : keep(silent, "budget");
+                case SendPermit.Granted granted -> send(silent, peer, placement, connection, granted, encoder);
             };
         } catch (HttpFailure e) {
             if (!Thread.currentThread().isInterrupted()) {
@@ -143,6 +140,38 @@
         }
     }
 
+    /** Sends the request on the connection, or on a new one if it was closed with the question for its process. */
+    private Optional<ReservedRunner> send(
+            Runner silent,
+            SilenceWatcher.SilentPeer peer,
+            Placement placement,
+            IdleConnection connection,
+            SendPermit.Granted granted,
+            Function<Runner, HttpRequest> encoder)
+            throws HttpFailure {
+        if (connection.isOpen()) {
+            return spendAndSend(silent, peer, placement, connection, granted.connection(), encoder);
+        }
+        try (IdleConnection another = connector.connect(placement.runner().address(), CONNECT_TIMEOUT_MS)) {
+            return spendAndSend(silent, peer, placement, another, Optional.empty(), encoder);
+        }
+    }
+
+    private Optional<ReservedRunner> spendAndSend(
+            Runner silent,
+            SilenceWatcher.SilentPeer peer,
+            Placement placement,
+            IdleConnection connection,
+            Optional<RunnerConnection> identified,
+            Function<Runner, HttpRequest> encoder) {
+        if (!peer.isStillSilent()) {
+            return Optional.empty();
+        }
+        return retries.trySpend()
+                ? send(silent, peer, placement, connection, identified, encoder.apply(placement.runner()))
+                : keep(silent, "budget");
+    }
+
     private Optional<ReservedRunner> send(
             Runner silent,
             SilenceWatcher.SilentPeer peer,
