node: a stream whose idle connection was closed begins on another connection to a known process

What a caller saw: a stream that it could not resume (503, stream-unknown), although the runner, its process and its version were there. Seen for one of four streams that began just after their runner had come back: its old connections are closed then, and one that the node takes before it notices is replaced within the attempt by any other connection, whose process is not known. No line told so. Change: the other connection is checked like the first one, also for the rest of a stream, which had been given up before. The timeouts for the process move to SendCheck, which now decides them for both. RestartedRunnerVersionTest.streamWhoseVersionIsToldAfterItsFirstEventGoesOn failed before (one of four streams refused), passes. StreamVersionTest.streamRefusedOnceIsResumedAtTheVersionThatBeganIt, about three tries with a refusal between them, passed before too.

--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -31,6 +31,8 @@
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     /** Time after the deadline that a silent stream is kept open. */
     private static final int LATE_STREAM_TIMEOUT_MS = 250;
+    /** Connections that are tried in place of closed ones; a restarted runner has closed all that were idle. */
+    private static final int MAX_RECONNECTIONS = 20;
     /** Least urgent priority that the protocol of the runners allows. */
     private static final int LEAST_URGENT = 9;
 
@@ -42,12 +44,14 @@
     private final Reply reply;
     private final ReservedRunner reserved;
     private final AnswerHeadReader heads;
+    private final SendCheck sendCheck;
     private final SuccessorFinder successors;
     /** Process that gets the request, empty if it is not known. */
     private Optional<RunnerProcess> process;
 
     private Optional<ReservedRunner> successor = Optional.empty();
     private boolean refused;
+    private int reconnections;
     private long lastReceivedNanos;
 
     private Attempt(
@@ -59,6 +63,7 @@
             Reply reply,
             ReservedRunner reserved,
             AnswerHeadReader heads,
+            SendCheck sendCheck,
             SuccessorFinder successors) {
         this.connector = connector;
         this.protocol = protocol;
@@ -68,6 +73,7 @@
         this.reply = reply;
         this.reserved = reserved;
         this.heads = heads;
+        this.sendCheck = sendCheck;
         this.successors = successors;
         this.process = reserved.process();
     }
@@ -81,8 +87,10 @@
             Reply reply,
             ReservedRunner reserved,
             AnswerHeadReader heads,
+            SendCheck sendCheck,
             SuccessorFinder successors) {
-        return new Attempt(connector, protocol, request, progress, origin, reply, reserved, heads, successors);
+        return new Attempt(
+                connector, protocol, request, progress, origin, reply, reserved, heads, sendCheck, successors);
     }
 
     /**
@@ -120,19 +128,28 @@
                 : connector.open(runner().address(), encode(runner()), timeouts, this);
     }
 
-    /** Sends the request on a connection; if it was closed meanwhile, a stream can still begin on another one. */
+    /** Sends the request on a connection, or on another one to a known process if it was closed meanwhile. */
     private HttpCall openOn(RunnerConnection connection, HttpTimeouts timeouts) throws HttpFailure {
         try {
             return connection.idle().open(encode(runner()), timeouts, this);
         } catch (HttpFailure e) {
-            if (e.sent() || e.kind() != HttpFailure.Kind.LOST || origin.hasBegun()) {
+            if (e.sent() || e.kind() != HttpFailure.Kind.LOST || reconnections++ == MAX_RECONNECTIONS) {
                 throw e;
             }
-            process = Optional.empty();
-            return connector.open(runner().address(), encode(runner()), timeouts, this);
+            return openAgain(timeouts, e);
         }
     }
 
+    private HttpCall openAgain(HttpTimeouts timeouts, HttpFailure closed) throws HttpFailure {
+        if (!(sendCheck.check(runner(), request, origin) instanceof SendPermit.Granted granted)) {
+            throw closed;
+        }
+        process = granted.connection().map(RunnerConnection::process);
+        return granted.connection().isPresent()
+                ? openOn(granted.connection().get(), timeouts)
+                : connector.open(runner().address(), encode(runner()), timeouts, this);
+    }
+
     /** Encodes the request for a runner, or the rest of a stream that has begun. */
     private HttpRequest encode(Runner target) {
         long remainingMs = request.remainingMs(System.nanoTime());
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -23,10 +23,6 @@
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(Dispatcher.class));
     /** Retry-After of a request that no runner ran. */
     private static final long RETRY_AFTER_MS = 300;
-    /** Timeout for a process to tell its start before a stream that may be resumed is sent to it. */
-    private static final int NEW_STREAM_CONFIRM_TIMEOUT_MS = 300;
-    /** The same for the rest of a stream, which cannot be sent otherwise. */
-    private static final int CONFIRM_TIMEOUT_MS = 800;
 
     private final FleetView fleet;
     private final Placer placer;
@@ -111,8 +107,8 @@
             if (next.call().isEmpty()) {
                 retryState.recordSend(runner);
             }
-            Attempt attempt =
-                    Attempt.of(connector, protocol, request, progress, origin, reply, next, heads, successors);
+            Attempt attempt = Attempt.of(
+                    connector, protocol, request, progress, origin, reply, next, heads, sendCheck, successors);
             Outcome outcome;
             try (ReservedRunner ignored = next) {
                 outcome = attempt.run();
@@ -197,12 +193,11 @@
             ActiveRequest request, RetryState retryState, StreamProgress progress, OriginRecorder origin)
             throws RefusedException, InterruptedException {
         refuseIfOriginUnknown(origin);
-        int timeoutMs = origin.hasBegun() ? CONFIRM_TIMEOUT_MS : NEW_STREAM_CONFIRM_TIMEOUT_MS;
         long latestStartNanos = retryState.latestStartNanos(progress);
         while (true) {
             Placement placement =
                     placer.place(request, retryState.runnerFilter(origin.softwareVersion()), latestStartNanos);
-            SendPermit permit = sendCheck.check(placement.runner(), request, origin, timeoutMs);
+            SendPermit permit = sendCheck.check(placement.runner(), request, origin);
             if (Thread.interrupted()) {
                 ReservedRunner.notSent(placement, permit.connection()).close();
                 throw new InterruptedException("the caller has left");
--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -18,6 +18,10 @@
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(SendCheck.class));
 
     private static final int CONNECT_TIMEOUT_MS = 600;
+    /** Timeout for a process to tell its start before a stream that may be resumed is sent to it. */
+    private static final int NEW_STREAM_ANSWER_TIMEOUT_MS = 300;
+    /** The same for the rest of a stream, which cannot be sent otherwise. */
+    private static final int ANSWER_TIMEOUT_MS = 800;
 
     private final FleetView fleet;
     private final RunnerConnections connections;
@@ -58,9 +62,8 @@
      * @param runner runner that was chosen
      * @param request request to send
      * @param origin where its stream began
-     * @param answerMs timeout for the process to tell its start, in milliseconds
      */
-    SendPermit check(Runner runner, ActiveRequest request, OriginRecorder origin, int answerMs) {
+    SendPermit check(Runner runner, ActiveRequest request, OriginRecorder origin) {
         Optional<String> withheld = withheldBy(runner);
         if (withheld.isPresent()) {
             return new SendPermit.Withheld(withheld.get());
@@ -68,6 +71,7 @@
         if (!needsProcess(request, origin)) {
             return new SendPermit.Granted(Optional.empty());
         }
+        int answerMs = origin.hasBegun() ? ANSWER_TIMEOUT_MS : NEW_STREAM_ANSWER_TIMEOUT_MS;
         try {
             return check(
                     runner, connections.connect(runner, CONNECT_TIMEOUT_MS, answerMs, request.deadlineNanos()), origin);
--- a/node/src/test/java/io/persimmonstack/node/sending/SendCheckTest.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/SendCheckTest.java
@@ -30,7 +30,6 @@
 class SendCheckTest {
     private static final long STARTED_MS = 1_700_000_000_000L;
     private static final long LATER_START_MS = STARTED_MS + 1_000;
-    private static final int ANSWER_MS = 800;
     private static final int LONG_LIMIT_MS = 30_000;
     private static final int SHORT_LIMIT_MS = 200;
 
@@ -62,7 +61,7 @@
     private SendPermit check(ActiveRequest request, ProcessCheck processes) {
         SendCheck check = SendCheck.of(fleet, RunnerConnections.of(connector, processes));
         try (OriginRecorder origin = OriginRecorder.of(new NoOrigins(), fleet, request)) {
-            SendPermit permit = check.check(runner(), request, origin, ANSWER_MS);
+            SendPermit permit = check.check(runner(), request, origin);
             permit.connection().ifPresent(RunnerConnection::close);
             return permit;
         }
