--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -18,6 +18,10 @@
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(SendCheck.class));
 
     private static final int CONNECT_TIMEOUT_MS = 600;
+    /** Timeout for a process to tell its start before a stream that may be resumed is sent to it. */
+    private static final int NEW_STREAM_ANSWER_TIMEOUT_MS = 300;
+    /** The same for the rest of a stream, which cannot be sent otherwise. */
+    private static final int ANSWER_TIMEOUT_MS = 800;
 
     private final FleetView fleet;
     private final RunnerConnections connections;
@@ -37,9 +41,18 @@
         return new SendCheck(fleet, connections);
     }
 
-    /** Returns why, by its own word, nothing may be sent to a runner now; empty if requests may be sent. */
-    Optional<String> withheldBy(Runner runner) {
-        return fleet.withholdReason(runner, System.nanoTime());
+    /** Returns why nothing may be sent to a runner now, by its own word or its entry; empty if requests may be sent. */
+    private Optional<String> withheldBy(Runner runner) {
+        return fleet.withholdReason(runner, System.nanoTime()).or(() -> outdated(runner));
+    }
+
+    /** Returns that the entry by which a runner was chosen is no longer true of it, empty if it is. */
+    private Optional<String> outdated(Runner chosen) {
+        Optional<Runner> listed = Optional.ofNullable(fleet.current().runners().get(chosen.id()));
+        if (listed.filter(chosen::isSameProcess).isEmpty()) {
+            return Optional.of("gone or replaced since it was chosen");
+        }
+        return listed.filter(Runner::leaving).map(runner -> "leaving since it was chosen");
     }
 
     /**
@@ -49,29 +62,36 @@
      * @param runner runner that was chosen
      * @param request request to send
      * @param origin where its stream began
-     * @param answerMs timeout for the process to tell its start, in milliseconds
      */
-    SendPermit check(Runner runner, ActiveRequest request, OriginRecorder origin, int answerMs) {
+    SendPermit check(Runner runner, ActiveRequest request, OriginRecorder origin) {
         Optional<String> withheld = withheldBy(runner);
         if (withheld.isPresent()) {
             return new SendPermit.Withheld(withheld.get());
         }
-        if (!isResumable(request)) {
+        if (!needsProcess(request, origin)) {
             return new SendPermit.Granted(Optional.empty());
         }
+        int answerMs = origin.hasBegun() ? ANSWER_TIMEOUT_MS : NEW_STREAM_ANSWER_TIMEOUT_MS;
         try {
-            return check(runner, connections.connect(runner, CONNECT_TIMEOUT_MS, answerMs), origin);
+            return check(
+                    runner, connections.connect(runner, CONNECT_TIMEOUT_MS, answerMs, request.deadlineNanos()), origin);
         } catch (HttpFailure e) {
             return new SendPermit.Unreachable(e.getMessage());
         } catch (ProcessUnknownException e) {
-            LOG.write(NodeEvent.PROCESS_UNKNOWN, request.callerRequest().id(), runner.id(), e.getMessage());
-            Optional<String> withheldNow = withheldBy(runner).or(() -> unconfirmed(origin, e));
-            return withheldNow.isPresent()
-                    ? new SendPermit.Withheld(withheldNow.get())
-                    : new SendPermit.Granted(Optional.empty());
+            return withoutProcess(runner, request, origin, e);
         }
     }
 
+    /** Decides whether a request may be sent to a process that is not known. */
+    private SendPermit withoutProcess(
+            Runner runner, ActiveRequest request, OriginRecorder origin, ProcessUnknownException e) {
+        LOG.write(NodeEvent.PROCESS_UNKNOWN, request.callerRequest().id(), runner.id(), e.getMessage());
+        Optional<String> withheld = withheldBy(runner).or(() -> unconfirmed(origin, e));
+        return withheld.isPresent()
+                ? new SendPermit.Withheld(withheld.get())
+                : new SendPermit.Granted(Optional.empty());
+    }
+
     /** Returns that the rest of a stream cannot be sent to a process that is not known; empty if it has not begun. */
     private static Optional<String> unconfirmed(OriginRecorder origin, ProcessUnknownException e) {
         return origin.hasBegun() ? Optional.of("process not confirmed: " + e.getMessage()) : Optional.empty();
@@ -83,23 +103,26 @@
      *
      * @param runner runner that was connected to
      * @param idle connection to it
-     * @param origin where the stream of the request began
+     * @param request request to send
+     * @param origin where its stream began
      * @param answerMs timeout for the process to tell its start, in milliseconds
      */
-    SendPermit checkAnswering(Runner runner, IdleConnection idle, OriginRecorder origin, int answerMs) {
+    SendPermit checkAnswering(
+            Runner runner, IdleConnection idle, ActiveRequest request, OriginRecorder origin, int answerMs) {
         Optional<String> withheld = withheldBy(runner);
         if (withheld.isPresent()) {
             return new SendPermit.Withheld(withheld.get());
         }
         try {
-            return check(runner, connections.identify(runner, idle, answerMs), origin);
+            return check(runner, connections.identify(runner, idle, answerMs, request.deadlineNanos()), origin);
         } catch (ProcessUnknownException e) {
             return new SendPermit.Withheld("process not confirmed: " + e.getMessage());
         }
     }
 
-    private static boolean isResumable(ActiveRequest request) {
-        return request.isStream() && request.route().isIdempotent();
+    /** Returns whether the process has to be known: its stream may go on elsewhere, or goes on there. */
+    private static boolean needsProcess(ActiveRequest request, OriginRecorder origin) {
+        return request.isStream() && (request.route().isIdempotent() || origin.hasBegun());
     }
 
     private SendPermit check(Runner runner, RunnerConnection connection, OriginRecorder origin) {
