node: a runner that is slow to tell its process is asked for as long as for the rest of a stream, and gets a new stream last

What a caller saw: a stream that began while its runner took more than 0.3 s to answer status requests could not be resumed (503), though both runners of its version served; each such stream also paid 0.3 s.

Change: one timeout, 0.8 s, for all streams that may be resumed. A runner that does not answer in this time is probably silent, so a new stream is placed again, elsewhere if possible, and is sent to it without its process only if it is chosen once more.

--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -141,12 +141,13 @@
     }
 
     private HttpCall openAgain(HttpTimeouts timeouts, HttpFailure closed) throws HttpFailure {
-        if (!(sendCheck.check(runner(), request, origin) instanceof SendPermit.Granted granted)) {
+        SendPermit permit = sendCheck.check(runner(), request, origin);
+        if (permit instanceof SendPermit.Withheld || permit instanceof SendPermit.Unreachable) {
             throw closed;
         }
-        process = granted.connection().map(RunnerConnection::process);
-        return granted.connection().isPresent()
-                ? openOn(granted.connection().get(), timeouts)
+        process = permit.connection().map(RunnerConnection::process);
+        return permit.connection().isPresent()
+                ? openOn(permit.connection().get(), timeouts)
                 : connector.open(runner().address(), encode(runner()), timeouts, this);
     }
 
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -5,6 +5,7 @@
 import io.persimmonstack.node.RateLimitedLog;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.fleet.RunnerProcess;
 import io.persimmonstack.node.placing.Placement;
 import io.persimmonstack.node.placing.Placer;
 import io.persimmonstack.node.placing.RetryBudget;
@@ -16,7 +17,9 @@
 import io.persimmonstack.router.request.CallerGoneException;
 import io.persimmonstack.router.request.Reply;
 import io.persimmonstack.runtime.event.EventLog;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 /** Finds a runner for each request, sends it there, and retries on other runners while {@link RetryState} allows it. */
 public final class Dispatcher {
@@ -189,15 +192,22 @@
         }
     }
 
-    /** Places a request at a runner that, by its own word, may still be sent requests once the wait is over. */
+    /**
+     * Places a request at a runner that may still be sent requests once the wait is over. A runner that does not tell
+     * its process gets a new stream only if it is chosen a second time.
+     */
     private ReservedRunner placeSendable(
             ActiveRequest request, RetryState retryState, StreamProgress progress, OriginRecorder origin)
             throws RefusedException, InterruptedException {
         refuseIfOriginUnknown(origin);
         long latestStartNanos = retryState.latestStartNanos(progress);
+        Set<RunnerProcess> asked = new HashSet<>();
         while (true) {
             Placement placement =
                     placer.place(request, retryState.runnerFilter(origin.softwareVersion()), latestStartNanos);
+            if (asked.contains(placement.runner().process())) {
+                return ReservedRunner.notSent(placement, Optional.empty());
+            }
             SendPermit permit = sendCheck.check(placement.runner(), request, origin);
             if (Thread.interrupted()) {
                 ReservedRunner.notSent(placement, permit.connection()).close();
@@ -211,6 +221,11 @@
                     placer.recordFull(placement.runner());
                     release(placement, request, withheld.reason(), latestStartNanos);
                 }
+                case SendPermit.Unidentified unidentified -> {
+                    asked.add(placement.runner().process());
+                    placer.recordFull(placement.runner());
+                    release(placement, request, unidentified.reason(), latestStartNanos);
+                }
                 case SendPermit.Unreachable unreachable -> {
                     placer.recordUnreachable(placement.runner());
                     release(placement, request, unreachable.reason(), latestStartNanos);
--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -19,8 +19,6 @@
 
     private static final int CONNECT_TIMEOUT_MS = 600;
     /** Timeout for a process to tell its start before a stream that may be resumed is sent to it. */
-    private static final int NEW_STREAM_ANSWER_TIMEOUT_MS = 300;
-    /** The same for the rest of a stream, which cannot be sent otherwise. */
     private static final int ANSWER_TIMEOUT_MS = 800;
 
     private final FleetView fleet;
@@ -56,8 +54,7 @@
     }
 
     /**
-     * Decides whether a request may be sent. A stream that has not begun may also be sent to a process that is not
-     * known; it cannot go on elsewhere then.
+     * Decides whether a request may be sent.
      *
      * @param runner runner that was chosen
      * @param request request to send
@@ -71,10 +68,10 @@
         if (!needsProcess(request, origin)) {
             return new SendPermit.Granted(Optional.empty());
         }
-        int answerMs = origin.hasBegun() ? ANSWER_TIMEOUT_MS : NEW_STREAM_ANSWER_TIMEOUT_MS;
         try {
-            return check(
-                    runner, connections.connect(runner, CONNECT_TIMEOUT_MS, answerMs, request.deadlineNanos()), origin);
+            RunnerConnection connection =
+                    connections.connect(runner, CONNECT_TIMEOUT_MS, ANSWER_TIMEOUT_MS, request.deadlineNanos());
+            return check(runner, connection, origin);
         } catch (HttpFailure e) {
             return new SendPermit.Unreachable(e.getMessage());
         } catch (ProcessUnknownException e) {
@@ -82,14 +79,14 @@
         }
     }
 
-    /** Decides whether a request may be sent to a process that is not known. */
+    /** Decides what becomes of a request whose runner does not tell its process. */
     private SendPermit withoutProcess(
             Runner runner, ActiveRequest request, OriginRecorder origin, ProcessUnknownException e) {
         LOG.write(NodeEvent.PROCESS_UNKNOWN, request.callerRequest().id(), runner.id(), e.getMessage());
         Optional<String> withheld = withheldBy(runner).or(() -> unconfirmed(origin, e));
         return withheld.isPresent()
                 ? new SendPermit.Withheld(withheld.get())
-                : new SendPermit.Granted(Optional.empty());
+                : new SendPermit.Unidentified(e.getMessage());
     }
 
     /** Returns that the rest of a stream cannot be sent to a process that is not known; empty if it has not begun. */
--- a/node/src/main/java/io/persimmonstack/node/sending/SendPermit.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendPermit.java
@@ -23,6 +23,13 @@
      */
     record Withheld(String reason) implements SendPermit {}
 
+    /**
+     * The process that would get the request is not known. A stream that begins there cannot go on elsewhere.
+     *
+     * @param reason explanation for the log and the caller
+     */
+    record Unidentified(String reason) implements SendPermit {}
+
     /**
      * The request cannot be sent, since no connection could be opened.
      *
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -136,6 +136,7 @@
                     placer.recordFull(runner);
                     yield keep(silent, "runner: " + withheld.reason());
                 }
+                case SendPermit.Unidentified unidentified -> keep(silent, "process: " + unidentified.reason());
                 case SendPermit.Unreachable unreachable -> keep(silent, "connection: " + unreachable.reason());
                 case SendPermit.Granted granted -> {
                     if (!peer.isStillSilent()) {
