platform: a watch tells up to when it has reported all changes

Cause: a node knew when it heard of a change, not how old the change may be, so that nothing could be counted from it. Change: after each answer `KvWatcher.completeUpTo` tells the time at which the store was asked; the next change cannot be older. What callers saw: nothing of this alone.

--- a/coordination/src/main/java/io/persimmonstack/coordination/kv/KvWatcher.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/kv/KvWatcher.java
@@ -20,6 +20,13 @@
         changes.forEach(this::changed);
     }
 
+    /**
+     * Called after the changes of each answer have been reported, if the store tells how current it is.
+     *
+     * @param nanos monotonic time; all changes that the store accepted before it have been reported
+     */
+    default void completeUpTo(long nanos) {}
+
     /**
      * Called when the watch has ended. Changes may have been missed, so the prefix must be read again before a new
      * watch.
