node: the rest of a stream goes to a leaving runner of its version while no other one can take it

Cause: a runner that leaves took nothing from the moment at which the node heard of it, though it serves for `drain_ms` after the store has accepted that it leaves. If all runners of a version left, their broken streams ended. Change: `LeavingRunners` decides, without I/O, until when a leaving process takes the rest of streams: for half of `drain_ms`, counted from the last moment up to which the node had read the store completely and the process stayed. Never without `drain_ms` in the settings, around an outage or a reread of the store, before this node listed the process as staying, or after its entry was gone. `RunnerLoadTracker.availability` tells it to selection, queue and successors; a runner that stays is preferred; new requests never go there. `FleetView.withholdReason` applies the same rule before the send. A queued rest is refused as soon as the time is over. What callers saw: 503 version-gone for a resumed stream, or a stream broken off.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -68,7 +68,7 @@
     private Node(NodeOptions options, NodePorts ports, MetricRegistry registry, Closer closer) throws ProgramException {
         this.options = options;
         this.closer = closer;
-        this.fleet = FleetView.create();
+        this.fleet = FleetView.create(options.leavingServesMs());
         NodeMetrics metrics = NodeMetrics.in(registry);
         long startedMs = System.currentTimeMillis();
         LOG.write(NodeEvent.STARTED, options.name(), options.zone(), startedMs);
--- a/node/src/main/java/io/persimmonstack/node/NodeOptions.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeOptions.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.node.placing.RetryBudgetOptions;
 import io.persimmonstack.wire.PeerAddress;
+import java.util.OptionalLong;
 
 /**
  * Identity, addresses, store keys and limits of a node.
@@ -16,6 +17,8 @@
  * @param orderPauseMs time that a new leader waits before its first order, in milliseconds; 0 if runners themselves
  *     refuse orders of an earlier term
  * @param applyMs time limit within which a change in the store must take effect, in milliseconds
+ * @param leavingServesMs time for which a runner serves after the store has accepted that it leaves, in milliseconds;
+ *     empty if it is not known
  * @param graceMs grace period from the stop signal until the process is killed, in milliseconds
  */
 public record NodeOptions(
@@ -28,4 +31,5 @@
         RetryBudgetOptions retryBudget,
         long orderPauseMs,
         int applyMs,
+        OptionalLong leavingServesMs,
         long graceMs) {}
--- a/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
@@ -23,12 +23,25 @@
     private volatile Set<String> silentNodes = Set.of();
 
     private final RunnerNotices notices = RunnerNotices.create();
+    private final LeavingRunners leavingRunners;
 
-    private FleetView() {}
+    private FleetView(LeavingRunners leavingRunners) {
+        this.leavingRunners = leavingRunners;
+    }
 
-    /** Returns a view that holds {@link Fleet#unknown()}. */
+    /** Returns a view that holds {@link Fleet#unknown()} and in which leaving runners take nothing. */
     public static FleetView create() {
-        return new FleetView();
+        return create(OptionalLong.empty());
+    }
+
+    /**
+     * Returns a view that holds {@link Fleet#unknown()}.
+     *
+     * @param leavingServesMs time for which a runner serves after the store has accepted that it leaves, in
+     *     milliseconds; empty if it is not known
+     */
+    public static FleetView create(OptionalLong leavingServesMs) {
+        return new FleetView(LeavingRunners.of(leavingServesMs));
     }
 
     /** Returns the current snapshot. */
@@ -39,14 +52,41 @@
     /**
      * Replaces the snapshot and notifies the listeners on the calling thread.
      *
-     * @param change computes the new snapshot from the current one; it may run more than once and must be pure
+     * @param change computes the new snapshot from the current one; it must be pure and short
      */
     public void update(UnaryOperator<Fleet> change) {
-        Fleet updated = current.updateAndGet(before -> change.apply(before).withLeaving(notices.leaving()));
+        Fleet updated = replace(change);
         maxPeersSeen.accumulateAndGet(updated.peers().size(), Math::max);
         listeners.forEach(Runnable::run);
     }
 
+    /** Replaces the snapshot; which runners have begun to leave is recorded before anyone can see it. */
+    private synchronized Fleet replace(UnaryOperator<Fleet> change) {
+        Fleet before = current.get();
+        Fleet updated = change.apply(before).withLeaving(notices.leaving());
+        leavingRunners.recordChange(before.runners(), updated.runners());
+        current.set(updated);
+        return updated;
+    }
+
+    /** Records that the runners of the snapshot reflect all that the store accepted before a monotonic time. */
+    public void recordRunnersCompleteUpTo(long nanos) {
+        leavingRunners.recordCompleteUpTo(nanos);
+    }
+
+    /** Records that the runners of the snapshot may lack changes of an unknown age, as after an outage of the store. */
+    public void recordRunnersIncomplete() {
+        leavingRunners.recordIncomplete();
+    }
+
+    /**
+     * Returns until when a leaving runner may be sent the rest of a stream, by the monotonic clock; empty if it takes
+     * nothing.
+     */
+    public OptionalLong leavingServesUntilNanos(Runner runner) {
+        return leavingRunners.untilNanos(runner.process());
+    }
+
     /** Returns the highest number of nodes listed at one time; nodes that are no longer listed may still be running. */
     public int maxPeersSeen() {
         return maxPeersSeen.get();
@@ -124,9 +164,21 @@
         return notices.quietCount(nowNanos);
     }
 
-    /** Returns why, by its own word, nothing may be sent to a runner now; empty if requests may be sent. */
+    /**
+     * Returns why, by its own word, a request may not be sent to a runner now; empty if it may. A runner that was known
+     * to be leaving when it was chosen was chosen for the rest of a stream.
+     *
+     * @param runner runner as it was known when it was chosen
+     * @param nowNanos monotonic time
+     */
     public Optional<String> withholdReason(Runner runner, long nowNanos) {
-        return notices.withholdReason(runner.process(), nowNanos);
+        if (!runner.leaving()) {
+            return notices.withholdReason(runner.process(), nowNanos);
+        }
+        OptionalLong untilNanos = leavingServesUntilNanos(runner);
+        return untilNanos.isPresent() && untilNanos.getAsLong() - nowNanos > 0
+                ? notices.quietReason(runner.process(), nowNanos)
+                : Optional.of("leaving, too late for the rest of a stream");
     }
 
     /** Adds an action that runs after each update on the updating thread; it must not block. */
--- a/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotices.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotices.java
@@ -78,6 +78,11 @@
             return Optional.of(
                     "said to be leaving " + TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos) + " ms ago");
         }
+        return quietReason(process, nowNanos);
+    }
+
+    /** Returns the pause that a process asked for, with what is left of it; empty if there is none. */
+    synchronized Optional<String> quietReason(RunnerProcess process, long nowNanos) {
         OptionalLong untilNanos = quietUntilNanos(process, nowNanos);
         return untilNanos.isEmpty()
                 ? Optional.empty()
--- a/node/src/main/java/io/persimmonstack/node/placing/Availability.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Availability.java
@@ -15,6 +15,9 @@
      */
     record Quiet(long untilNanos) implements Availability {}
 
-    /** It is shutting down, by its entry in the store or by its own word, and gets no new requests. */
+    /** It is shutting down, but still takes the rest of streams that no runner which stays can take. */
+    record RestsOnly() implements Availability {}
+
+    /** It is shutting down, by its entry in the store or by its own word, and gets no requests. */
     record Leaving() implements Availability {}
 }
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -231,6 +231,7 @@
                 RunnerLoadTracker tracker = trackers.computeIfAbsent(runner.id(), id -> new RunnerLoadTracker(runner));
                 tracker.updateRunner(runner);
                 tracker.updateOutgoing(outgoingVersions.outgoingUntilNanos(runner));
+                tracker.updateServesRests(fleet.leavingServesUntilNanos(runner));
                 fleet.quietUntilNanos(runner, nowNanos).ifPresent(tracker::pauseUntil);
             }
             placeQueuedRequests();
@@ -286,15 +287,15 @@
         queue.removeIf(queued -> queued.refusal().isPresent());
     }
 
-    /** Refuses the rest of a stream if no runner of the software version that began it stays. */
+    /** Refuses the rest of a stream if no runner of the software version that began it stays or can still take it. */
     private void refuseIfVersionGone(QueuedRequest queued) {
         RunnerFilter filter = queued.runnerFilter();
         if (filter.softwareVersion().isEmpty()) {
             return;
         }
+        long nowNanos = System.nanoTime();
         boolean left = trackersOf(queued.request().service().name()).stream()
-                .map(RunnerLoadTracker::runner)
-                .anyMatch(runner -> !runner.leaving() && filter.allowsVersionOf(runner));
+                .anyMatch(tracker -> tracker.canTakeRest(filter, nowNanos));
         if (!left) {
             String detail =
                     "no runner of software version " + filter.softwareVersion().get();
@@ -386,11 +387,15 @@
         }
     }
 
-    /** Tries to place the queued requests again, since runners that were to be avoided may be eligible by now. */
+    /**
+     * Tries to place the queued requests again, since runners that were to be avoided may be eligible by now, and those
+     * that took the rest of streams may not be any more.
+     */
     public void retryQueued() {
         lock.lock();
         try {
             placeQueuedRequests();
+            refuseQueued(this::refuseIfVersionGone);
         } finally {
             lock.unlock();
         }
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
@@ -42,6 +42,7 @@
     private long avoidUntilNanos = Long.MIN_VALUE;
     private long unreachableUntilNanos = Long.MIN_VALUE;
     private OptionalLong quietUntilNanos = OptionalLong.empty();
+    private OptionalLong servesRestsUntilNanos = OptionalLong.empty();
     private boolean replaced;
     private OptionalLong outgoingUntilNanos = OptionalLong.empty();
 
@@ -168,18 +169,44 @@
         return outgoingUntilNanos.isPresent() && outgoingUntilNanos.getAsLong() - nowNanos > 0;
     }
 
+    /** Sets until when the runner, once it is leaving, takes the rest of streams; empty if it takes nothing. */
+    void updateServesRests(OptionalLong untilNanos) {
+        servesRestsUntilNanos = untilNanos;
+    }
+
     /**
-     * Returns whether the runner may be sent new requests. That it is shutting down outweighs a pause that it asked
-     * for, which outweighs a backoff after failures. Requests in progress at the runner go on in any case.
+     * Returns whether the runner may be sent requests. That it is shutting down outweighs a pause that it asked for,
+     * which outweighs a backoff after failures. Requests in progress at the runner go on in any case.
      */
     Availability availability(long nowNanos) {
         if (runner.leaving()) {
-            return new Availability.Leaving();
+            boolean takesRests = servesRests(nowNanos) && !isQuiet(nowNanos) && !isAvoided(nowNanos);
+            return takesRests ? new Availability.RestsOnly() : new Availability.Leaving();
         }
-        if (quietUntilNanos.isPresent() && quietUntilNanos.getAsLong() - nowNanos > 0) {
+        if (isQuiet(nowNanos)) {
             return new Availability.Quiet(quietUntilNanos.getAsLong());
         }
-        return replaced || avoidUntilNanos > nowNanos ? new Availability.BackingOff() : new Availability.Open();
+        return isAvoided(nowNanos) ? new Availability.BackingOff() : new Availability.Open();
+    }
+
+    /**
+     * Returns whether the rest of a stream can be taken at any time from now on: by a runner of its version that stays,
+     * or by a leaving one that still takes the rest of streams.
+     */
+    boolean canTakeRest(RunnerFilter filter, long nowNanos) {
+        return runner.leaving() ? filter.allows(runner) && servesRests(nowNanos) : filter.allowsVersionOf(runner);
+    }
+
+    private boolean servesRests(long nowNanos) {
+        return servesRestsUntilNanos.isPresent() && servesRestsUntilNanos.getAsLong() - nowNanos > 0;
+    }
+
+    private boolean isQuiet(long nowNanos) {
+        return quietUntilNanos.isPresent() && quietUntilNanos.getAsLong() - nowNanos > 0;
+    }
+
+    private boolean isAvoided(long nowNanos) {
+        return replaced || avoidUntilNanos > nowNanos;
     }
 
     /**
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
@@ -66,14 +66,26 @@
 
     /**
      * Returns a cheap eligible runner with a free slot and enough memory, empty if there is none: the cheapest one or,
-     * in a large fleet, the cheapest one of a random sample.
+     * in a large fleet, the cheapest one of a random sample. The rest of a stream goes to a leaving runner only if no
+     * other one can take it.
      *
      * @param trackers trackers of all runners of the service
      * @param requirements what the request requires of its runner
      */
     Optional<RunnerLoadTracker> choose(Collection<RunnerLoadTracker> trackers, Requirements requirements) {
+        Optional<RunnerLoadTracker> open = cheapest(trackers, requirements, Availability.Open.class);
+        return open.isPresent() || requirements.isNew()
+                ? open
+                : cheapest(trackers, requirements, Availability.RestsOnly.class);
+    }
+
+    private Optional<RunnerLoadTracker> cheapest(
+            Collection<RunnerLoadTracker> trackers,
+            Requirements requirements,
+            Class<? extends Availability> availability) {
         List<RunnerLoadTracker> eligible = trackers.stream()
-                .filter(tracker -> canRun(tracker, requirements))
+                .filter(tracker -> availability.isInstance(tracker.availability(nowNanos)))
+                .filter(tracker -> suits(tracker, requirements))
                 .filter(tracker -> hasCapacity(tracker, requirements))
                 .toList();
         return sample(eligible, requirements).stream()
@@ -126,6 +138,11 @@
                     return OptionalLong.empty();
                 }
                 case Availability.Quiet quiet -> earliestNanos = earlier(earliestNanos, quiet.untilNanos());
+                case Availability.RestsOnly restsOnly -> {
+                    if (!requirements.isNew()) {
+                        return OptionalLong.empty();
+                    }
+                }
                 case Availability.Leaving leaving -> {}
             }
         }
@@ -155,10 +172,6 @@
         }
     }
 
-    private boolean canRun(RunnerLoadTracker tracker, Requirements requirements) {
-        return tracker.availability(nowNanos) instanceof Availability.Open && suits(tracker, requirements);
-    }
-
     /** Returns whether a runner, if it is available, can run the request. */
     private boolean suits(RunnerLoadTracker tracker, Requirements requirements) {
         return requirements.runnerFilter().allows(tracker.runner())
--- a/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
@@ -17,12 +17,18 @@
     private static final EventLog LOG = EventLog.of(RunnerFollower.class);
     /** Time after an outage of the store in which runners can renew their entries. */
     private static final long OUTAGE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    /**
+     * Time after an outage, or after a reread, in which the age of a change is unknown: the store may have lost what a
+     * runner wrote, and the runner writes it again.
+     */
+    static final long SETTLING_NANOS = 2 * OUTAGE_GRACE_NANOS;
 
     private final String prefix;
     private final RunnerDecoder decoder;
     private final FleetView fleet;
     private final OutageTolerantEntries<Runner> runners = OutageTolerantEntries.withGracePeriod(OUTAGE_GRACE_NANOS);
     private long revision;
+    private long settledNanos;
 
     private RunnerFollower(String prefix, RunnerDecoder decoder, FleetView fleet) {
         this.prefix = prefix;
@@ -43,6 +49,7 @@
 
     @Override
     public synchronized void onSnapshot(KvRange range) {
+        startSettling();
         revision = range.revision();
         Set<String> listed =
                 range.entries().stream().map(entry -> id(entry.key())).collect(Collectors.toSet());
@@ -73,11 +80,24 @@
         }
     }
 
+    @Override
+    public synchronized void onCompleteUpTo(long nanos) {
+        if (nanos - settledNanos >= 0) {
+            fleet.recordRunnersCompleteUpTo(nanos);
+        }
+    }
+
     @Override
     public synchronized void onUnavailable() {
+        startSettling();
         runners.storeUnavailable(System.nanoTime());
     }
 
+    private void startSettling() {
+        settledNanos = System.nanoTime() + SETTLING_NANOS;
+        fleet.recordRunnersIncomplete();
+    }
+
     /** Removes runners whose entries vanished around an outage and were not written again; to be called regularly. */
     public synchronized void expire() {
         List<String> expired = runners.expire(System.nanoTime());
--- a/node/src/main/java/io/persimmonstack/node/store/StoreFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoreFollower.java
@@ -44,6 +44,9 @@
         /** Receives changes in the order of their revisions. */
         void onChanges(List<KvChange> changes);
 
+        /** Reports that all changes that the store accepted before a monotonic time have been passed on. */
+        default void onCompleteUpTo(long nanos) {}
+
         /** Reports that the store is unavailable, so the known entries may be outdated. */
         default void onUnavailable() {}
     }
@@ -167,6 +170,14 @@
                 }
             }
 
+            @Override
+            public void completeUpTo(long nanos) {
+                if (ended.getCount() > 0) {
+                    prefixes.forEach(followed ->
+                            notified(followed, () -> followed.listener().onCompleteUpTo(nanos)));
+                }
+            }
+
             @Override
             public int batchDelayMs() {
                 return batchDelayMs.getAsInt();
--- a/node/src/test/java/io/persimmonstack/node/planning/PlannerFixture.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/PlannerFixture.java
@@ -53,8 +53,8 @@
             RunnerControl control,
             ExecutorService threads) {
         RetryBudgetOptions budget = new RetryBudgetOptions(0.2, 50, 1);
-        NodeOptions options =
-                new NodeOptions("n1", "z", ADDRESS, ADDRESS, "c", "r/", budget, orderPauseMs, 2_000, 1_000);
+        NodeOptions options = new NodeOptions(
+                "n1", "z", ADDRESS, ADDRESS, "c", "r/", budget, orderPauseMs, 2_000, OptionalLong.empty(), 1_000);
         NodeMetrics metrics = NodeMetrics.in(new MetricRegistry());
         return Planner.start(fleet, reports, leadTerm, options, control, threads, metrics, cause -> {});
     }
