--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -248,15 +248,15 @@
         queue.removeIf(queued -> queued.refusal().isPresent());
     }
 
-    /** Refuses the rest of a stream if no runner of the software version that began it stays. */
+    /** Refuses the rest of a stream if no runner of the software version that began it stays or can still take it. */
     private void refuseIfVersionGone(QueuedRequest queued) {
         RunnerFilter filter = queued.runnerFilter();
         if (filter.softwareVersion().isEmpty()) {
             return;
         }
+        long nowNanos = System.nanoTime();
         boolean left = trackers.ofService(queued.request().service().name()).stream()
-                .map(RunnerLoadTracker::runner)
-                .anyMatch(runner -> !runner.leaving() && filter.allowsVersionOf(runner));
+                .anyMatch(tracker -> tracker.canTakeRest(filter, nowNanos));
         if (!left) {
             queued.refuse(PlacementRefusals.versionGone(filter.softwareVersion().get()));
         }
@@ -339,11 +339,15 @@
         }
     }
 
-    /** Tries to place the queued requests again, since runners that were to be avoided may be eligible by now. */
+    /**
+     * Tries to place the queued requests again, since runners that were to be avoided may be eligible by now, and those
+     * that took the rest of streams may not be any more.
+     */
     public void retryQueued() {
         lock.lock();
         try {
             placeQueuedRequests();
+            refuseQueued(this::refuseIfVersionGone);
         } finally {
             lock.unlock();
         }
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTrackers.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTrackers.java
@@ -54,6 +54,7 @@
             RunnerLoadTracker tracker = trackers.computeIfAbsent(runner.id(), id -> new RunnerLoadTracker(runner));
             tracker.updateRunner(runner);
             tracker.updateOutgoing(outgoingVersions.outgoingUntilNanos(runner));
+            tracker.updateServesRests(fleet.leavingServesUntilNanos(runner));
             fleet.quietUntilNanos(runner, nowNanos).ifPresent(tracker::pauseUntil);
         }
     }
--- a/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SendCheck.java
@@ -50,7 +50,8 @@
         if (listed.filter(chosen::isSameProcess).isEmpty()) {
             return Optional.of("gone or replaced since it was chosen");
         }
-        return listed.filter(Runner::leaving).map(runner -> "leaving since it was chosen");
+        return listed.filter(runner -> runner.leaving() && !chosen.leaving())
+                .map(runner -> "leaving since it was chosen");
     }
 
     /**
