--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -5,6 +5,7 @@
 import io.persimmonstack.node.RateLimitedLog;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.fleet.RunnerProcess;
 import io.persimmonstack.node.placing.Placement;
 import io.persimmonstack.node.placing.Placer;
 import io.persimmonstack.node.placing.RetryBudget;
@@ -16,17 +17,15 @@
 import io.persimmonstack.router.request.CallerGoneException;
 import io.persimmonstack.router.request.Reply;
 import io.persimmonstack.runtime.event.EventLog;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 /** Finds a runner for each request, sends it there, and retries on other runners while {@link RetryState} allows it. */
 public final class Dispatcher {
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(Dispatcher.class));
     /** Retry-After of a request that no runner ran. */
     private static final long RETRY_AFTER_MS = 300;
-    /** Timeout for a process to tell its start before a stream that may be resumed is sent to it. */
-    private static final int NEW_STREAM_CONFIRM_TIMEOUT_MS = 300;
-    /** The same for the rest of a stream, which cannot be sent otherwise. */
-    private static final int CONFIRM_TIMEOUT_MS = 800;
 
     private final FleetView fleet;
     private final Placer placer;
@@ -112,8 +111,8 @@
             if (next.call().isEmpty()) {
                 retryState.recordSend(runner);
             }
-            Attempt attempt =
-                    Attempt.of(connector, protocol, request, progress, origin, reply, next, heads, successors);
+            Attempt attempt = Attempt.of(
+                    connector, protocol, request, progress, origin, reply, next, heads, sendCheck, successors);
             Outcome outcome;
             try (ReservedRunner ignored = next) {
                 outcome = attempt.run();
@@ -193,17 +192,23 @@
         }
     }
 
-    /** Places a request at a runner that, by its own word, may still be sent requests once the wait is over. */
+    /**
+     * Places a request at a runner that may still be sent requests once the wait is over. A runner that does not tell
+     * its process gets a new stream only if it is chosen a second time.
+     */
     private ReservedRunner placeSendable(
             ActiveRequest request, RetryState retryState, StreamProgress progress, OriginRecorder origin)
             throws RefusedException, InterruptedException {
         refuseIfOriginUnknown(origin);
-        int timeoutMs = origin.hasBegun() ? CONFIRM_TIMEOUT_MS : NEW_STREAM_CONFIRM_TIMEOUT_MS;
         long latestStartNanos = retryState.latestStartNanos(progress);
+        Set<RunnerProcess> asked = new HashSet<>();
         while (true) {
             Placement placement =
                     placer.place(request, retryState.runnerFilter(origin.softwareVersion()), latestStartNanos);
-            SendPermit permit = sendCheck.check(placement.runner(), request, origin, timeoutMs);
+            if (asked.contains(placement.runner().process())) {
+                return ReservedRunner.notSent(placement, Optional.empty());
+            }
+            SendPermit permit = sendCheck.check(placement.runner(), request, origin);
             if (Thread.interrupted()) {
                 ReservedRunner.notSent(placement, permit.connection()).close();
                 throw new InterruptedException("the caller has left");
@@ -216,6 +221,11 @@
                     placer.recordFull(placement.runner());
                     release(placement, request, withheld.reason(), latestStartNanos);
                 }
+                case SendPermit.Unidentified unidentified -> {
+                    asked.add(placement.runner().process());
+                    placer.recordFull(placement.runner());
+                    release(placement, request, unidentified.reason(), latestStartNanos);
+                }
                 case SendPermit.Unreachable unreachable -> {
                     placer.recordUnreachable(placement.runner());
                     release(placement, request, unreachable.reason(), latestStartNanos);
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -27,8 +27,10 @@
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(SuccessorFinder.class));
     /** Timeout for connecting to the successor; events of the silent runner wait meanwhile. */
     private static final int CONNECT_TIMEOUT_MS = 100;
-    /** Timeout for the successor to confirm its process; events of the silent runner wait meanwhile. */
-    private static final int CONFIRM_TIMEOUT_MS = 250;
+    /** Timeout for the successor to tell its process; events of the silent runner wait meanwhile. */
+    private static final int ANSWER_TIMEOUT_MS = 250;
+    /** The same before the first event or a whole answer, when less waits. */
+    private static final int NEW_STREAM_ANSWER_TIMEOUT_MS = 1_000;
     /** Longest time for which both runners may work on the request. */
     private static final int MAX_OVERLAP_MS = 200;
 
@@ -128,8 +130,13 @@
             if (!peer.isStillSilent()) {
                 return Optional.empty();
             }
-            return switch (sendCheck.checkAnswering(runner, connection, origin, CONFIRM_TIMEOUT_MS)) {
-                case SendPermit.Withheld withheld -> keep(silent, "runner: " + withheld.reason());
+            int answerMs = origin.hasBegun() ? ANSWER_TIMEOUT_MS : NEW_STREAM_ANSWER_TIMEOUT_MS;
+            return switch (sendCheck.checkAnswering(runner, connection, request, origin, answerMs)) {
+                case SendPermit.Withheld withheld -> {
+                    placer.recordFull(runner);
+                    yield keep(silent, "runner: " + withheld.reason());
+                }
+                case SendPermit.Unidentified unidentified -> keep(silent, "process: " + unidentified.reason());
                 case SendPermit.Unreachable unreachable -> keep(silent, "connection: " + unreachable.reason());
                 case SendPermit.Granted granted -> {
                     if (!peer.isStillSilent()) {
