node: a connection without a usable answer is closed; a stream whose entry comes after its last event can be resumed

Both found by the review. And the version of a stream was sought before events alone, so that one which ended before the entry of its process was read was unknown when its caller took it up again: 503 though its version served.

--- a/backends/src/main/java/io/persimmonstack/backends/http/IdleConnection.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/IdleConnection.java
@@ -75,6 +75,12 @@
         connection.recordPeerStart(startedMs);
     }
 
+    /** Closes the connection, since what the peer sends on it cannot be understood. */
+    public void discard() {
+        used = true;
+        connection.close(CloseCause.SUSPECT);
+    }
+
     @Override
     public void close() {
         if (!used) {
--- a/node/src/main/java/io/persimmonstack/node/sending/OriginRecorder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/OriginRecorder.java
@@ -72,6 +72,10 @@
             begun = true;
             firstProcess = process;
         }
+        keepOnceKnown();
+    }
+
+    private void keepOnceKnown() {
         if (kept.isEmpty()
                 && request.route().isIdempotent()
                 && softwareVersion().isPresent()) {
@@ -93,6 +97,9 @@
 
     @Override
     public void close() {
+        if (firstProcess.isPresent()) {
+            keepOnceKnown();
+        }
         kept.ifPresent(OriginDirectory.KeptOrigin::close);
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/RunnerConnections.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/RunnerConnections.java
@@ -81,7 +81,7 @@
     RunnerConnection identify(Runner runner, IdleConnection idle, int answerMs, long deadlineNanos)
             throws ProcessUnknownException {
         if (idle.peerStartedMs().isEmpty()) {
-            idle.recordPeerStart(processes.startedMs(runner, idle, timeoutMs(answerMs, deadlineNanos)));
+            idle.recordPeerStart(ask(runner, idle, timeoutMs(answerMs, deadlineNanos)));
         }
         if (!idle.isOpen()) {
             String message = runner.id() + ": connection closed with its first answer";
@@ -90,4 +90,14 @@
         return new RunnerConnection(
                 idle, new RunnerProcess(runner.id(), idle.peerStartedMs().getAsLong()));
     }
+
+    /** Asks for the start of the process; a connection without a usable answer is not used for requests. */
+    private long ask(Runner runner, IdleConnection idle, int answerMs) throws ProcessUnknownException {
+        try {
+            return processes.startedMs(runner, idle, answerMs);
+        } catch (ProcessUnknownException e) {
+            idle.discard();
+            throw e;
+        }
+    }
 }
--- a/node/src/test/java/io/persimmonstack/node/sending/SendCheckTest.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/SendCheckTest.java
@@ -1,11 +1,13 @@
 package io.persimmonstack.node.sending;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.persimmonstack.backends.http.HttpConnector;
 import io.persimmonstack.backends.http.HttpConnectorOptions;
+import io.persimmonstack.backends.http.IdleConnection;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.request.ActiveRequest;
@@ -67,6 +69,19 @@
         }
     }
 
+    /** Failure: an answer that could not be read left its connection to the stream, whose answer came after it. */
+    @Test
+    void connectionWithoutAUsableAnswerIsNotUsedFurther() {
+        List<IdleConnection> asked = new ArrayList<>();
+        ActiveRequest request = Requests.resumableStream(System.nanoTime(), LONG_LIMIT_MS);
+        SendPermit permit = check(request, (runner, connection, timeoutMs) -> {
+            asked.add(connection);
+            throw new ProcessUnknownException("e1: unreadable", null);
+        });
+        assertInstanceOf(SendPermit.Unidentified.class, permit);
+        assertFalse(asked.getFirst().isOpen());
+    }
+
     /** Directory for streams that are not looked up. */
     private static final class NoOrigins implements OriginDirectory {
         @Override
