--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -54,7 +54,10 @@
     /** A runner's answer has a field about itself that cannot be read; the field has no effect. */
     NOTICE_UNREADABLE(6023, Level.WARN, "notice-unreadable runner={} value={}"),
     /** A request was answered by a runner. */
-    SERVED(6101, Level.INFO, "request-served id={} route={} model={} runner={} version={} sends={} first-ms={} ms={}"),
+    SERVED(
+            6101,
+            Level.INFO,
+            "request-served id={} route={} model={} runner={} version={} sends={} first-ms={} ms={} parts={}"),
     /** The node answered a request itself, without a usable answer of a runner. */
     REFUSED(
             6102,
@@ -67,7 +70,7 @@
             6105,
             Level.INFO,
             "attempt-failed id={} runner={} version={} sends={} runs={} max-runs={} left-ms={} silent-ms={}"
-                    + " delivered={} next-version={} cause={} repeat={}"),
+                    + " delivered={} next-version={} cause={} repeat={} parts={}"),
     /** Serving a request failed with an unexpected error. */
     REQUEST_ERROR(6106, Level.ERROR, "request-error id={} cause={}"),
     /** The runner of a request is silent and keeps the request, since something that another one needs is missing. */
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -178,7 +178,8 @@
                 summary.sends.lastVersion(),
                 summary.sends.count(),
                 delivery.firstEventMs(),
-                summary.elapsedMs());
+                summary.elapsedMs(),
+                summary.callerRequest.loggedParts());
     }
 
     private void refuse(RequestSummary summary, Refusal refusal, Reply reply) {
--- a/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 
 /**
  * Decoded request of a caller, with its complete body.
@@ -37,9 +38,25 @@
         List<PromptPart> prompt,
         OptionalLong lastEventId,
         Optional<String> resumedRequest) {
+    private static final int MAX_LOGGED_CHARACTERS = 200;
+
     /** Copies the lists. */
     public CallerRequest {
         headers = List.copyOf(headers);
         prompt = List.copyOf(prompt);
     }
+
+    /** Returns the parts of the prompt that other requests may have, too: all but the last, which is its own. */
+    public List<PromptPart> sharedParts() {
+        return prompt.isEmpty() ? List.of() : prompt.subList(0, prompt.size() - 1);
+    }
+
+    /** Returns the identifiers of the shared parts for the log, shortened if they are long. */
+    public String loggedParts() {
+        String ids = sharedParts().stream().map(PromptPart::id).collect(Collectors.joining(","));
+        if (ids.isEmpty()) {
+            return "-";
+        }
+        return ids.length() <= MAX_LOGGED_CHARACTERS ? ids : ids.substring(0, MAX_LOGGED_CHARACTERS) + "...";
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -173,7 +173,8 @@
                 progress.deliveredCount(),
                 origin.softwareVersion().orElse("any"),
                 outcome,
-                retry);
+                retry,
+                request.callerRequest().loggedParts());
     }
 
     private ReservedRunner place(
