--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -15,6 +15,10 @@
 import io.persimmonstack.node.placing.RetryBudget;
 import io.persimmonstack.node.planning.NodeReports;
 import io.persimmonstack.node.planning.Planner;
+import io.persimmonstack.node.prompts.CrashReportFollower;
+import io.persimmonstack.node.prompts.CrashReportSender;
+import io.persimmonstack.node.prompts.PromptGuard;
+import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.node.sending.Dispatcher;
 import io.persimmonstack.node.store.NodeKeys;
 import io.persimmonstack.node.store.PeerFollower;
@@ -22,6 +26,7 @@
 import io.persimmonstack.node.store.RunnerFollower;
 import io.persimmonstack.node.store.StoreFollower;
 import io.persimmonstack.node.store.StoreSession;
+import io.persimmonstack.node.store.StoredValue;
 import io.persimmonstack.node.streams.OriginDirectory;
 import io.persimmonstack.node.streams.RecentVersions;
 import io.persimmonstack.node.streams.ResumptionResolver;
@@ -50,6 +55,8 @@
     private static final int BATCH_DELAY_MS_PER_NODE = 20;
     private static final int MIN_BATCH_DELAY_MS = 500;
     private static final int HOUSEKEEPING_INTERVAL_MS = 200;
+    /** Pause between two writes of the report about runners that ended. */
+    private static final int CRASH_REPORT_INTERVAL_MS = 500;
     /** Shortest drain, even without open requests: callers may still use addresses that they resolved earlier. */
     private static final long MIN_DRAIN_MS = 3_200;
     /** Part of the grace period that is reserved for closing and for the exit of the process. */
@@ -63,6 +70,8 @@
     private final DrainState drainState;
     private final Placer placer;
     private final SharedOrigins origins;
+    private final PromptGuard prompts;
+    private final CrashReportSender crashReports;
     private volatile boolean readyLogged;
 
     private Node(NodeOptions options, NodePorts ports, MetricRegistry registry, Closer closer) throws ProgramException {
@@ -76,6 +85,9 @@
         this.drainState = DrainState.withGracePeriod(options.graceMs());
         this.placer = Placer.create(fleet, options.zone());
         this.origins = closer.add(SharedOrigins.start(options.name(), fleet, metrics));
+        this.prompts = PromptGuard.create(options.name(), startedMs, fleet);
+        prompts.onBlocked(() -> placer.refuseQueuedIf(
+                request -> prompts.refusal(request.callerRequest()).map(RefusedException::new)));
         Dispatcher dispatcher = Dispatcher.of(
                 fleet,
                 placer,
@@ -83,11 +95,15 @@
                 ports.connector(),
                 ports.protocol(),
                 origins,
-                ports.processCheck());
+                ports.processCheck(),
+                prompts);
         RequestServer server =
                 RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, drainState, resumptionResolver(origins));
         this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
-        followStore(ports);
+        StoredValue crashReport = closer.add(
+                StoredValue.start(ports.store(), NodeKeys.crashReport(options.name()), () -> CRASH_REPORT_INTERVAL_MS));
+        this.crashReports = closer.add(CrashReportSender.start(options.name(), fleet, prompts, crashReport));
+        followStore(ports, CrashReportFollower.of(prompts, options.name(), crashReport));
         Peer self = new Peer(options.name(), startedMs, options.zone(), options.callerAddress(), options.linkAddress());
         this.session = StoreSession.start(ports.store(), fleet, self, this::canServe);
         closer.add(session);
@@ -114,11 +130,12 @@
         return ResumptionResolver.of(origins, versions);
     }
 
-    private void followStore(NodePorts ports) {
+    private void followStore(NodePorts ports, CrashReportFollower reports) {
         RunnerFollower runners = RunnerFollower.of(options.runnersPrefix(), ports.runnerDecoder(), fleet);
         PeerFollower peers = PeerFollower.of(fleet);
         RoutingFollower routing = RoutingFollower.of(options.routingKey(), ports.routingDecoder(), fleet);
         List<StoreFollower.FollowedPrefix> prefixes = List.of(
+                new StoreFollower.FollowedPrefix(NodeKeys.CRASH_REPORTS, reports),
                 new StoreFollower.FollowedPrefix(options.routingKey(), routing),
                 new StoreFollower.FollowedPrefix(options.runnersPrefix(), runners),
                 new StoreFollower.FollowedPrefix(NodeKeys.PREFIX, peers));
@@ -155,7 +172,7 @@
                 fleet, reports, leadTerm, options, ports.runnerControl(), executor, metrics, session::stepDown));
         LeaderHandler leader = LeaderHandler.of(fleet, reports, planner, leadTerm);
         try {
-            LinkHandler handler = LinkHandler.of(leader, origins.handler());
+            LinkHandler handler = LinkHandler.of(leader, origins.handler(), crashReports::receive);
             closer.add(ThriftServer.start(options.linkAddress(), new NodeLink.Processor<>(handler)));
         } catch (WireException e) {
             throw new ProgramException("link " + options.linkAddress() + ": cannot be bound: " + e.getMessage(), e);
@@ -175,6 +192,8 @@
                 () -> () -> fleet.leavingByOwnWord().size());
         registry.gauge("runners.quiet", () -> () -> fleet.quietCount(System.nanoTime()));
         registry.gauge("origins.kept", () -> origins::size);
+        registry.gauge("parts.blocked", () -> prompts::blockedCount);
+        registry.gauge("parts.suspected", () -> prompts::suspectedCount);
         registry.gauge("lead.term", () -> () -> session.leadTerm().orElse(0));
     }
 
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -53,6 +53,8 @@
     RUNNER_QUIET(6022, Level.INFO, "runner-quiet runner={} ms={}"),
     /** A runner's answer has a field about itself that cannot be read; the field has no effect. */
     NOTICE_UNREADABLE(6023, Level.WARN, "notice-unreadable runner={} value={}"),
+    /** A value of this node could not be written to the store; the write is repeated. */
+    VALUE_NOT_STORED(6024, Level.WARN, "value-not-stored key={} bytes={} cause={}"),
     /** A request was answered by a runner. */
     SERVED(
             6101,
@@ -90,6 +92,16 @@
     ORIGIN_COPIES_ERROR(6113, Level.ERROR, "origin-copies-error cause={}"),
     /** The process that a connection leads to is not known; a stream that begins on it cannot go on elsewhere. */
     PROCESS_UNKNOWN(6114, Level.INFO, "process-unknown id={} runner={} cause={}"),
+    /** The process of a runner ended while a request waited there for the beginning of its answer. */
+    RUNNER_ENDED(6115, Level.WARN, "runner-ended id={} runner={} started={} parts={}"),
+    /** Runners end under requests with a part in their prompts: such requests are refused from now on. */
+    PART_BLOCKED(6116, Level.WARN, "part-blocked part={} ends={}"),
+    /** Requests with a part in their prompts are no longer refused. */
+    PART_FREED(6117, Level.INFO, "part-freed part={}"),
+    /** A single request with a blocked part is sent to a runner, to find out whether the part still ends runners. */
+    PART_TRIED(6118, Level.INFO, "part-tried part={} id={}"),
+    /** A node did not take reports about ended runners; it may hear of them from others or from the store. */
+    CRASH_REPORT_NOT_SENT(6119, Level.INFO, "crash-report-not-sent node={} reports={} cause={}"),
     /** A load or unload order was sent to a runner. */
     ORDER(6201, Level.INFO, "order runner={} order={} term={} sequence={} outcome={} reason={} source={}"),
     /** An order was completed. */
--- a/node/src/main/java/io/persimmonstack/node/peers/LinkHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LinkHandler.java
@@ -1,21 +1,25 @@
 package io.persimmonstack.node.peers;
 
 import io.persimmonstack.node.streams.OriginHandler;
+import io.persimmonstack.wire.gen.CrashReportRecord;
 import io.persimmonstack.wire.gen.FleetLoad;
 import io.persimmonstack.wire.gen.NodeLink;
 import io.persimmonstack.wire.gen.NodeLoad;
 import io.persimmonstack.wire.gen.StreamOrigin;
 import io.persimmonstack.wire.gen.WireRefusal;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** Passes the calls of other nodes on to the part of this node that answers them. */
 public final class LinkHandler implements NodeLink.Iface {
     private final LeaderHandler leader;
     private final OriginHandler origins;
+    private final Consumer<List<CrashReportRecord>> crashReports;
 
-    private LinkHandler(LeaderHandler leader, OriginHandler origins) {
+    private LinkHandler(LeaderHandler leader, OriginHandler origins, Consumer<List<CrashReportRecord>> crashReports) {
         this.leader = leader;
         this.origins = origins;
+        this.crashReports = crashReports;
     }
 
     /**
@@ -23,9 +27,11 @@
      *
      * @param leader answers load reports
      * @param origins keeps and finds origins of streams
+     * @param crashReports takes reports about runners that ended
      */
-    public static LinkHandler of(LeaderHandler leader, OriginHandler origins) {
-        return new LinkHandler(leader, origins);
+    public static LinkHandler of(
+            LeaderHandler leader, OriginHandler origins, Consumer<List<CrashReportRecord>> crashReports) {
+        return new LinkHandler(leader, origins, crashReports);
     }
 
     @Override
@@ -42,4 +48,9 @@
     public List<StreamOrigin> findOrigin(String request) {
         return origins.findOrigin(request);
     }
+
+    @Override
+    public void keepCrashReports(List<CrashReportRecord> reports) {
+        crashReports.accept(reports);
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 
 /** Assigns requests to runners, or queues them by priority and age. Thread-safe; only {@link #place} waits. */
@@ -298,13 +299,14 @@
 
     /** Refuses the queued requests that may not stay, for a node that is shutting down. */
     public void refuseQueuedUnless(Predicate<ActiveRequest> mayStay) {
+        refuseQueuedIf(request -> mayStay.test(request) ? Optional.empty() : Optional.of(PlacementRefusals.leaving()));
+    }
+
+    /** Refuses the queued requests for which there is a refusal. */
+    public void refuseQueuedIf(Function<ActiveRequest, Optional<RefusedException>> refusal) {
         lock.lock();
         try {
-            List<QueuedRequest> refused = queue.stream()
-                    .filter(queued -> !mayStay.test(queued.request()))
-                    .toList();
-            queue.removeAll(refused);
-            refused.forEach(queued -> queued.refuse(PlacementRefusals.leaving()));
+            refuseQueued(queued -> refusal.apply(queued.request()).ifPresent(queued::refuse));
         } finally {
             lock.unlock();
         }
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -142,7 +142,9 @@
 
     private HttpCall openAgain(HttpTimeouts timeouts, HttpFailure closed) throws HttpFailure {
         SendPermit permit = sendCheck.check(runner(), request, origin);
-        if (permit instanceof SendPermit.Withheld || permit instanceof SendPermit.Unreachable) {
+        boolean sendable = permit instanceof SendPermit.Granted || permit instanceof SendPermit.Unidentified;
+        if (!sendable || !reserved.prompt().maySendAgain()) {
+            permit.connection().ifPresent(RunnerConnection::close);
             throw closed;
         }
         process = permit.connection().map(RunnerConnection::process);
@@ -163,6 +165,11 @@
         return reserved.runner();
     }
 
+    /** Returns the process that got the request: by its connection or, if that is not known, by the runner's entry. */
+    RunnerProcess process() {
+        return process.orElseGet(() -> runner().process());
+    }
+
     /** Returns how long the runner has sent nothing, in milliseconds. */
     long silentMs() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastReceivedNanos);
@@ -231,6 +238,7 @@
         if (reply.begun()) {
             return unknown(runner().id() + ": status " + call.status() + " in place of the rest of the stream");
         }
+        reserved.prompt().answerBegun();
         reply.whole(answer.status(), answer.headers(), answer.body());
         return new Outcome.Delivered();
     }
@@ -241,6 +249,7 @@
         try {
             for (Optional<EventReader.StreamEvent> event = events.next(); event.isPresent(); event = events.next()) {
                 lastReceivedNanos = System.nanoTime();
+                reserved.prompt().answerBegun();
                 if (!progress.isNew(event.get())) {
                     continue;
                 }
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -9,6 +9,7 @@
 import io.persimmonstack.node.placing.Placement;
 import io.persimmonstack.node.placing.Placer;
 import io.persimmonstack.node.placing.RetryBudget;
+import io.persimmonstack.node.prompts.PromptGuard;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.Refusal;
@@ -35,6 +36,8 @@
     private final AnswerHeadReader heads;
     private final OriginDirectory origins;
     private final SendCheck sendCheck;
+    private final PromptGuard prompts;
+    private final RunnerEndCheck endCheck;
 
     private Dispatcher(
             FleetView fleet,
@@ -43,7 +46,8 @@
             HttpConnector connector,
             RunnerProtocol protocol,
             OriginDirectory origins,
-            ProcessCheck processes) {
+            ProcessCheck processes,
+            PromptGuard prompts) {
         this.fleet = fleet;
         this.placer = placer;
         this.budget = budget;
@@ -51,7 +55,10 @@
         this.protocol = protocol;
         this.heads = AnswerHeadReader.of(protocol, fleet);
         this.origins = origins;
-        this.sendCheck = SendCheck.of(fleet, RunnerConnections.of(connector, processes));
+        RunnerConnections connections = RunnerConnections.of(connector, processes);
+        this.sendCheck = SendCheck.of(fleet, connections);
+        this.prompts = prompts;
+        this.endCheck = RunnerEndCheck.of(fleet, connector, connections);
     }
 
     /**
@@ -64,6 +71,7 @@
      * @param protocol encodes requests and classifies answers
      * @param origins keeps where streams began
      * @param processes asks which process of a runner a connection leads to
+     * @param prompts decides whether a request may be sent, by its prompt
      */
     public static Dispatcher of(
             FleetView fleet,
@@ -72,8 +80,9 @@
             HttpConnector connector,
             RunnerProtocol protocol,
             OriginDirectory origins,
-            ProcessCheck processes) {
-        return new Dispatcher(fleet, placer, budget, connector, protocol, origins, processes);
+            ProcessCheck processes,
+            PromptGuard prompts) {
+        return new Dispatcher(fleet, placer, budget, connector, protocol, origins, processes, prompts);
     }
 
     /**
@@ -96,6 +105,7 @@
 
     private Delivery serve(ActiveRequest request, Reply reply, SendTracker sends, OriginRecorder origin)
             throws RefusedException, CallerGoneException {
+        refuseIfBlocked(request);
         ServiceRetries retries =
                 new ServiceRetries(budget, fleet, request.service().name());
         retries.recordRequest();
@@ -104,7 +114,7 @@
         StreamProgress progress =
                 StreamProgress.startingAfter(request.callerRequest().lastEventId(), request.receivedNanos());
         SuccessorFinder successors =
-                SuccessorFinder.of(request, retryState, origin, placer, connector, heads, sendCheck, retries);
+                SuccessorFinder.of(request, retryState, origin, placer, connector, heads, sendCheck, prompts, retries);
         ReservedRunner next = place(request, retryState, progress, origin, reply);
         while (true) {
             Runner runner = next.runner();
@@ -114,8 +124,9 @@
             Attempt attempt = Attempt.of(
                     connector, protocol, request, progress, origin, reply, next, heads, sendCheck, successors);
             Outcome outcome;
-            try (ReservedRunner ignored = next) {
+            try (ReservedRunner reserved = next) {
                 outcome = attempt.run();
+                recordIfEnded(reserved, attempt, outcome);
             }
             if (outcome instanceof Outcome.Delivered) {
                 return new Delivery(progress.firstEventMs());
@@ -136,6 +147,26 @@
         }
     }
 
+    private void refuseIfBlocked(ActiveRequest request) throws RefusedException {
+        Optional<Refusal> refusal = prompts.refusal(request.callerRequest());
+        if (refusal.isPresent()) {
+            throw new RefusedException(refusal.get());
+        }
+    }
+
+    /** Records if the runner's process ended before the answer began: the request may have caused that. */
+    private void recordIfEnded(ReservedRunner reserved, Attempt attempt, Outcome outcome) {
+        if (!(outcome instanceof Outcome.Unknown)
+                || reserved.prompt().hasBegun()
+                || Thread.currentThread().isInterrupted()) {
+            return;
+        }
+        RunnerProcess process = attempt.process();
+        if (endCheck.hasEnded(reserved.runner(), process)) {
+            reserved.prompt().runnerEnded(process);
+        }
+    }
+
     private static void releaseSuccessor(Outcome outcome) {
         if (outcome instanceof Outcome.Replaced replaced) {
             replaced.successor().close();
@@ -207,16 +238,16 @@
             Placement placement =
                     placer.place(request, retryState.runnerFilter(origin.softwareVersion()), latestStartNanos);
             if (asked.contains(placement.runner().process())) {
-                return ReservedRunner.notSent(placement, Optional.empty());
+                return admit(request, placement, new SendPermit.Granted(Optional.empty()), latestStartNanos);
             }
             SendPermit permit = sendCheck.check(placement.runner(), request, origin);
             if (Thread.interrupted()) {
-                ReservedRunner.notSent(placement, permit.connection()).close();
+                close(placement, permit);
                 throw new InterruptedException("the caller has left");
             }
             switch (permit) {
                 case SendPermit.Granted granted -> {
-                    return ReservedRunner.notSent(placement, granted.connection());
+                    return admit(request, placement, granted, latestStartNanos);
                 }
                 case SendPermit.Withheld withheld -> {
                     placer.recordFull(placement.runner());
@@ -235,6 +266,23 @@
         }
     }
 
+    /** Lets a request be sent to the runner that was chosen, unless its prompt keeps it from all runners. */
+    private ReservedRunner admit(
+            ActiveRequest request, Placement placement, SendPermit.Granted permit, long latestStartNanos)
+            throws RefusedException, InterruptedException {
+        try {
+            return ReservedRunner.notSent(placement, permit.connection(), prompts.admit(request, latestStartNanos));
+        } catch (RefusedException | InterruptedException e) {
+            close(placement, permit);
+            throw e;
+        }
+    }
+
+    private static void close(Placement placement, SendPermit permit) {
+        permit.connection().ifPresent(RunnerConnection::close);
+        placement.close();
+    }
+
     /** Gives back a placement at which nothing was sent; refuses the request if it is too late for another one. */
     private static void release(Placement placement, ActiveRequest request, String reason, long latestStartNanos)
             throws RefusedException {
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -12,6 +12,8 @@
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.placing.Placement;
 import io.persimmonstack.node.placing.Placer;
+import io.persimmonstack.node.prompts.PromptGuard;
+import io.persimmonstack.node.prompts.PromptPermit;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.Optional;
@@ -41,6 +43,7 @@
     private final HttpConnector connector;
     private final AnswerHeadReader heads;
     private final SendCheck sendCheck;
+    private final PromptGuard prompts;
     private final ServiceRetries retries;
     private String missing = "";
 
@@ -52,6 +55,7 @@
             HttpConnector connector,
             AnswerHeadReader heads,
             SendCheck sendCheck,
+            PromptGuard prompts,
             ServiceRetries retries) {
         this.request = request;
         this.retryState = retryState;
@@ -60,6 +64,7 @@
         this.connector = connector;
         this.heads = heads;
         this.sendCheck = sendCheck;
+        this.prompts = prompts;
         this.retries = retries;
     }
 
@@ -73,6 +78,7 @@
      * @param connector connects to the runner
      * @param heads classifies the head of its answer
      * @param sendCheck decides whether the request may be sent to it
+     * @param prompts decides whether the request may be sent, by its prompt
      * @param retries retry budget of its service
      */
     static SuccessorFinder of(
@@ -83,8 +89,9 @@
             HttpConnector connector,
             AnswerHeadReader heads,
             SendCheck sendCheck,
+            PromptGuard prompts,
             ServiceRetries retries) {
-        return new SuccessorFinder(request, retryState, origin, placer, connector, heads, sendCheck, retries);
+        return new SuccessorFinder(request, retryState, origin, placer, connector, heads, sendCheck, prompts, retries);
     }
 
     /** Returns after how long without any data the runner of the present attempt counts as silent, in milliseconds. */
@@ -142,8 +149,12 @@
                     if (!peer.isStillSilent()) {
                         yield Optional.empty();
                     }
+                    Optional<PromptPermit> prompt = prompts.admitWithoutSuspicion(request.callerRequest());
+                    if (prompt.isEmpty()) {
+                        yield keep(silent, "prompt");
+                    }
                     yield retries.trySpend()
-                            ? send(silent, peer, placement, connection, granted.connection(), encoder.apply(runner))
+                            ? send(silent, peer, placement, connection, granted, prompt.get(), encoder.apply(runner))
                             : keep(silent, "budget");
                 }
             };
@@ -160,7 +171,8 @@
             SilenceWatcher.SilentPeer peer,
             Placement placement,
             IdleConnection connection,
-            Optional<RunnerConnection> identified,
+            SendPermit.Granted permit,
+            PromptPermit prompt,
             HttpRequest encoded) {
         Runner runner = placement.runner();
         retryState.recordSend(runner);
@@ -170,7 +182,7 @@
             HttpCall call = connection.open(encoded, HttpTimeouts.of(waitMs, waitMs, waitMs), overlap);
             AnswerHead head = heads.read(runner, call);
             if (head == AnswerHead.RAN && call.isSuccess() && overlap.endAtAnswer(request.isStream())) {
-                return Optional.of(ReservedRunner.answering(placement, identified, call));
+                return Optional.of(ReservedRunner.answering(placement, permit.connection(), prompt, call));
             }
             call.cancel();
             return keepAfterSend(silent, runner, head, call.status());
--- a/node/src/test/java/io/persimmonstack/node/sending/DispatcherArrivalsTest.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/DispatcherArrivalsTest.java
@@ -13,6 +13,7 @@
 import io.persimmonstack.node.placing.Placer;
 import io.persimmonstack.node.placing.RetryBudget;
 import io.persimmonstack.node.placing.RetryBudgetOptions;
+import io.persimmonstack.node.prompts.PromptGuard;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.node.streams.OriginDirectory;
@@ -63,7 +64,8 @@
                 connector,
                 unused(RunnerProtocol.class),
                 unused(OriginDirectory.class),
-                unused(ProcessCheck.class));
+                unused(ProcessCheck.class),
+                PromptGuard.create("n", 1, fleet));
     }
 
     /** Places the waiting request at a runner that says at once that it leaves; refuses it when it waits again. */
--- a/node/src/test/java/io/persimmonstack/node/streams/LinkedNode.java
+++ b/node/src/test/java/io/persimmonstack/node/streams/LinkedNode.java
@@ -28,8 +28,8 @@
     private LinkedNode(String name, long startedMs, long maxLookupMs) throws WireException {
         this.origins = SharedOrigins.start(name, fleet, NodeMetrics.in(registry), maxLookupMs);
         LeaderHandler leader = LeaderHandler.of(fleet, NodeReports.create(), null, OptionalLong::empty);
-        this.server = ThriftServer.start(
-                new PeerAddress("127.0.0.1", 0), new NodeLink.Processor<>(LinkHandler.of(leader, origins.handler())));
+        LinkHandler handler = LinkHandler.of(leader, origins.handler(), reports -> {});
+        this.server = ThriftServer.start(new PeerAddress("127.0.0.1", 0), new NodeLink.Processor<>(handler));
         this.peer = Peers.peer(name, startedMs, server.port());
     }
 
--- a/node/src/test/java/io/persimmonstack/node/streams/SharedOriginsTest.java
+++ b/node/src/test/java/io/persimmonstack/node/streams/SharedOriginsTest.java
@@ -14,6 +14,7 @@
 import io.persimmonstack.wire.ThriftPeers;
 import io.persimmonstack.wire.ThriftServer;
 import io.persimmonstack.wire.WireException;
+import io.persimmonstack.wire.gen.CrashReportRecord;
 import io.persimmonstack.wire.gen.FleetLoad;
 import io.persimmonstack.wire.gen.NodeLink;
 import io.persimmonstack.wire.gen.NodeLoad;
@@ -245,6 +246,9 @@
             @Override
             public void keepOrigins(List<io.persimmonstack.wire.gen.StreamOrigin> origins) {}
 
+            @Override
+            public void keepCrashReports(List<CrashReportRecord> reports) {}
+
             @Override
             public List<io.persimmonstack.wire.gen.StreamOrigin> findOrigin(String request) {
                 return asks.incrementAndGet() == 1
--- a/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
@@ -8597,15 +8597,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map264 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map264.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key265;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val266;
-                  for (int _i267 = 0; _i267 < _map264.size; ++_i267)
+                  org.apache.thrift.protocol.TMap _map296 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map296.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key297;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val298;
+                  for (int _i299 = 0; _i299 < _map296.size; ++_i299)
                   {
-                    _key265 = iprot.readString();
-                    _val266 = iprot.readString();
-                    struct.trace.put(_key265, _val266);
+                    _key297 = iprot.readString();
+                    _val298 = iprot.readString();
+                    struct.trace.put(_key297, _val298);
                   }
                   iprot.readMapEnd();
                 }
@@ -8639,10 +8639,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter268 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter300 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter268.getKey());
-              oprot.writeString(_iter268.getValue());
+              oprot.writeString(_iter300.getKey());
+              oprot.writeString(_iter300.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -8680,10 +8680,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter269 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter301 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter269.getKey());
-              oprot.writeString(_iter269.getValue());
+              oprot.writeString(_iter301.getKey());
+              oprot.writeString(_iter301.getValue());
             }
           }
         }
@@ -8700,15 +8700,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map270 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map270.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key271;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val272;
-            for (int _i273 = 0; _i273 < _map270.size; ++_i273)
+            org.apache.thrift.protocol.TMap _map302 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map302.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key303;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val304;
+            for (int _i305 = 0; _i305 < _map302.size; ++_i305)
             {
-              _key271 = iprot.readString();
-              _val272 = iprot.readString();
-              struct.trace.put(_key271, _val272);
+              _key303 = iprot.readString();
+              _val304 = iprot.readString();
+              struct.trace.put(_key303, _val304);
             }
           }
           struct.setTraceIsSet(true);
@@ -9620,14 +9620,14 @@
             case 1: // USES
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list274 = iprot.readListBegin();
-                  struct.uses = new java.util.ArrayList<ModelUse>(_list274.size);
-                  @org.apache.thrift.annotation.Nullable ModelUse _elem275;
-                  for (int _i276 = 0; _i276 < _list274.size; ++_i276)
+                  org.apache.thrift.protocol.TList _list306 = iprot.readListBegin();
+                  struct.uses = new java.util.ArrayList<ModelUse>(_list306.size);
+                  @org.apache.thrift.annotation.Nullable ModelUse _elem307;
+                  for (int _i308 = 0; _i308 < _list306.size; ++_i308)
                   {
-                    _elem275 = new ModelUse();
-                    _elem275.read(iprot);
-                    struct.uses.add(_elem275);
+                    _elem307 = new ModelUse();
+                    _elem307.read(iprot);
+                    struct.uses.add(_elem307);
                   }
                   iprot.readListEnd();
                 }
@@ -9664,9 +9664,9 @@
           oprot.writeFieldBegin(USES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-            for (ModelUse _iter277 : struct.uses)
+            for (ModelUse _iter309 : struct.uses)
             {
-              _iter277.write(oprot);
+              _iter309.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -9704,9 +9704,9 @@
         if (struct.isSetUses()) {
           {
             oprot.writeI32(struct.uses.size());
-            for (ModelUse _iter278 : struct.uses)
+            for (ModelUse _iter310 : struct.uses)
             {
-              _iter278.write(oprot);
+              _iter310.write(oprot);
             }
           }
         }
@@ -9721,14 +9721,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list279 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.uses = new java.util.ArrayList<ModelUse>(_list279.size);
-            @org.apache.thrift.annotation.Nullable ModelUse _elem280;
-            for (int _i281 = 0; _i281 < _list279.size; ++_i281)
+            org.apache.thrift.protocol.TList _list311 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.uses = new java.util.ArrayList<ModelUse>(_list311.size);
+            @org.apache.thrift.annotation.Nullable ModelUse _elem312;
+            for (int _i313 = 0; _i313 < _list311.size; ++_i313)
             {
-              _elem280 = new ModelUse();
-              _elem280.read(iprot);
-              struct.uses.add(_elem280);
+              _elem312 = new ModelUse();
+              _elem312.read(iprot);
+              struct.uses.add(_elem312);
             }
           }
           struct.setUsesIsSet(true);
@@ -14385,14 +14385,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list282 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StatusLine>(_list282.size);
-                  @org.apache.thrift.annotation.Nullable StatusLine _elem283;
-                  for (int _i284 = 0; _i284 < _list282.size; ++_i284)
+                  org.apache.thrift.protocol.TList _list314 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StatusLine>(_list314.size);
+                  @org.apache.thrift.annotation.Nullable StatusLine _elem315;
+                  for (int _i316 = 0; _i316 < _list314.size; ++_i316)
                   {
-                    _elem283 = new StatusLine();
-                    _elem283.read(iprot);
-                    struct.success.add(_elem283);
+                    _elem315 = new StatusLine();
+                    _elem315.read(iprot);
+                    struct.success.add(_elem315);
                   }
                   iprot.readListEnd();
                 }
@@ -14430,9 +14430,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StatusLine _iter285 : struct.success)
+            for (StatusLine _iter317 : struct.success)
             {
-              _iter285.write(oprot);
+              _iter317.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -14472,9 +14472,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StatusLine _iter286 : struct.success)
+            for (StatusLine _iter318 : struct.success)
             {
-              _iter286.write(oprot);
+              _iter318.write(oprot);
             }
           }
         }
@@ -14489,14 +14489,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list287 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StatusLine>(_list287.size);
-            @org.apache.thrift.annotation.Nullable StatusLine _elem288;
-            for (int _i289 = 0; _i289 < _list287.size; ++_i289)
+            org.apache.thrift.protocol.TList _list319 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StatusLine>(_list319.size);
+            @org.apache.thrift.annotation.Nullable StatusLine _elem320;
+            for (int _i321 = 0; _i321 < _list319.size; ++_i321)
             {
-              _elem288 = new StatusLine();
-              _elem288.read(iprot);
-              struct.success.add(_elem288);
+              _elem320 = new StatusLine();
+              _elem320.read(iprot);
+              struct.success.add(_elem320);
             }
           }
           struct.setSuccessIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
@@ -32,6 +32,13 @@
      */
     public java.util.List<StreamOrigin> findOrigin(java.lang.String request) throws org.apache.thrift.TException;
 
+    /**
+     * Takes reports of the calling node and of others; those that are new here are passed on.
+     *
+     * @param reports
+     */
+    public void keepCrashReports(java.util.List<CrashReportRecord> reports) throws org.apache.thrift.TException;
+
   }
 
   public interface AsyncIface {
@@ -42,6 +49,8 @@
 
     public void findOrigin(java.lang.String request, org.apache.thrift.async.AsyncMethodCallback<java.util.List<StreamOrigin>> resultHandler) throws org.apache.thrift.TException;
 
+    public void keepCrashReports(java.util.List<CrashReportRecord> reports, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
+
   }
 
   public static class Client extends org.apache.thrift.TServiceClient implements Iface {
@@ -138,6 +147,27 @@
       throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "findOrigin failed: unknown result");
     }
 
+    @Override
+    public void keepCrashReports(java.util.List<CrashReportRecord> reports) throws org.apache.thrift.TException
+    {
+      send_keepCrashReports(reports);
+      recv_keepCrashReports();
+    }
+
+    public void send_keepCrashReports(java.util.List<CrashReportRecord> reports) throws org.apache.thrift.TException
+    {
+      keepCrashReports_args args = new keepCrashReports_args();
+      args.setReports(reports);
+      sendBase("keepCrashReports", args);
+    }
+
+    public void recv_keepCrashReports() throws org.apache.thrift.TException
+    {
+      keepCrashReports_result result = new keepCrashReports_result();
+      receiveBase(result, "keepCrashReports");
+      return;
+    }
+
   }
   public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
     public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
@@ -263,6 +293,42 @@
       }
     }
 
+    @Override
+    public void keepCrashReports(java.util.List<CrashReportRecord> reports, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      keepCrashReports_call method_call = new keepCrashReports_call(reports, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class keepCrashReports_call extends org.apache.thrift.async.TAsyncMethodCall<Void> {
+      private java.util.List<CrashReportRecord> reports;
+      public keepCrashReports_call(java.util.List<CrashReportRecord> reports, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.reports = reports;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("keepCrashReports", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        keepCrashReports_args args = new keepCrashReports_args();
+        args.setReports(reports);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public Void getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        (new Client(prot)).recv_keepCrashReports();
+        return null;
+      }
+    }
+
   }
 
   public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
@@ -279,6 +345,7 @@
       processMap.put("exchange", new exchange());
       processMap.put("keepOrigins", new keepOrigins());
       processMap.put("findOrigin", new findOrigin());
+      processMap.put("keepCrashReports", new keepCrashReports());
       return processMap;
     }
 
@@ -370,6 +437,34 @@
       }
     }
 
+    public static class keepCrashReports<I extends Iface> extends org.apache.thrift.ProcessFunction<I, keepCrashReports_args> {
+      public keepCrashReports() {
+        super("keepCrashReports");
+      }
+
+      @Override
+      public keepCrashReports_args getEmptyArgsInstance() {
+        return new keepCrashReports_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public keepCrashReports_result getResult(I iface, keepCrashReports_args args) throws org.apache.thrift.TException {
+        keepCrashReports_result result = new keepCrashReports_result();
+        iface.keepCrashReports(args.reports);
+        return result;
+      }
+    }
+
   }
 
   public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
@@ -386,6 +481,7 @@
       processMap.put("exchange", new exchange());
       processMap.put("keepOrigins", new keepOrigins());
       processMap.put("findOrigin", new findOrigin());
+      processMap.put("keepCrashReports", new keepCrashReports());
       return processMap;
     }
 
@@ -593,6 +689,72 @@
       }
     }
 
+    public static class keepCrashReports<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, keepCrashReports_args, Void> {
+      public keepCrashReports() {
+        super("keepCrashReports");
+      }
+
+      @Override
+      public keepCrashReports_args getEmptyArgsInstance() {
+        return new keepCrashReports_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<Void> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<Void>() {
+          @Override
+          public void onComplete(Void o) {
+            keepCrashReports_result result = new keepCrashReports_result();
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            keepCrashReports_result result = new keepCrashReports_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, keepCrashReports_args args, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+        iface.keepCrashReports(args.reports,resultHandler);
+      }
+    }
+
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
@@ -1799,14 +1961,14 @@
             case 1: // ORIGINS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list310 = iprot.readListBegin();
-                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list310.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem311;
-                  for (int _i312 = 0; _i312 < _list310.size; ++_i312)
+                  org.apache.thrift.protocol.TList _list342 = iprot.readListBegin();
+                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list342.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem343;
+                  for (int _i344 = 0; _i344 < _list342.size; ++_i344)
                   {
-                    _elem311 = new StreamOrigin();
-                    _elem311.read(iprot);
-                    struct.origins.add(_elem311);
+                    _elem343 = new StreamOrigin();
+                    _elem343.read(iprot);
+                    struct.origins.add(_elem343);
                   }
                   iprot.readListEnd();
                 }
@@ -1835,9 +1997,9 @@
           oprot.writeFieldBegin(ORIGINS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.origins.size()));
-            for (StreamOrigin _iter313 : struct.origins)
+            for (StreamOrigin _iter345 : struct.origins)
             {
-              _iter313.write(oprot);
+              _iter345.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1869,9 +2031,9 @@
         if (struct.isSetOrigins()) {
           {
             oprot.writeI32(struct.origins.size());
-            for (StreamOrigin _iter314 : struct.origins)
+            for (StreamOrigin _iter346 : struct.origins)
             {
-              _iter314.write(oprot);
+              _iter346.write(oprot);
             }
           }
         }
@@ -1883,14 +2045,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list315 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.origins = new java.util.ArrayList<StreamOrigin>(_list315.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem316;
-            for (int _i317 = 0; _i317 < _list315.size; ++_i317)
+            org.apache.thrift.protocol.TList _list347 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.origins = new java.util.ArrayList<StreamOrigin>(_list347.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem348;
+            for (int _i349 = 0; _i349 < _list347.size; ++_i349)
             {
-              _elem316 = new StreamOrigin();
-              _elem316.read(iprot);
-              struct.origins.add(_elem316);
+              _elem348 = new StreamOrigin();
+              _elem348.read(iprot);
+              struct.origins.add(_elem348);
             }
           }
           struct.setOriginsIsSet(true);
@@ -2876,14 +3038,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list318 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StreamOrigin>(_list318.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem319;
-                  for (int _i320 = 0; _i320 < _list318.size; ++_i320)
+                  org.apache.thrift.protocol.TList _list350 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StreamOrigin>(_list350.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem351;
+                  for (int _i352 = 0; _i352 < _list350.size; ++_i352)
                   {
-                    _elem319 = new StreamOrigin();
-                    _elem319.read(iprot);
-                    struct.success.add(_elem319);
+                    _elem351 = new StreamOrigin();
+                    _elem351.read(iprot);
+                    struct.success.add(_elem351);
                   }
                   iprot.readListEnd();
                 }
@@ -2912,9 +3074,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StreamOrigin _iter321 : struct.success)
+            for (StreamOrigin _iter353 : struct.success)
             {
-              _iter321.write(oprot);
+              _iter353.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2946,9 +3108,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StreamOrigin _iter322 : struct.success)
+            for (StreamOrigin _iter354 : struct.success)
             {
-              _iter322.write(oprot);
+              _iter354.write(oprot);
             }
           }
         }
@@ -2960,14 +3122,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list323 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StreamOrigin>(_list323.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem324;
-            for (int _i325 = 0; _i325 < _list323.size; ++_i325)
+            org.apache.thrift.protocol.TList _list355 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StreamOrigin>(_list355.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem356;
+            for (int _i357 = 0; _i357 < _list355.size; ++_i357)
             {
-              _elem324 = new StreamOrigin();
-              _elem324.read(iprot);
-              struct.success.add(_elem324);
+              _elem356 = new StreamOrigin();
+              _elem356.read(iprot);
+              struct.success.add(_elem356);
             }
           }
           struct.setSuccessIsSet(true);
@@ -2980,4 +3142,703 @@
     }
   }
 
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class keepCrashReports_args implements org.apache.thrift.TBase<keepCrashReports_args, keepCrashReports_args._Fields>, java.io.Serializable, Cloneable, Comparable<keepCrashReports_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("keepCrashReports_args");
+
+    private static final org.apache.thrift.protocol.TField REPORTS_FIELD_DESC = new org.apache.thrift.protocol.TField("reports", org.apache.thrift.protocol.TType.LIST, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new keepCrashReports_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new keepCrashReports_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable java.util.List<CrashReportRecord> reports; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      REPORTS((short)1, "reports");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // REPORTS
+            return REPORTS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.REPORTS, new org.apache.thrift.meta_data.FieldMetaData("reports", org.apache.thrift.TFieldRequirementType.DEFAULT,
+          new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+              new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CrashReportRecord.class))));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(keepCrashReports_args.class, metaDataMap);
+    }
+
+    public keepCrashReports_args() {
+    }
+
+    public keepCrashReports_args(
+      java.util.List<CrashReportRecord> reports)
+    {
+      this();
+      this.reports = reports;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public keepCrashReports_args(keepCrashReports_args other) {
+      if (other.isSetReports()) {
+        java.util.List<CrashReportRecord> __this__reports = new java.util.ArrayList<CrashReportRecord>(other.reports.size());
+        for (CrashReportRecord other_element : other.reports) {
+          __this__reports.add(new CrashReportRecord(other_element));
+        }
+        this.reports = __this__reports;
+      }
+    }
+
+    @Override
+    public keepCrashReports_args deepCopy() {
+      return new keepCrashReports_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.reports = null;
+    }
+
+    public int getReportsSize() {
+      return (this.reports == null) ? 0 : this.reports.size();
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.Iterator<CrashReportRecord> getReportsIterator() {
+      return (this.reports == null) ? null : this.reports.iterator();
+    }
+
+    public void addToReports(CrashReportRecord elem) {
+      if (this.reports == null) {
+        this.reports = new java.util.ArrayList<CrashReportRecord>();
+      }
+      this.reports.add(elem);
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.List<CrashReportRecord> getReports() {
+      return this.reports;
+    }
+
+    public keepCrashReports_args setReports(@org.apache.thrift.annotation.Nullable java.util.List<CrashReportRecord> reports) {
+      this.reports = reports;
+      return this;
+    }
+
+    public void unsetReports() {
+      this.reports = null;
+    }
+
+    /** Returns true if field reports is set (has been assigned a value) and false otherwise */
+    public boolean isSetReports() {
+      return this.reports != null;
+    }
+
+    public void setReportsIsSet(boolean value) {
+      if (!value) {
+        this.reports = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case REPORTS:
+        if (value == null) {
+          unsetReports();
+        } else {
+          setReports((java.util.List<CrashReportRecord>)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case REPORTS:
+        return getReports();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case REPORTS:
+        return isSetReports();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof keepCrashReports_args)
+        return this.equals((keepCrashReports_args)that);
+      return false;
+    }
+
+    public boolean equals(keepCrashReports_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_reports = true && this.isSetReports();
+      boolean that_present_reports = true && that.isSetReports();
+      if (this_present_reports || that_present_reports) {
+        if (!(this_present_reports && that_present_reports))
+          return false;
+        if (!this.reports.equals(that.reports))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetReports()) ? 131071 : 524287);
+      if (isSetReports())
+        hashCode = hashCode * 8191 + reports.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(keepCrashReports_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetReports(), other.isSetReports());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetReports()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.reports, other.reports);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("keepCrashReports_args(");
+      boolean first = true;
+
+      sb.append("reports:");
+      if (this.reports == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.reports);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class keepCrashReports_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public keepCrashReports_argsStandardScheme getScheme() {
+        return new keepCrashReports_argsStandardScheme();
+      }
+    }
+
+    private static class keepCrashReports_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<keepCrashReports_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, keepCrashReports_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // REPORTS
+              if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+                {
+                  org.apache.thrift.protocol.TList _list358 = iprot.readListBegin();
+                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list358.size);
+                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem359;
+                  for (int _i360 = 0; _i360 < _list358.size; ++_i360)
+                  {
+                    _elem359 = new CrashReportRecord();
+                    _elem359.read(iprot);
+                    struct.reports.add(_elem359);
+                  }
+                  iprot.readListEnd();
+                }
+                struct.setReportsIsSet(true);
+              } else {
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, keepCrashReports_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.reports != null) {
+          oprot.writeFieldBegin(REPORTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
+            for (CrashReportRecord _iter361 : struct.reports)
+            {
+              _iter361.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class keepCrashReports_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public keepCrashReports_argsTupleScheme getScheme() {
+        return new keepCrashReports_argsTupleScheme();
+      }
+    }
+
+    private static class keepCrashReports_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<keepCrashReports_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, keepCrashReports_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetReports()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetReports()) {
+          {
+            oprot.writeI32(struct.reports.size());
+            for (CrashReportRecord _iter362 : struct.reports)
+            {
+              _iter362.write(oprot);
+            }
+          }
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, keepCrashReports_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          {
+            org.apache.thrift.protocol.TList _list363 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list363.size);
+            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem364;
+            for (int _i365 = 0; _i365 < _list363.size; ++_i365)
+            {
+              _elem364 = new CrashReportRecord();
+              _elem364.read(iprot);
+              struct.reports.add(_elem364);
+            }
+          }
+          struct.setReportsIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class keepCrashReports_result implements org.apache.thrift.TBase<keepCrashReports_result, keepCrashReports_result._Fields>, java.io.Serializable, Cloneable, Comparable<keepCrashReports_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("keepCrashReports_result");
+
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new keepCrashReports_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new keepCrashReports_resultTupleSchemeFactory();
+
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+;
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(keepCrashReports_result.class, metaDataMap);
+    }
+
+    public keepCrashReports_result() {
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public keepCrashReports_result(keepCrashReports_result other) {
+    }
+
+    @Override
+    public keepCrashReports_result deepCopy() {
+      return new keepCrashReports_result(this);
+    }
+
+    @Override
+    public void clear() {
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof keepCrashReports_result)
+        return this.equals((keepCrashReports_result)that);
+      return false;
+    }
+
+    public boolean equals(keepCrashReports_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(keepCrashReports_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("keepCrashReports_result(");
+      boolean first = true;
+
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class keepCrashReports_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public keepCrashReports_resultStandardScheme getScheme() {
+        return new keepCrashReports_resultStandardScheme();
+      }
+    }
+
+    private static class keepCrashReports_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<keepCrashReports_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, keepCrashReports_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
+            break;
+          }
+          switch (schemeField.id) {
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, keepCrashReports_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class keepCrashReports_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public keepCrashReports_resultTupleScheme getScheme() {
+        return new keepCrashReports_resultTupleScheme();
+      }
+    }
+
+    private static class keepCrashReports_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<keepCrashReports_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, keepCrashReports_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, keepCrashReports_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
 }
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
@@ -947,15 +947,15 @@
             case 3: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map290 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map290.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key291;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val292;
-                  for (int _i293 = 0; _i293 < _map290.size; ++_i293)
+                  org.apache.thrift.protocol.TMap _map322 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map322.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key323;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val324;
+                  for (int _i325 = 0; _i325 < _map322.size; ++_i325)
                   {
-                    _key291 = iprot.readString();
-                    _val292 = iprot.readString();
-                    struct.trace.put(_key291, _val292);
+                    _key323 = iprot.readString();
+                    _val324 = iprot.readString();
+                    struct.trace.put(_key323, _val324);
                   }
                   iprot.readMapEnd();
                 }
@@ -992,10 +992,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter294 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter326 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter294.getKey());
-              oprot.writeString(_iter294.getValue());
+              oprot.writeString(_iter326.getKey());
+              oprot.writeString(_iter326.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1039,10 +1039,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter295 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter327 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter295.getKey());
-              oprot.writeString(_iter295.getValue());
+              oprot.writeString(_iter327.getKey());
+              oprot.writeString(_iter327.getValue());
             }
           }
         }
@@ -1063,15 +1063,15 @@
         }
         if (incoming.get(2)) {
           {
-            org.apache.thrift.protocol.TMap _map296 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map296.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key297;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val298;
-            for (int _i299 = 0; _i299 < _map296.size; ++_i299)
+            org.apache.thrift.protocol.TMap _map328 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map328.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key329;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val330;
+            for (int _i331 = 0; _i331 < _map328.size; ++_i331)
             {
-              _key297 = iprot.readString();
-              _val298 = iprot.readString();
-              struct.trace.put(_key297, _val298);
+              _key329 = iprot.readString();
+              _val330 = iprot.readString();
+              struct.trace.put(_key329, _val330);
             }
           }
           struct.setTraceIsSet(true);
@@ -1991,15 +1991,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map300 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map300.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key301;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val302;
-                  for (int _i303 = 0; _i303 < _map300.size; ++_i303)
+                  org.apache.thrift.protocol.TMap _map332 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map332.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key333;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val334;
+                  for (int _i335 = 0; _i335 < _map332.size; ++_i335)
                   {
-                    _key301 = iprot.readString();
-                    _val302 = iprot.readString();
-                    struct.trace.put(_key301, _val302);
+                    _key333 = iprot.readString();
+                    _val334 = iprot.readString();
+                    struct.trace.put(_key333, _val334);
                   }
                   iprot.readMapEnd();
                 }
@@ -2033,10 +2033,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter304 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter336 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter304.getKey());
-              oprot.writeString(_iter304.getValue());
+              oprot.writeString(_iter336.getKey());
+              oprot.writeString(_iter336.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -2074,10 +2074,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter305 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter337 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter305.getKey());
-              oprot.writeString(_iter305.getValue());
+              oprot.writeString(_iter337.getKey());
+              oprot.writeString(_iter337.getValue());
             }
           }
         }
@@ -2094,15 +2094,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map306 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map306.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key307;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val308;
-            for (int _i309 = 0; _i309 < _map306.size; ++_i309)
+            org.apache.thrift.protocol.TMap _map338 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map338.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key339;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val340;
+            for (int _i341 = 0; _i341 < _map338.size; ++_i341)
             {
-              _key307 = iprot.readString();
-              _val308 = iprot.readString();
-              struct.trace.put(_key307, _val308);
+              _key339 = iprot.readString();
+              _val340 = iprot.readString();
+              struct.trace.put(_key339, _val340);
             }
           }
           struct.setTraceIsSet(true);
