--- a/node/src/main/java/io/persimmonstack/node/prompts/CrashReportSender.java
+++ b/node/src/main/java/io/persimmonstack/node/prompts/CrashReportSender.java
@@ -105,18 +105,16 @@
     private void send(List<CrashReport> reports) {
         List<CrashReportRecord> messages =
                 reports.stream().map(CrashReportMessages::toMessage).toList();
-        receivers().forEach(peer -> Thread.ofVirtual().name("crash-report").start(() -> send(messages, peer)));
+        Map<String, Peer> peers = fleet.current().peers();
+        receivers(node, peers.keySet())
+                .forEach(name -> Thread.ofVirtual().name("crash-report").start(() -> send(messages, peers.get(name))));
     }
 
-    /** Returns the nodes to send to: all others in a small fleet, otherwise those that rank first for this node. */
-    private List<Peer> receivers() {
-        Map<String, Peer> peers = fleet.current().peers();
-        Set<String> others = new HashSet<>(peers.keySet());
+    /** Returns the nodes that a node sends to: all others in a small fleet, otherwise those that rank first for it. */
+    static List<String> receivers(String node, Set<String> listed) {
+        Set<String> others = new HashSet<>(listed);
         others.remove(node);
-        return RendezvousHash.ranked(node, others).stream()
-                .limit(FANOUT)
-                .map(peers::get)
-                .toList();
+        return RendezvousHash.ranked(node, others).stream().limit(FANOUT).toList();
     }
 
     private void send(List<CrashReportRecord> messages, Peer peer) {
--- a/node/src/main/java/io/persimmonstack/node/prompts/PromptGuard.java
+++ b/node/src/main/java/io/persimmonstack/node/prompts/PromptGuard.java
@@ -25,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Decides whether a request may be sent to a runner, by the parts of its prompt. A request with a part that ends
@@ -51,16 +52,18 @@
     private final String node;
     private final FleetView fleet;
     private final CrashEvidence evidence;
+    private final LongSupplier nanoClock;
     private final Map<String, Long> triedNanos = BoundedMap.droppingLeastUsed(MAX_TRIED_PARTS);
     private final Semaphore turn = new Semaphore(1, true);
     private volatile Map<String, PartStatus> statuses = Map.of();
     private volatile Runnable onBlocked = () -> {};
     private volatile Runnable onReportDue = () -> {};
 
-    private PromptGuard(String node, FleetView fleet, CrashEvidence evidence) {
+    private PromptGuard(String node, FleetView fleet, CrashEvidence evidence, LongSupplier nanoClock) {
         this.node = node;
         this.fleet = fleet;
         this.evidence = evidence;
+        this.nanoClock = nanoClock;
     }
 
     /**
@@ -71,7 +74,12 @@
      * @param fleet lists the nodes, one of which tries each blocked part
      */
     public static PromptGuard create(String node, long startedMs, FleetView fleet) {
-        return new PromptGuard(node, fleet, CrashEvidence.of(node + "@" + startedMs));
+        return create(node, startedMs, fleet, System::nanoTime);
+    }
+
+    /** Returns a guard with its own source of monotonic time. */
+    static PromptGuard create(String node, long startedMs, FleetView fleet, LongSupplier nanoClock) {
+        return new PromptGuard(node, fleet, CrashEvidence.of(node + "@" + startedMs), nanoClock);
     }
 
     /** Sets the action to run when a part has been blocked; it must not block. */
@@ -90,7 +98,7 @@
         if (current.isEmpty()) {
             return Optional.empty();
         }
-        long nowNanos = System.nanoTime();
+        long nowNanos = nanoClock.getAsLong();
         for (String part : parts(request)) {
             if (current.get(part) instanceof PartStatus.Blocked blocked && !mayTry(part, blocked, nowNanos)) {
                 return Optional.of(blockedRefusal(part, blocked, nowNanos));
@@ -111,9 +119,9 @@
     public PromptPermit admit(ActiveRequest request, long latestNanos) throws RefusedException, InterruptedException {
         CallerRequest callerRequest = request.callerRequest();
         if (!isSuspected(callerRequest)) {
-            return PromptPermit.of(this, callerRequest, Optional.empty());
+            return permit(callerRequest, Optional.empty());
         }
-        long waitNanos = Math.min(TimeUnit.MILLISECONDS.toNanos(MAX_TURN_WAIT_MS), latestNanos - System.nanoTime());
+        long waitNanos = Math.min(TimeUnit.MILLISECONDS.toNanos(MAX_TURN_WAIT_MS), latestNanos - nanoClock.getAsLong());
         if (!turn.tryAcquire(waitNanos, TimeUnit.NANOSECONDS)) {
             String detail = "other requests whose prompts may end runners are tried";
             throw new RefusedException(Refusal.notRun("prompt-suspected", detail, Jitter.spread(TURN_RETRY_AFTER_MS)));
@@ -123,12 +131,16 @@
             turn.release();
             throw new RefusedException(refusal.get());
         }
-        return PromptPermit.of(this, callerRequest, Optional.of(turn));
+        return permit(callerRequest, Optional.of(turn));
     }
 
     /** Lets a request be sent to a runner that is to replace a silent one; empty if a part is suspected or blocked. */
     public Optional<PromptPermit> admitWithoutSuspicion(CallerRequest request) {
-        return isSuspected(request) ? Optional.empty() : Optional.of(PromptPermit.of(this, request, Optional.empty()));
+        return isSuspected(request) ? Optional.empty() : Optional.of(permit(request, Optional.empty()));
+    }
+
+    private PromptPermit permit(CallerRequest request, Optional<Semaphore> heldTurn) {
+        return PromptPermit.of(this, request, nanoClock.getAsLong(), heldTurn);
     }
 
     private boolean isSuspected(CallerRequest request) {
@@ -143,7 +155,7 @@
             parts(request).stream()
                     .filter(part -> statuses.get(part) instanceof PartStatus.Blocked)
                     .forEach(part -> {
-                        triedNanos.put(part, System.nanoTime());
+                        triedNanos.put(part, nanoClock.getAsLong());
                         LOG.write(NodeEvent.PART_TRIED, part, request.id());
                     });
         }
@@ -192,7 +204,7 @@
      * @param admittedNanos monotonic time at which it was let through
      */
     void recordEnd(RunnerProcess process, CallerRequest request, long admittedNanos) {
-        long nowNanos = System.nanoTime();
+        long nowNanos = nanoClock.getAsLong();
         long nowMs = System.currentTimeMillis();
         long sentAtMs = nowMs - TimeUnit.NANOSECONDS.toMillis(nowNanos - admittedNanos);
         WaitingPrompt prompt = new WaitingPrompt(parts(request), sentAtMs);
@@ -219,7 +231,7 @@
     boolean merge(CrashReport report) {
         boolean isNew;
         synchronized (this) {
-            isNew = evidence.merge(report, System.nanoTime());
+            isNew = evidence.merge(report, nanoClock.getAsLong());
         }
         publish();
         return isNew;
@@ -236,7 +248,7 @@
     /** Drops old observations. */
     void expire() {
         synchronized (this) {
-            evidence.expire(System.nanoTime());
+            evidence.expire(nanoClock.getAsLong());
         }
         publish();
     }
--- a/node/src/main/java/io/persimmonstack/node/prompts/PromptPermit.java
+++ b/node/src/main/java/io/persimmonstack/node/prompts/PromptPermit.java
@@ -12,19 +12,27 @@
 public final class PromptPermit implements AutoCloseable {
     private final PromptGuard guard;
     private final CallerRequest request;
-    private final long admittedNanos = System.nanoTime();
+    private final long admittedNanos;
     private Optional<Semaphore> turn;
     private boolean begun;
 
-    private PromptPermit(PromptGuard guard, CallerRequest request, Optional<Semaphore> turn) {
+    private PromptPermit(PromptGuard guard, CallerRequest request, long admittedNanos, Optional<Semaphore> turn) {
         this.guard = guard;
         this.request = request;
+        this.admittedNanos = admittedNanos;
         this.turn = turn;
     }
 
-    /** Returns the permit of a request, with its turn if it has a suspected part. */
-    static PromptPermit of(PromptGuard guard, CallerRequest request, Optional<Semaphore> turn) {
-        return new PromptPermit(guard, request, turn);
+    /**
+     * Returns the permit of a request.
+     *
+     * @param guard learns how the attempt goes
+     * @param request request to send
+     * @param admittedNanos monotonic time at which it was let through
+     * @param turn its turn, released at the end, if it has a suspected part
+     */
+    static PromptPermit of(PromptGuard guard, CallerRequest request, long admittedNanos, Optional<Semaphore> turn) {
+        return new PromptPermit(guard, request, admittedNanos, turn);
     }
 
     /** Records that the answer has begun; further calls have no effect. */
--- a/node/src/test/java/io/persimmonstack/node/sending/Requests.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/Requests.java
@@ -7,11 +7,14 @@
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.ModelRef;
+import io.persimmonstack.node.request.PromptPart;
 import io.persimmonstack.node.request.TokenCount;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 /** Creates requests for tests. */
 public final class Requests {
@@ -32,6 +35,14 @@
         return of(kind, false, 1, Optional.empty(), receivedNanos, timeLimitMs);
     }
 
+    /** Returns a request for a stream whose prompt has the given parts and one of its own. */
+    public static ActiveRequest withPrompt(String... sharedParts) {
+        List<PromptPart> prompt = Stream.concat(Arrays.stream(sharedParts), Stream.of("own"))
+                .map(part -> new PromptPart(part, 10))
+                .toList();
+        return of(RouteKind.STREAM, true, 2, Optional.empty(), prompt, System.nanoTime(), 60_000);
+    }
+
     /** Returns a request for a stream that another runner can resume. */
     static ActiveRequest resumableStream(long receivedNanos, int timeLimitMs) {
         return of(RouteKind.STREAM, true, 2, Optional.empty(), receivedNanos, timeLimitMs);
@@ -44,6 +55,17 @@
             Optional<ModelRef> model,
             long receivedNanos,
             int timeLimitMs) {
+        return of(kind, resumable, maxAttempts, model, List.of(), receivedNanos, timeLimitMs);
+    }
+
+    private static ActiveRequest of(
+            RouteKind kind,
+            boolean resumable,
+            int maxAttempts,
+            Optional<ModelRef> model,
+            List<PromptPart> prompt,
+            long receivedNanos,
+            int timeLimitMs) {
         Route route = new Route(
                 "r",
                 "host",
@@ -67,7 +89,7 @@
                 OptionalInt.of(timeLimitMs),
                 model,
                 TokenCount.none(),
-                List.of(),
+                prompt,
                 OptionalLong.empty(),
                 Optional.empty());
         return new ActiveRequest(
