--- a/coordination/src/main/java/io/persimmonstack/coordination/crash/PartAssessment.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/crash/PartAssessment.java
@@ -22,8 +22,10 @@
 final class PartAssessment {
     /** Weight of an end, in answers. */
     static final int END_WEIGHT = 2;
-    /** Weight from which a part is blocked: that of three ends without an answer. */
-    static final int BLOCK_WEIGHT = 3 * END_WEIGHT;
+    /** Ends without an answer from which a part is blocked. */
+    static final int BLOCKING_ENDS = 3;
+
+    private static final int BLOCK_WEIGHT = BLOCKING_ENDS * END_WEIGHT;
     /** Largest number of answers before the first end that speak for a part. */
     static final int MAX_ANSWERS_BEFORE = 2;
 
--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -16,7 +16,7 @@
 import io.persimmonstack.node.planning.NodeReports;
 import io.persimmonstack.node.planning.Planner;
 import io.persimmonstack.node.prompts.CrashReportFollower;
-import io.persimmonstack.node.prompts.CrashReportSender;
+import io.persimmonstack.node.prompts.CrashReportLinks;
 import io.persimmonstack.node.prompts.PromptGuard;
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.node.sending.Dispatcher;
@@ -31,21 +31,26 @@
 import io.persimmonstack.node.streams.RecentVersions;
 import io.persimmonstack.node.streams.ResumptionResolver;
 import io.persimmonstack.node.streams.SharedOrigins;
+import io.persimmonstack.router.crash.CrashReportMessages;
+import io.persimmonstack.router.crash.CrashReportSender;
 import io.persimmonstack.runtime.Closer;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.runtime.RunningProgram;
 import io.persimmonstack.runtime.event.EventLog;
+import io.persimmonstack.wire.PeerAddress;
 import io.persimmonstack.wire.ThriftPeers;
 import io.persimmonstack.wire.ThriftServer;
 import io.persimmonstack.wire.WireException;
 import io.persimmonstack.wire.gen.NodeLink;
 import io.undertow.server.HttpHandler;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /** A node of the fleet: forwards requests to runners, serves the directory and, while elected, plans model loads. */
 public final class Node implements RunningProgram {
@@ -102,8 +107,15 @@
         this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
         StoredValue crashReport = closer.add(
                 StoredValue.start(ports.store(), NodeKeys.crashReport(options.name()), () -> CRASH_REPORT_INTERVAL_MS));
-        this.crashReports = closer.add(CrashReportSender.start(options.name(), fleet, prompts, crashReport));
-        followStore(ports, CrashReportFollower.of(prompts, options.name(), crashReport));
+        this.crashReports = closer.add(CrashReportSender.of(
+                options.name(),
+                this::linkAddresses,
+                prompts.parts(),
+                closer.add(CrashReportLinks.create()),
+                report -> crashReport.write(CrashReportMessages.encode(report))));
+        prompts.onReportDue(crashReports::wake);
+        crashReports.start();
+        followStore(ports, CrashReportFollower.of(prompts.parts(), options.name(), crashReport));
         Peer self = new Peer(options.name(), startedMs, options.zone(), options.callerAddress(), options.linkAddress());
         this.session = StoreSession.start(ports.store(), fleet, self, this::canServe);
         closer.add(session);
@@ -124,6 +136,10 @@
         return new Node(options, ports, registry, Closer.create());
     }
 
+    private Map<String, PeerAddress> linkAddresses() {
+        return fleet.current().peers().values().stream().collect(Collectors.toMap(Peer::node, Peer::linkAddress));
+    }
+
     private ResumptionResolver resumptionResolver(OriginDirectory origins) {
         RecentVersions versions = RecentVersions.create();
         fleet.onChange(() -> versions.observe(fleet.current().runners().values(), System.nanoTime()));
@@ -192,8 +208,8 @@
                 () -> () -> fleet.leavingByOwnWord().size());
         registry.gauge("runners.quiet", () -> () -> fleet.quietCount(System.nanoTime()));
         registry.gauge("origins.kept", () -> origins::size);
-        registry.gauge("parts.blocked", () -> prompts::blockedCount);
-        registry.gauge("parts.suspected", () -> prompts::suspectedCount);
+        registry.gauge("parts.blocked", () -> prompts.parts()::blockedCount);
+        registry.gauge("parts.suspected", () -> prompts.parts()::suspectedCount);
         registry.gauge("lead.term", () -> () -> session.leadTerm().orElse(0));
     }
 
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -99,7 +99,7 @@
     /** Requests with a part in their prompts are no longer refused. */
     PART_FREED(6117, Level.INFO, "part-freed part={}"),
     /** A single request with a blocked part is sent to a runner, to find out whether the part still ends runners. */
-    PART_TRIED(6118, Level.INFO, "part-tried part={} id={}"),
+    PART_TRIED(6118, Level.INFO, "part-tried part={}"),
     /** A node did not take reports about ended runners; it may hear of them from others or from the store. */
     CRASH_REPORT_NOT_SENT(6119, Level.INFO, "crash-report-not-sent node={} reports={} cause={}"),
     /** A load or unload order was sent to a runner. */
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -1,10 +1,10 @@
 package io.persimmonstack.node.peers;
 
 import io.persimmonstack.node.NodeEvent;
-import io.persimmonstack.node.WakeableThread;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Leader;
 import io.persimmonstack.node.placing.Placer;
+import io.persimmonstack.runtime.WakeableThread;
 import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.ThriftPeers;
 import io.persimmonstack.wire.WireException;
--- a/node/src/main/java/io/persimmonstack/node/prompts/CrashReportFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/prompts/CrashReportFollower.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.node.prompts;
 
 import io.persimmonstack.coordination.crash.CrashReport;
+import io.persimmonstack.coordination.crash.PartGuard;
 import io.persimmonstack.coordination.kv.KvChange;
 import io.persimmonstack.coordination.kv.KvCorruptException;
 import io.persimmonstack.coordination.kv.KvEntry;
@@ -9,6 +10,7 @@
 import io.persimmonstack.node.store.NodeKeys;
 import io.persimmonstack.node.store.StoreFollower;
 import io.persimmonstack.node.store.StoredValue;
+import io.persimmonstack.router.crash.CrashReportMessages;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.List;
 
@@ -16,11 +18,11 @@
 public final class CrashReportFollower implements StoreFollower.Listener {
     private static final EventLog LOG = EventLog.of(CrashReportFollower.class);
 
-    private final PromptGuard guard;
+    private final PartGuard guard;
     private final String ownKey;
     private final StoredValue ownReport;
 
-    private CrashReportFollower(PromptGuard guard, String ownKey, StoredValue ownReport) {
+    private CrashReportFollower(PartGuard guard, String ownKey, StoredValue ownReport) {
         this.guard = guard;
         this.ownKey = ownKey;
         this.ownReport = ownReport;
@@ -33,7 +35,7 @@
      * @param node name of this node
      * @param ownReport its report in the store, which is written again if the store has lost it
      */
-    public static CrashReportFollower of(PromptGuard guard, String node, StoredValue ownReport) {
+    public static CrashReportFollower of(PartGuard guard, String node, StoredValue ownReport) {
         return new CrashReportFollower(guard, NodeKeys.crashReport(node), ownReport);
     }
 
--- a/node/src/main/java/io/persimmonstack/node/prompts/PromptPermit.java
+++ b/node/src/main/java/io/persimmonstack/node/prompts/PromptPermit.java
@@ -1,71 +1,44 @@
 package io.persimmonstack.node.prompts;
 
+import io.persimmonstack.coordination.crash.PartPermit;
+import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.RateLimitedLog;
 import io.persimmonstack.node.fleet.RunnerProcess;
 import io.persimmonstack.node.request.CallerRequest;
-import java.util.Optional;
-import java.util.concurrent.Semaphore;
+import io.persimmonstack.runtime.event.EventLog;
 
 /**
- * Permission to send a request to a runner once, which learns how that goes. The turn of a suspected request ends when
- * its answer begins or the permit is closed. Not thread-safe.
+ * Permission to send a request to a runner once, which learns how that goes. Closing it ends its turn. Not thread-safe.
+ *
+ * @param request the request
+ * @param parts permission by the parts of its prompt
  */
-public final class PromptPermit implements AutoCloseable {
-    private final PromptGuard guard;
-    private final CallerRequest request;
-    private final long admittedNanos;
-    private Optional<Semaphore> turn;
-    private boolean begun;
-
-    private PromptPermit(PromptGuard guard, CallerRequest request, long admittedNanos, Optional<Semaphore> turn) {
-        this.guard = guard;
-        this.request = request;
-        this.admittedNanos = admittedNanos;
-        this.turn = turn;
-    }
-
-    /**
-     * Returns the permit of a request.
-     *
-     * @param guard learns how the attempt goes
-     * @param request request to send
-     * @param admittedNanos monotonic time at which it was let through
-     * @param turn its turn, released at the end, if it has a suspected part
-     */
-    static PromptPermit of(PromptGuard guard, CallerRequest request, long admittedNanos, Optional<Semaphore> turn) {
-        return new PromptPermit(guard, request, admittedNanos, turn);
-    }
+public record PromptPermit(CallerRequest request, PartPermit parts) implements AutoCloseable {
+    private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(PromptPermit.class));
 
     /** Records that the answer has begun; further calls have no effect. */
     public void answerBegun() {
-        if (!begun) {
-            begun = true;
-            guard.recordAnswer(request);
-            endTurn();
-        }
+        parts.answerBegun();
     }
 
     /** Returns whether the answer has begun. */
     public boolean hasBegun() {
-        return begun;
+        return parts.hasBegun();
     }
 
     /** Records that the runner process ended before the answer began. */
     public void runnerEnded(RunnerProcess process) {
-        guard.recordEnd(process, request, admittedNanos);
+        LOG.write(NodeEvent.RUNNER_ENDED, request.id(), process.runner(), process.startedMs(), request.loggedParts());
+        parts.processEnded(process.runner() + "@" + process.startedMs());
     }
 
     /** Returns whether the request may be sent on another connection to the same runner. */
     public boolean maySendAgain() {
-        return turn.isPresent() || guard.refusal(request).isEmpty();
-    }
-
-    private void endTurn() {
-        turn.ifPresent(Semaphore::release);
-        turn = Optional.empty();
+        return parts.maySendAgain();
     }
 
     @Override
     public void close() {
-        endTurn();
+        parts.close();
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.stream.Collectors;
 
 /**
  * Decoded request of a caller, with its complete body.
@@ -51,9 +50,14 @@
         return prompt.isEmpty() ? List.of() : prompt.subList(0, prompt.size() - 1);
     }
 
+    /** Returns the identifiers of these parts. */
+    public List<String> sharedPartIds() {
+        return sharedParts().stream().map(PromptPart::id).toList();
+    }
+
     /** Returns the identifiers of the shared parts for the log, shortened if they are long. */
     public String loggedParts() {
-        String ids = sharedParts().stream().map(PromptPart::id).collect(Collectors.joining(","));
+        String ids = String.join(",", sharedPartIds());
         if (ids.isEmpty()) {
             return "-";
         }
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -271,7 +271,8 @@
             ActiveRequest request, Placement placement, SendPermit.Granted permit, long latestStartNanos)
             throws RefusedException, InterruptedException {
         try {
-            return ReservedRunner.notSent(placement, permit.connection(), prompts.admit(request, latestStartNanos));
+            return ReservedRunner.notSent(
+                    placement, permit.connection(), prompts.admit(request, latestStartNanos - System.nanoTime()));
         } catch (RefusedException | InterruptedException e) {
             close(placement, permit);
             throw e;
--- a/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/SuccessorFinder.java
@@ -149,7 +149,7 @@
                     if (!peer.isStillSilent()) {
                         yield Optional.empty();
                     }
-                    Optional<PromptPermit> prompt = prompts.admitWithoutSuspicion(request.callerRequest());
+                    Optional<PromptPermit> prompt = prompts.admitUnsuspected(request.callerRequest());
                     if (prompt.isEmpty()) {
                         yield keep(silent, "prompt");
                     }
--- a/node/src/main/java/io/persimmonstack/node/store/StoredValue.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoredValue.java
@@ -8,7 +8,7 @@
 import io.persimmonstack.coordination.kv.LeasedKvStore;
 import io.persimmonstack.coordination.kv.WriteOutcome;
 import io.persimmonstack.node.NodeEvent;
-import io.persimmonstack.node.WakeableThread;
+import io.persimmonstack.runtime.WakeableThread;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.Optional;
 import java.util.OptionalLong;
--- a/node/src/main/java/io/persimmonstack/node/prompts/CrashReportMessages.java
+++ b/router/src/main/java/io/persimmonstack/router/crash/CrashReportMessages.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.node.prompts;
+package io.persimmonstack.router.crash;
 
 import io.persimmonstack.coordination.crash.CrashReport;
 import io.persimmonstack.coordination.crash.PartAnswers;
@@ -12,10 +12,11 @@
 import io.persimmonstack.wire.gen.WaitingPromptRecord;
 
 /** Converts reports to and from the Thrift records in which they are sent and stored. */
-final class CrashReportMessages {
+public final class CrashReportMessages {
     private CrashReportMessages() {}
 
-    static CrashReportRecord toMessage(CrashReport report) {
+    /** Returns the record of a report. */
+    public static CrashReportRecord toMessage(CrashReport report) {
         return new CrashReportRecord(
                 report.reporter(),
                 report.number(),
@@ -34,7 +35,8 @@
                         .toList());
     }
 
-    static CrashReport fromMessage(CrashReportRecord message) {
+    /** Returns the report in a record. */
+    public static CrashReport fromMessage(CrashReportRecord message) {
         return new CrashReport(
                 message.getReporter(),
                 message.getNumber(),
@@ -53,11 +55,17 @@
                         .toList());
     }
 
-    static byte[] encode(CrashReport report) {
+    /** Returns the bytes in which a report is stored. */
+    public static byte[] encode(CrashReport report) {
         return ThriftBytes.encode(toMessage(report));
     }
 
-    static CrashReport decode(byte[] stored) throws KvCorruptException {
+    /**
+     * Decodes a stored report.
+     *
+     * @throws KvCorruptException if the bytes are not a report
+     */
+    public static CrashReport decode(byte[] stored) throws KvCorruptException {
         return fromMessage(ThriftBytes.decode(stored, new CrashReportRecord()));
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/prompts/CrashReportSender.java
+++ b/router/src/main/java/io/persimmonstack/router/crash/CrashReportSender.java
@@ -1,19 +1,12 @@
-package io.persimmonstack.node.prompts;
+package io.persimmonstack.router.crash;
 
 import io.persimmonstack.coordination.crash.CrashReport;
+import io.persimmonstack.coordination.crash.PartGuard;
 import io.persimmonstack.coordination.hash.RendezvousHash;
-import io.persimmonstack.node.NodeEvent;
-import io.persimmonstack.node.RateLimitedLog;
-import io.persimmonstack.node.WakeableThread;
-import io.persimmonstack.node.fleet.FleetView;
-import io.persimmonstack.node.fleet.Peer;
-import io.persimmonstack.node.store.StoredValue;
-import io.persimmonstack.runtime.Closer;
-import io.persimmonstack.runtime.event.EventLog;
-import io.persimmonstack.wire.ThriftPeers;
+import io.persimmonstack.runtime.WakeableThread;
+import io.persimmonstack.wire.PeerAddress;
 import io.persimmonstack.wire.WireException;
 import io.persimmonstack.wire.gen.CrashReportRecord;
-import io.persimmonstack.wire.gen.NodeLink;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -23,18 +16,14 @@
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
-/**
- * Sends this node's reports to other nodes, which pass them on once, and writes them to the store, where they outlive
- * all nodes. Either way suffices while the other one is cut.
- */
+/** Sends this node's reports about runners that ended to other nodes, which pass them on once. Thread-safe. */
 public final class CrashReportSender implements AutoCloseable {
     /** Number of nodes that a report is sent to; each of them passes it on to as many. */
     static final int FANOUT = 8;
 
-    private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(CrashReportSender.class));
-    private static final int CONNECT_TIMEOUT_MS = 200;
-    private static final int CALL_TIMEOUT_MS = 300;
     /** Interval at which old observations are dropped. */
     private static final int IDLE_INTERVAL_MS = 1_000;
     /** Pause after each report, in which further observations gather. */
@@ -43,36 +32,65 @@
     private static final int MAX_PASSED_ON = 1_024;
 
     private final String node;
-    private final FleetView fleet;
-    private final PromptGuard guard;
-    private final StoredValue storedReport;
+    private final Supplier<Map<String, PeerAddress>> nodes;
+    private final PartGuard guard;
+    private final Transport transport;
+    private final Consumer<CrashReport> onOwnReport;
     private final Queue<CrashReport> passedOn = new ArrayBlockingQueue<>(MAX_PASSED_ON);
     private final WakeableThread thread = WakeableThread.of("crash-reports", () -> IDLE_INTERVAL_MS, this::run);
-    private final Closer closer = Closer.create();
-    private final ThriftPeers<NodeLink.Client> links;
 
-    private CrashReportSender(String node, FleetView fleet, PromptGuard guard, StoredValue storedReport) {
+    /** Sends reports to one node. */
+    public interface Transport {
+        /**
+         * Sends reports and waits until they have been taken.
+         *
+         * @throws WireException if the node did not take them
+         */
+        void send(PeerAddress address, List<CrashReportRecord> reports) throws WireException;
+
+        /** Called after a failure; the node may hear of the reports from others. */
+        void failed(String node, int reports, WireException cause);
+    }
+
+    private CrashReportSender(
+            String node,
+            Supplier<Map<String, PeerAddress>> nodes,
+            PartGuard guard,
+            Transport transport,
+            Consumer<CrashReport> onOwnReport) {
         this.node = node;
-        this.fleet = fleet;
+        this.nodes = nodes;
         this.guard = guard;
-        this.storedReport = storedReport;
-        this.links = closer.add(ThriftPeers.of(new NodeLink.Client.Factory(), CONNECT_TIMEOUT_MS));
+        this.transport = transport;
+        this.onOwnReport = onOwnReport;
     }
 
     /**
-     * Starts a thread that sends reports until the sender is closed.
+     * Returns a sender that is not started.
      *
      * @param node name of this node
-     * @param fleet lists the other nodes
+     * @param nodes returns the addresses of the nodes by name
      * @param guard makes the reports
-     * @param storedReport this node's report in the store
+     * @param transport sends them
+     * @param onOwnReport receives each report of this node, to be kept elsewhere, too; must not block
      */
-    public static CrashReportSender start(String node, FleetView fleet, PromptGuard guard, StoredValue storedReport) {
-        CrashReportSender sender = new CrashReportSender(node, fleet, guard, storedReport);
-        guard.onReportDue(sender.thread::wake);
-        sender.thread.start();
-        sender.closer.add(sender.thread);
-        return sender;
+    public static CrashReportSender of(
+            String node,
+            Supplier<Map<String, PeerAddress>> nodes,
+            PartGuard guard,
+            Transport transport,
+            Consumer<CrashReport> onOwnReport) {
+        return new CrashReportSender(node, nodes, guard, transport, onOwnReport);
+    }
+
+    /** Starts a thread that sends reports until the sender is closed. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Sends the report that is due, soon. Never blocks. */
+    public void wake() {
+        thread.wake();
     }
 
     /** Takes reports that another node sends, and passes on those that are new here. */
@@ -93,21 +111,21 @@
         for (CrashReport report = passedOn.poll(); report != null; report = passedOn.poll()) {
             reports.add(report);
         }
-        if (!reports.isEmpty()) {
-            send(reports);
-        }
-        own.ifPresent(report -> storedReport.write(CrashReportMessages.encode(report)));
-        if (!reports.isEmpty()) {
-            TimeUnit.MILLISECONDS.sleep(MIN_INTERVAL_MS);
+        if (reports.isEmpty()) {
+            return;
         }
+        send(reports);
+        own.ifPresent(onOwnReport);
+        TimeUnit.MILLISECONDS.sleep(MIN_INTERVAL_MS);
     }
 
     private void send(List<CrashReport> reports) {
         List<CrashReportRecord> messages =
                 reports.stream().map(CrashReportMessages::toMessage).toList();
-        Map<String, Peer> peers = fleet.current().peers();
-        receivers(node, peers.keySet())
-                .forEach(name -> Thread.ofVirtual().name("crash-report").start(() -> send(messages, peers.get(name))));
+        Map<String, PeerAddress> addresses = nodes.get();
+        receivers(node, addresses.keySet())
+                .forEach(name ->
+                        Thread.ofVirtual().name("crash-report").start(() -> send(name, addresses.get(name), messages)));
     }
 
     /** Returns the nodes that a node sends to: all others in a small fleet, otherwise those that rank first for it. */
@@ -117,19 +135,16 @@
         return RendezvousHash.ranked(node, others).stream().limit(FANOUT).toList();
     }
 
-    private void send(List<CrashReportRecord> messages, Peer peer) {
+    private void send(String name, PeerAddress address, List<CrashReportRecord> messages) {
         try {
-            links.call(peer.linkAddress(), CALL_TIMEOUT_MS, client -> {
-                client.keepCrashReports(messages);
-                return true;
-            });
+            transport.send(address, messages);
         } catch (WireException e) {
-            LOG.write(NodeEvent.CRASH_REPORT_NOT_SENT, peer.node(), messages.size(), e.toString());
+            transport.failed(name, messages.size(), e);
         }
     }
 
     @Override
     public void close() {
-        closer.close();
+        thread.close();
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/WakeableThread.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/WakeableThread.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.node;
+package io.persimmonstack.runtime;
 
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
