--- a/coordination/src/main/java/io/persimmonstack/coordination/crash/PartPermit.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/crash/PartPermit.java
@@ -34,6 +34,11 @@
         return new PartPermit(guard, parts, admittedNanos, turn);
     }
 
+    /** Returns the shared parts of the prompt. */
+    public List<String> parts() {
+        return parts;
+    }
+
     /** Records that the answer has begun; further calls have no effect. */
     public void answerBegun() {
         if (!begun) {
@@ -43,6 +48,11 @@
         }
     }
 
+    /** Returns whether the request holds its turn, since a part of its prompt is suspected or blocked. */
+    public boolean isSuspected() {
+        return turn.isPresent();
+    }
+
     /** Returns whether the answer has begun. */
     public boolean hasBegun() {
         return begun;
--- a/router/src/main/java/io/persimmonstack/router/Router.java
+++ b/router/src/main/java/io/persimmonstack/router/Router.java
@@ -4,6 +4,7 @@
 import io.persimmonstack.backends.http.HttpConnectorOptions;
 import io.persimmonstack.backends.peer.PeerTrust;
 import io.persimmonstack.coordination.claim.ClaimShards;
+import io.persimmonstack.coordination.crash.PartGuard;
 import io.persimmonstack.coordination.kv.KvStore;
 import io.persimmonstack.router.admission.Admission;
 import io.persimmonstack.router.admission.LoadRequester;
@@ -15,9 +16,11 @@
 import io.persimmonstack.router.claim.ClaimClient;
 import io.persimmonstack.router.claim.LocalClaims;
 import io.persimmonstack.router.claim.PeerHandler;
+import io.persimmonstack.router.crash.RouterPrompts;
 import io.persimmonstack.router.filter.AccountFilter;
 import io.persimmonstack.router.filter.AdmitFilter;
 import io.persimmonstack.router.filter.AuthoriseFilter;
+import io.persimmonstack.router.filter.BlockedPromptFilter;
 import io.persimmonstack.router.filter.ClaimFilter;
 import io.persimmonstack.router.filter.DeadlineFilter;
 import io.persimmonstack.router.filter.DispatchFilter;
@@ -25,6 +28,7 @@
 import io.persimmonstack.router.filter.FilterChain;
 import io.persimmonstack.router.filter.IdentifyFilter;
 import io.persimmonstack.router.filter.PlaceFilter;
+import io.persimmonstack.router.filter.PromptTurnFilter;
 import io.persimmonstack.router.filter.ReceiveFilter;
 import io.persimmonstack.router.filter.RelayFilter;
 import io.persimmonstack.router.filter.RequestHedger;
@@ -109,7 +113,8 @@
                 settings.claims().batchIntervalMs(),
                 settings.claims().maxHeld()));
         PeerSecurity security = PeerTrust.of(settings.peerTls(), closer);
-        ThriftServer peerServer = closer.add(startPeerServer(localClaims, security));
+        RouterPrompts prompts = closer.add(RouterPrompts.start(settings.node(), incarnation, views, security));
+        ThriftServer peerServer = closer.add(startPeerServer(localClaims, prompts, security));
         SelfDescription self = new SelfDescription(
                 settings.node(),
                 incarnation,
@@ -119,13 +124,15 @@
         CoordinatorClient coordinators = closer.add(CoordinatorClient.of(
                 settings.coordinators().stream().map(PeerAddress::parse).toList(), views, security));
         ClaimClient claimClient = closer.add(ClaimClient.of(settings.node(), shards, localClaims, views, security));
-        FilterChain chain = FilterChain.of(createFilters(coordinators, claimClient), context.tracing());
+        FilterChain chain =
+                FilterChain.of(createFilters(coordinators, claimClient, prompts.guard()), context.tracing());
         startCallersServer(self, chain, coordinators);
     }
 
-    private ThriftServer startPeerServer(LocalClaims localClaims, PeerSecurity security) throws ProgramException {
+    private ThriftServer startPeerServer(LocalClaims localClaims, RouterPrompts prompts, PeerSecurity security)
+            throws ProgramException {
         try {
-            RouterPeer.Iface handler = PeerHandler.of(localClaims, context.tracing());
+            RouterPeer.Iface handler = PeerHandler.of(localClaims, prompts::receive, context.tracing());
             return ThriftServer.start(
                     PeerAddress.parse(settings.peerAddress()), new RouterPeer.Processor<>(handler), security);
         } catch (WireException e) {
@@ -134,7 +141,7 @@
     }
 
     private List<io.persimmonstack.router.filter.Filter> createFilters(
-            CoordinatorClient coordinators, ClaimClient claimClient) {
+            CoordinatorClient coordinators, ClaimClient claimClient, PartGuard prompts) {
         Tracing tracing = context.tracing();
         TargetSettings targets = settings.targets();
         LoadRequester loadRequester = LoadRequester.of(coordinators, views, placer, tracing, metrics, settings.zone());
@@ -152,6 +159,7 @@
                 ReceiveFilter.of(views),
                 IdentifyFilter.of(views),
                 AuthoriseFilter.of(views),
+                BlockedPromptFilter.of(prompts),
                 DeadlineFilter.create(),
                 ClaimFilter.of(
                         claimClient,
@@ -162,6 +170,7 @@
                 AdmitFilter.of(admission, metrics),
                 RetryFilter.of(budget, metrics),
                 PlaceFilter.of(placer, admission, views, useReporter),
+                PromptTurnFilter.of(prompts, connector),
                 DispatchFilter.of(connector, timeouts, tracing, admission, successors, hedger, createTimers(), metrics),
                 RelayFilter.of(metrics, timeouts.progressMs()));
     }
--- a/router/src/main/java/io/persimmonstack/router/RouterEvent.java
+++ b/router/src/main/java/io/persimmonstack/router/RouterEvent.java
@@ -39,7 +39,17 @@
             Level.WARN,
             "request {} does not go on after {} tokens at target {}: software version {} required, {} found"),
     /** A stream ended with an error event after its first token, since no target of its software version goes on. */
-    STREAM_ENDED(2014, Level.WARN, "request {} ends after {} tokens of software version {}: {}");
+    STREAM_ENDED(2014, Level.WARN, "request {} ends after {} tokens of software version {}: {}"),
+    /** The process of a target ended while a request waited there for the beginning of its answer. */
+    TARGET_ENDED(2015, Level.WARN, "target {} ended while request {} with prompt parts {} waited there"),
+    /** Runners end under requests with a message in their prompts: such requests are refused from now on. */
+    PROMPT_BLOCKED(2016, Level.WARN, "prompts with part {} are refused after {} ends of runners"),
+    /** Requests with a message in their prompts are no longer refused. */
+    PROMPT_FREED(2017, Level.INFO, "prompts with part {} are no longer refused"),
+    /** A single request with a blocked message is sent, to find out whether it still ends runners. */
+    PROMPT_TRIED(2018, Level.INFO, "a prompt with part {} is tried"),
+    /** A router did not take reports about ended runners; it may hear of them from others. */
+    CRASH_REPORT_NOT_SENT(2019, Level.INFO, "router {} did not take {} reports about ended runners: {}");
 
     private final EventDefinition definition;
 
--- a/router/src/main/java/io/persimmonstack/router/filter/AuthoriseFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/AuthoriseFilter.java
@@ -60,7 +60,12 @@
         String resolvedModel =
                 model + name.adapter().map(adapter -> '+' + adapter).orElse("");
         Work work = new Work.Completion(
-                model, name.adapter(), body.stream(), body.prefixHash(), body.withModel(resolvedModel));
+                model,
+                name.adapter(),
+                body.stream(),
+                body.prefixHash(),
+                body.promptParts(),
+                body.withModel(resolvedModel));
         boolean repeatable = request.message().header("idempotency-key").isEmpty();
         return new Grant(deployment.name(), work, deployment.priority(), deployment.maxDeadlineMs(), repeatable);
     }
--- a/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RelayFilter.java
@@ -146,6 +146,7 @@
             event = nextEvent(reader);
         }
         request.bindToAnswerOrigin();
+        request.answerBegun();
         if (opening.size() > 0) {
             request.reply().write(opening.toByteArray());
         }
@@ -191,6 +192,7 @@
     private static void relayBody(Request request, HttpCall call) throws IOException, RouterException {
         InputStream body = call.body();
         byte[] buffered = readBuffered(body, call);
+        request.answerBegun();
         Reply reply = request.reply();
         if (buffered.length < MAX_BUFFERED_BYTES) {
             request.relayed(RelayedAnswer.whole(call.status(), contentType(call), buffered));
--- a/router/src/main/java/io/persimmonstack/router/filter/RequestHedger.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/RequestHedger.java
@@ -73,13 +73,17 @@
     /** Result of one attempt: an open call or the failure to get one. */
     private record AttemptResult(Reservation reservation, Optional<HttpCall> call, Optional<HttpFailure> failure) {}
 
-    /** Returns whether the request may be hedged: a repeatable first attempt, not a stream, with enough time left. */
+    /**
+     * Returns whether the request may be hedged: a repeatable first attempt, not a stream, with enough time left and no
+     * suspected prompt.
+     */
     boolean mayHedge(Request request) {
         boolean wholeAnswer = !(request.work() instanceof Work.Completion completion) || !completion.stream();
         return hedgeAfterMs > 0
                 && wholeAnswer
                 && request.grant().repeatable()
                 && request.targetFilter().equals(TargetFilter.any())
+                && !request.isPromptSuspected()
                 && request.remainingMs() > hedgeAfterMs;
     }
 
--- a/router/src/main/java/io/persimmonstack/router/filter/SuccessorFinder.java
+++ b/router/src/main/java/io/persimmonstack/router/filter/SuccessorFinder.java
@@ -63,7 +63,8 @@
      */
     Optional<Successor> reserve(Request request, Reservation silent, double serviceMs, SilenceWatcher.SilentPeer peer) {
         boolean timeLeft = request.remainingMs() > serviceMs + connectMs;
-        if (!timeLeft || !RetryFilter.mayFollow(request) || !budget.available()) {
+        boolean mayFollow = RetryFilter.mayFollow(request) && !request.isPromptSuspected();
+        if (!timeLeft || !mayFollow || !budget.available()) {
             return Optional.empty();
         }
         FleetView view = views.current();
--- a/router/src/main/java/io/persimmonstack/router/request/ChatBody.java
+++ b/router/src/main/java/io/persimmonstack/router/request/ChatBody.java
@@ -7,7 +7,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.persimmonstack.coordination.hash.RendezvousHash;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Parsed JSON body of a chat completion request. Not thread-safe. */
 public final class ChatBody {
@@ -106,6 +109,16 @@
         }
     }
 
+    /**
+     * Returns an identifier of each message but the last, in order; equal messages have equal ones. Other requests may
+     * have these messages, too, while the last one is their own.
+     */
+    public List<String> promptParts() {
+        List<String> parts = new ArrayList<>();
+        root.path("messages").forEach(message -> parts.add(Long.toHexString(RendezvousHash.hash(message.toString()))));
+        return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+    }
+
     /**
      * Returns a hash of the first characters of the message contents. Prompts with the same start have the same hash,
      * so that they can be sent to the same target.
--- a/router/src/main/java/io/persimmonstack/router/request/RefusalCode.java
+++ b/router/src/main/java/io/persimmonstack/router/request/RefusalCode.java
@@ -42,6 +42,8 @@
     NO_COORDINATOR(503, "No coordinator"),
     /** No target can take the request. */
     NO_TARGET(503, "No target"),
+    /** Runners end under requests with a part of the prompt. */
+    PROMPT_BLOCKED(503, "Prompt ends runners"),
     /** The router has not received a snapshot of the fleet yet. */
     STARTING(503, "Router starting"),
     /** An unexpected error occurred in the router. */
--- a/router/src/main/java/io/persimmonstack/router/request/Request.java
+++ b/router/src/main/java/io/persimmonstack/router/request/Request.java
@@ -2,6 +2,7 @@
 
 import io.opentelemetry.context.Context;
 import io.persimmonstack.backends.http.HttpCall;
+import io.persimmonstack.coordination.crash.PartPermit;
 import io.persimmonstack.router.admission.Reservation;
 import io.persimmonstack.router.snapshot.Target;
 import java.util.Optional;
@@ -33,6 +34,7 @@
     private HttpCall answer;
     private StreamOrigin answerOrigin;
     private RelayedAnswer relayed = RelayedAnswer.none();
+    private Optional<PartPermit> promptPermit = Optional.empty();
     private volatile boolean cancellable = true;
 
     private Request(String id, CallerMessage message, Reply reply, Context trace) {
@@ -81,6 +83,21 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivedNanos);
     }
 
+    /** Sets the permission of the present attempt by its prompt, empty between attempts. */
+    public void promptPermit(Optional<PartPermit> permit) {
+        this.promptPermit = permit;
+    }
+
+    /** Returns whether a part of the prompt may end targets, so that only one may work on the request. */
+    public boolean isPromptSuspected() {
+        return promptPermit.map(PartPermit::isSuspected).orElse(false);
+    }
+
+    /** Records that the answer of the target has begun. */
+    public void answerBegun() {
+        promptPermit.ifPresent(PartPermit::answerBegun);
+    }
+
     /** Returns the trace context with the span of the current filter. */
     public Context trace() {
         return trace;
--- a/router/src/main/java/io/persimmonstack/router/request/Work.java
+++ b/router/src/main/java/io/persimmonstack/router/request/Work.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.router.request;
 
 import io.persimmonstack.coordination.model.ModelVersion;
+import java.util.List;
 import java.util.Optional;
 
 /** What a request asks a target to do. */
@@ -18,10 +19,22 @@
      * @param adapter adapter to apply to the model, if any
      * @param stream whether the caller requested a streamed answer
      * @param prefixHash hash of the start of the prompt; equal hashes are preferably sent to the same target
+     * @param promptParts identifiers of the messages of the prompt but the last one, in order
      * @param body body to send, with the model name resolved to its version
      */
-    record Completion(ModelVersion model, Optional<String> adapter, boolean stream, long prefixHash, byte[] body)
+    record Completion(
+            ModelVersion model,
+            Optional<String> adapter,
+            boolean stream,
+            long prefixHash,
+            List<String> promptParts,
+            byte[] body)
             implements Work {
+        /** Copies the list. */
+        public Completion {
+            promptParts = List.copyOf(promptParts);
+        }
+
         private static final char ADAPTER_SEPARATOR = '+';
 
         @Override
--- a/router/src/test/java/io/persimmonstack/router/FakeTarget.java
+++ b/router/src/test/java/io/persimmonstack/router/FakeTarget.java
@@ -28,23 +28,37 @@
     }
 
     private final String name;
-    private final Undertow server;
+    private final int port;
     private final List<ReceivedRequest> receivedRequests = new CopyOnWriteArrayList<>();
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger closedConnections = new AtomicInteger();
     private volatile Behaviour behaviour;
+    private Undertow server;
 
     private FakeTarget(String name, Behaviour behaviour) {
         this.name = name;
         this.behaviour = behaviour;
+        this.server = listenOn(0);
+        this.port = ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    private Undertow listenOn(int listenPort) {
         HttpHandler handler = this::receive;
-        this.server = Undertow.builder()
-                .addHttpListener(0, "127.0.0.1")
+        Undertow listening = Undertow.builder()
+                .addHttpListener(listenPort, "127.0.0.1")
                 .setIoThreads(1)
                 .setWorkerThreads(1)
                 .setHandler(handler)
                 .build();
-        server.start();
+        listening.start();
+        return listening;
+    }
+
+    /** Ends, with all connections, and starts again at the same address after a pause. */
+    synchronized void crash(int downMs) throws InterruptedException {
+        server.stop();
+        Thread.sleep(downMs);
+        server = listenOn(port);
     }
 
     static FakeTarget start(String name, Behaviour behaviour) {
@@ -90,8 +104,7 @@
     }
 
     String address() {
-        return "127.0.0.1:"
-                + ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+        return "127.0.0.1:" + port;
     }
 
     List<ReceivedRequest> receivedRequests() {
@@ -172,7 +185,7 @@
     }
 
     @Override
-    public void close() {
+    public synchronized void close() {
         server.stop();
     }
 }
--- a/router/src/test/java/io/persimmonstack/router/admission/PlacerTest.java
+++ b/router/src/test/java/io/persimmonstack/router/admission/PlacerTest.java
@@ -47,7 +47,7 @@
     }
 
     private static Work work(long prefix, Optional<String> adapter) {
-        return new Work.Completion(MODEL, adapter, false, prefix, new byte[0]);
+        return new Work.Completion(MODEL, adapter, false, prefix, List.of(), new byte[0]);
     }
 
     private static Reservation reserve(Placer placer, long prefix, FleetView view) {
--- a/wire/src/main/java/io/persimmonstack/wire/gen/CrashReportRecord.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/CrashReportRecord.java
@@ -629,14 +629,14 @@
           case 3: // ENDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list280 = iprot.readListBegin();
-                struct.ends = new java.util.ArrayList<ProcessEndRecord>(_list280.size);
-                @org.apache.thrift.annotation.Nullable ProcessEndRecord _elem281;
-                for (int _i282 = 0; _i282 < _list280.size; ++_i282)
+                org.apache.thrift.protocol.TList _list192 = iprot.readListBegin();
+                struct.ends = new java.util.ArrayList<ProcessEndRecord>(_list192.size);
+                @org.apache.thrift.annotation.Nullable ProcessEndRecord _elem193;
+                for (int _i194 = 0; _i194 < _list192.size; ++_i194)
                 {
-                  _elem281 = new ProcessEndRecord();
-                  _elem281.read(iprot);
-                  struct.ends.add(_elem281);
+                  _elem193 = new ProcessEndRecord();
+                  _elem193.read(iprot);
+                  struct.ends.add(_elem193);
                 }
                 iprot.readListEnd();
               }
@@ -648,14 +648,14 @@
           case 4: // ANSWERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list283 = iprot.readListBegin();
-                struct.answers = new java.util.ArrayList<PartAnswersRecord>(_list283.size);
-                @org.apache.thrift.annotation.Nullable PartAnswersRecord _elem284;
-                for (int _i285 = 0; _i285 < _list283.size; ++_i285)
+                org.apache.thrift.protocol.TList _list195 = iprot.readListBegin();
+                struct.answers = new java.util.ArrayList<PartAnswersRecord>(_list195.size);
+                @org.apache.thrift.annotation.Nullable PartAnswersRecord _elem196;
+                for (int _i197 = 0; _i197 < _list195.size; ++_i197)
                 {
-                  _elem284 = new PartAnswersRecord();
-                  _elem284.read(iprot);
-                  struct.answers.add(_elem284);
+                  _elem196 = new PartAnswersRecord();
+                  _elem196.read(iprot);
+                  struct.answers.add(_elem196);
                 }
                 iprot.readListEnd();
               }
@@ -695,9 +695,9 @@
         oprot.writeFieldBegin(ENDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.ends.size()));
-          for (ProcessEndRecord _iter286 : struct.ends)
+          for (ProcessEndRecord _iter198 : struct.ends)
           {
-            _iter286.write(oprot);
+            _iter198.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -707,9 +707,9 @@
         oprot.writeFieldBegin(ANSWERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.answers.size()));
-          for (PartAnswersRecord _iter287 : struct.answers)
+          for (PartAnswersRecord _iter199 : struct.answers)
           {
-            _iter287.write(oprot);
+            _iter199.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -737,16 +737,16 @@
       oprot.writeI64(struct.number);
       {
         oprot.writeI32(struct.ends.size());
-        for (ProcessEndRecord _iter288 : struct.ends)
+        for (ProcessEndRecord _iter200 : struct.ends)
         {
-          _iter288.write(oprot);
+          _iter200.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.answers.size());
-        for (PartAnswersRecord _iter289 : struct.answers)
+        for (PartAnswersRecord _iter201 : struct.answers)
         {
-          _iter289.write(oprot);
+          _iter201.write(oprot);
         }
       }
     }
@@ -759,26 +759,26 @@
       struct.number = iprot.readI64();
       struct.setNumberIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list290 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.ends = new java.util.ArrayList<ProcessEndRecord>(_list290.size);
-        @org.apache.thrift.annotation.Nullable ProcessEndRecord _elem291;
-        for (int _i292 = 0; _i292 < _list290.size; ++_i292)
+        org.apache.thrift.protocol.TList _list202 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.ends = new java.util.ArrayList<ProcessEndRecord>(_list202.size);
+        @org.apache.thrift.annotation.Nullable ProcessEndRecord _elem203;
+        for (int _i204 = 0; _i204 < _list202.size; ++_i204)
         {
-          _elem291 = new ProcessEndRecord();
-          _elem291.read(iprot);
-          struct.ends.add(_elem291);
+          _elem203 = new ProcessEndRecord();
+          _elem203.read(iprot);
+          struct.ends.add(_elem203);
         }
       }
       struct.setEndsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list293 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.answers = new java.util.ArrayList<PartAnswersRecord>(_list293.size);
-        @org.apache.thrift.annotation.Nullable PartAnswersRecord _elem294;
-        for (int _i295 = 0; _i295 < _list293.size; ++_i295)
+        org.apache.thrift.protocol.TList _list205 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.answers = new java.util.ArrayList<PartAnswersRecord>(_list205.size);
+        @org.apache.thrift.annotation.Nullable PartAnswersRecord _elem206;
+        for (int _i207 = 0; _i207 < _list205.size; ++_i207)
         {
-          _elem294 = new PartAnswersRecord();
-          _elem294.read(iprot);
-          struct.answers.add(_elem294);
+          _elem206 = new PartAnswersRecord();
+          _elem206.read(iprot);
+          struct.answers.add(_elem206);
         }
       }
       struct.setAnswersIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
@@ -1090,14 +1090,14 @@
           case 4: // RUNNERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list224 = iprot.readListBegin();
-                struct.runners = new java.util.ArrayList<RunnerHolding>(_list224.size);
-                @org.apache.thrift.annotation.Nullable RunnerHolding _elem225;
-                for (int _i226 = 0; _i226 < _list224.size; ++_i226)
+                org.apache.thrift.protocol.TList _list256 = iprot.readListBegin();
+                struct.runners = new java.util.ArrayList<RunnerHolding>(_list256.size);
+                @org.apache.thrift.annotation.Nullable RunnerHolding _elem257;
+                for (int _i258 = 0; _i258 < _list256.size; ++_i258)
                 {
-                  _elem225 = new RunnerHolding();
-                  _elem225.read(iprot);
-                  struct.runners.add(_elem225);
+                  _elem257 = new RunnerHolding();
+                  _elem257.read(iprot);
+                  struct.runners.add(_elem257);
                 }
                 iprot.readListEnd();
               }
@@ -1109,13 +1109,13 @@
           case 5: // SILENT_NODES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list227 = iprot.readListBegin();
-                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list227.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem228;
-                for (int _i229 = 0; _i229 < _list227.size; ++_i229)
+                org.apache.thrift.protocol.TList _list259 = iprot.readListBegin();
+                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list259.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem260;
+                for (int _i261 = 0; _i261 < _list259.size; ++_i261)
                 {
-                  _elem228 = iprot.readString();
-                  struct.silentNodes.add(_elem228);
+                  _elem260 = iprot.readString();
+                  struct.silentNodes.add(_elem260);
                 }
                 iprot.readListEnd();
               }
@@ -1127,14 +1127,14 @@
           case 6: // ARRIVALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list230 = iprot.readListBegin();
-                struct.arrivals = new java.util.ArrayList<ModelArrival>(_list230.size);
-                @org.apache.thrift.annotation.Nullable ModelArrival _elem231;
-                for (int _i232 = 0; _i232 < _list230.size; ++_i232)
+                org.apache.thrift.protocol.TList _list262 = iprot.readListBegin();
+                struct.arrivals = new java.util.ArrayList<ModelArrival>(_list262.size);
+                @org.apache.thrift.annotation.Nullable ModelArrival _elem263;
+                for (int _i264 = 0; _i264 < _list262.size; ++_i264)
                 {
-                  _elem231 = new ModelArrival();
-                  _elem231.read(iprot);
-                  struct.arrivals.add(_elem231);
+                  _elem263 = new ModelArrival();
+                  _elem263.read(iprot);
+                  struct.arrivals.add(_elem263);
                 }
                 iprot.readListEnd();
               }
@@ -1154,14 +1154,14 @@
           case 8: // LEAVING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list233 = iprot.readListBegin();
-                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list233.size);
-                @org.apache.thrift.annotation.Nullable RunnerProcess _elem234;
-                for (int _i235 = 0; _i235 < _list233.size; ++_i235)
+                org.apache.thrift.protocol.TList _list265 = iprot.readListBegin();
+                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list265.size);
+                @org.apache.thrift.annotation.Nullable RunnerProcess _elem266;
+                for (int _i267 = 0; _i267 < _list265.size; ++_i267)
                 {
-                  _elem234 = new RunnerProcess();
-                  _elem234.read(iprot);
-                  struct.leaving.add(_elem234);
+                  _elem266 = new RunnerProcess();
+                  _elem266.read(iprot);
+                  struct.leaving.add(_elem266);
                 }
                 iprot.readListEnd();
               }
@@ -1173,14 +1173,14 @@
           case 9: // VERSION_ARRIVALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list236 = iprot.readListBegin();
-                struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list236.size);
-                @org.apache.thrift.annotation.Nullable ModelArrival _elem237;
-                for (int _i238 = 0; _i238 < _list236.size; ++_i238)
+                org.apache.thrift.protocol.TList _list268 = iprot.readListBegin();
+                struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list268.size);
+                @org.apache.thrift.annotation.Nullable ModelArrival _elem269;
+                for (int _i270 = 0; _i270 < _list268.size; ++_i270)
                 {
-                  _elem237 = new ModelArrival();
-                  _elem237.read(iprot);
-                  struct.versionArrivals.add(_elem237);
+                  _elem269 = new ModelArrival();
+                  _elem269.read(iprot);
+                  struct.versionArrivals.add(_elem269);
                 }
                 iprot.readListEnd();
               }
@@ -1230,9 +1230,9 @@
         oprot.writeFieldBegin(RUNNERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.runners.size()));
-          for (RunnerHolding _iter239 : struct.runners)
+          for (RunnerHolding _iter271 : struct.runners)
           {
-            _iter239.write(oprot);
+            _iter271.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1242,9 +1242,9 @@
         oprot.writeFieldBegin(SILENT_NODES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.silentNodes.size()));
-          for (java.lang.String _iter240 : struct.silentNodes)
+          for (java.lang.String _iter272 : struct.silentNodes)
           {
-            oprot.writeString(_iter240);
+            oprot.writeString(_iter272);
           }
           oprot.writeListEnd();
         }
@@ -1254,9 +1254,9 @@
         oprot.writeFieldBegin(ARRIVALS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.arrivals.size()));
-          for (ModelArrival _iter241 : struct.arrivals)
+          for (ModelArrival _iter273 : struct.arrivals)
           {
-            _iter241.write(oprot);
+            _iter273.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1270,9 +1270,9 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (RunnerProcess _iter242 : struct.leaving)
+            for (RunnerProcess _iter274 : struct.leaving)
             {
-              _iter242.write(oprot);
+              _iter274.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1284,9 +1284,9 @@
           oprot.writeFieldBegin(VERSION_ARRIVALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.versionArrivals.size()));
-            for (ModelArrival _iter243 : struct.versionArrivals)
+            for (ModelArrival _iter275 : struct.versionArrivals)
             {
-              _iter243.write(oprot);
+              _iter275.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1316,23 +1316,23 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.runners.size());
-        for (RunnerHolding _iter244 : struct.runners)
+        for (RunnerHolding _iter276 : struct.runners)
         {
-          _iter244.write(oprot);
+          _iter276.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.silentNodes.size());
-        for (java.lang.String _iter245 : struct.silentNodes)
+        for (java.lang.String _iter277 : struct.silentNodes)
         {
-          oprot.writeString(_iter245);
+          oprot.writeString(_iter277);
         }
       }
       {
         oprot.writeI32(struct.arrivals.size());
-        for (ModelArrival _iter246 : struct.arrivals)
+        for (ModelArrival _iter278 : struct.arrivals)
         {
-          _iter246.write(oprot);
+          _iter278.write(oprot);
         }
       }
       oprot.writeI64(struct.number);
@@ -1347,18 +1347,18 @@
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (RunnerProcess _iter247 : struct.leaving)
+          for (RunnerProcess _iter279 : struct.leaving)
           {
-            _iter247.write(oprot);
+            _iter279.write(oprot);
           }
         }
       }
       if (struct.isSetVersionArrivals()) {
         {
           oprot.writeI32(struct.versionArrivals.size());
-          for (ModelArrival _iter248 : struct.versionArrivals)
+          for (ModelArrival _iter280 : struct.versionArrivals)
           {
-            _iter248.write(oprot);
+            _iter280.write(oprot);
           }
         }
       }
@@ -1374,37 +1374,37 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list249 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.runners = new java.util.ArrayList<RunnerHolding>(_list249.size);
-        @org.apache.thrift.annotation.Nullable RunnerHolding _elem250;
-        for (int _i251 = 0; _i251 < _list249.size; ++_i251)
+        org.apache.thrift.protocol.TList _list281 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.runners = new java.util.ArrayList<RunnerHolding>(_list281.size);
+        @org.apache.thrift.annotation.Nullable RunnerHolding _elem282;
+        for (int _i283 = 0; _i283 < _list281.size; ++_i283)
         {
-          _elem250 = new RunnerHolding();
-          _elem250.read(iprot);
-          struct.runners.add(_elem250);
+          _elem282 = new RunnerHolding();
+          _elem282.read(iprot);
+          struct.runners.add(_elem282);
         }
       }
       struct.setRunnersIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list252 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list252.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem253;
-        for (int _i254 = 0; _i254 < _list252.size; ++_i254)
+        org.apache.thrift.protocol.TList _list284 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list284.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem285;
+        for (int _i286 = 0; _i286 < _list284.size; ++_i286)
         {
-          _elem253 = iprot.readString();
-          struct.silentNodes.add(_elem253);
+          _elem285 = iprot.readString();
+          struct.silentNodes.add(_elem285);
         }
       }
       struct.setSilentNodesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list255 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list255.size);
-        @org.apache.thrift.annotation.Nullable ModelArrival _elem256;
-        for (int _i257 = 0; _i257 < _list255.size; ++_i257)
+        org.apache.thrift.protocol.TList _list287 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list287.size);
+        @org.apache.thrift.annotation.Nullable ModelArrival _elem288;
+        for (int _i289 = 0; _i289 < _list287.size; ++_i289)
         {
-          _elem256 = new ModelArrival();
-          _elem256.read(iprot);
-          struct.arrivals.add(_elem256);
+          _elem288 = new ModelArrival();
+          _elem288.read(iprot);
+          struct.arrivals.add(_elem288);
         }
       }
       struct.setArrivalsIsSet(true);
@@ -1413,28 +1413,28 @@
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list258 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list258.size);
-          @org.apache.thrift.annotation.Nullable RunnerProcess _elem259;
-          for (int _i260 = 0; _i260 < _list258.size; ++_i260)
+          org.apache.thrift.protocol.TList _list290 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list290.size);
+          @org.apache.thrift.annotation.Nullable RunnerProcess _elem291;
+          for (int _i292 = 0; _i292 < _list290.size; ++_i292)
           {
-            _elem259 = new RunnerProcess();
-            _elem259.read(iprot);
-            struct.leaving.add(_elem259);
+            _elem291 = new RunnerProcess();
+            _elem291.read(iprot);
+            struct.leaving.add(_elem291);
           }
         }
         struct.setLeavingIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list261 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list261.size);
-          @org.apache.thrift.annotation.Nullable ModelArrival _elem262;
-          for (int _i263 = 0; _i263 < _list261.size; ++_i263)
+          org.apache.thrift.protocol.TList _list293 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list293.size);
+          @org.apache.thrift.annotation.Nullable ModelArrival _elem294;
+          for (int _i295 = 0; _i295 < _list293.size; ++_i295)
           {
-            _elem262 = new ModelArrival();
-            _elem262.read(iprot);
-            struct.versionArrivals.add(_elem262);
+            _elem294 = new ModelArrival();
+            _elem294.read(iprot);
+            struct.versionArrivals.add(_elem294);
           }
         }
         struct.setVersionArrivalsIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/HeldModel.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/HeldModel.java
@@ -520,13 +520,13 @@
           case 3: // ADAPTERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list208 = iprot.readListBegin();
-                struct.adapters = new java.util.ArrayList<java.lang.String>(_list208.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem209;
-                for (int _i210 = 0; _i210 < _list208.size; ++_i210)
+                org.apache.thrift.protocol.TList _list240 = iprot.readListBegin();
+                struct.adapters = new java.util.ArrayList<java.lang.String>(_list240.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem241;
+                for (int _i242 = 0; _i242 < _list240.size; ++_i242)
                 {
-                  _elem209 = iprot.readString();
-                  struct.adapters.add(_elem209);
+                  _elem241 = iprot.readString();
+                  struct.adapters.add(_elem241);
                 }
                 iprot.readListEnd();
               }
@@ -566,9 +566,9 @@
         oprot.writeFieldBegin(ADAPTERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.adapters.size()));
-          for (java.lang.String _iter211 : struct.adapters)
+          for (java.lang.String _iter243 : struct.adapters)
           {
-            oprot.writeString(_iter211);
+            oprot.writeString(_iter243);
           }
           oprot.writeListEnd();
         }
@@ -596,9 +596,9 @@
       oprot.writeI64(struct.version);
       {
         oprot.writeI32(struct.adapters.size());
-        for (java.lang.String _iter212 : struct.adapters)
+        for (java.lang.String _iter244 : struct.adapters)
         {
-          oprot.writeString(_iter212);
+          oprot.writeString(_iter244);
         }
       }
     }
@@ -611,13 +611,13 @@
       struct.version = iprot.readI64();
       struct.setVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list213 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.adapters = new java.util.ArrayList<java.lang.String>(_list213.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem214;
-        for (int _i215 = 0; _i215 < _list213.size; ++_i215)
+        org.apache.thrift.protocol.TList _list245 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.adapters = new java.util.ArrayList<java.lang.String>(_list245.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem246;
+        for (int _i247 = 0; _i247 < _list245.size; ++_i247)
         {
-          _elem214 = iprot.readString();
-          struct.adapters.add(_elem214);
+          _elem246 = iprot.readString();
+          struct.adapters.add(_elem246);
         }
       }
       struct.setAdaptersIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
@@ -1961,14 +1961,14 @@
             case 1: // ORIGINS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list342 = iprot.readListBegin();
-                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list342.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem343;
-                  for (int _i344 = 0; _i344 < _list342.size; ++_i344)
+                  org.apache.thrift.protocol.TList _list350 = iprot.readListBegin();
+                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list350.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem351;
+                  for (int _i352 = 0; _i352 < _list350.size; ++_i352)
                   {
-                    _elem343 = new StreamOrigin();
-                    _elem343.read(iprot);
-                    struct.origins.add(_elem343);
+                    _elem351 = new StreamOrigin();
+                    _elem351.read(iprot);
+                    struct.origins.add(_elem351);
                   }
                   iprot.readListEnd();
                 }
@@ -1997,9 +1997,9 @@
           oprot.writeFieldBegin(ORIGINS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.origins.size()));
-            for (StreamOrigin _iter345 : struct.origins)
+            for (StreamOrigin _iter353 : struct.origins)
             {
-              _iter345.write(oprot);
+              _iter353.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2031,9 +2031,9 @@
         if (struct.isSetOrigins()) {
           {
             oprot.writeI32(struct.origins.size());
-            for (StreamOrigin _iter346 : struct.origins)
+            for (StreamOrigin _iter354 : struct.origins)
             {
-              _iter346.write(oprot);
+              _iter354.write(oprot);
             }
           }
         }
@@ -2045,14 +2045,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list347 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.origins = new java.util.ArrayList<StreamOrigin>(_list347.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem348;
-            for (int _i349 = 0; _i349 < _list347.size; ++_i349)
+            org.apache.thrift.protocol.TList _list355 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.origins = new java.util.ArrayList<StreamOrigin>(_list355.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem356;
+            for (int _i357 = 0; _i357 < _list355.size; ++_i357)
             {
-              _elem348 = new StreamOrigin();
-              _elem348.read(iprot);
-              struct.origins.add(_elem348);
+              _elem356 = new StreamOrigin();
+              _elem356.read(iprot);
+              struct.origins.add(_elem356);
             }
           }
           struct.setOriginsIsSet(true);
@@ -3038,14 +3038,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list350 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StreamOrigin>(_list350.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem351;
-                  for (int _i352 = 0; _i352 < _list350.size; ++_i352)
+                  org.apache.thrift.protocol.TList _list358 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StreamOrigin>(_list358.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem359;
+                  for (int _i360 = 0; _i360 < _list358.size; ++_i360)
                   {
-                    _elem351 = new StreamOrigin();
-                    _elem351.read(iprot);
-                    struct.success.add(_elem351);
+                    _elem359 = new StreamOrigin();
+                    _elem359.read(iprot);
+                    struct.success.add(_elem359);
                   }
                   iprot.readListEnd();
                 }
@@ -3074,9 +3074,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StreamOrigin _iter353 : struct.success)
+            for (StreamOrigin _iter361 : struct.success)
             {
-              _iter353.write(oprot);
+              _iter361.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -3108,9 +3108,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StreamOrigin _iter354 : struct.success)
+            for (StreamOrigin _iter362 : struct.success)
             {
-              _iter354.write(oprot);
+              _iter362.write(oprot);
             }
           }
         }
@@ -3122,14 +3122,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list355 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StreamOrigin>(_list355.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem356;
-            for (int _i357 = 0; _i357 < _list355.size; ++_i357)
+            org.apache.thrift.protocol.TList _list363 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StreamOrigin>(_list363.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem364;
+            for (int _i365 = 0; _i365 < _list363.size; ++_i365)
             {
-              _elem356 = new StreamOrigin();
-              _elem356.read(iprot);
-              struct.success.add(_elem356);
+              _elem364 = new StreamOrigin();
+              _elem364.read(iprot);
+              struct.success.add(_elem364);
             }
           }
           struct.setSuccessIsSet(true);
@@ -3472,14 +3472,14 @@
             case 1: // REPORTS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list358 = iprot.readListBegin();
-                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list358.size);
-                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem359;
-                  for (int _i360 = 0; _i360 < _list358.size; ++_i360)
+                  org.apache.thrift.protocol.TList _list366 = iprot.readListBegin();
+                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list366.size);
+                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem367;
+                  for (int _i368 = 0; _i368 < _list366.size; ++_i368)
                   {
-                    _elem359 = new CrashReportRecord();
-                    _elem359.read(iprot);
-                    struct.reports.add(_elem359);
+                    _elem367 = new CrashReportRecord();
+                    _elem367.read(iprot);
+                    struct.reports.add(_elem367);
                   }
                   iprot.readListEnd();
                 }
@@ -3508,9 +3508,9 @@
           oprot.writeFieldBegin(REPORTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-            for (CrashReportRecord _iter361 : struct.reports)
+            for (CrashReportRecord _iter369 : struct.reports)
             {
-              _iter361.write(oprot);
+              _iter369.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -3542,9 +3542,9 @@
         if (struct.isSetReports()) {
           {
             oprot.writeI32(struct.reports.size());
-            for (CrashReportRecord _iter362 : struct.reports)
+            for (CrashReportRecord _iter370 : struct.reports)
             {
-              _iter362.write(oprot);
+              _iter370.write(oprot);
             }
           }
         }
@@ -3556,14 +3556,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list363 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list363.size);
-            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem364;
-            for (int _i365 = 0; _i365 < _list363.size; ++_i365)
+            org.apache.thrift.protocol.TList _list371 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list371.size);
+            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem372;
+            for (int _i373 = 0; _i373 < _list371.size; ++_i373)
             {
-              _elem364 = new CrashReportRecord();
-              _elem364.read(iprot);
-              struct.reports.add(_elem364);
+              _elem372 = new CrashReportRecord();
+              _elem372.read(iprot);
+              struct.reports.add(_elem372);
             }
           }
           struct.setReportsIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
@@ -1156,14 +1156,14 @@
           case 5: // USES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list176 = iprot.readListBegin();
-                struct.uses = new java.util.ArrayList<RunnerUse>(_list176.size);
-                @org.apache.thrift.annotation.Nullable RunnerUse _elem177;
-                for (int _i178 = 0; _i178 < _list176.size; ++_i178)
+                org.apache.thrift.protocol.TList _list208 = iprot.readListBegin();
+                struct.uses = new java.util.ArrayList<RunnerUse>(_list208.size);
+                @org.apache.thrift.annotation.Nullable RunnerUse _elem209;
+                for (int _i210 = 0; _i210 < _list208.size; ++_i210)
                 {
-                  _elem177 = new RunnerUse();
-                  _elem177.read(iprot);
-                  struct.uses.add(_elem177);
+                  _elem209 = new RunnerUse();
+                  _elem209.read(iprot);
+                  struct.uses.add(_elem209);
                 }
                 iprot.readListEnd();
               }
@@ -1175,14 +1175,14 @@
           case 6: // NEEDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list179 = iprot.readListBegin();
-                struct.needs = new java.util.ArrayList<ModelNeed>(_list179.size);
-                @org.apache.thrift.annotation.Nullable ModelNeed _elem180;
-                for (int _i181 = 0; _i181 < _list179.size; ++_i181)
+                org.apache.thrift.protocol.TList _list211 = iprot.readListBegin();
+                struct.needs = new java.util.ArrayList<ModelNeed>(_list211.size);
+                @org.apache.thrift.annotation.Nullable ModelNeed _elem212;
+                for (int _i213 = 0; _i213 < _list211.size; ++_i213)
                 {
-                  _elem180 = new ModelNeed();
-                  _elem180.read(iprot);
-                  struct.needs.add(_elem180);
+                  _elem212 = new ModelNeed();
+                  _elem212.read(iprot);
+                  struct.needs.add(_elem212);
                 }
                 iprot.readListEnd();
               }
@@ -1194,13 +1194,13 @@
           case 7: // UNREACHABLE
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list182 = iprot.readListBegin();
-                struct.unreachable = new java.util.ArrayList<java.lang.String>(_list182.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem183;
-                for (int _i184 = 0; _i184 < _list182.size; ++_i184)
+                org.apache.thrift.protocol.TList _list214 = iprot.readListBegin();
+                struct.unreachable = new java.util.ArrayList<java.lang.String>(_list214.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem215;
+                for (int _i216 = 0; _i216 < _list214.size; ++_i216)
                 {
-                  _elem183 = iprot.readString();
-                  struct.unreachable.add(_elem183);
+                  _elem215 = iprot.readString();
+                  struct.unreachable.add(_elem215);
                 }
                 iprot.readListEnd();
               }
@@ -1228,14 +1228,14 @@
           case 10: // LEAVING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list185 = iprot.readListBegin();
-                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list185.size);
-                @org.apache.thrift.annotation.Nullable RunnerProcess _elem186;
-                for (int _i187 = 0; _i187 < _list185.size; ++_i187)
+                org.apache.thrift.protocol.TList _list217 = iprot.readListBegin();
+                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list217.size);
+                @org.apache.thrift.annotation.Nullable RunnerProcess _elem218;
+                for (int _i219 = 0; _i219 < _list217.size; ++_i219)
                 {
-                  _elem186 = new RunnerProcess();
-                  _elem186.read(iprot);
-                  struct.leaving.add(_elem186);
+                  _elem218 = new RunnerProcess();
+                  _elem218.read(iprot);
+                  struct.leaving.add(_elem218);
                 }
                 iprot.readListEnd();
               }
@@ -1293,9 +1293,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (RunnerUse _iter188 : struct.uses)
+          for (RunnerUse _iter220 : struct.uses)
           {
-            _iter188.write(oprot);
+            _iter220.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1305,9 +1305,9 @@
         oprot.writeFieldBegin(NEEDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.needs.size()));
-          for (ModelNeed _iter189 : struct.needs)
+          for (ModelNeed _iter221 : struct.needs)
           {
-            _iter189.write(oprot);
+            _iter221.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1317,9 +1317,9 @@
         oprot.writeFieldBegin(UNREACHABLE_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.unreachable.size()));
-          for (java.lang.String _iter190 : struct.unreachable)
+          for (java.lang.String _iter222 : struct.unreachable)
           {
-            oprot.writeString(_iter190);
+            oprot.writeString(_iter222);
           }
           oprot.writeListEnd();
         }
@@ -1336,9 +1336,9 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (RunnerProcess _iter191 : struct.leaving)
+            for (RunnerProcess _iter223 : struct.leaving)
             {
-              _iter191.write(oprot);
+              _iter223.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1369,23 +1369,23 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.uses.size());
-        for (RunnerUse _iter192 : struct.uses)
+        for (RunnerUse _iter224 : struct.uses)
         {
-          _iter192.write(oprot);
+          _iter224.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.needs.size());
-        for (ModelNeed _iter193 : struct.needs)
+        for (ModelNeed _iter225 : struct.needs)
         {
-          _iter193.write(oprot);
+          _iter225.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.unreachable.size());
-        for (java.lang.String _iter194 : struct.unreachable)
+        for (java.lang.String _iter226 : struct.unreachable)
         {
-          oprot.writeString(_iter194);
+          oprot.writeString(_iter226);
         }
       }
       oprot.writeI64(struct.answerTerm);
@@ -1398,9 +1398,9 @@
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (RunnerProcess _iter195 : struct.leaving)
+          for (RunnerProcess _iter227 : struct.leaving)
           {
-            _iter195.write(oprot);
+            _iter227.write(oprot);
           }
         }
       }
@@ -1418,37 +1418,37 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list196 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.uses = new java.util.ArrayList<RunnerUse>(_list196.size);
-        @org.apache.thrift.annotation.Nullable RunnerUse _elem197;
-        for (int _i198 = 0; _i198 < _list196.size; ++_i198)
+        org.apache.thrift.protocol.TList _list228 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.uses = new java.util.ArrayList<RunnerUse>(_list228.size);
+        @org.apache.thrift.annotation.Nullable RunnerUse _elem229;
+        for (int _i230 = 0; _i230 < _list228.size; ++_i230)
         {
-          _elem197 = new RunnerUse();
-          _elem197.read(iprot);
-          struct.uses.add(_elem197);
+          _elem229 = new RunnerUse();
+          _elem229.read(iprot);
+          struct.uses.add(_elem229);
         }
       }
       struct.setUsesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list199 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.needs = new java.util.ArrayList<ModelNeed>(_list199.size);
-        @org.apache.thrift.annotation.Nullable ModelNeed _elem200;
-        for (int _i201 = 0; _i201 < _list199.size; ++_i201)
+        org.apache.thrift.protocol.TList _list231 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.needs = new java.util.ArrayList<ModelNeed>(_list231.size);
+        @org.apache.thrift.annotation.Nullable ModelNeed _elem232;
+        for (int _i233 = 0; _i233 < _list231.size; ++_i233)
         {
-          _elem200 = new ModelNeed();
-          _elem200.read(iprot);
-          struct.needs.add(_elem200);
+          _elem232 = new ModelNeed();
+          _elem232.read(iprot);
+          struct.needs.add(_elem232);
         }
       }
       struct.setNeedsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list202 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.unreachable = new java.util.ArrayList<java.lang.String>(_list202.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem203;
-        for (int _i204 = 0; _i204 < _list202.size; ++_i204)
+        org.apache.thrift.protocol.TList _list234 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.unreachable = new java.util.ArrayList<java.lang.String>(_list234.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem235;
+        for (int _i236 = 0; _i236 < _list234.size; ++_i236)
         {
-          _elem203 = iprot.readString();
-          struct.unreachable.add(_elem203);
+          _elem235 = iprot.readString();
+          struct.unreachable.add(_elem235);
         }
       }
       struct.setUnreachableIsSet(true);
@@ -1459,14 +1459,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list205 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list205.size);
-          @org.apache.thrift.annotation.Nullable RunnerProcess _elem206;
-          for (int _i207 = 0; _i207 < _list205.size; ++_i207)
+          org.apache.thrift.protocol.TList _list237 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list237.size);
+          @org.apache.thrift.annotation.Nullable RunnerProcess _elem238;
+          for (int _i239 = 0; _i239 < _list237.size; ++_i239)
           {
-            _elem206 = new RunnerProcess();
-            _elem206.read(iprot);
-            struct.leaving.add(_elem206);
+            _elem238 = new RunnerProcess();
+            _elem238.read(iprot);
+            struct.leaving.add(_elem238);
           }
         }
         struct.setLeavingIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/ProcessEndRecord.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/ProcessEndRecord.java
@@ -523,14 +523,14 @@
           case 3: // PROMPTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list272 = iprot.readListBegin();
-                struct.prompts = new java.util.ArrayList<WaitingPromptRecord>(_list272.size);
-                @org.apache.thrift.annotation.Nullable WaitingPromptRecord _elem273;
-                for (int _i274 = 0; _i274 < _list272.size; ++_i274)
+                org.apache.thrift.protocol.TList _list184 = iprot.readListBegin();
+                struct.prompts = new java.util.ArrayList<WaitingPromptRecord>(_list184.size);
+                @org.apache.thrift.annotation.Nullable WaitingPromptRecord _elem185;
+                for (int _i186 = 0; _i186 < _list184.size; ++_i186)
                 {
-                  _elem273 = new WaitingPromptRecord();
-                  _elem273.read(iprot);
-                  struct.prompts.add(_elem273);
+                  _elem185 = new WaitingPromptRecord();
+                  _elem185.read(iprot);
+                  struct.prompts.add(_elem185);
                 }
                 iprot.readListEnd();
               }
@@ -570,9 +570,9 @@
         oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-          for (WaitingPromptRecord _iter275 : struct.prompts)
+          for (WaitingPromptRecord _iter187 : struct.prompts)
           {
-            _iter275.write(oprot);
+            _iter187.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -600,9 +600,9 @@
       oprot.writeI64(struct.endedAtMs);
       {
         oprot.writeI32(struct.prompts.size());
-        for (WaitingPromptRecord _iter276 : struct.prompts)
+        for (WaitingPromptRecord _iter188 : struct.prompts)
         {
-          _iter276.write(oprot);
+          _iter188.write(oprot);
         }
       }
     }
@@ -615,14 +615,14 @@
       struct.endedAtMs = iprot.readI64();
       struct.setEndedAtMsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list277 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.prompts = new java.util.ArrayList<WaitingPromptRecord>(_list277.size);
-        @org.apache.thrift.annotation.Nullable WaitingPromptRecord _elem278;
-        for (int _i279 = 0; _i279 < _list277.size; ++_i279)
+        org.apache.thrift.protocol.TList _list189 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.prompts = new java.util.ArrayList<WaitingPromptRecord>(_list189.size);
+        @org.apache.thrift.annotation.Nullable WaitingPromptRecord _elem190;
+        for (int _i191 = 0; _i191 < _list189.size; ++_i191)
         {
-          _elem278 = new WaitingPromptRecord();
-          _elem278.read(iprot);
-          struct.prompts.add(_elem278);
+          _elem190 = new WaitingPromptRecord();
+          _elem190.read(iprot);
+          struct.prompts.add(_elem190);
         }
       }
       struct.setPromptsIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
@@ -15,6 +15,13 @@
 
     public void settle(ClaimRecord outcome, java.util.Map<java.lang.String,java.lang.String> trace) throws WireRefusal, org.apache.thrift.TException;
 
+    /**
+     * Takes reports of the calling router and of others; those that are new here are passed on.
+     *
+     * @param reports
+     */
+    public void keepCrashReports(java.util.List<CrashReportRecord> reports) throws org.apache.thrift.TException;
+
   }
 
   public interface AsyncIface {
@@ -23,6 +30,8 @@
 
     public void settle(ClaimRecord outcome, java.util.Map<java.lang.String,java.lang.String> trace, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
 
+    public void keepCrashReports(java.util.List<CrashReportRecord> reports, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
+
   }
 
   public static class Client extends org.apache.thrift.TServiceClient implements Iface {
@@ -101,6 +110,27 @@
       return;
     }
 
+    @Override
+    public void keepCrashReports(java.util.List<CrashReportRecord> reports) throws org.apache.thrift.TException
+    {
+      send_keepCrashReports(reports);
+      recv_keepCrashReports();
+    }
+
+    public void send_keepCrashReports(java.util.List<CrashReportRecord> reports) throws org.apache.thrift.TException
+    {
+      keepCrashReports_args args = new keepCrashReports_args();
+      args.setReports(reports);
+      sendBase("keepCrashReports", args);
+    }
+
+    public void recv_keepCrashReports() throws org.apache.thrift.TException
+    {
+      keepCrashReports_result result = new keepCrashReports_result();
+      receiveBase(result, "keepCrashReports");
+      return;
+    }
+
   }
   public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
     public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
@@ -200,6 +230,42 @@
       }
     }
 
+    @Override
+    public void keepCrashReports(java.util.List<CrashReportRecord> reports, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      keepCrashReports_call method_call = new keepCrashReports_call(reports, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class keepCrashReports_call extends org.apache.thrift.async.TAsyncMethodCall<Void> {
+      private java.util.List<CrashReportRecord> reports;
+      public keepCrashReports_call(java.util.List<CrashReportRecord> reports, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.reports = reports;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("keepCrashReports", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        keepCrashReports_args args = new keepCrashReports_args();
+        args.setReports(reports);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public Void getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        (new Client(prot)).recv_keepCrashReports();
+        return null;
+      }
+    }
+
   }
 
   public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
@@ -215,6 +281,7 @@
     private static <I extends Iface> java.util.Map<java.lang.String,  org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>> getProcessMap(java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends  org.apache.thrift.TBase>> processMap) {
       processMap.put("claim", new claim());
       processMap.put("settle", new settle());
+      processMap.put("keepCrashReports", new keepCrashReports());
       return processMap;
     }
 
@@ -282,6 +349,34 @@
       }
     }
 
+    public static class keepCrashReports<I extends Iface> extends org.apache.thrift.ProcessFunction<I, keepCrashReports_args> {
+      public keepCrashReports() {
+        super("keepCrashReports");
+      }
+
+      @Override
+      public keepCrashReports_args getEmptyArgsInstance() {
+        return new keepCrashReports_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public keepCrashReports_result getResult(I iface, keepCrashReports_args args) throws org.apache.thrift.TException {
+        keepCrashReports_result result = new keepCrashReports_result();
+        iface.keepCrashReports(args.reports);
+        return result;
+      }
+    }
+
   }
 
   public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
@@ -297,6 +392,7 @@
     private static <I extends AsyncIface> java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase,?>> getProcessMap(java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase, ?>> processMap) {
       processMap.put("claim", new claim());
       processMap.put("settle", new settle());
+      processMap.put("keepCrashReports", new keepCrashReports());
       return processMap;
     }
 
@@ -441,6 +537,72 @@
       }
     }
 
+    public static class keepCrashReports<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, keepCrashReports_args, Void> {
+      public keepCrashReports() {
+        super("keepCrashReports");
+      }
+
+      @Override
+      public keepCrashReports_args getEmptyArgsInstance() {
+        return new keepCrashReports_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<Void> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<Void>() {
+          @Override
+          public void onComplete(Void o) {
+            keepCrashReports_result result = new keepCrashReports_result();
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            keepCrashReports_result result = new keepCrashReports_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, keepCrashReports_args args, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+        iface.keepCrashReports(args.reports,resultHandler);
+      }
+    }
+
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
@@ -2495,4 +2657,703 @@
     }
   }
 
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class keepCrashReports_args implements org.apache.thrift.TBase<keepCrashReports_args, keepCrashReports_args._Fields>, java.io.Serializable, Cloneable, Comparable<keepCrashReports_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("keepCrashReports_args");
+
+    private static final org.apache.thrift.protocol.TField REPORTS_FIELD_DESC = new org.apache.thrift.protocol.TField("reports", org.apache.thrift.protocol.TType.LIST, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new keepCrashReports_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new keepCrashReports_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable java.util.List<CrashReportRecord> reports; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      REPORTS((short)1, "reports");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // REPORTS
+            return REPORTS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.REPORTS, new org.apache.thrift.meta_data.FieldMetaData("reports", org.apache.thrift.TFieldRequirementType.DEFAULT,
+          new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+              new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CrashReportRecord.class))));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(keepCrashReports_args.class, metaDataMap);
+    }
+
+    public keepCrashReports_args() {
+    }
+
+    public keepCrashReports_args(
+      java.util.List<CrashReportRecord> reports)
+    {
+      this();
+      this.reports = reports;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public keepCrashReports_args(keepCrashReports_args other) {
+      if (other.isSetReports()) {
+        java.util.List<CrashReportRecord> __this__reports = new java.util.ArrayList<CrashReportRecord>(other.reports.size());
+        for (CrashReportRecord other_element : other.reports) {
+          __this__reports.add(new CrashReportRecord(other_element));
+        }
+        this.reports = __this__reports;
+      }
+    }
+
+    @Override
+    public keepCrashReports_args deepCopy() {
+      return new keepCrashReports_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.reports = null;
+    }
+
+    public int getReportsSize() {
+      return (this.reports == null) ? 0 : this.reports.size();
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.Iterator<CrashReportRecord> getReportsIterator() {
+      return (this.reports == null) ? null : this.reports.iterator();
+    }
+
+    public void addToReports(CrashReportRecord elem) {
+      if (this.reports == null) {
+        this.reports = new java.util.ArrayList<CrashReportRecord>();
+      }
+      this.reports.add(elem);
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.util.List<CrashReportRecord> getReports() {
+      return this.reports;
+    }
+
+    public keepCrashReports_args setReports(@org.apache.thrift.annotation.Nullable java.util.List<CrashReportRecord> reports) {
+      this.reports = reports;
+      return this;
+    }
+
+    public void unsetReports() {
+      this.reports = null;
+    }
+
+    /** Returns true if field reports is set (has been assigned a value) and false otherwise */
+    public boolean isSetReports() {
+      return this.reports != null;
+    }
+
+    public void setReportsIsSet(boolean value) {
+      if (!value) {
+        this.reports = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case REPORTS:
+        if (value == null) {
+          unsetReports();
+        } else {
+          setReports((java.util.List<CrashReportRecord>)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case REPORTS:
+        return getReports();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case REPORTS:
+        return isSetReports();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof keepCrashReports_args)
+        return this.equals((keepCrashReports_args)that);
+      return false;
+    }
+
+    public boolean equals(keepCrashReports_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_reports = true && this.isSetReports();
+      boolean that_present_reports = true && that.isSetReports();
+      if (this_present_reports || that_present_reports) {
+        if (!(this_present_reports && that_present_reports))
+          return false;
+        if (!this.reports.equals(that.reports))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetReports()) ? 131071 : 524287);
+      if (isSetReports())
+        hashCode = hashCode * 8191 + reports.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(keepCrashReports_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetReports(), other.isSetReports());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetReports()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.reports, other.reports);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("keepCrashReports_args(");
+      boolean first = true;
+
+      sb.append("reports:");
+      if (this.reports == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.reports);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class keepCrashReports_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public keepCrashReports_argsStandardScheme getScheme() {
+        return new keepCrashReports_argsStandardScheme();
+      }
+    }
+
+    private static class keepCrashReports_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<keepCrashReports_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, keepCrashReports_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // REPORTS
+              if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+                {
+                  org.apache.thrift.protocol.TList _list342 = iprot.readListBegin();
+                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list342.size);
+                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem343;
+                  for (int _i344 = 0; _i344 < _list342.size; ++_i344)
+                  {
+                    _elem343 = new CrashReportRecord();
+                    _elem343.read(iprot);
+                    struct.reports.add(_elem343);
+                  }
+                  iprot.readListEnd();
+                }
+                struct.setReportsIsSet(true);
+              } else {
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, keepCrashReports_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.reports != null) {
+          oprot.writeFieldBegin(REPORTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
+            for (CrashReportRecord _iter345 : struct.reports)
+            {
+              _iter345.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class keepCrashReports_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public keepCrashReports_argsTupleScheme getScheme() {
+        return new keepCrashReports_argsTupleScheme();
+      }
+    }
+
+    private static class keepCrashReports_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<keepCrashReports_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, keepCrashReports_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetReports()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetReports()) {
+          {
+            oprot.writeI32(struct.reports.size());
+            for (CrashReportRecord _iter346 : struct.reports)
+            {
+              _iter346.write(oprot);
+            }
+          }
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, keepCrashReports_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          {
+            org.apache.thrift.protocol.TList _list347 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list347.size);
+            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem348;
+            for (int _i349 = 0; _i349 < _list347.size; ++_i349)
+            {
+              _elem348 = new CrashReportRecord();
+              _elem348.read(iprot);
+              struct.reports.add(_elem348);
+            }
+          }
+          struct.setReportsIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class keepCrashReports_result implements org.apache.thrift.TBase<keepCrashReports_result, keepCrashReports_result._Fields>, java.io.Serializable, Cloneable, Comparable<keepCrashReports_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("keepCrashReports_result");
+
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new keepCrashReports_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new keepCrashReports_resultTupleSchemeFactory();
+
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+;
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(keepCrashReports_result.class, metaDataMap);
+    }
+
+    public keepCrashReports_result() {
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public keepCrashReports_result(keepCrashReports_result other) {
+    }
+
+    @Override
+    public keepCrashReports_result deepCopy() {
+      return new keepCrashReports_result(this);
+    }
+
+    @Override
+    public void clear() {
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof keepCrashReports_result)
+        return this.equals((keepCrashReports_result)that);
+      return false;
+    }
+
+    public boolean equals(keepCrashReports_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(keepCrashReports_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("keepCrashReports_result(");
+      boolean first = true;
+
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class keepCrashReports_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public keepCrashReports_resultStandardScheme getScheme() {
+        return new keepCrashReports_resultStandardScheme();
+      }
+    }
+
+    private static class keepCrashReports_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<keepCrashReports_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, keepCrashReports_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
+            break;
+          }
+          switch (schemeField.id) {
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, keepCrashReports_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class keepCrashReports_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public keepCrashReports_resultTupleScheme getScheme() {
+        return new keepCrashReports_resultTupleScheme();
+      }
+    }
+
+    private static class keepCrashReports_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<keepCrashReports_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, keepCrashReports_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, keepCrashReports_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
 }
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RunnerHolding.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RunnerHolding.java
@@ -673,14 +673,14 @@
           case 3: // MODELS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list216 = iprot.readListBegin();
-                struct.models = new java.util.ArrayList<HeldModel>(_list216.size);
-                @org.apache.thrift.annotation.Nullable HeldModel _elem217;
-                for (int _i218 = 0; _i218 < _list216.size; ++_i218)
+                org.apache.thrift.protocol.TList _list248 = iprot.readListBegin();
+                struct.models = new java.util.ArrayList<HeldModel>(_list248.size);
+                @org.apache.thrift.annotation.Nullable HeldModel _elem249;
+                for (int _i250 = 0; _i250 < _list248.size; ++_i250)
                 {
-                  _elem217 = new HeldModel();
-                  _elem217.read(iprot);
-                  struct.models.add(_elem217);
+                  _elem249 = new HeldModel();
+                  _elem249.read(iprot);
+                  struct.models.add(_elem249);
                 }
                 iprot.readListEnd();
               }
@@ -743,9 +743,9 @@
           oprot.writeFieldBegin(MODELS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.models.size()));
-            for (HeldModel _iter219 : struct.models)
+            for (HeldModel _iter251 : struct.models)
             {
-              _iter219.write(oprot);
+              _iter251.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -788,9 +788,9 @@
       if (struct.isSetModels()) {
         {
           oprot.writeI32(struct.models.size());
-          for (HeldModel _iter220 : struct.models)
+          for (HeldModel _iter252 : struct.models)
           {
-            _iter220.write(oprot);
+            _iter252.write(oprot);
           }
         }
       }
@@ -810,14 +810,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list221 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.models = new java.util.ArrayList<HeldModel>(_list221.size);
-          @org.apache.thrift.annotation.Nullable HeldModel _elem222;
-          for (int _i223 = 0; _i223 < _list221.size; ++_i223)
+          org.apache.thrift.protocol.TList _list253 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.models = new java.util.ArrayList<HeldModel>(_list253.size);
+          @org.apache.thrift.annotation.Nullable HeldModel _elem254;
+          for (int _i255 = 0; _i255 < _list253.size; ++_i255)
           {
-            _elem222 = new HeldModel();
-            _elem222.read(iprot);
-            struct.models.add(_elem222);
+            _elem254 = new HeldModel();
+            _elem254.read(iprot);
+            struct.models.add(_elem254);
           }
         }
         struct.setModelsIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/WaitingPromptRecord.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/WaitingPromptRecord.java
@@ -419,13 +419,13 @@
           case 1: // PARTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list264 = iprot.readListBegin();
-                struct.parts = new java.util.ArrayList<java.lang.String>(_list264.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem265;
-                for (int _i266 = 0; _i266 < _list264.size; ++_i266)
+                org.apache.thrift.protocol.TList _list176 = iprot.readListBegin();
+                struct.parts = new java.util.ArrayList<java.lang.String>(_list176.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem177;
+                for (int _i178 = 0; _i178 < _list176.size; ++_i178)
                 {
-                  _elem265 = iprot.readString();
-                  struct.parts.add(_elem265);
+                  _elem177 = iprot.readString();
+                  struct.parts.add(_elem177);
                 }
                 iprot.readListEnd();
               }
@@ -465,9 +465,9 @@
         oprot.writeFieldBegin(PARTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.parts.size()));
-          for (java.lang.String _iter267 : struct.parts)
+          for (java.lang.String _iter179 : struct.parts)
           {
-            oprot.writeString(_iter267);
+            oprot.writeString(_iter179);
           }
           oprot.writeListEnd();
         }
@@ -496,9 +496,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.parts.size());
-        for (java.lang.String _iter268 : struct.parts)
+        for (java.lang.String _iter180 : struct.parts)
         {
-          oprot.writeString(_iter268);
+          oprot.writeString(_iter180);
         }
       }
       oprot.writeI64(struct.sentAtMs);
@@ -508,13 +508,13 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, WaitingPromptRecord struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list269 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.parts = new java.util.ArrayList<java.lang.String>(_list269.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem270;
-        for (int _i271 = 0; _i271 < _list269.size; ++_i271)
+        org.apache.thrift.protocol.TList _list181 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.parts = new java.util.ArrayList<java.lang.String>(_list181.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem182;
+        for (int _i183 = 0; _i183 < _list181.size; ++_i183)
         {
-          _elem270 = iprot.readString();
-          struct.parts.add(_elem270);
+          _elem182 = iprot.readString();
+          struct.parts.add(_elem182);
         }
       }
       struct.setPartsIsSet(true);
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -277,9 +277,40 @@
   3: optional string reason
 }
 
+/** Request that waited for the beginning of its answer. */
+struct WaitingPromptRecord {
+  1: required list<string> parts            // shared parts of its prompt, in order
+  2: required i64 sentAtMs                  // by the clock of the node that sent it
+}
+
+/** End of a process of a runner while requests waited there for the beginning of their answers. */
+struct ProcessEndRecord {
+  1: required string process                // runner and start time, which no other process has
+  2: required i64 endedAtMs                 // by the clock of a node that observed it
+  3: required list<WaitingPromptRecord> prompts
+}
+
+/** Answers that one node has seen begin on prompts with a part. */
+struct PartAnswersRecord {
+  1: required string part
+  2: required i32 before                    // before the node knew of an end with the part, up to a limit
+  3: required i32 since                     // since then, up to a limit
+}
+
+/** What one node has observed of ends and answers; also stored. */
+struct CrashReportRecord {
+  1: required string reporter               // node and start time, which no other process has
+  2: required i64 number                    // rises with each report of one process
+  3: required list<ProcessEndRecord> ends
+  4: required list<PartAnswersRecord> answers
+}
+
 service RouterPeer {
   ClaimAnswer claim(1: ClaimRecord claim, 2: i32 waitMs, 3: map<string, string> trace) throws (1: WireRefusal refusal)
   void settle(1: ClaimRecord outcome, 2: map<string, string> trace) throws (1: WireRefusal refusal)
+
+  /** Takes reports of the calling router and of others; those that are new here are passed on. */
+  void keepCrashReports(1: list<CrashReportRecord> reports)
 }
 
 // ---------------------------------------------------------------- between persimmon-node processes
@@ -379,34 +410,6 @@
   4: required i64 validMs                   // for how long the origin is to be kept
 }
 
-/** Request that waited for the beginning of its answer. */
-struct WaitingPromptRecord {
-  1: required list<string> parts            // shared parts of its prompt, in order
-  2: required i64 sentAtMs                  // by the clock of the node that sent it
-}
-
-/** End of a process of a runner while requests waited there for the beginning of their answers. */
-struct ProcessEndRecord {
-  1: required string process                // runner and start time, which no other process has
-  2: required i64 endedAtMs                 // by the clock of a node that observed it
-  3: required list<WaitingPromptRecord> prompts
-}
-
-/** Answers that one node has seen begin on prompts with a part. */
-struct PartAnswersRecord {
-  1: required string part
-  2: required i32 before                    // before the node knew of an end with the part, up to a limit
-  3: required i32 since                     // since then, up to a limit
-}
-
-/** What one node has observed of ends and answers; also stored. */
-struct CrashReportRecord {
-  1: required string reporter               // node and start time, which no other process has
-  2: required i64 number                    // rises with each report of one process
-  3: required list<ProcessEndRecord> ends
-  4: required list<PartAnswersRecord> answers
-}
-
 service NodeLink {
   /** Reports the node's load and returns the load of the fleet; refused by a node that does not lead. */
   FleetLoad exchange(1: NodeLoad load) throws (1: WireRefusal refusal)
--- a/wire/src/test/java/io/persimmonstack/wire/ThriftPeersTest.java
+++ b/wire/src/test/java/io/persimmonstack/wire/ThriftPeersTest.java
@@ -6,8 +6,10 @@
 import io.persimmonstack.wire.gen.ClaimAnswer;
 import io.persimmonstack.wire.gen.ClaimRecord;
 import io.persimmonstack.wire.gen.ClaimResult;
+import io.persimmonstack.wire.gen.CrashReportRecord;
 import io.persimmonstack.wire.gen.RouterPeer;
 import io.persimmonstack.wire.gen.WireRefusal;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
@@ -29,6 +31,9 @@
         @Override
         public void settle(ClaimRecord outcome, Map<String, String> trace) {}
 
+        @Override
+        public void keepCrashReports(List<CrashReportRecord> reports) {}
+
         private static void sleep(long ms) {
             try {
                 Thread.sleep(ms);
