--- a/backends/src/test/java/io/persimmonstack/backends/peer/PeerTrustTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/peer/PeerTrustTest.java
@@ -16,6 +16,7 @@
 import io.persimmonstack.wire.gen.ClaimAnswer;
 import io.persimmonstack.wire.gen.ClaimRecord;
 import io.persimmonstack.wire.gen.ClaimResult;
+import io.persimmonstack.wire.gen.CrashReportRecord;
 import io.persimmonstack.wire.gen.RouterPeer;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -68,6 +69,9 @@
 
             @Override
             public void settle(ClaimRecord outcome, Map<String, String> trace) {}
+
+            @Override
+            public void keepCrashReports(List<CrashReportRecord> reports) {}
         };
         ThriftServer server = closer.add(
                 ThriftServer.start(new PeerAddress("127.0.0.1", 0), new RouterPeer.Processor<>(handler), recording));
