--- a/router/src/test/java/io/persimmonstack/router/RouterTest.java
+++ b/router/src/test/java/io/persimmonstack/router/RouterTest.java
@@ -180,7 +180,7 @@
         String trace = "4bf92f3577b34da6a3ce929d0e0e4736";
         fixture.send(fixture.chatRequest(0, "deed", false, "traceparent", "00-" + trace + "-00f067aa0ba902b7-01"));
         var buffer = fixture.context(0).tracing().buffer();
-        RouterFixture.await(() -> buffer.trace(trace).size() == 11);
+        RouterFixture.await(() -> buffer.trace(trace).size() == 13);
         List<String> names = buffer.trace(trace).stream()
                 .map(span -> span.getName())
                 .sorted()
@@ -190,11 +190,13 @@
                         "account",
                         "admit",
                         "authorise",
+                        "blocked-prompt",
                         "claim",
                         "deadline",
                         "dispatch",
                         "identify",
                         "place",
+                        "prompt-turn",
                         "receive",
                         "relay",
                         "retry"),
