--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -27,10 +27,9 @@
 import io.persimmonstack.node.store.StoreFollower;
 import io.persimmonstack.node.store.StoreSession;
 import io.persimmonstack.node.store.StoredValue;
-import io.persimmonstack.node.streams.OriginDirectory;
-import io.persimmonstack.node.streams.RecentVersions;
 import io.persimmonstack.node.streams.ResumptionResolver;
 import io.persimmonstack.node.streams.SharedOrigins;
+import io.persimmonstack.node.streams.StoredStreams;
 import io.persimmonstack.router.crash.CrashReportMessages;
 import io.persimmonstack.router.crash.CrashReportSender;
 import io.persimmonstack.runtime.Closer;
@@ -45,10 +44,12 @@
 import io.undertow.server.HttpHandler;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -62,6 +63,8 @@
     private static final int HOUSEKEEPING_INTERVAL_MS = 200;
     /** Pause between two writes of the report about runners that ended. */
     private static final int CRASH_REPORT_INTERVAL_MS = 500;
+    /** Time for which that report outlives the process. */
+    private static final int CRASH_REPORT_TTL_MS = 600_000;
     /** Shortest drain, even without open requests: callers may still use addresses that they resolved earlier. */
     private static final long MIN_DRAIN_MS = 3_200;
     /** Part of the grace period that is reserved for closing and for the exit of the process. */
@@ -74,6 +77,7 @@
     private final StoreSession session;
     private final DrainState drainState;
     private final Placer placer;
+    private final StoredStreams streams;
     private final SharedOrigins origins;
     private final PromptGuard prompts;
     private final CrashReportSender crashReports;
@@ -89,7 +93,8 @@
         ExecutorService executor = closer.add(Executors.newVirtualThreadPerTaskExecutor());
         this.drainState = DrainState.withGracePeriod(options.graceMs());
         this.placer = Placer.create(fleet, options.zone());
-        this.origins = closer.add(SharedOrigins.start(options.name(), fleet, metrics));
+        this.streams = closer.add(StoredStreams.start(options.name(), ports.store(), fleet));
+        this.origins = closer.add(SharedOrigins.start(options.name(), fleet, streams, metrics));
         this.prompts = PromptGuard.create(options.name(), startedMs, fleet);
         prompts.onBlocked(() -> placer.refuseQueuedIf(
                 request -> prompts.refusal(request.callerRequest()).map(RefusedException::new)));
@@ -102,17 +107,21 @@
                 origins,
                 ports.processCheck(),
                 prompts);
-        RequestServer server =
-                RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, drainState, resumptionResolver(origins));
+        ResumptionResolver resumptions = ResumptionResolver.of(origins, streams.versions());
+        RequestServer server = RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, drainState, resumptions);
         this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
-        StoredValue crashReport = closer.add(
-                StoredValue.start(ports.store(), NodeKeys.crashReport(options.name()), () -> CRASH_REPORT_INTERVAL_MS));
+        AtomicReference<Optional<byte[]>> lastReport = new AtomicReference<>(Optional.empty());
+        StoredValue crashReport = closer.add(StoredValue.start(
+                ports.store(),
+                NodeKeys.crashReport(options.name()),
+                CRASH_REPORT_TTL_MS,
+                () -> CRASH_REPORT_INTERVAL_MS,
+                lastReport::get));
         this.crashReports = closer.add(CrashReportSender.of(
-                options.name(),
-                this::linkAddresses,
-                prompts.parts(),
-                closer.add(CrashReportLinks.create()),
-                report -> crashReport.write(CrashReportMessages.encode(report))));
+                options.name(), this::linkAddresses, prompts.parts(), closer.add(CrashReportLinks.create()), report -> {
+                    lastReport.set(Optional.of(CrashReportMessages.encode(report)));
+                    crashReport.changed();
+                }));
         prompts.onReportDue(crashReports::wake);
         crashReports.start();
         followStore(ports, CrashReportFollower.of(prompts.parts(), options.name(), crashReport));
@@ -140,18 +149,13 @@
         return fleet.current().peers().values().stream().collect(Collectors.toMap(Peer::node, Peer::linkAddress));
     }
 
-    private ResumptionResolver resumptionResolver(OriginDirectory origins) {
-        RecentVersions versions = RecentVersions.create();
-        fleet.onChange(() -> versions.observe(fleet.current().runners().values(), System.nanoTime()));
-        return ResumptionResolver.of(origins, versions);
-    }
-
     private void followStore(NodePorts ports, CrashReportFollower reports) {
         RunnerFollower runners = RunnerFollower.of(options.runnersPrefix(), ports.runnerDecoder(), fleet);
         PeerFollower peers = PeerFollower.of(fleet);
         RoutingFollower routing = RoutingFollower.of(options.routingKey(), ports.routingDecoder(), fleet);
         List<StoreFollower.FollowedPrefix> prefixes = List.of(
                 new StoreFollower.FollowedPrefix(NodeKeys.CRASH_REPORTS, reports),
+                new StoreFollower.FollowedPrefix(NodeKeys.STREAMS, streams.follower()),
                 new StoreFollower.FollowedPrefix(options.routingKey(), routing),
                 new StoreFollower.FollowedPrefix(options.runnersPrefix(), runners),
                 new StoreFollower.FollowedPrefix(NodeKeys.PREFIX, peers));
@@ -175,6 +179,7 @@
                 TimeUnit.MILLISECONDS.sleep(HOUSEKEEPING_INTERVAL_MS);
                 runners.expire();
                 peers.expire();
+                streams.forgetVersions();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/node/src/main/java/io/persimmonstack/node/prompts/CrashReportFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/prompts/CrashReportFollower.java
@@ -43,7 +43,7 @@
     public void onSnapshot(KvRange range) {
         range.entries().forEach(this::apply);
         if (range.entries().stream().noneMatch(entry -> entry.key().equals(ownKey))) {
-            ownReport.writeAgain();
+            ownReport.changed();
         }
     }
 
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -129,6 +129,7 @@
                 recordIfEnded(reserved, attempt, outcome);
             }
             if (outcome instanceof Outcome.Delivered) {
+                origin.complete();
                 return new Delivery(progress.firstEventMs());
             }
             if (Thread.interrupted()) {
--- a/node/src/main/java/io/persimmonstack/node/sending/OriginRecorder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/OriginRecorder.java
@@ -75,6 +75,11 @@
         keepOnceKnown();
     }
 
+    /** Records that the stream was delivered to its end. */
+    void complete() {
+        kept.ifPresent(OriginDirectory.KeptOrigin::complete);
+    }
+
     private void keepOnceKnown() {
         if (kept.isEmpty()
                 && request.route().isIdempotent()
--- a/node/src/main/java/io/persimmonstack/node/store/NodeKeys.java
+++ b/node/src/main/java/io/persimmonstack/node/store/NodeKeys.java
@@ -10,6 +10,9 @@
     /** Prefix of the reports of the nodes about runners that ended. */
     public static final String CRASH_REPORTS = "persimmon-crashes/";
 
+    /** Prefix of what the nodes leave about their streams. */
+    public static final String STREAMS = "persimmon-streams/";
+
     private NodeKeys() {}
 
     /** Returns the key under which the named node registers. */
@@ -21,4 +24,14 @@
     public static String crashReport(String name) {
         return CRASH_REPORTS + name;
     }
+
+    /** Returns the key of what the named node leaves about its streams. */
+    public static String streams(String name) {
+        return STREAMS + name;
+    }
+
+    /** Returns the name of the node whose streams a key is about. */
+    public static String nodeOfStreams(String key) {
+        return key.substring(STREAMS.length());
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/store/StoredValue.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoredValue.java
@@ -13,91 +13,111 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /**
- * A value of this node in the store, under a lease that outlives the process for a while. Of values that come while one
- * is being written, the last is written next; a write that failed is repeated. Thread-safe; callers never block.
+ * A value of this node in the store, under a lease that outlives the process for a while. It is written soon after it
+ * has changed, with what it is then; a write that failed is repeated. Thread-safe; callers never block.
  */
 public final class StoredValue implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(StoredValue.class);
-    private static final int LEASE_TTL_MS = 600_000;
-    /** Age of the last renewal from which a write renews the lease. */
-    private static final long RENEW_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(LEASE_TTL_MS / 3);
+    /** Parts of its time to live after which the lease is renewed, so that two renewals may fail. */
+    private static final int TTL_PARTS = 3;
 
-    private static final int IDLE_INTERVAL_MS = 60_000;
     private static final int RETRY_INTERVAL_MS = 500;
 
     private final LeasedKvStore store;
     private final String key;
+    private final int ttlMs;
     private final IntSupplier minIntervalMs;
-    private final AtomicReference<Optional<byte[]>> pending = new AtomicReference<>(Optional.empty());
+    private final Supplier<Optional<byte[]>> value;
     private final WakeableThread thread;
-    private volatile Optional<byte[]> lastWritten = Optional.empty();
+    private volatile boolean changed;
     private Optional<Lease> lease = Optional.empty();
-    private long renewedNanos;
     private OptionalLong revision = OptionalLong.empty();
+    private boolean failing;
 
-    private StoredValue(LeasedKvStore store, String key, IntSupplier minIntervalMs) {
+    private StoredValue(
+            LeasedKvStore store, String key, int ttlMs, IntSupplier minIntervalMs, Supplier<Optional<byte[]>> value) {
         this.store = store;
         this.key = key;
+        this.ttlMs = ttlMs;
         this.minIntervalMs = minIntervalMs;
-        this.thread = WakeableThread.of("store-value " + key, () -> IDLE_INTERVAL_MS, this::run);
+        this.value = value;
+        this.thread = WakeableThread.of("store-value " + key, () -> ttlMs / TTL_PARTS, this::run);
     }
 
     /**
-     * Starts a thread that writes values until it is closed.
+     * Starts a thread that writes the value until it is closed.
      *
      * @param store store to write to
      * @param key key of the value, which only this node writes
+     * @param ttlMs time for which the value outlives the process, in milliseconds
      * @param minIntervalMs returns the pause after each write, in milliseconds
+     * @param value returns the present value, empty if there is nothing to write
      */
-    public static StoredValue start(LeasedKvStore store, String key, IntSupplier minIntervalMs) {
-        StoredValue value = new StoredValue(store, key, minIntervalMs);
-        value.thread.start();
-        return value;
+    public static StoredValue start(
+            LeasedKvStore store, String key, int ttlMs, IntSupplier minIntervalMs, Supplier<Optional<byte[]>> value) {
+        StoredValue stored = new StoredValue(store, key, ttlMs, minIntervalMs, value);
+        stored.thread.start();
+        return stored;
     }
 
-    /** Writes a value soon, in place of those that still wait. */
-    public void write(byte[] value) {
-        pending.set(Optional.of(value));
+    /** Writes the value soon, since it has changed or the store may have lost it. */
+    public void changed() {
+        changed = true;
         thread.wake();
     }
 
-    /** Writes the last value once more, since the store may have lost it. */
-    public void writeAgain() {
-        Optional<byte[]> last = lastWritten;
-        if (last.isPresent() && pending.compareAndSet(Optional.empty(), last)) {
-            thread.wake();
-        }
-    }
-
     private void run() throws InterruptedException {
-        Optional<byte[]> value = pending.getAndSet(Optional.empty());
-        if (value.isEmpty()) {
+        if (!changed) {
+            renew();
             return;
         }
-        boolean written = tryWrite(value.get());
-        if (written) {
-            lastWritten = value;
-        } else {
-            pending.compareAndSet(Optional.empty(), value);
+        changed = false;
+        Optional<byte[]> present = value.get();
+        if (present.isEmpty()) {
+            return;
+        }
+        boolean written = tryWrite(present.get());
+        if (!written) {
+            changed = true;
         }
         TimeUnit.MILLISECONDS.sleep(written ? minIntervalMs.getAsInt() : RETRY_INTERVAL_MS);
-        if (pending.get().isPresent()) {
+        if (changed) {
             thread.wake();
         }
     }
 
-    private boolean tryWrite(byte[] value) {
+    /** Renews the lease; if that has ended, the value is written again. */
+    private void renew() {
         try {
-            return write(value, currentLease());
+            if (lease.isPresent() && !store.keepAlive(lease.get())) {
+                lease = Optional.empty();
+                changed();
+            }
+        } catch (KvException e) {
+            logFirst(0, "lease not renewed: " + e.getMessage());
+        }
+    }
+
+    /** Logs a failure, unless the call before has failed, too. */
+    private void logFirst(int bytes, String cause) {
+        if (!failing) {
+            failing = true;
+            LOG.write(NodeEvent.VALUE_NOT_STORED, key, bytes, cause);
+        }
+    }
+
+    private boolean tryWrite(byte[] present) {
+        try {
+            return write(present, currentLease());
         } catch (KvLeaseEndedException e) {
             lease = Optional.empty();
         } catch (KvException e) {
             revision = OptionalLong.empty();
-            LOG.write(NodeEvent.VALUE_NOT_STORED, key, value.length, e.getMessage());
+            logFirst(present.length, e.getMessage());
         } catch (RuntimeException e) {
             revision = OptionalLong.empty();
             LOG.write(NodeEvent.STORE_STEP_FAILED, "value " + key, e.toString(), e);
@@ -106,27 +126,19 @@
     }
 
     private Lease currentLease() throws KvException {
-        long nowNanos = System.nanoTime();
-        boolean renew = lease.isPresent() && nowNanos - renewedNanos > RENEW_AFTER_NANOS;
-        if (renew && !store.keepAlive(lease.get())) {
-            lease = Optional.empty();
-        }
-        boolean grant = lease.isEmpty();
-        if (grant) {
-            lease = Optional.of(store.grant(LEASE_TTL_MS));
-        }
-        if (grant || renew) {
-            renewedNanos = nowNanos;
+        if (lease.isEmpty()) {
+            lease = Optional.of(store.grant(ttlMs));
         }
         return lease.get();
     }
 
-    private boolean write(byte[] value, Lease activeLease) throws KvException {
-        WriteOutcome outcome = store.put(key, value, expectation(), activeLease);
+    private boolean write(byte[] present, Lease activeLease) throws KvException {
+        WriteOutcome outcome = store.put(key, present, expectation(), activeLease);
         revision = switch (outcome) {
             case WriteOutcome.Applied applied -> OptionalLong.of(applied.revision());
             case WriteOutcome.Conflict conflict -> OptionalLong.empty();
         };
+        failing = false;
         return revision.isPresent();
     }
 
--- a/node/src/main/java/io/persimmonstack/node/streams/DeliveredStream.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/DeliveredStream.java
@@ -1,11 +1,15 @@
 package io.persimmonstack.node.streams;
 
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
 /** Stream that this node delivers, or delivered until it was closed. Thread-safe. */
 final class DeliveredStream implements OriginDirectory.KeptOrigin {
     private final String request;
     private final StreamOrigin origin;
     private final long validMs;
     private volatile boolean ended;
+    private volatile OptionalLong completeNanos = OptionalLong.empty();
 
     private DeliveredStream(String request, StreamOrigin origin, long validMs) {
         this.request = request;
@@ -41,6 +45,19 @@
         return ended;
     }
 
+    /** Returns how long ago the stream was delivered to its end, in milliseconds; empty if it was not. */
+    OptionalLong completeForMs(long nowNanos) {
+        OptionalLong nanos = completeNanos;
+        return nanos.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(nowNanos - nanos.getAsLong()));
+    }
+
+    @Override
+    public void complete() {
+        completeNanos = OptionalLong.of(System.nanoTime());
+    }
+
     @Override
     public void close() {
         ended = true;
--- a/node/src/main/java/io/persimmonstack/node/streams/OriginDirectory.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/OriginDirectory.java
@@ -23,8 +23,29 @@
      */
     Optional<StreamOrigin> find(String request) throws InterruptedException;
 
+    /**
+     * Searches the origin of a stream as {@link #find} does, and tells whether it can still become known.
+     *
+     * @param request identifier of the request that brought the first event
+     * @throws InterruptedException if the thread is interrupted, because the caller has disconnected
+     */
+    default Search search(String request) throws InterruptedException {
+        return new Search(find(request), false);
+    }
+
+    /**
+     * Result of a search.
+     *
+     * @param origin where the stream began, empty if it is not known
+     * @param allAsked whether every node has been asked and has answered, so that it cannot become known any more
+     */
+    record Search(Optional<StreamOrigin> origin, boolean allAsked) {}
+
     /** Origin of a stream that this node delivers. */
     interface KeptOrigin extends AutoCloseable {
+        /** Records that the stream was delivered to its end, so that its caller will hardly resume it. */
+        default void complete() {}
+
         /** Ends the delivery; the origin is kept until it is no longer valid. */
         @Override
         void close();
--- a/node/src/main/java/io/persimmonstack/node/streams/OriginLookup.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/OriginLookup.java
@@ -7,6 +7,7 @@
 import io.persimmonstack.wire.gen.NodeLink;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
@@ -35,8 +36,14 @@
      * @param holder name of the node that knew it, "-" if none did
      * @param asked number of nodes asked
      * @param answered number of nodes that answered in time
+     * @param allAnswered whether all other nodes were asked and answered
      */
-    record Result(Optional<OriginCopy> copy, String holder, int asked, int answered) {}
+    record Result(Optional<OriginCopy> copy, String holder, int asked, int answered, boolean allAnswered) {
+        /** Returns the result without a lookup. */
+        static Result none() {
+            return new Result(Optional.empty(), "-", 0, 0, false);
+        }
+    }
 
     /**
      * Answer of one node to one call, or its failure.
@@ -76,20 +83,22 @@
      */
     Result ask(String request) throws InterruptedException {
         long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxWaitMs);
-        List<Peer> asked = OriginHolders.ranked(request, fleet.current().peers(), self, OriginHolders.ASKED);
+        Map<String, Peer> peers = fleet.current().peers();
+        List<Peer> asked = OriginHolders.ranked(request, peers, self, OriginHolders.ASKED);
+        int others = peers.size() - (peers.containsKey(self) ? 1 : 0);
         BlockingQueue<Answer> answers = new LinkedBlockingQueue<>();
         AtomicBoolean done = new AtomicBoolean();
         try {
             asked.forEach(peer -> Thread.ofVirtual()
                     .name("origin-lookup")
                     .start(() -> askRepeatedly(peer, request, deadlineNanos, done, answers)));
-            return await(asked.size(), answers, deadlineNanos);
+            return await(asked.size(), others, answers, deadlineNanos);
         } finally {
             done.set(true);
         }
     }
 
-    private static Result await(int asked, BlockingQueue<Answer> answers, long deadlineNanos)
+    private static Result await(int asked, int others, BlockingQueue<Answer> answers, long deadlineNanos)
             throws InterruptedException {
         Set<Peer> answered = new HashSet<>();
         int remaining = asked;
@@ -102,13 +111,13 @@
                 answered.add(answer.peer());
             }
             if (answer.copy().isPresent()) {
-                return new Result(answer.copy(), answer.peer().node(), asked, answered.size());
+                return new Result(answer.copy(), answer.peer().node(), asked, answered.size(), false);
             }
             if (answer.last()) {
                 remaining--;
             }
         }
-        return new Result(Optional.empty(), "-", asked, answered.size());
+        return new Result(Optional.empty(), "-", asked, answered.size(), answered.size() == others);
     }
 
     private void askRepeatedly(
--- a/node/src/main/java/io/persimmonstack/node/streams/RecentVersions.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/RecentVersions.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -18,8 +19,16 @@
     /** Time for which a version counts after its last runner has gone; no stream lasts longer. */
     static final long REMEMBERED_MS = 120_000;
 
+    /** Time after a doubt in which runners write again what the store may have lost. */
+    static final long SETTLING_MS = 2_500;
+    /** Age of the known runners from which the node may be cut off from the store. */
+    static final long MAX_AGE_MS = 10_000;
+
     private final Map<StreamOrigin, Long> lastSeenNanos = new HashMap<>();
     private Set<StreamOrigin> present = Set.of();
+    private boolean historyKnown;
+    private OptionalLong doubtNanos = OptionalLong.empty();
+    private OptionalLong completeUpToNanos = OptionalLong.empty();
 
     private RecentVersions() {}
 
@@ -37,16 +46,49 @@
         lastSeenNanos.values().removeIf(seenNanos -> nowNanos - seenNanos > rememberedNanos);
     }
 
-    /** Returns the only version that a service has, or had lately; empty if there is none or more than one. */
-    public synchronized Optional<String> onlyVersion(String service, long nowNanos) {
+    /** Takes the versions that were known before this process started; they count as seen now. */
+    public synchronized void startWith(Collection<StreamOrigin> versions, long nowNanos) {
+        historyKnown = true;
+        versions.forEach(version -> lastSeenNanos.put(version, nowNanos));
+    }
+
+    /** Records that the known runners may lack some, as after an outage of the store or when they were read anew. */
+    public synchronized void recordDoubt(long nowNanos) {
+        doubtNanos = OptionalLong.of(nowNanos);
+    }
+
+    /** Records that the known runners reflect all that the store accepted before a time. */
+    public synchronized void recordCompleteUpTo(long nanos) {
+        completeUpToNanos = OptionalLong.of(nanos);
+    }
+
+    /** Returns the versions that serve, or have served lately. */
+    public synchronized Set<StreamOrigin> known(long nowNanos) {
         long rememberedNanos = TimeUnit.MILLISECONDS.toNanos(REMEMBERED_MS);
-        Set<StreamOrigin> candidates = new HashSet<>(present);
+        Set<StreamOrigin> known = new HashSet<>(present);
         lastSeenNanos.forEach((version, seenNanos) -> {
             if (nowNanos - seenNanos <= rememberedNanos) {
-                candidates.add(version);
+                known.add(version);
             }
         });
-        List<String> versions = candidates.stream()
+        return known;
+    }
+
+    /**
+     * Returns the only version at which a stream of a service can have begun; empty if there is none or more than one,
+     * or if this node may not know of another one.
+     */
+    public synchronized Optional<String> certainVersion(String service, long nowNanos) {
+        boolean settled =
+                doubtNanos.isEmpty() || nowNanos - doubtNanos.getAsLong() > TimeUnit.MILLISECONDS.toNanos(SETTLING_MS);
+        boolean recent = completeUpToNanos.isPresent()
+                && nowNanos - completeUpToNanos.getAsLong() < TimeUnit.MILLISECONDS.toNanos(MAX_AGE_MS);
+        return historyKnown && settled && recent ? onlyVersion(service, nowNanos) : Optional.empty();
+    }
+
+    /** Returns the only version that a service has, or had lately; empty if there is none or more than one. */
+    public synchronized Optional<String> onlyVersion(String service, long nowNanos) {
+        List<String> versions = known(nowNanos).stream()
                 .filter(version -> version.service().equals(service))
                 .map(StreamOrigin::softwareVersion)
                 .toList();
--- a/node/src/main/java/io/persimmonstack/node/streams/ResumptionResolver.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/ResumptionResolver.java
@@ -6,6 +6,7 @@
 import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.Refusal;
 import io.persimmonstack.node.request.RefusedException;
+import io.persimmonstack.router.request.Jitter;
 import java.util.List;
 import java.util.Optional;
 
@@ -13,6 +14,8 @@
 public final class ResumptionResolver {
     /** Retry-After of a request whose stream no node that was asked knows; another node may know it. */
     private static final long RETRY_AFTER_MS = 300;
+    /** Retry-After of a request whose stream cannot become known any more: its caller had better begin it anew. */
+    private static final long LOST_RETRY_AFTER_MS = 30_000;
 
     private final OriginDirectory origins;
     private final RecentVersions versions;
@@ -48,11 +51,10 @@
             return Optional.empty();
         }
         Optional<StreamOrigin> origin = request.resumedRequest().isPresent()
-                ? origins.find(request.resumedRequest().get())
-                : onlyOrigin(route);
+                ? Optional.of(find(request.resumedRequest().get(), route))
+                : onlyService(route).flatMap(service -> origin(service, versions.onlyVersion(service, nowNanos())));
         if (origin.isEmpty()) {
-            String detail = "no node knows where the stream of "
-                    + request.resumedRequest().orElse("an unnamed request") + " began";
+            String detail = "no node knows where the stream of an unnamed request began";
             throw new RefusedException(Refusal.notRun("stream-unknown", detail, RETRY_AFTER_MS));
         }
         if (!leadsTo(route, origin.get().service())) {
@@ -63,17 +65,37 @@
         return origin;
     }
 
-    /** Returns the origin of a stream of an unnamed request: known only if all its runners are of one version. */
-    private Optional<StreamOrigin> onlyOrigin(Route route) {
+    /** Returns the origin of the stream of a named request: as it was kept, or the only one that it can have. */
+    private StreamOrigin find(String request, Route route) throws RefusedException, InterruptedException {
+        OriginDirectory.Search search = origins.search(request);
+        Optional<StreamOrigin> origin = search.origin()
+                .or(() -> onlyService(route)
+                        .flatMap(service -> origin(service, versions.certainVersion(service, nowNanos()))));
+        if (origin.isPresent()) {
+            return origin.get();
+        }
+        String detail = "no node knows where the stream of " + request + " began";
+        throw new RefusedException(
+                search.allAsked()
+                        ? Refusal.notRun("stream-lost", detail, Jitter.spread(LOST_RETRY_AFTER_MS))
+                        : Refusal.notRun("stream-unknown", detail, RETRY_AFTER_MS));
+    }
+
+    private static long nowNanos() {
+        return System.nanoTime();
+    }
+
+    private static Optional<StreamOrigin> origin(String service, Optional<String> version) {
+        return version.map(known -> new StreamOrigin(service, known));
+    }
+
+    /** Returns the only service that a route leads to, empty if there are several. */
+    private static Optional<String> onlyService(Route route) {
         List<String> services = route.shares().stream()
                 .filter(share -> share.weight() > 0)
                 .map(ServiceShare::service)
                 .toList();
-        if (services.size() != 1) {
-            return Optional.empty();
-        }
-        return versions.onlyVersion(services.getFirst(), System.nanoTime())
-                .map(version -> new StreamOrigin(services.getFirst(), version));
+        return services.size() == 1 ? Optional.of(services.getFirst()) : Optional.empty();
     }
 
     private static boolean leadsTo(Route route, String service) {
--- a/node/src/main/java/io/persimmonstack/node/streams/SharedOrigins.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/SharedOrigins.java
@@ -15,18 +15,28 @@
 public final class SharedOrigins implements OriginDirectory, AutoCloseable {
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(SharedOrigins.class));
     private static final int CONNECT_TIMEOUT_MS = 200;
+    /** Time after its start in which a node may not know all others that were there before. */
+    private static final long OTHERS_KNOWN_AFTER_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    private final long startedNanos = System.nanoTime();
     private final StreamOrigins local;
     private final CopySender sender;
     private final OriginLookup lookup;
+    private final StreamArchive archive;
     private final NodeMetrics metrics;
     private final Closer closer;
 
     private SharedOrigins(
-            StreamOrigins local, CopySender sender, OriginLookup lookup, NodeMetrics metrics, Closer closer) {
+            StreamOrigins local,
+            CopySender sender,
+            OriginLookup lookup,
+            StreamArchive archive,
+            NodeMetrics metrics,
+            Closer closer) {
         this.local = local;
         this.sender = sender;
         this.lookup = lookup;
+        this.archive = archive;
         this.metrics = metrics;
         this.closer = closer;
     }
@@ -36,21 +46,24 @@
      *
      * @param self name of this node
      * @param fleet lists the other nodes
+     * @param archive what nodes have left outside of their memories
      * @param metrics counts copies and lookups
      */
-    public static SharedOrigins start(String self, FleetView fleet, NodeMetrics metrics) {
-        return start(self, fleet, metrics, OriginLookup.MAX_WAIT_MS);
+    public static SharedOrigins start(String self, FleetView fleet, StoredStreams archive, NodeMetrics metrics) {
+        return start(self, fleet, archive, metrics, OriginLookup.MAX_WAIT_MS);
     }
 
     /** Starts a directory whose lookups wait at most for the given time, in milliseconds. */
-    static SharedOrigins start(String self, FleetView fleet, NodeMetrics metrics, long maxLookupMs) {
+    static SharedOrigins start(
+            String self, FleetView fleet, StreamArchive archive, NodeMetrics metrics, long maxLookupMs) {
         Closer closer = Closer.create();
         StreamOrigins local = StreamOrigins.create();
         ThriftPeers<NodeLink.Client> links =
                 closer.add(ThriftPeers.of(new NodeLink.Client.Factory(), CONNECT_TIMEOUT_MS));
         CopySender sender = closer.add(CopySender.of(self, fleet, local, links, metrics));
         sender.start();
-        return new SharedOrigins(local, sender, OriginLookup.of(self, fleet, links, maxLookupMs), metrics, closer);
+        OriginLookup lookup = OriginLookup.of(self, fleet, links, maxLookupMs);
+        return new SharedOrigins(local, sender, lookup, archive, metrics, closer);
     }
 
     @Override
@@ -59,28 +72,44 @@
         if (OriginHandler.isAcceptable(request, origin)) {
             local.keep(request, origin, validMs, System.nanoTime());
             sender.add(stream);
+            archive.add(stream);
         }
         return stream;
     }
 
     @Override
     public Optional<StreamOrigin> find(String request) throws InterruptedException {
+        return search(request).origin();
+    }
+
+    @Override
+    public Search search(String request) throws InterruptedException {
         long startedNanos = System.nanoTime();
         if (!OriginHandler.isAcceptable(request)) {
             metrics.recordOriginLookup("unknown");
             LOG.write(NodeEvent.ORIGIN_LOOKUP, "(" + request.length() + " characters)", "unknown", "-", "-", 0, 0, 0);
-            return Optional.empty();
+            return new Search(Optional.empty(), true);
         }
         Optional<StreamOrigin> known = local.find(request, startedNanos);
         if (known.isPresent()) {
-            record(request, "local", known, new OriginLookup.Result(Optional.empty(), "-", 0, 0), startedNanos);
-            return known;
+            record(request, "local", known, OriginLookup.Result.none(), startedNanos);
+            return new Search(known, false);
+        }
+        Optional<StreamOrigin> stored = archive.find(request);
+        if (stored.isPresent()) {
+            record(request, "stored", stored, OriginLookup.Result.none(), startedNanos);
+            return new Search(stored, false);
         }
         OriginLookup.Result result = lookup.ask(request);
         result.copy().ifPresent(copy -> local.keep(request, copy.origin(), copy.validMs(), System.nanoTime()));
         Optional<StreamOrigin> found = local.find(request, System.nanoTime());
         record(request, found.isPresent() ? "elsewhere" : "unknown", found, result, startedNanos);
-        return found;
+        return new Search(found, result.allAnswered() && knowsOthers());
+    }
+
+    /** Returns whether this node has been there for long enough to know all other nodes. */
+    private boolean knowsOthers() {
+        return System.nanoTime() - startedNanos > OTHERS_KNOWN_AFTER_NANOS;
     }
 
     private void record(
--- a/node/src/test/java/io/persimmonstack/node/streams/LinkedNode.java
+++ b/node/src/test/java/io/persimmonstack/node/streams/LinkedNode.java
@@ -26,7 +26,7 @@
     private final Peer peer;
 
     private LinkedNode(String name, long startedMs, long maxLookupMs) throws WireException {
-        this.origins = SharedOrigins.start(name, fleet, NodeMetrics.in(registry), maxLookupMs);
+        this.origins = SharedOrigins.start(name, fleet, StreamArchive.none(), NodeMetrics.in(registry), maxLookupMs);
         LeaderHandler leader = LeaderHandler.of(fleet, NodeReports.create(), null, OptionalLong::empty);
         LinkHandler handler = LinkHandler.of(leader, origins.handler(), reports -> {});
         this.server = ThriftServer.start(new PeerAddress("127.0.0.1", 0), new NodeLink.Processor<>(handler));
--- a/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
@@ -8597,15 +8597,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map296 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map296.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key297;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val298;
-                  for (int _i299 = 0; _i299 < _map296.size; ++_i299)
+                  org.apache.thrift.protocol.TMap _map304 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map304.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key305;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val306;
+                  for (int _i307 = 0; _i307 < _map304.size; ++_i307)
                   {
-                    _key297 = iprot.readString();
-                    _val298 = iprot.readString();
-                    struct.trace.put(_key297, _val298);
+                    _key305 = iprot.readString();
+                    _val306 = iprot.readString();
+                    struct.trace.put(_key305, _val306);
                   }
                   iprot.readMapEnd();
                 }
@@ -8639,10 +8639,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter300 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter308 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter300.getKey());
-              oprot.writeString(_iter300.getValue());
+              oprot.writeString(_iter308.getKey());
+              oprot.writeString(_iter308.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -8680,10 +8680,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter301 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter309 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter301.getKey());
-              oprot.writeString(_iter301.getValue());
+              oprot.writeString(_iter309.getKey());
+              oprot.writeString(_iter309.getValue());
             }
           }
         }
@@ -8700,15 +8700,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map302 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map302.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key303;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val304;
-            for (int _i305 = 0; _i305 < _map302.size; ++_i305)
+            org.apache.thrift.protocol.TMap _map310 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map310.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key311;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val312;
+            for (int _i313 = 0; _i313 < _map310.size; ++_i313)
             {
-              _key303 = iprot.readString();
-              _val304 = iprot.readString();
-              struct.trace.put(_key303, _val304);
+              _key311 = iprot.readString();
+              _val312 = iprot.readString();
+              struct.trace.put(_key311, _val312);
             }
           }
           struct.setTraceIsSet(true);
@@ -9620,14 +9620,14 @@
             case 1: // USES
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list306 = iprot.readListBegin();
-                  struct.uses = new java.util.ArrayList<ModelUse>(_list306.size);
-                  @org.apache.thrift.annotation.Nullable ModelUse _elem307;
-                  for (int _i308 = 0; _i308 < _list306.size; ++_i308)
+                  org.apache.thrift.protocol.TList _list314 = iprot.readListBegin();
+                  struct.uses = new java.util.ArrayList<ModelUse>(_list314.size);
+                  @org.apache.thrift.annotation.Nullable ModelUse _elem315;
+                  for (int _i316 = 0; _i316 < _list314.size; ++_i316)
                   {
-                    _elem307 = new ModelUse();
-                    _elem307.read(iprot);
-                    struct.uses.add(_elem307);
+                    _elem315 = new ModelUse();
+                    _elem315.read(iprot);
+                    struct.uses.add(_elem315);
                   }
                   iprot.readListEnd();
                 }
@@ -9664,9 +9664,9 @@
           oprot.writeFieldBegin(USES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-            for (ModelUse _iter309 : struct.uses)
+            for (ModelUse _iter317 : struct.uses)
             {
-              _iter309.write(oprot);
+              _iter317.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -9704,9 +9704,9 @@
         if (struct.isSetUses()) {
           {
             oprot.writeI32(struct.uses.size());
-            for (ModelUse _iter310 : struct.uses)
+            for (ModelUse _iter318 : struct.uses)
             {
-              _iter310.write(oprot);
+              _iter318.write(oprot);
             }
           }
         }
@@ -9721,14 +9721,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list311 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.uses = new java.util.ArrayList<ModelUse>(_list311.size);
-            @org.apache.thrift.annotation.Nullable ModelUse _elem312;
-            for (int _i313 = 0; _i313 < _list311.size; ++_i313)
+            org.apache.thrift.protocol.TList _list319 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.uses = new java.util.ArrayList<ModelUse>(_list319.size);
+            @org.apache.thrift.annotation.Nullable ModelUse _elem320;
+            for (int _i321 = 0; _i321 < _list319.size; ++_i321)
             {
-              _elem312 = new ModelUse();
-              _elem312.read(iprot);
-              struct.uses.add(_elem312);
+              _elem320 = new ModelUse();
+              _elem320.read(iprot);
+              struct.uses.add(_elem320);
             }
           }
           struct.setUsesIsSet(true);
@@ -14385,14 +14385,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list314 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StatusLine>(_list314.size);
-                  @org.apache.thrift.annotation.Nullable StatusLine _elem315;
-                  for (int _i316 = 0; _i316 < _list314.size; ++_i316)
+                  org.apache.thrift.protocol.TList _list322 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StatusLine>(_list322.size);
+                  @org.apache.thrift.annotation.Nullable StatusLine _elem323;
+                  for (int _i324 = 0; _i324 < _list322.size; ++_i324)
                   {
-                    _elem315 = new StatusLine();
-                    _elem315.read(iprot);
-                    struct.success.add(_elem315);
+                    _elem323 = new StatusLine();
+                    _elem323.read(iprot);
+                    struct.success.add(_elem323);
                   }
                   iprot.readListEnd();
                 }
@@ -14430,9 +14430,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StatusLine _iter317 : struct.success)
+            for (StatusLine _iter325 : struct.success)
             {
-              _iter317.write(oprot);
+              _iter325.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -14472,9 +14472,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StatusLine _iter318 : struct.success)
+            for (StatusLine _iter326 : struct.success)
             {
-              _iter318.write(oprot);
+              _iter326.write(oprot);
             }
           }
         }
@@ -14489,14 +14489,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list319 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StatusLine>(_list319.size);
-            @org.apache.thrift.annotation.Nullable StatusLine _elem320;
-            for (int _i321 = 0; _i321 < _list319.size; ++_i321)
+            org.apache.thrift.protocol.TList _list327 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StatusLine>(_list327.size);
+            @org.apache.thrift.annotation.Nullable StatusLine _elem328;
+            for (int _i329 = 0; _i329 < _list327.size; ++_i329)
             {
-              _elem320 = new StatusLine();
-              _elem320.read(iprot);
-              struct.success.add(_elem320);
+              _elem328 = new StatusLine();
+              _elem328.read(iprot);
+              struct.success.add(_elem328);
             }
           }
           struct.setSuccessIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
@@ -1961,14 +1961,14 @@
             case 1: // ORIGINS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list350 = iprot.readListBegin();
-                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list350.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem351;
-                  for (int _i352 = 0; _i352 < _list350.size; ++_i352)
+                  org.apache.thrift.protocol.TList _list358 = iprot.readListBegin();
+                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list358.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem359;
+                  for (int _i360 = 0; _i360 < _list358.size; ++_i360)
                   {
-                    _elem351 = new StreamOrigin();
-                    _elem351.read(iprot);
-                    struct.origins.add(_elem351);
+                    _elem359 = new StreamOrigin();
+                    _elem359.read(iprot);
+                    struct.origins.add(_elem359);
                   }
                   iprot.readListEnd();
                 }
@@ -1997,9 +1997,9 @@
           oprot.writeFieldBegin(ORIGINS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.origins.size()));
-            for (StreamOrigin _iter353 : struct.origins)
+            for (StreamOrigin _iter361 : struct.origins)
             {
-              _iter353.write(oprot);
+              _iter361.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2031,9 +2031,9 @@
         if (struct.isSetOrigins()) {
           {
             oprot.writeI32(struct.origins.size());
-            for (StreamOrigin _iter354 : struct.origins)
+            for (StreamOrigin _iter362 : struct.origins)
             {
-              _iter354.write(oprot);
+              _iter362.write(oprot);
             }
           }
         }
@@ -2045,14 +2045,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list355 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.origins = new java.util.ArrayList<StreamOrigin>(_list355.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem356;
-            for (int _i357 = 0; _i357 < _list355.size; ++_i357)
+            org.apache.thrift.protocol.TList _list363 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.origins = new java.util.ArrayList<StreamOrigin>(_list363.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem364;
+            for (int _i365 = 0; _i365 < _list363.size; ++_i365)
             {
-              _elem356 = new StreamOrigin();
-              _elem356.read(iprot);
-              struct.origins.add(_elem356);
+              _elem364 = new StreamOrigin();
+              _elem364.read(iprot);
+              struct.origins.add(_elem364);
             }
           }
           struct.setOriginsIsSet(true);
@@ -3038,14 +3038,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list358 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StreamOrigin>(_list358.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem359;
-                  for (int _i360 = 0; _i360 < _list358.size; ++_i360)
+                  org.apache.thrift.protocol.TList _list366 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StreamOrigin>(_list366.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem367;
+                  for (int _i368 = 0; _i368 < _list366.size; ++_i368)
                   {
-                    _elem359 = new StreamOrigin();
-                    _elem359.read(iprot);
-                    struct.success.add(_elem359);
+                    _elem367 = new StreamOrigin();
+                    _elem367.read(iprot);
+                    struct.success.add(_elem367);
                   }
                   iprot.readListEnd();
                 }
@@ -3074,9 +3074,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StreamOrigin _iter361 : struct.success)
+            for (StreamOrigin _iter369 : struct.success)
             {
-              _iter361.write(oprot);
+              _iter369.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -3108,9 +3108,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StreamOrigin _iter362 : struct.success)
+            for (StreamOrigin _iter370 : struct.success)
             {
-              _iter362.write(oprot);
+              _iter370.write(oprot);
             }
           }
         }
@@ -3122,14 +3122,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list363 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StreamOrigin>(_list363.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem364;
-            for (int _i365 = 0; _i365 < _list363.size; ++_i365)
+            org.apache.thrift.protocol.TList _list371 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StreamOrigin>(_list371.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem372;
+            for (int _i373 = 0; _i373 < _list371.size; ++_i373)
             {
-              _elem364 = new StreamOrigin();
-              _elem364.read(iprot);
-              struct.success.add(_elem364);
+              _elem372 = new StreamOrigin();
+              _elem372.read(iprot);
+              struct.success.add(_elem372);
             }
           }
           struct.setSuccessIsSet(true);
@@ -3472,14 +3472,14 @@
             case 1: // REPORTS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list366 = iprot.readListBegin();
-                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list366.size);
-                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem367;
-                  for (int _i368 = 0; _i368 < _list366.size; ++_i368)
+                  org.apache.thrift.protocol.TList _list374 = iprot.readListBegin();
+                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list374.size);
+                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem375;
+                  for (int _i376 = 0; _i376 < _list374.size; ++_i376)
                   {
-                    _elem367 = new CrashReportRecord();
-                    _elem367.read(iprot);
-                    struct.reports.add(_elem367);
+                    _elem375 = new CrashReportRecord();
+                    _elem375.read(iprot);
+                    struct.reports.add(_elem375);
                   }
                   iprot.readListEnd();
                 }
@@ -3508,9 +3508,9 @@
           oprot.writeFieldBegin(REPORTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-            for (CrashReportRecord _iter369 : struct.reports)
+            for (CrashReportRecord _iter377 : struct.reports)
             {
-              _iter369.write(oprot);
+              _iter377.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -3542,9 +3542,9 @@
         if (struct.isSetReports()) {
           {
             oprot.writeI32(struct.reports.size());
-            for (CrashReportRecord _iter370 : struct.reports)
+            for (CrashReportRecord _iter378 : struct.reports)
             {
-              _iter370.write(oprot);
+              _iter378.write(oprot);
             }
           }
         }
@@ -3556,14 +3556,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list371 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list371.size);
-            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem372;
-            for (int _i373 = 0; _i373 < _list371.size; ++_i373)
+            org.apache.thrift.protocol.TList _list379 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list379.size);
+            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem380;
+            for (int _i381 = 0; _i381 < _list379.size; ++_i381)
             {
-              _elem372 = new CrashReportRecord();
-              _elem372.read(iprot);
-              struct.reports.add(_elem372);
+              _elem380 = new CrashReportRecord();
+              _elem380.read(iprot);
+              struct.reports.add(_elem380);
             }
           }
           struct.setReportsIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
@@ -1109,15 +1109,15 @@
             case 3: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map322 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map322.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key323;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val324;
-                  for (int _i325 = 0; _i325 < _map322.size; ++_i325)
+                  org.apache.thrift.protocol.TMap _map330 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map330.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key331;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val332;
+                  for (int _i333 = 0; _i333 < _map330.size; ++_i333)
                   {
-                    _key323 = iprot.readString();
-                    _val324 = iprot.readString();
-                    struct.trace.put(_key323, _val324);
+                    _key331 = iprot.readString();
+                    _val332 = iprot.readString();
+                    struct.trace.put(_key331, _val332);
                   }
                   iprot.readMapEnd();
                 }
@@ -1154,10 +1154,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter326 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter334 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter326.getKey());
-              oprot.writeString(_iter326.getValue());
+              oprot.writeString(_iter334.getKey());
+              oprot.writeString(_iter334.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1201,10 +1201,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter327 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter335 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter327.getKey());
-              oprot.writeString(_iter327.getValue());
+              oprot.writeString(_iter335.getKey());
+              oprot.writeString(_iter335.getValue());
             }
           }
         }
@@ -1225,15 +1225,15 @@
         }
         if (incoming.get(2)) {
           {
-            org.apache.thrift.protocol.TMap _map328 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map328.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key329;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val330;
-            for (int _i331 = 0; _i331 < _map328.size; ++_i331)
+            org.apache.thrift.protocol.TMap _map336 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map336.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key337;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val338;
+            for (int _i339 = 0; _i339 < _map336.size; ++_i339)
             {
-              _key329 = iprot.readString();
-              _val330 = iprot.readString();
-              struct.trace.put(_key329, _val330);
+              _key337 = iprot.readString();
+              _val338 = iprot.readString();
+              struct.trace.put(_key337, _val338);
             }
           }
           struct.setTraceIsSet(true);
@@ -2153,15 +2153,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map332 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map332.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key333;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val334;
-                  for (int _i335 = 0; _i335 < _map332.size; ++_i335)
+                  org.apache.thrift.protocol.TMap _map340 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map340.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key341;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val342;
+                  for (int _i343 = 0; _i343 < _map340.size; ++_i343)
                   {
-                    _key333 = iprot.readString();
-                    _val334 = iprot.readString();
-                    struct.trace.put(_key333, _val334);
+                    _key341 = iprot.readString();
+                    _val342 = iprot.readString();
+                    struct.trace.put(_key341, _val342);
                   }
                   iprot.readMapEnd();
                 }
@@ -2195,10 +2195,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter336 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter344 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter336.getKey());
-              oprot.writeString(_iter336.getValue());
+              oprot.writeString(_iter344.getKey());
+              oprot.writeString(_iter344.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -2236,10 +2236,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter337 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter345 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter337.getKey());
-              oprot.writeString(_iter337.getValue());
+              oprot.writeString(_iter345.getKey());
+              oprot.writeString(_iter345.getValue());
             }
           }
         }
@@ -2256,15 +2256,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map338 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map338.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key339;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val340;
-            for (int _i341 = 0; _i341 < _map338.size; ++_i341)
+            org.apache.thrift.protocol.TMap _map346 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map346.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key347;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val348;
+            for (int _i349 = 0; _i349 < _map346.size; ++_i349)
             {
-              _key339 = iprot.readString();
-              _val340 = iprot.readString();
-              struct.trace.put(_key339, _val340);
+              _key347 = iprot.readString();
+              _val348 = iprot.readString();
+              struct.trace.put(_key347, _val348);
             }
           }
           struct.setTraceIsSet(true);
@@ -2987,14 +2987,14 @@
             case 1: // REPORTS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list342 = iprot.readListBegin();
-                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list342.size);
-                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem343;
-                  for (int _i344 = 0; _i344 < _list342.size; ++_i344)
+                  org.apache.thrift.protocol.TList _list350 = iprot.readListBegin();
+                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list350.size);
+                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem351;
+                  for (int _i352 = 0; _i352 < _list350.size; ++_i352)
                   {
-                    _elem343 = new CrashReportRecord();
-                    _elem343.read(iprot);
-                    struct.reports.add(_elem343);
+                    _elem351 = new CrashReportRecord();
+                    _elem351.read(iprot);
+                    struct.reports.add(_elem351);
                   }
                   iprot.readListEnd();
                 }
@@ -3023,9 +3023,9 @@
           oprot.writeFieldBegin(REPORTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-            for (CrashReportRecord _iter345 : struct.reports)
+            for (CrashReportRecord _iter353 : struct.reports)
             {
-              _iter345.write(oprot);
+              _iter353.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -3057,9 +3057,9 @@
         if (struct.isSetReports()) {
           {
             oprot.writeI32(struct.reports.size());
-            for (CrashReportRecord _iter346 : struct.reports)
+            for (CrashReportRecord _iter354 : struct.reports)
             {
-              _iter346.write(oprot);
+              _iter354.write(oprot);
             }
           }
         }
@@ -3071,14 +3071,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list347 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list347.size);
-            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem348;
-            for (int _i349 = 0; _i349 < _list347.size; ++_i349)
+            org.apache.thrift.protocol.TList _list355 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list355.size);
+            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem356;
+            for (int _i357 = 0; _i357 < _list355.size; ++_i357)
             {
-              _elem348 = new CrashReportRecord();
-              _elem348.read(iprot);
-              struct.reports.add(_elem348);
+              _elem356 = new CrashReportRecord();
+              _elem356.read(iprot);
+              struct.reports.add(_elem356);
             }
           }
           struct.setReportsIsSet(true);
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -410,6 +410,18 @@
   4: required i64 validMs                   // for how long the origin is to be kept
 }
 
+/** Software version that a node knows, with the streams that it has delivered from there lately. */
+struct VersionStreamsRecord {
+  1: required string serviceName
+  2: required string softwareVersion
+  3: required binary streams                // 8 bytes each: hash of the request that brought the first event
+}
+
+/** What a node leaves in the key-value service about its streams. */
+struct NodeStreamsRecord {
+  1: required list<VersionStreamsRecord> versions
+}
+
 service NodeLink {
   /** Reports the node's load and returns the load of the fleet; refused by a node that does not lead. */
   FleetLoad exchange(1: NodeLoad load) throws (1: WireRefusal refusal)
