--- a/backends/src/test/java/io/persimmonstack/backends/http/ScriptedServer.java
+++ b/backends/src/test/java/io/persimmonstack/backends/http/ScriptedServer.java
@@ -38,10 +38,12 @@
 
     /** Accepted connection of a client. */
     public static final class Connection {
+        private final Socket socket;
         private final InputStream in;
         private final OutputStream out;
 
         private Connection(Socket socket) throws IOException {
+            this.socket = socket;
             in = new BufferedInputStream(socket.getInputStream());
             out = socket.getOutputStream();
         }
@@ -74,6 +76,12 @@
             send("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
         }
 
+        /** Resets the connection, which discards what the client has not read. */
+        public void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
         /** Blocks until the client closes the connection. */
         public void awaitClose() throws IOException {
             while (in.read() >= 0) {
--- a/router/src/test/java/io/persimmonstack/router/FakeTarget.java
+++ b/router/src/test/java/io/persimmonstack/router/FakeTarget.java
@@ -6,6 +6,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Protocols;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -156,6 +157,16 @@
         };
     }
 
+    /** Streams the given text with neither a length nor chunks, so that the answer ends with its connection. */
+    static Behaviour streamWithoutLength(String text) {
+        return (exchange, received) -> {
+            exchange.setProtocol(Protocols.HTTP_1_0);
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+            send(exchange, text);
+            exchange.endExchange();
+        };
+    }
+
     /** Writes a part of the answer and waits until it has been sent. */
     static void send(HttpServerExchange exchange, String part) throws Exception {
         java.util.concurrent.CompletableFuture<Void> sent = new java.util.concurrent.CompletableFuture<>();
--- a/router/src/test/java/io/persimmonstack/router/TargetFaultsTest.java
+++ b/router/src/test/java/io/persimmonstack/router/TargetFaultsTest.java
@@ -12,6 +12,8 @@
 import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -19,6 +21,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.IoUtils;
 
 /** Faults of targets and callers: retries, resumed streams, circuit breaking and cancellation. */
@@ -150,6 +153,38 @@
         assertFalse(answer.body().contains("whole"), answer.body());
     }
 
+    /** A stream with neither a length nor chunks ends with its connection; without its last event it has been cut. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "data: {\"choi", "data: [DONE]", "data: [DONE]\n"})
+    void streamWithoutLengthThatEndsBeforeItsLastEventIsResumed(String cut) throws Exception {
+        FakeTarget runner = fixture.target("r1", (exchange, received) -> {
+            FakeTarget.Behaviour behaviour = received.resumeFrom().isEmpty()
+                    ? FakeTarget.streamWithoutLength(tokenEvents(3) + cut)
+                    : FakeTarget.stream(5, 1_000);
+            behaviour.answer(exchange, received);
+        });
+        fixture.publish(fixture.fleet().runner(runner, "z1", 4, "deed@v1"));
+        HttpResponse<String> answer = fixture.send(fixture.chatRequest(0, "deed", true));
+        assertEquals(StreamTokens.upTo(5), StreamTokens.parse(answer.body()));
+        assertTrue(answer.body().endsWith("data: [DONE]\n\n"), answer.body());
+        assertEquals(2, runner.receivedRequests().size());
+    }
+
+    @Test
+    void streamWithoutLengthIsCompleteWithItsLastEvent() throws Exception {
+        FakeTarget runner = fixture.target("r1", FakeTarget.streamWithoutLength(tokenEvents(3) + "data: [DONE]\n\n"));
+        fixture.publish(fixture.fleet().runner(runner, "z1", 4, "deed@v1"));
+        HttpResponse<String> answer = fixture.send(fixture.chatRequest(0, "deed", true));
+        assertEquals(tokenEvents(3) + "data: [DONE]\n\n", answer.body());
+        assertEquals(1, runner.receivedRequests().size());
+    }
+
+    private static String tokenEvents(int count) {
+        return IntStream.rangeClosed(1, count)
+                .mapToObj(i -> "data: {\"choices\":[{\"delta\":{\"content\":\"t" + i + " \"}}]}\n\n")
+                .collect(Collectors.joining());
+    }
+
     /** Events without a token used to be left out of the whole rest of a resumed stream. */
     @Test
     void usageAtTheEndOfAResumedStreamIsRelayed() throws Exception {
