--- a/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
@@ -113,6 +113,10 @@
             fail(HttpFailure.Kind.LOST, new IOException("connection closed by the peer before the request was sent"));
             return;
         }
+        if (!request.sendable().getAsBoolean()) {
+            fail(HttpFailure.Kind.CANCELLED, new IOException("no longer to be sent once the connection was open"));
+            return;
+        }
         connection.clientConnection().sendRequest(toUndertowRequest(), new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpFailure.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpFailure.java
@@ -22,7 +22,7 @@
         MISMATCH,
         /** The head or the body of the response exceeds its size limit. */
         TOO_LARGE,
-        /** The call was cancelled or the calling thread was interrupted. */
+        /** The call was cancelled, the calling thread was interrupted, or the request was no longer to be sent. */
         CANCELLED
     }
 
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpRequest.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpRequest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
 
 /**
@@ -17,8 +18,9 @@
  * @param path path with query, starting with a slash
  * @param headers header fields; Host and Content-Length are added if needed
  * @param body body, empty for none
+ * @param sendable asked right before the first byte is written; if it returns false, the request fails unsent
  */
-public record HttpRequest(String method, String path, List<HttpHeader> headers, byte[] body) {
+public record HttpRequest(String method, String path, List<HttpHeader> headers, byte[] body, BooleanSupplier sendable) {
     private static final Pattern METHOD = Pattern.compile("[A-Z]+");
     private static final Pattern PATH = Pattern.compile("/[!-~]*");
 
@@ -34,6 +36,11 @@
         headers = List.copyOf(headers);
     }
 
+    /** Creates a request that is sent at any time. */
+    public HttpRequest(String method, String path, List<HttpHeader> headers, byte[] body) {
+        this(method, path, headers, body, () -> true);
+    }
+
     /** Returns a GET request without headers. */
     public static HttpRequest get(String path) {
         return new HttpRequest("GET", path, List.of(), new byte[0]);
@@ -53,7 +60,17 @@
     public HttpRequest with(String name, String value) {
         List<HttpHeader> more = new ArrayList<>(headers);
         more.add(HttpHeader.of(name, value));
-        return new HttpRequest(method, path, more, body);
+        return new HttpRequest(method, path, more, body, sendable);
+    }
+
+    /**
+     * Returns a copy of this request that is sent only while a condition holds, whatever time passes until a connection
+     * is open.
+     *
+     * @param condition called on the I/O thread of the connection; must not block
+     */
+    public HttpRequest sentOnlyIf(BooleanSupplier condition) {
+        return new HttpRequest(method, path, headers, body, condition);
     }
 
     /** Returns the first value of the named header. */
--- a/backends/src/test/java/io/persimmonstack/backends/http/HttpConnectorTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/http/HttpConnectorTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -151,6 +152,26 @@
         assertFalse(failure.sent());
     }
 
+    /** A request whose time had passed while its connection was opened was sent nevertheless. */
+    @Test
+    void requestIsNotSentOnceItsConditionHasEnded() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((connection, number) -> {
+            while (!connection.readRequest().isEmpty()) {
+                connection.respond("answer");
+            }
+        })) {
+            AtomicInteger asked = new AtomicInteger();
+            HttpRequest once = HttpRequest.get("/").sentOnlyIf(() -> asked.getAndIncrement() == 0);
+            try (HttpCall call = connector.open(server.address(), once, LONG_TIMEOUTS)) {
+                assertEquals("answer", new String(call.readAll(MAX_BYTES), StandardCharsets.UTF_8));
+            }
+            HttpFailure failure =
+                    assertThrows(HttpFailure.class, () -> connector.open(server.address(), once, LONG_TIMEOUTS));
+            assertFalse(failure.sent());
+            assertEquals(2, asked.get());
+        }
+    }
+
     @Test
     void connectionIsReusedAfterTheBodyIsRead() throws Exception {
         try (ScriptedServer server = ScriptedServer.start((connection, number) -> {
--- a/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
@@ -127,9 +127,11 @@
         OrderAnswer answer = send(task, order, sequence);
         logOrder(task, order, sequence, answer);
         while ((answer == OrderAnswer.CONFLICT || answer == OrderAnswer.WITHHELD)
-                && System.nanoTime() - startNanos < conflictTimeoutNanos
-                && task.stillLeads().getAsBoolean()) {
+                && System.nanoTime() - startNanos < conflictTimeoutNanos) {
             TimeUnit.MILLISECONDS.sleep(CONFLICT_RETRY_MS);
+            if (!task.stillLeads().getAsBoolean()) {
+                return OrderAnswer.UNKNOWN;
+            }
             answer = send(task, order, sequence);
             if (answer != OrderAnswer.CONFLICT && answer != OrderAnswer.WITHHELD) {
                 logOrder(task, order, sequence, answer);
@@ -143,7 +145,7 @@
 
     private OrderAnswer send(DirectiveTask task, PlacementOrder order, long sequence) {
         OrderPrecondition precondition = new OrderPrecondition(node, task.term(), sequence);
-        OrderAnswer answer = control.order(task.tracker().runner(), order, precondition);
+        OrderAnswer answer = control.order(task.tracker().runner(), order, precondition, task.stillLeads());
         metrics.recordOrder(answer.name().toLowerCase(Locale.ROOT));
         return answer;
     }
--- a/node/src/main/java/io/persimmonstack/node/planning/QuietRunnerControl.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/QuietRunnerControl.java
@@ -3,6 +3,7 @@
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.fleet.RunnerNoticeListener;
+import java.util.function.BooleanSupplier;
 
 /** Sends nothing to runners that want no requests from this node for a while. */
 final class QuietRunnerControl implements RunnerControl {
@@ -31,8 +32,9 @@
 
     /** Returns {@link OrderAnswer#WITHHELD} without sending the order while the runner wants quiet. */
     @Override
-    public OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition) {
-        return isQuiet(runner) ? OrderAnswer.WITHHELD : control.order(runner, order, precondition);
+    public OrderAnswer order(
+            Runner runner, PlacementOrder order, OrderPrecondition precondition, BooleanSupplier stillLeads) {
+        return isQuiet(runner) ? OrderAnswer.WITHHELD : control.order(runner, order, precondition, stillLeads);
     }
 
     @Override
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerControl.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerControl.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.fleet.RunnerNoticeListener;
+import java.util.function.BooleanSupplier;
 
 /** Sends orders and status requests to runners; the calls block. */
 public interface RunnerControl {
@@ -15,9 +16,10 @@
      * @param runner runner that is to carry out the order
      * @param order order to send
      * @param precondition fencing token and expected sequence number
-     * @return the runner's answer, {@link OrderAnswer#UNKNOWN} if none came
+     * @param stillLeads returns whether this node still leads; asked right before the order is sent, must not block
+     * @return the runner's answer, {@link OrderAnswer#UNKNOWN} if none came or the order was not sent
      */
-    OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition);
+    OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition, BooleanSupplier stillLeads);
 
     /**
      * Requests the status of a runner.
--- a/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/OrderExecutorTest.java
@@ -27,6 +27,7 @@
  */
 class OrderExecutorTest {
     private static final long TERM = 41;
+    private static final long LEADS_AFTER_CONFLICT_NANOS = 20_000_000;
     private static final Engine ENGINE = new Engine(
             4, 1_000, 100, 4, 3, Map.of("a", new Model("a", 10, 5, 1, 1, 1), "b", new Model("b", 10, 5, 1, 1, 1)));
     private static final Runner RUNNER = new Runner(
@@ -45,6 +46,7 @@
     private final Deque<OrderAnswer> answers = new ArrayDeque<>();
     private final List<String> fencingCauses = new ArrayList<>();
     private int unansweredStatusCalls;
+    private long conflictNanos;
     private final RunnerStateTracker tracker = new RunnerStateTracker(RUNNER);
 
     private final RunnerControl control = new RunnerControl() {
@@ -52,9 +54,14 @@
         public void onNotice(RunnerNoticeListener listener) {}
 
         @Override
-        public OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition) {
+        public OrderAnswer order(
+                Runner runner, PlacementOrder order, OrderPrecondition precondition, BooleanSupplier stillLeads) {
             preconditions.add(precondition);
-            return answers.isEmpty() ? OrderAnswer.ACCEPTED : answers.removeFirst();
+            OrderAnswer answer = answers.isEmpty() ? OrderAnswer.ACCEPTED : answers.removeFirst();
+            if (answer == OrderAnswer.CONFLICT) {
+                conflictNanos = System.nanoTime();
+            }
+            return answer;
         }
 
         @Override
@@ -125,6 +132,15 @@
         assertEquals("b", tracker.servedModels().getFirst().name());
     }
 
+    /** Two leaders' orders took turns: one that had been frozen between two tries sent the next one when it woke up. */
+    @Test
+    void orderIsNotRetriedOnceTheLeadershipHasEndedDuringThePause() {
+        applyIdleStatus(7);
+        answers.addAll(List.of(OrderAnswer.ACCEPTED, OrderAnswer.CONFLICT, OrderAnswer.CONFLICT));
+        executeSwap(() -> conflictNanos == 0 || System.nanoTime() - conflictNanos < LEADS_AFTER_CONFLICT_NANOS);
+        assertEquals(2, preconditions.size());
+    }
+
     @Test
     void firstOrderIsNotRetriedAfterConflict() {
         applyIdleStatus(7);
--- a/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/PlannerTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 
 /** The pause of a new leader before its first order, and the estimated arrivals of models of several services. */
@@ -36,7 +37,8 @@
         public void onNotice(RunnerNoticeListener listener) {}
 
         @Override
-        public OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition) {
+        public OrderAnswer order(
+                Runner runner, PlacementOrder order, OrderPrecondition precondition, BooleanSupplier stillLeads) {
             ordered.countDown();
             return OrderAnswer.ACCEPTED;
         }
@@ -89,7 +91,8 @@
             public void onNotice(RunnerNoticeListener listener) {}
 
             @Override
-            public OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition) {
+            public OrderAnswer order(
+                    Runner runner, PlacementOrder order, OrderPrecondition precondition, BooleanSupplier stillLeads) {
                 ordered.countDown();
                 awaitUninterrupted(loaded);
                 return OrderAnswer.INVALID;
--- a/node/src/test/java/io/persimmonstack/node/planning/QuietRunnerControlTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/QuietRunnerControlTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 
 /** The leader sends neither orders nor status requests to a runner that asked it for quiet. */
@@ -31,7 +32,11 @@
                 }
 
                 @Override
-                public OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition) {
+                public OrderAnswer order(
+                        Runner runner,
+                        PlacementOrder order,
+                        OrderPrecondition precondition,
+                        BooleanSupplier stillLeads) {
                     calls++;
                     listener.onNotice(runner, answer);
                     return OrderAnswer.ACCEPTED;
@@ -54,8 +59,8 @@
     @Test
     void runnerThatAsksForQuietInAnAnswerToAnOrderGetsNothingMore() throws RunnerControlException {
         answer = RunnerNotice.quiet(false, 20_000);
-        control.order(runner(1), LOAD, PRECONDITION);
-        assertEquals(OrderAnswer.WITHHELD, control.order(runner(1), LOAD, PRECONDITION));
+        control.order(runner(1), LOAD, PRECONDITION, () -> true);
+        assertEquals(OrderAnswer.WITHHELD, control.order(runner(1), LOAD, PRECONDITION, () -> true));
         assertThrows(RunnerControlException.class, () -> control.status(runner(1)));
         assertEquals(1, calls);
         control.status(runner(2));
@@ -66,7 +71,7 @@
     @Test
     void runnerThatAskedForQuietInAnAnswerToARequestGetsNoOrder() {
         fleet.recordNotice(runner(1), RunnerNotice.quiet(false, 20_000));
-        assertEquals(OrderAnswer.WITHHELD, control.order(runner(1), LOAD, PRECONDITION));
+        assertEquals(OrderAnswer.WITHHELD, control.order(runner(1), LOAD, PRECONDITION, () -> true));
         assertEquals(0, calls);
     }
 
@@ -84,9 +89,9 @@
         List<RunnerNotice> received = new ArrayList<>();
         control.onNotice((runner, notice) -> received.add(notice));
         answer = RunnerNotice.quiet(false, 20_000);
-        control.order(runner(1), LOAD, PRECONDITION);
+        control.order(runner(1), LOAD, PRECONDITION, () -> true);
         assertEquals(List.of(answer), received);
-        assertEquals(OrderAnswer.WITHHELD, control.order(runner(1), LOAD, PRECONDITION));
+        assertEquals(OrderAnswer.WITHHELD, control.order(runner(1), LOAD, PRECONDITION, () -> true));
         assertEquals(1, calls);
     }
 }
--- a/node/src/test/java/io/persimmonstack/node/planning/SimulatedRunners.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/SimulatedRunners.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
 /**
@@ -127,7 +128,8 @@
     public void onNotice(RunnerNoticeListener listener) {}
 
     @Override
-    public OrderAnswer order(Runner runner, PlacementOrder order, OrderPrecondition precondition) {
+    public OrderAnswer order(
+            Runner runner, PlacementOrder order, OrderPrecondition precondition, BooleanSupplier stillLeads) {
         onFirstOrder();
         OrderFault fault = faults.apply(runner.id(), order);
         if (fault.answered()) {
