--- a/backends/src/test/java/io/persimmonstack/backends/kv/CallRateLimiterTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/kv/CallRateLimiterTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.persimmonstack.coordination.time.FakeTime;
 import io.persimmonstack.coordination.time.TimeSource;
 import org.junit.jupiter.api.Test;
 
@@ -9,17 +10,7 @@
     private static final long NANOS_PER_MS = 1_000_000;
     private long nowNanos;
 
-    private final TimeSource time = new TimeSource() {
-        @Override
-        public long nanoTime() {
-            return nowNanos;
-        }
-
-        @Override
-        public long currentTimeMillis() {
-            return nowNanos / NANOS_PER_MS;
-        }
-    };
+    private final TimeSource time = FakeTime.ofNanos(() -> nowNanos);
 
     @Test
     void allowsABurstOfOneSecondThenSpacesThenRefusesCalls() {
--- a/backends/src/test/java/io/persimmonstack/backends/kv/OutageBackoffTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/kv/OutageBackoffTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.persimmonstack.coordination.time.FakeTime;
 import io.persimmonstack.coordination.time.TimeSource;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -12,17 +13,7 @@
     private static final long SEED = 4711;
     private long nowNanos;
 
-    private final TimeSource time = new TimeSource() {
-        @Override
-        public long nanoTime() {
-            return nowNanos;
-        }
-
-        @Override
-        public long currentTimeMillis() {
-            return nowNanos / NANOS_PER_MS;
-        }
-    };
+    private final TimeSource time = FakeTime.ofNanos(() -> nowNanos);
 
     @Test
     void blocksCallsAfterThreeFailuresForABoundedTime() {
--- a/coordination/src/test/java/io/persimmonstack/coordination/claim/ClaimFaultTableTest.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/claim/ClaimFaultTableTest.java
@@ -8,6 +8,7 @@
 import io.persimmonstack.coordination.kv.FaultyKvStore.Fault;
 import io.persimmonstack.coordination.kv.InMemoryKvStore;
 import io.persimmonstack.coordination.kv.KvException;
+import io.persimmonstack.coordination.time.FakeTime;
 import io.persimmonstack.coordination.time.TimeSource;
 import java.time.Duration;
 import java.util.Optional;
@@ -185,17 +186,7 @@
     }
 
     private ClaimShard writer(String name, FaultyKvStore writerStore) {
-        TimeSource time = new TimeSource() {
-            @Override
-            public long nanoTime() {
-                return Duration.ofMillis(nowMs).toNanos();
-            }
-
-            @Override
-            public long currentTimeMillis() {
-                return nowMs;
-            }
-        };
+        TimeSource time = FakeTime.ofMillis(() -> nowMs);
         return ClaimShard.create(
                 0, name, writerStore, codec, ClaimShardOptions.of(time, () -> "batch-" + nextBatchId++, RETENTION));
     }
--- a/coordination/src/test/java/io/persimmonstack/coordination/claim/ClaimScheduleTest.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/claim/ClaimScheduleTest.java
@@ -7,6 +7,7 @@
 import io.persimmonstack.coordination.kv.FaultyKvStore.Fault;
 import io.persimmonstack.coordination.kv.InMemoryKvStore;
 import io.persimmonstack.coordination.kv.KvException;
+import io.persimmonstack.coordination.time.FakeTime;
 import io.persimmonstack.coordination.time.TimeSource;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -130,17 +131,7 @@
     }
 
     private ClaimShard writer(int index) {
-        TimeSource time = new TimeSource() {
-            @Override
-            public long nanoTime() {
-                return Duration.ofMillis(nowMs).toNanos();
-            }
-
-            @Override
-            public long currentTimeMillis() {
-                return nowMs;
-            }
-        };
+        TimeSource time = FakeTime.ofMillis(() -> nowMs);
         ClaimShardOptions options = ClaimShardOptions.of(time, () -> "batch-" + nextBatchId++, RETENTION);
         return ClaimShard.create(0, "writer-" + index, stores.get(index), codec, options);
     }
--- a/coordination/src/test/java/io/persimmonstack/coordination/claim/ClaimShardTest.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/claim/ClaimShardTest.java
@@ -8,6 +8,7 @@
 import io.persimmonstack.coordination.kv.FakeCodec;
 import io.persimmonstack.coordination.kv.InMemoryKvStore;
 import io.persimmonstack.coordination.kv.KvException;
+import io.persimmonstack.coordination.time.FakeTime;
 import io.persimmonstack.coordination.time.TimeSource;
 import java.time.Duration;
 import java.util.List;
@@ -230,17 +231,7 @@
     }
 
     private ClaimShard writer(String name, int maxClaims) {
-        TimeSource time = new TimeSource() {
-            @Override
-            public long nanoTime() {
-                return nowNanos.get();
-            }
-
-            @Override
-            public long currentTimeMillis() {
-                return Duration.ofNanos(nowNanos.get()).toMillis();
-            }
-        };
+        TimeSource time = FakeTime.ofNanos(nowNanos::get);
         return ClaimShard.create(
                 0,
                 name,
--- a/coordination/src/test/java/io/persimmonstack/coordination/crash/FatalPartFleetTest.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/crash/FatalPartFleetTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.persimmonstack.coordination.time.FakeTime;
 import io.persimmonstack.coordination.time.TimeSource;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -10,7 +11,6 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -36,7 +36,7 @@
     private static final int SOUND_PARTS = 30;
 
     /** Fleet whose runners end under the fatal part. */
-    private static final class Simulation implements TimeSource {
+    private static final class Simulation {
         private final Random random;
         private final List<PartGuard> guards = new ArrayList<>();
         private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::atMs));
@@ -44,6 +44,7 @@
         private final List<Long> upAtMs = new ArrayList<>();
         private final List<Long> fatalSendsMs = new ArrayList<>();
         private final List<Long> endsMs = new ArrayList<>();
+        private final TimeSource time = FakeTime.ofMillis(() -> this.nowMs);
         private final int maxWaitMs;
         private final double answered;
         private long nowMs = 1_000_000;
@@ -62,7 +63,7 @@
             for (int i = 0; i < nodes; i++) {
                 int node = i;
                 guards.add(
-                        PartGuard.create("n" + i, "n" + i + "@1", () -> names, new Listener(() -> share(node)), this));
+                        PartGuard.create("n" + i, "n" + i + "@1", () -> names, new Listener(() -> share(node)), time));
             }
             for (int i = 0; i < runners; i++) {
                 waiting.add(new HashMap<>());
@@ -70,16 +71,6 @@
             }
         }
 
-        @Override
-        public long nanoTime() {
-            return TimeUnit.MILLISECONDS.toNanos(nowMs);
-        }
-
-        @Override
-        public long currentTimeMillis() {
-            return nowMs;
-        }
-
         private record Listener(Runnable share) implements PartGuard.Listener {
             @Override
             public void blocked(String part, int ends) {}
--- a/coordination/src/test/java/io/persimmonstack/coordination/crash/PartGuardTest.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/crash/PartGuardTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.persimmonstack.coordination.time.FakeTime;
 import io.persimmonstack.coordination.time.TimeSource;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,17 +26,7 @@
     private long nowMs = 1_000;
     private int processes;
 
-    private final TimeSource time = new TimeSource() {
-        @Override
-        public long nanoTime() {
-            return TimeUnit.MILLISECONDS.toNanos(nowMs);
-        }
-
-        @Override
-        public long currentTimeMillis() {
-            return nowMs;
-        }
-    };
+    private final TimeSource time = FakeTime.ofMillis(() -> nowMs);
 
     PartGuardTest() {
         List<String> names = IntStream.range(0, NODES).mapToObj(i -> "n" + i).toList();
--- a/coordination/src/test/java/io/persimmonstack/coordination/membership/FakeNetwork.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/membership/FakeNetwork.java
@@ -1,6 +1,6 @@
 package io.persimmonstack.coordination.membership;
 
-import io.persimmonstack.coordination.time.TimeSource;
+import io.persimmonstack.coordination.time.FakeTime;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -10,7 +10,6 @@
 /** Simulated network of members in one process: messages are method calls, links can fail, and time is virtual. */
 final class FakeNetwork {
     static final MembershipOptions OPTIONS = new MembershipOptions(2, 4_000, 60_000, 8, 0.5);
-    private static final long NANOS_PER_MS = 1_000_000L;
 
     private final Map<String, Membership<String, String>> members = new HashMap<>();
     private final Set<String> cutLinks = new HashSet<>();
@@ -26,7 +25,12 @@
         Member<String> self =
                 new Member<>(node, incarnation, 1, MemberStatus.ALIVE, new Locality(region + "-1", region), node, "");
         Membership<String, String> membership = Membership.of(
-                self, OPTIONS, new VirtualTime(), random, new FakeTransport(node), MembershipListener.NONE);
+                self,
+                OPTIONS,
+                FakeTime.ofMillis(() -> nowMs),
+                random,
+                new FakeTransport(node),
+                MembershipListener.NONE);
         members.put(node, membership);
         return membership;
     }
@@ -85,18 +89,6 @@
                 .orElse(null);
     }
 
-    private final class VirtualTime implements TimeSource {
-        @Override
-        public long nanoTime() {
-            return nowMs * NANOS_PER_MS;
-        }
-
-        @Override
-        public long currentTimeMillis() {
-            return nowMs;
-        }
-    }
-
     private final class FakeTransport implements GossipTransport<String, String> {
         private final String from;
 
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/load/LoadRequestHandlerTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/load/LoadRequestHandlerTest.java
@@ -21,6 +21,7 @@
 import io.persimmonstack.coordination.membership.MembershipOptions;
 import io.persimmonstack.coordination.membership.Updates;
 import io.persimmonstack.coordination.model.ModelVersion;
+import io.persimmonstack.coordination.time.FakeTime;
 import io.persimmonstack.coordination.time.TimeSource;
 import io.persimmonstack.coordinator.FakePlatform;
 import io.persimmonstack.coordinator.gossip.GossipMapping;
@@ -48,7 +49,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -86,17 +86,7 @@
     /** Time of the handler's clocks, in milliseconds; only tests advance it. */
     private volatile long nowMs = 1_000_000;
 
-    private final TimeSource time = new TimeSource() {
-        @Override
-        public long nanoTime() {
-            return TimeUnit.MILLISECONDS.toNanos(nowMs);
-        }
-
-        @Override
-        public long currentTimeMillis() {
-            return nowMs;
-        }
-    };
+    private final TimeSource time = FakeTime.ofMillis(() -> nowMs);
 
     private volatile LoadAnswer ownerAnswer = new LoadAnswer(LoadResult.LOADING);
     private ThriftServer ownerServer;
