--- a/coordination/src/main/java/io/persimmonstack/coordination/BoundedMap.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/BoundedMap.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.node;
+package io.persimmonstack.coordination;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/coordination/src/main/java/io/persimmonstack/coordination/crash/CrashEvidence.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/crash/CrashEvidence.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.coordination.crash;
 
+import io.persimmonstack.coordination.BoundedMap;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -40,13 +41,14 @@
     /** Names of the processes whose ends this node observed. */
     private final Set<String> ownEnds = new HashSet<>();
     /** Number of answers by part, for parts without known ends; the least recently answered are dropped. */
-    private final Map<String, Integer> answered = leastRecentlyUsed(MAX_ANSWERED_PARTS);
+    private final Map<String, Integer> answered = BoundedMap.droppingLeastUsed(MAX_ANSWERED_PARTS);
     /** Answers of this node on parts with known ends. */
     private final Map<String, PartAnswers> ownAnswers = new HashMap<>();
     /** Answers that others report, by part and reporter. */
-    private final Map<String, Map<String, PartAnswers>> reportedAnswers = leastRecentlyUsed(MAX_REPORTED_PARTS);
+    private final Map<String, Map<String, PartAnswers>> reportedAnswers =
+            BoundedMap.droppingLeastUsed(MAX_REPORTED_PARTS);
 
-    private final Map<String, Long> lastNumbers = leastRecentlyUsed(MAX_REPORTERS);
+    private final Map<String, Long> lastNumbers = BoundedMap.droppingLeastUsed(MAX_REPORTERS);
     private Map<String, PartStatus> statuses = Map.of();
     private long lastNumber;
     private boolean ownEndsReported = true;
@@ -68,17 +70,6 @@
         return new CrashEvidence(reporter);
     }
 
-    private static <V> Map<String, V> leastRecentlyUsed(int maxEntries) {
-        return new LinkedHashMap<>(16, 0.75f, true) {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
-                return size() > maxEntries;
-            }
-        };
-    }
-
     /** Returns the identifier under which a part is kept: a long one is replaced by a digest. */
     public static String key(String part) {
         return part.length() <= MAX_PART_LENGTH
--- a/coordination/src/main/java/io/persimmonstack/coordination/crash/PartGuard.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/crash/PartGuard.java
@@ -1,10 +1,10 @@
 package io.persimmonstack.coordination.crash;
 
+import io.persimmonstack.coordination.BoundedMap;
 import io.persimmonstack.coordination.hash.RendezvousHash;
 import io.persimmonstack.coordination.time.TimeSource;
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -39,15 +39,7 @@
     private final CrashEvidence evidence;
     private final Listener listener;
     private final TimeSource time;
-    private final Map<String, Long> triedNanos = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-            return size() > MAX_TRIED_PARTS;
-        }
-    };
-
+    private final Map<String, Long> triedNanos = BoundedMap.droppingFirstAdded(MAX_TRIED_PARTS);
     private final Semaphore turn = new Semaphore(1, true);
     private volatile Map<String, PartStatus> statuses = Map.of();
 
--- a/node/src/main/java/io/persimmonstack/node/fleet/LeavingRunners.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/LeavingRunners.java
@@ -1,6 +1,6 @@
 package io.persimmonstack.node.fleet;
 
-import java.util.LinkedHashMap;
+import io.persimmonstack.coordination.BoundedMap;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -22,12 +22,7 @@
     private OptionalLong completeUpToNanos = OptionalLong.empty();
 
     /** Ends of the times of processes that are leaving or gone; empty for those that take nothing. */
-    private final Map<RunnerProcess, OptionalLong> untilNanos = new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<RunnerProcess, OptionalLong> eldest) {
-            return size() > MAX_PROCESSES;
-        }
-    };
+    private final Map<RunnerProcess, OptionalLong> untilNanos = BoundedMap.droppingFirstAdded(MAX_PROCESSES);
 
     private LeavingRunners(OptionalLong usableNanos) {
         this.usableNanos = usableNanos;
--- a/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotices.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/RunnerNotices.java
@@ -1,6 +1,6 @@
 package io.persimmonstack.node.fleet;
 
-import io.persimmonstack.node.BoundedMap;
+import io.persimmonstack.coordination.BoundedMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
--- a/node/src/main/java/io/persimmonstack/node/placing/PromptAffinityCache.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/PromptAffinityCache.java
@@ -1,6 +1,6 @@
 package io.persimmonstack.node.placing;
 
-import io.persimmonstack.node.BoundedMap;
+import io.persimmonstack.coordination.BoundedMap;
 import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.PromptPart;
 import java.util.List;
--- a/node/src/main/java/io/persimmonstack/node/sending/RunnerEndCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/RunnerEndCheck.java
@@ -3,7 +3,7 @@
 import io.persimmonstack.backends.http.HttpConnector;
 import io.persimmonstack.backends.http.HttpFailure;
 import io.persimmonstack.backends.http.IdleConnection;
-import io.persimmonstack.node.BoundedMap;
+import io.persimmonstack.coordination.BoundedMap;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.fleet.RunnerProcess;
