--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -20,6 +20,7 @@
 import io.persimmonstack.node.prompts.PromptGuard;
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.node.sending.Dispatcher;
+import io.persimmonstack.node.store.AbandonedValues;
 import io.persimmonstack.node.store.NodeKeys;
 import io.persimmonstack.node.store.PeerFollower;
 import io.persimmonstack.node.store.RoutingFollower;
@@ -63,8 +64,8 @@
     private static final int HOUSEKEEPING_INTERVAL_MS = 200;
     /** Pause between two writes of the report about runners that ended. */
     private static final int CRASH_REPORT_INTERVAL_MS = 500;
-    /** Time for which that report outlives the process. */
-    private static final int CRASH_REPORT_TTL_MS = 600_000;
+    /** Time for which that report outlives the node. */
+    private static final int CRASH_REPORT_KEPT_MS = 600_000;
     /** Shortest drain, even without open requests: callers may still use addresses that they resolved earlier. */
     private static final long MIN_DRAIN_MS = 3_200;
     /** Part of the grace period that is reserved for closing and for the exit of the process. */
@@ -112,11 +113,7 @@
         this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
         AtomicReference<Optional<byte[]>> lastReport = new AtomicReference<>(Optional.empty());
         StoredValue crashReport = closer.add(StoredValue.start(
-                ports.store(),
-                NodeKeys.crashReport(options.name()),
-                CRASH_REPORT_TTL_MS,
-                () -> CRASH_REPORT_INTERVAL_MS,
-                lastReport::get));
+                ports.store(), NodeKeys.crashReport(options.name()), () -> CRASH_REPORT_INTERVAL_MS, lastReport::get));
         this.crashReports = closer.add(CrashReportSender.of(
                 options.name(), this::linkAddresses, prompts.parts(), closer.add(CrashReportLinks.create()), report -> {
                     lastReport.set(Optional.of(CrashReportMessages.encode(report)));
@@ -124,7 +121,16 @@
                 }));
         prompts.onReportDue(crashReports::wake);
         crashReports.start();
-        followStore(ports, CrashReportFollower.of(prompts.parts(), options.name(), crashReport));
+        AbandonedValues reports = closer.add(AbandonedValues.of(
+                CrashReportFollower.of(prompts.parts(), options.name(), crashReport),
+                NodeKeys.CRASH_REPORTS,
+                CRASH_REPORT_KEPT_MS,
+                ports.store(),
+                options.name(),
+                () -> fleet.current().peers().keySet(),
+                System::nanoTime));
+        reports.start();
+        followStore(ports, reports);
         Peer self = new Peer(options.name(), startedMs, options.zone(), options.callerAddress(), options.linkAddress());
         this.session = StoreSession.start(ports.store(), fleet, self, this::canServe);
         closer.add(session);
@@ -149,7 +155,7 @@
         return fleet.current().peers().values().stream().collect(Collectors.toMap(Peer::node, Peer::linkAddress));
     }
 
-    private void followStore(NodePorts ports, CrashReportFollower reports) {
+    private void followStore(NodePorts ports, StoreFollower.Listener reports) {
         RunnerFollower runners = RunnerFollower.of(options.runnersPrefix(), ports.runnerDecoder(), fleet);
         PeerFollower peers = PeerFollower.of(fleet);
         RoutingFollower routing = RoutingFollower.of(options.routingKey(), ports.routingDecoder(), fleet);
--- a/node/src/main/java/io/persimmonstack/node/prompts/CrashReportFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/prompts/CrashReportFollower.java
@@ -42,20 +42,25 @@
     @Override
     public void onSnapshot(KvRange range) {
         range.entries().forEach(this::apply);
-        if (range.entries().stream().noneMatch(entry -> entry.key().equals(ownKey))) {
-            ownReport.changed();
-        }
+        ownReport.changed();
     }
 
     @Override
     public void onChanges(List<KvChange> changes) {
         for (KvChange change : changes) {
-            if (change instanceof KvChange.Written written) {
-                apply(written.entry());
+            switch (change) {
+                case KvChange.Written written -> apply(written.entry());
+                case KvChange.Deleted deleted -> writeAgain(deleted.key());
             }
         }
     }
 
+    private void writeAgain(String key) {
+        if (key.equals(ownKey)) {
+            ownReport.changed();
+        }
+    }
+
     private void apply(KvEntry entry) {
         try {
             CrashReport report = CrashReportMessages.decode(entry.value());
--- a/node/src/main/java/io/persimmonstack/node/store/StoredValue.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoredValue.java
@@ -3,9 +3,7 @@
 import io.persimmonstack.coordination.kv.Expectation;
 import io.persimmonstack.coordination.kv.KvEntry;
 import io.persimmonstack.coordination.kv.KvException;
-import io.persimmonstack.coordination.kv.KvLeaseEndedException;
-import io.persimmonstack.coordination.kv.Lease;
-import io.persimmonstack.coordination.kv.LeasedKvStore;
+import io.persimmonstack.coordination.kv.KvStore;
 import io.persimmonstack.coordination.kv.WriteOutcome;
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.runtime.WakeableThread;
@@ -17,35 +15,32 @@
 import java.util.function.Supplier;
 
 /**
- * A value of this node in the store, under a lease that outlives the process for a while. It is written soon after it
- * has changed, with what it is then; a write that failed is repeated. Thread-safe; callers never block.
+ * A value of this node in the store that outlives the process and all leases. It is written soon after it has changed,
+ * with what it is then; a write that failed is repeated. {@link AbandonedValues} removes it once the node is gone.
+ * Thread-safe; callers never block.
  */
 public final class StoredValue implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(StoredValue.class);
-    /** Parts of its time to live after which the lease is renewed, so that two renewals may fail. */
-    private static final int TTL_PARTS = 3;
+    /** Pause of the thread while nothing changes. */
+    private static final int IDLE_INTERVAL_MS = 60_000;
 
     private static final int RETRY_INTERVAL_MS = 500;
 
-    private final LeasedKvStore store;
+    private final KvStore store;
     private final String key;
-    private final int ttlMs;
     private final IntSupplier minIntervalMs;
     private final Supplier<Optional<byte[]>> value;
     private final WakeableThread thread;
     private volatile boolean changed;
-    private Optional<Lease> lease = Optional.empty();
     private OptionalLong revision = OptionalLong.empty();
     private boolean failing;
 
-    private StoredValue(
-            LeasedKvStore store, String key, int ttlMs, IntSupplier minIntervalMs, Supplier<Optional<byte[]>> value) {
+    private StoredValue(KvStore store, String key, IntSupplier minIntervalMs, Supplier<Optional<byte[]>> value) {
         this.store = store;
         this.key = key;
-        this.ttlMs = ttlMs;
         this.minIntervalMs = minIntervalMs;
         this.value = value;
-        this.thread = WakeableThread.of("store-value " + key, () -> ttlMs / TTL_PARTS, this::run);
+        this.thread = WakeableThread.of("store-value " + key, () -> IDLE_INTERVAL_MS, this::run);
     }
 
     /**
@@ -53,13 +48,12 @@
      *
      * @param store store to write to
      * @param key key of the value, which only this node writes
-     * @param ttlMs time for which the value outlives the process, in milliseconds
      * @param minIntervalMs returns the pause after each write, in milliseconds
      * @param value returns the present value, empty if there is nothing to write
      */
     public static StoredValue start(
-            LeasedKvStore store, String key, int ttlMs, IntSupplier minIntervalMs, Supplier<Optional<byte[]>> value) {
-        StoredValue stored = new StoredValue(store, key, ttlMs, minIntervalMs, value);
+            KvStore store, String key, IntSupplier minIntervalMs, Supplier<Optional<byte[]>> value) {
+        StoredValue stored = new StoredValue(store, key, minIntervalMs, value);
         stored.thread.start();
         return stored;
     }
@@ -72,7 +66,6 @@
 
     private void run() throws InterruptedException {
         if (!changed) {
-            renew();
             return;
         }
         changed = false;
@@ -90,18 +83,6 @@
         }
     }
 
-    /** Renews the lease; if that has ended, the value is written again. */
-    private void renew() {
-        try {
-            if (lease.isPresent() && !store.keepAlive(lease.get())) {
-                lease = Optional.empty();
-                changed();
-            }
-        } catch (KvException e) {
-            logFirst(0, "lease not renewed: " + e.getMessage());
-        }
-    }
-
     /** Logs a failure, unless the call before has failed, too. */
     private void logFirst(int bytes, String cause) {
         if (!failing) {
@@ -112,9 +93,7 @@
 
     private boolean tryWrite(byte[] present) {
         try {
-            return write(present, currentLease());
-        } catch (KvLeaseEndedException e) {
-            lease = Optional.empty();
+            return write(present);
         } catch (KvException e) {
             revision = OptionalLong.empty();
             logFirst(present.length, e.getMessage());
@@ -125,15 +104,8 @@
         return false;
     }
 
-    private Lease currentLease() throws KvException {
-        if (lease.isEmpty()) {
-            lease = Optional.of(store.grant(ttlMs));
-        }
-        return lease.get();
-    }
-
-    private boolean write(byte[] present, Lease activeLease) throws KvException {
-        WriteOutcome outcome = store.put(key, present, expectation(), activeLease);
+    private boolean write(byte[] present) throws KvException {
+        WriteOutcome outcome = store.put(key, present, expectation());
         revision = switch (outcome) {
             case WriteOutcome.Applied applied -> OptionalLong.of(applied.revision());
             case WriteOutcome.Conflict conflict -> OptionalLong.empty();
--- a/node/src/main/java/io/persimmonstack/node/streams/OriginPublisher.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/OriginPublisher.java
@@ -99,6 +99,13 @@
         }
     }
 
+    /** Writes the record again if it was this node's that was removed from the store. */
+    void recordRemoved(String removedNode) {
+        if (removedNode.equals(node)) {
+            onChange.run();
+        }
+    }
+
     private void carryOn(VersionStreams version, long nowNanos) {
         version.streams()
                 .forEach(
--- a/node/src/main/java/io/persimmonstack/node/streams/StoredStreams.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/StoredStreams.java
@@ -1,7 +1,8 @@
 package io.persimmonstack.node.streams;
 
-import io.persimmonstack.coordination.kv.LeasedKvStore;
+import io.persimmonstack.coordination.kv.KvStore;
 import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.store.AbandonedValues;
 import io.persimmonstack.node.store.NodeKeys;
 import io.persimmonstack.node.store.StoreFollower;
 import io.persimmonstack.node.store.StoredValue;
@@ -12,8 +13,8 @@
  * versions of each service and, while there are several, where streams began. Thread-safe.
  */
 public final class StoredStreams implements StreamArchive, AutoCloseable {
-    /** Time to live of a node's record once the node has ended; longer than any stream. */
-    private static final int RECORD_TTL_MS = 180_000;
+    /** Time for which a node's record outlives the node; longer than any stream. */
+    private static final int RECORD_KEPT_MS = 180_000;
     /** Pause between two writes of one node; it grows with their number, so that all write 100 times a second. */
     private static final int MIN_WRITE_INTERVAL_MS = 200;
 
@@ -23,17 +24,22 @@
     private final StoredOrigins origins = StoredOrigins.create();
     private final FleetView fleet;
     private final StoredValue record;
+    private final AbandonedValues records;
     private final OriginPublisher publisher;
 
-    private StoredStreams(String node, LeasedKvStore store, FleetView fleet) {
+    private StoredStreams(String node, KvStore store, FleetView fleet) {
         this.fleet = fleet;
         this.publisher = OriginPublisher.of(node, this::writeRecord);
         this.record = StoredValue.start(
+                store, NodeKeys.streams(node), this::writeIntervalMs, () -> publisher.record(System.nanoTime()));
+        this.records = AbandonedValues.of(
+                StreamRecordFollower.of(origins, versions, publisher, System::nanoTime),
+                NodeKeys.STREAMS,
+                RECORD_KEPT_MS,
                 store,
-                NodeKeys.streams(node),
-                RECORD_TTL_MS,
-                this::writeIntervalMs,
-                () -> publisher.record(System.nanoTime()));
+                node,
+                () -> fleet.current().peers().keySet(),
+                System::nanoTime);
     }
 
     /**
@@ -43,9 +49,10 @@
      * @param store the store
      * @param fleet lists the runners and the nodes
      */
-    public static StoredStreams start(String node, LeasedKvStore store, FleetView fleet) {
+    public static StoredStreams start(String node, KvStore store, FleetView fleet) {
         StoredStreams streams = new StoredStreams(node, store, fleet);
         fleet.onChange(streams::observeRunners);
+        streams.records.start();
         return streams;
     }
 
@@ -71,7 +78,7 @@
 
     /** Returns the listener for the keys below {@link NodeKeys#STREAMS}. */
     public StoreFollower.Listener follower() {
-        return StreamRecordFollower.of(origins, versions, publisher, System::nanoTime);
+        return records;
     }
 
     /** Returns the software versions that the services have, or had lately. */
@@ -92,5 +99,6 @@
     @Override
     public void close() {
         record.close();
+        records.close();
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/streams/StreamRecordFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/StreamRecordFollower.java
@@ -69,8 +69,10 @@
     @Override
     public void onChanges(List<KvChange> changes) {
         for (KvChange change : changes) {
-            if (change instanceof KvChange.Written written) {
-                decode(written.entry()).ifPresent(streams -> stored.add(streams, nanoClock.getAsLong()));
+            switch (change) {
+                case KvChange.Written written ->
+                    decode(written.entry()).ifPresent(streams -> stored.add(streams, nanoClock.getAsLong()));
+                case KvChange.Deleted deleted -> own.recordRemoved(NodeKeys.nodeOfStreams(deleted.key()));
             }
         }
     }
--- a/node/src/test/java/io/persimmonstack/node/store/StoredValueTest.java
+++ b/node/src/test/java/io/persimmonstack/node/store/StoredValueTest.java
@@ -18,13 +18,12 @@
 /** A value that a node leaves in the store. */
 class StoredValueTest {
     private static final String KEY = "k";
-    private static final int TTL_MS = 300;
     private static final long WAIT_SECONDS = 10;
 
     private final InMemoryKvStore entries = InMemoryKvStore.create();
     private final StoreWithLeases store = new StoreWithLeases(entries);
     private final AtomicReference<Optional<byte[]>> present = new AtomicReference<>(Optional.empty());
-    private final StoredValue value = StoredValue.start(store, KEY, TTL_MS, () -> 1, present::get);
+    private final StoredValue value = StoredValue.start(store, KEY, () -> 1, present::get);
 
     @AfterEach
     void stop() {
@@ -84,15 +83,26 @@
         await(() -> stored().equals("a"));
     }
 
-    /** Failure: a value was gone once the lease of its first write had ended. */
+    /** Failure: a value was gone once all leases had ended, with no node there to write it again. */
     @Test
-    void leaseIsRenewedAndReplacedOnceItHasEnded() throws Exception {
+    void valueOutlivesAllLeases() throws Exception {
         change("a");
         await(() -> stored().equals("a"));
-        await(() -> store.renewals() > 0);
-        assertEquals(1, store.granted());
+        assertEquals(0, store.granted());
         store.endLeases();
-        await(() -> store.granted() == 2);
+        assertEquals("a", stored());
+    }
+
+    /** Failure: a value that the store had lost, or come back with in an older form, stayed so until it changed. */
+    @Test
+    void valueIsWrittenAgainOverAnOlderOne() throws Exception {
+        change("a");
+        await(() -> stored().equals("a"));
+        entries.put(
+                KEY,
+                new byte[] {1},
+                Expectation.atRevision(entries.get(KEY).orElseThrow().revision()));
+        value.changed();
         await(() -> stored().equals("a"));
     }
 }
