--- a/node/src/main/java/io/persimmonstack/node/store/AbandonedValues.java
+++ b/node/src/main/java/io/persimmonstack/node/store/AbandonedValues.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -125,11 +126,11 @@
 
     /** Removes the values that are abandoned now and that this node is to remove. */
     void remove() {
-        for (Map.Entry<String, Long> revision : abandoned().entrySet()) {
+        for (Map.Entry<String, Long> value : abandoned().entrySet()) {
             try {
-                store.delete(revision.getKey(), Expectation.atRevision(revision.getValue()));
+                store.delete(value.getKey(), Expectation.atRevision(value.getValue()));
             } catch (KvException e) {
-                LOG.write(NodeEvent.STORE_STEP_FAILED, "removal of " + revision.getKey(), e.toString());
+                LOG.write(NodeEvent.STORE_STEP_FAILED, "removal of " + value.getKey(), e.toString());
             }
         }
     }
@@ -142,9 +143,8 @@
         usages.replaceAll((key, usage) ->
                 listed.contains(key.substring(prefix.length())) ? new Usage(usage.revision(), nowNanos) : usage);
         usages.forEach((key, usage) -> {
-            boolean responsible =
-                    RendezvousHash.preferred(key, listed).filter(self::equals).isPresent();
-            if (responsible && nowNanos - usage.usedNanos() > keptNanos) {
+            boolean unused = nowNanos - usage.usedNanos() > keptNanos;
+            if (unused && RendezvousHash.preferred(key, listed).equals(Optional.of(self))) {
                 abandoned.put(key, usage.revision());
             }
         });
