--- a/review/standins/Scenario.java
+++ b/review/standins/Scenario.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 
 /**
@@ -27,6 +28,7 @@
     Path temporary;
     Path repository;
     boolean trouble;
+    private final AtomicBoolean ended = new AtomicBoolean();
     final List<Runner> runners = new ArrayList<>();
     final List<Node> nodes = new ArrayList<>();
 
@@ -44,13 +46,14 @@
             scenario.record = new Record(folder.resolve("record.txt"));
             scenario.record.line("trouble: %s", scenario.trouble);
             scenario.store = new Store(scenario.record);
-            Thread.ofPlatform().daemon().start(() -> scenario.stopLate());
+            Runtime.getRuntime().addShutdownHook(new Thread(scenario::close));
+            Thread.ofPlatform().daemon().start(scenario::stopLate);
             List<String> broken = scenario.play();
             broken.forEach(line -> scenario.record.line("BROKEN %s", line));
             scenario.record.line(broken.isEmpty() ? "the rule held" : "the rule was broken");
             System.out.println(broken.isEmpty() ? "held" : "broken: " + broken.getFirst());
             code = broken.isEmpty() ? 0 : 1;
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             System.out.println("not run: " + e);
             if (scenario.record != null) {
                 scenario.record.line("not run: %s", e);
@@ -74,12 +77,19 @@
         Runtime.getRuntime().halt(2);
     }
 
+    /** Ends all processes and removes the temporary folder, once. */
     private void close() {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
         nodes.forEach(Node::close);
         runners.forEach(Runner::close);
         if (store != null) {
             store.close();
         }
+        if (temporary == null) {
+            return;
+        }
         if (System.getenv("KEEP_LOGS") != null) {
             System.out.println("logs: " + temporary);
             return;
