--- a/review/standins/Node.java
+++ b/review/standins/Node.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -81,7 +82,7 @@
         int[] ports = new int[4];
         List<ServerSocket> held = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            ServerSocket socket = new ServerSocket(0);
+            ServerSocket socket = loopbackSocket(0);
             held.add(socket);
             ports[i] = socket.getLocalPort();
         }
@@ -92,12 +93,16 @@
         return ports;
     }
 
+    private static ServerSocket loopbackSocket(int port) throws IOException {
+        return new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
+    }
+
     /** Returns a free port whose successor is free too. */
     private static int freePair(List<ServerSocket> held) throws IOException {
         while (true) {
-            ServerSocket first = new ServerSocket(0);
+            ServerSocket first = loopbackSocket(0);
             try {
-                ServerSocket second = new ServerSocket(first.getLocalPort() + 1);
+                ServerSocket second = loopbackSocket(first.getLocalPort() + 1);
                 held.add(first);
                 held.add(second);
                 return first.getLocalPort();
