--- a/review/standins/Node.java
+++ b/review/standins/Node.java
@@ -7,10 +7,14 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A process of the system, started with the command of the deploy file. */
 final class Node implements AutoCloseable {
+    private static final int FIRST_PORT = 15_000;
+    private static final int LAST_PORT = 32_000;
+
     final String name;
     final int front;
     final int ready;
@@ -78,40 +82,45 @@
         return node;
     }
 
+    /** Returns free ports; the last one's successor is free too. */
     private static int[] freePorts() throws IOException {
         int[] ports = new int[4];
         List<ServerSocket> held = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            ServerSocket socket = loopbackSocket(0);
-            held.add(socket);
-            ports[i] = socket.getLocalPort();
+            ports[i] = freePorts(1, held);
         }
-        ports[3] = freePair(held);
+        ports[3] = freePorts(2, held);
         for (ServerSocket socket : held) {
             socket.close();
         }
         return ports;
     }
 
-    private static ServerSocket loopbackSocket(int port) throws IOException {
-        return new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
-    }
-
-    /** Returns a free port whose successor is free too. */
-    private static int freePair(List<ServerSocket> held) throws IOException {
+    /** Holds neighbouring free ports below those that outgoing channels take, and returns the first. */
+    private static int freePorts(int count, List<ServerSocket> held) {
         while (true) {
-            ServerSocket first = loopbackSocket(0);
+            int first = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            List<ServerSocket> sockets = new ArrayList<>();
             try {
-                ServerSocket second = loopbackSocket(first.getLocalPort() + 1);
-                held.add(first);
-                held.add(second);
-                return first.getLocalPort();
+                for (int i = 0; i < count; i++) {
+                    sockets.add(new ServerSocket(first + i, 1, InetAddress.getByName("127.0.0.1")));
+                }
+                held.addAll(sockets);
+                return first;
             } catch (IOException e) {
-                first.close();
+                sockets.forEach(Node::closeQuietly);
             }
         }
     }
 
+    private static void closeQuietly(ServerSocket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // The port is not used.
+        }
+    }
+
     /** Reads the command from the deploy file; it has no shell features. */
     private List<String> command() throws IOException {
         for (String line : Files.readAllLines(repository.resolve("deploy/system.toml"))) {
