backends: the framing of received messages is checked before a parser sees it

Cause: Undertow's reader of chunks takes each line without a hexadecimal digit for the last chunk, and skips bytes up to the end of a line. The same reader serves requests of callers: a cut request reached a runner as whole.

Ruled out: the close of the connection taken for the end (the same while it stays open), bytes pushed back (the same in one packet and in several).

Change: FramingConduit below the parsers of the client, under TLS too, and of the servers of node and router. Strict about sizes, line ends, trailers, and about heads with two lengths.

--- a/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
@@ -117,6 +117,7 @@
             fail(HttpFailure.Kind.CANCELLED, new IOException("no longer to be sent once the connection was open"));
             return;
         }
+        connection.framing().requestStarts(request.method());
         connection.clientConnection().sendRequest(toUndertowRequest(), new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
@@ -196,6 +197,10 @@
                     new IOException("X-Request-Id '" + responseId + "'; expected '" + expectedId + "'"));
             return;
         }
+        if (connection.framing().isChunked() != response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)) {
+            fail(HttpFailure.Kind.LOST, new FramingException("response head: ambiguous framing of the body"));
+            return;
+        }
         bytesReadAtLastPart = connection.bytesRead();
         responseChannel = exchange.getResponseChannel();
         responseChannel.getReadSetter().set(channel -> failOnError(() -> readBody(channel)));
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
@@ -5,7 +5,6 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.protocols.ssl.UndertowXnioSsl;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.net.URI;
@@ -18,7 +17,6 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
-import org.xnio.ssl.XnioSsl;
 
 /**
  * Blocking HTTP client with pooled connections. Every wait has a timeout. Thread-safe.
@@ -45,7 +43,7 @@
     private final XnioWorker worker;
     private final ByteBufferPool buffers;
     private final ConnectionPool pool;
-    private final Optional<XnioSsl> ssl;
+    private final Optional<CheckedSsl> ssl;
     private final ResponseHeadGuard guard = ResponseHeadGuard.start();
     private final BodyMemory bodyMemory = BodyMemory.ofHeapShare();
 
@@ -53,7 +51,7 @@
         this.options = options;
         this.worker = worker;
         this.buffers = buffers;
-        this.ssl = options.tls().map(context -> new UndertowXnioSsl(Xnio.getInstance(), OptionMap.EMPTY, context));
+        this.ssl = options.tls().map(CheckedSsl::of);
         this.pool = ConnectionPool.create(options);
     }
 
@@ -216,8 +214,9 @@
 
     private PooledConnection connect(PeerAddress target, int connectMs, String description) throws HttpFailure {
         URI uri = URI.create((ssl.isPresent() ? "https://" : "http://") + target.ip() + ":" + target.port());
+        CheckedOpening opener = CheckedOpening.on(worker.getIoThread());
         IoFuture<ClientConnection> opening =
-                UndertowClient.getInstance().connect(uri, worker, ssl.orElse(null), buffers, CONNECTION_OPTIONS);
+                UndertowClient.getInstance().connect(uri, opener, ssl.orElse(null), buffers, CONNECTION_OPTIONS);
         try {
             IoFuture.Status status = opening.awaitInterruptibly(connectMs, TimeUnit.MILLISECONDS);
             if (status == IoFuture.Status.WAITING) {
@@ -225,7 +224,7 @@
                 String message = description + ": no connection within " + connectMs + " ms";
                 throw new HttpFailure(HttpFailure.Kind.CONNECT, message, false, null);
             }
-            return PooledConnection.wrap(target, opening.get(), options.metrics());
+            return PooledConnection.wrap(target, opening.get(), opener.framing(), options.metrics());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             abandon(opening);
--- a/backends/src/main/java/io/persimmonstack/backends/http/PooledConnection.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/PooledConnection.java
@@ -15,21 +15,25 @@
 final class PooledConnection {
     private final PeerAddress target;
     private final ClientConnection connection;
+    private final ResponseFraming framing;
     private final MetricRegistry metrics;
     private final AtomicBoolean closed = new AtomicBoolean();
     private volatile XnioExecutor.Key expiryTask;
     private volatile OptionalLong peerStartedMs = OptionalLong.empty();
 
-    private PooledConnection(PeerAddress target, ClientConnection connection, MetricRegistry metrics) {
+    private PooledConnection(
+            PeerAddress target, ClientConnection connection, ResponseFraming framing, MetricRegistry metrics) {
         this.target = target;
         this.connection = connection;
+        this.framing = framing;
         this.metrics = metrics;
     }
 
     /** Wraps a new connection and counts it as opened, and later as closed. */
-    static PooledConnection wrap(PeerAddress target, ClientConnection connection, MetricRegistry metrics) {
+    static PooledConnection wrap(
+            PeerAddress target, ClientConnection connection, ResponseFraming framing, MetricRegistry metrics) {
         metrics.counter("http.connections.opened").inc();
-        PooledConnection pooled = new PooledConnection(target, connection, metrics);
+        PooledConnection pooled = new PooledConnection(target, connection, framing, metrics);
         connection.addCloseListener(channel -> pooled.recordClose(CloseCause.PEER));
         return pooled;
     }
@@ -42,6 +46,10 @@
         return connection;
     }
 
+    ResponseFraming framing() {
+        return framing;
+    }
+
     boolean isOpen() {
         return !closed.get() && connection.isOpen();
     }
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
@@ -1,13 +1,13 @@
 package io.persimmonstack.node.callers;
 
 import io.persimmonstack.backends.http.HttpHeader;
+import io.persimmonstack.backends.http.RequestFraming;
 import io.persimmonstack.node.request.RawRequest;
 import io.persimmonstack.router.callers.CallerWatch;
 import io.persimmonstack.router.callers.UndertowReply;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderValues;
-import io.undertow.util.Headers;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -65,29 +65,19 @@
             next.proceed();
         });
         exchange.getConnection().addCloseListener(closed -> onFinished.run());
-        if (hasAmbiguousLength(exchange)) {
+        if (RequestFraming.isAmbiguous(exchange)) {
             exchange.setPersistent(false);
             exchange.setStatusCode(BAD_REQUEST);
             exchange.endExchange();
             return;
         }
+        RequestFraming.checkChunks(exchange);
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (received, body) -> received.dispatch(executor, () -> serve(received, body)),
                         RequestReceiver::closeConnection);
     }
 
-    /**
-     * Returns whether the length of the body is ambiguous. Another server could then see the end of the body elsewhere
-     * and take the rest for a second request (request smuggling).
-     */
-    private static boolean hasAmbiguousLength(HttpServerExchange exchange) {
-        HeaderValues lengths = exchange.getRequestHeaders().get(Headers.CONTENT_LENGTH);
-        boolean chunked = exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING);
-        return lengths != null
-                && (chunked || lengths.size() > 1 || lengths.getFirst().indexOf(',') >= 0);
-    }
-
     private static void closeConnection(HttpServerExchange exchange, IOException e) {
         IoUtils.safeClose(exchange.getConnection());
     }
--- a/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.router.callers;
 
+import io.persimmonstack.backends.http.RequestFraming;
 import io.persimmonstack.router.CallersSettings;
 import io.persimmonstack.router.filter.IdentifyFilter;
 import io.persimmonstack.router.request.CallerGoneException;
@@ -90,6 +91,11 @@
             next.proceed();
         });
         exchange.getConnection().addCloseListener(closed -> release.run());
+        if (RequestFraming.isAmbiguous(exchange)) {
+            exchange.dispatch(executor, () -> refuseAmbiguousLength(exchange));
+            return;
+        }
+        RequestFraming.checkChunks(exchange);
         XnioExecutor.Key receiveTimeout = exchange.getIoThread()
                 .executeAfter(
                         () -> IoUtils.safeClose(exchange.getConnection()),
@@ -190,6 +196,13 @@
         reply.whole(200, List.of(new Reply.Header("Content-Type", "application/json")), document);
     }
 
+    private void refuseAmbiguousLength(HttpServerExchange exchange) {
+        exchange.setPersistent(false);
+        UndertowReply reply = UndertowReply.to(exchange, "", settings.slowCallerMs(), callerWatch);
+        String detail = "body: ambiguous length; expected Content-Length or Transfer-Encoding: chunked, once";
+        sendRefusal(reply, Refusal.notRun(RefusalCode.MALFORMED, detail));
+    }
+
     /** Refuses a body that is too large; any other failure to receive the request closes the connection. */
     private void handleReceiveFailure(HttpServerExchange exchange, IOException e) {
         UndertowReply reply = UndertowReply.to(exchange, "", settings.slowCallerMs(), callerWatch);
@@ -201,9 +214,13 @@
         }
         exchange.setPersistent(false);
         String detail = "body: more than " + settings.maxBodyBytes() + " bytes; expected at most that";
+        sendRefusal(reply, Refusal.notRun(RefusalCode.BODY_TOO_LARGE, detail));
+    }
+
+    private static void sendRefusal(UndertowReply reply, Refusal refusal) {
         try {
-            RequestHandler.sendRefusal(reply, Refusal.notRun(RefusalCode.BODY_TOO_LARGE, detail));
-        } catch (CallerGoneException callerGone) {
+            RequestHandler.sendRefusal(reply, refusal);
+        } catch (CallerGoneException e) {
             reply.abort();
         }
     }
--- a/router/src/test/java/io/persimmonstack/router/LimitsTest.java
+++ b/router/src/test/java/io/persimmonstack/router/LimitsTest.java
@@ -57,4 +57,24 @@
         RouterFixture.await(() ->
                 fixture.metrics(0).getGauges().get("requests.open").getValue().equals(0));
     }
+
+    /** Guards against requests that were cut and, by a line that is no chunk size, looked complete. */
+    @Test
+    void cutRequestInChunksIsNotHandled() throws Exception {
+        try (CallerConnection caller = CallerConnection.open(fixture.router(0))) {
+            caller.write("GET /v1/addresses HTTP/1.1\r\nHost: r\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "3\r\nabc\r\ngarbage\r\n\r\n");
+            assertEquals("", caller.readToEnd());
+        }
+    }
+
+    @Test
+    void ambiguousLengthIsRefused() throws Exception {
+        try (CallerConnection caller = CallerConnection.open(fixture.router(0))) {
+            caller.write("GET /v1/addresses HTTP/1.1\r\nHost: r\r\nContent-Length: 3\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+            String answer = caller.readToEnd();
+            assertTrue(answer.startsWith("HTTP/1.1 400"), answer);
+        }
+    }
 }
