--- a/coordination/src/main/java/io/persimmonstack/coordination/kv/KvStore.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/kv/KvStore.java
@@ -12,6 +12,8 @@
  * }
  * }</pre>
  *
+ * <p>Revisions only rise and none is given out twice, also if the service comes back from a copy and counts anew.
+ *
  * <p>Every method may throw {@link KvUnavailableException} (the call had no effect). Every write may also throw
  * {@link KvAmbiguousException} (the write may have taken effect; read the key to find out).
  */
--- a/coordination/src/main/java/io/persimmonstack/coordination/kv/LeasedKvStore.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/kv/LeasedKvStore.java
@@ -11,6 +11,16 @@
      */
     Lease grant(int ttlMs) throws KvException;
 
+    /**
+     * Returns whether the store still is the one that granted a lease, as far as it is known without asking. One that
+     * came back from a copy may have lost the lease, or have given its identifier to another process.
+     *
+     * @param lease lease that was granted earlier
+     */
+    default boolean isCurrent(Lease lease) {
+        return true;
+    }
+
     /**
      * Renews a lease.
      *
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -55,6 +55,10 @@
     NOTICE_UNREADABLE(6023, Level.WARN, "notice-unreadable runner={} value={}"),
     /** A value of this node could not be written to the store; the write is repeated. */
     VALUE_NOT_STORED(6024, Level.WARN, "value-not-stored key={} bytes={} cause={}"),
+    /** The store came back from a copy: what was written to it since then is lost, leases too. */
+    STORE_ERA_CHANGED(6025, Level.WARN, "store-era-changed era={} before={}"),
+    /** An answer of the store tells no usable era; no decision rests on it. One line for each process. */
+    STORE_ERA_UNUSABLE(6026, Level.WARN, "store-era-unusable value={} known={}"),
     /** A request was answered by a runner. */
     SERVED(
             6101,
--- a/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
@@ -110,8 +110,8 @@
     private void applyEntry(KvEntry entry) {
         String id = id(entry.key());
         try {
-            Runner runner = decoder.runner(id, entry.value());
             Runner before = runners.entries().get(id);
+            Runner runner = carryLeaving(before, decoder.runner(id, entry.value()));
             boolean fromEarlierProcess = before != null && before.startedMs() > runner.startedMs();
             boolean changed = !fromEarlierProcess && runners.put(id, runner);
             if (changed && !differsOnlyInModels(before, runner)) {
@@ -134,6 +134,12 @@
         }
     }
 
+    /** A process that leaves does not stay after all: an entry that says otherwise is from a copy of the store. */
+    private static Runner carryLeaving(Runner before, Runner now) {
+        boolean left = before != null && before.leaving() && before.isSameProcess(now);
+        return left ? now.asLeaving() : now;
+    }
+
     /**
      * Returns whether two entries of a process differ at most in models and other details that need no log line.
      * Models change often, and the leader's reports about them are newer than the entry.
--- a/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
@@ -46,10 +46,11 @@
     private volatile long leaseValidUntilNanos;
     private volatile OptionalLong term = OptionalLong.empty();
     private volatile boolean closing;
-    private Optional<Lease> lease = Optional.empty();
+    private volatile Optional<Lease> lease = Optional.empty();
     private long lastRenewalNanos;
     private long lastListedNanos;
     private boolean ownTermObserved;
+    private long candidacyNotBeforeNanos = System.nanoTime();
 
     private StoreSession(LeasedKvStore store, FleetView fleet, Peer self, BooleanSupplier canServe) {
         this.store = store;
@@ -75,7 +76,8 @@
     /** Returns the term in which this node leads, empty if it does not lead or its lease may have expired. */
     public OptionalLong leadTerm() {
         boolean valid = leaseValidUntilNanos - System.nanoTime() > 0;
-        return valid && !closing ? term : OptionalLong.empty();
+        boolean current = lease.filter(store::isCurrent).isPresent();
+        return valid && current && !closing ? term : OptionalLong.empty();
     }
 
     /** Returns whether the node has registered, so that other nodes and callers can find it. */
@@ -108,6 +110,9 @@
 
     private void runOnce() throws InterruptedException {
         try {
+            if (lease.isPresent() && !store.isCurrent(lease.get())) {
+                storeRestored();
+            }
             if (lease.isEmpty()) {
                 acquireLease();
             } else if (sinceRenewalMs() >= RENEW_INTERVAL_MS) {
@@ -121,7 +126,7 @@
                 maintainLeadership(lease.get());
             }
         } catch (KvLeaseEndedException e) {
-            leaseEnded();
+            leaseEnded("lease ended");
         } catch (KvException e) {
             TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
         } catch (RuntimeException e) {
@@ -130,10 +135,22 @@
         }
     }
 
-    private void leaseEnded() {
+    private void leaseEnded(String cause) {
         lease = Optional.empty();
         registered = false;
-        stepDown("lease ended");
+        stepDown(cause);
+    }
+
+    /**
+     * Gives up a lease of a store that has come back from a copy. The leader of before may not have heard of that yet,
+     * so only that leader itself stands for election before its lease has ended for certain.
+     */
+    private void storeRestored() {
+        boolean led = term.isPresent() && leaseValidUntilNanos - System.nanoTime() > 0;
+        if (!led) {
+            candidacyNotBeforeNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LEASE_TTL_MS);
+        }
+        leaseEnded("the store came back from a copy");
     }
 
     private long sinceRenewalMs() {
@@ -153,7 +170,7 @@
             recordRenewal(activeLease, sentNanos);
             return;
         }
-        leaseEnded();
+        leaseEnded("lease ended");
     }
 
     private void recordRenewal(Lease activeLease, long sentNanos) {
@@ -208,7 +225,7 @@
         }
         boolean listedAsLeader =
                 leader.filter(other -> other.node().equals(self.node())).isPresent();
-        if (leader.isEmpty() && state.isInitialised()) {
+        if (leader.isEmpty() && state.isInitialised() && System.nanoTime() - candidacyNotBeforeNanos >= 0) {
             TimeUnit.MILLISECONDS.sleep(ThreadLocalRandom.current().nextInt(ELECTION_JITTER_MS));
             if (fleet.current().leader().isEmpty()) {
                 recordElection(writeRecord(NodeKeys.LEADER, activeLease, Expectation.absent()));
--- a/node/src/main/java/io/persimmonstack/node/streams/OriginPublisher.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/OriginPublisher.java
@@ -83,7 +83,7 @@
 
     /**
      * Takes the records in the store. Carries on the streams of this node's process before, and writes the record again
-     * if the store has lost it.
+     * if the store has lost it, or has an earlier one.
      *
      * @param records records by name of their node
      * @param nowNanos monotonic time
@@ -94,7 +94,8 @@
         if (first) {
             records.getOrDefault(node, List.of()).forEach(version -> carryOn(version, nowNanos));
         }
-        if (first || !records.containsKey(node)) {
+        boolean outdated = !Set.copyOf(records.getOrDefault(node, List.of())).equals(Set.copyOf(current(nowNanos)));
+        if (first || !records.containsKey(node) || outdated) {
             onChange.run();
         }
     }
@@ -115,10 +116,15 @@
 
     /** Returns the record, empty until the one of the process before has been read or while no version is known. */
     synchronized Optional<byte[]> record(long nowNanos) {
-        entries.values().removeIf(entry -> !mayBeResumed(entry, nowNanos));
         if (!ownRecordRead || versions.isEmpty()) {
             return Optional.empty();
         }
+        return Optional.of(StreamRecordCodec.encode(current(nowNanos)));
+    }
+
+    /** Returns the versions that serve, and the streams that may be resumed where a service has several of them. */
+    private List<VersionStreams> current(long nowNanos) {
+        entries.values().removeIf(entry -> !mayBeResumed(entry, nowNanos));
         Map<StreamOrigin, List<Long>> streams = new HashMap<>();
         versions.forEach(version -> streams.put(version, new ArrayList<>()));
         entries.forEach((key, entry) -> {
@@ -129,7 +135,7 @@
         });
         List<VersionStreams> records = new ArrayList<>();
         streams.forEach((origin, keys) -> records.add(new VersionStreams(origin, keys)));
-        return Optional.of(StreamRecordCodec.encode(records));
+        return records;
     }
 
     private static boolean mayBeResumed(Entry entry, long nowNanos) {
--- a/node/src/test/java/io/persimmonstack/node/store/RunnerFollowerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/store/RunnerFollowerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.persimmonstack.coordination.kv.KvChange;
 import io.persimmonstack.coordination.kv.KvEntry;
@@ -106,4 +107,14 @@
         follower.onSnapshot(new KvRange(List.of(entry("e1", "")), revision));
         assertEquals(Set.of(), runners());
     }
+
+    /** Guards against requests to a leaving runner after the store came back from a copy in which it still served. */
+    @Test
+    void runnerThatLeavesIsNotTakenBackByAnOlderCopyOfItsEntry() {
+        follower.onSnapshot(range(entry("e1", "v1")));
+        write("e1", "v1" + LEAVING);
+        follower.onUnavailable();
+        follower.onSnapshot(range(entry("e1", "v1")));
+        assertTrue(fleet.current().runners().get("e1").leaving());
+    }
 }
--- a/node/src/test/java/io/persimmonstack/node/store/StoreWithLeases.java
+++ b/node/src/test/java/io/persimmonstack/node/store/StoreWithLeases.java
@@ -20,6 +20,7 @@
     private final AtomicInteger granted = new AtomicInteger();
     private final AtomicInteger renewals = new AtomicInteger();
     private volatile int lastEnded;
+    private volatile int lastBeforeRestore;
 
     StoreWithLeases(InMemoryKvStore entries) {
         this.entries = entries;
@@ -40,6 +41,16 @@
         lastEnded = granted.get();
     }
 
+    /** Has the store come back from a copy, so that the leases that have been granted are of the store before. */
+    void restore() {
+        lastBeforeRestore = granted.get();
+    }
+
+    @Override
+    public boolean isCurrent(Lease lease) {
+        return lease.id() > lastBeforeRestore;
+    }
+
     @Override
     public Lease grant(int ttlMs) {
         return new Lease(granted.incrementAndGet(), ttlMs);
