--- a/backends/src/main/java/io/persimmonstack/backends/http/BodyLimit.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/BodyLimit.java
@@ -5,7 +5,7 @@
 /** Limits of time and memory for one body that is read as a whole. Not thread-safe. */
 final class BodyLimit implements AutoCloseable {
     /** Size up to which a body needs no shared memory. */
-    private static final int SMALL_BODY_BYTES = 32 * 1024;
+    private static final int SMALL_BODY_BYTES = 8 * 1024;
     /** Copies of a body that exist at a time: its parts, and the array to which they are joined. */
     private static final int COPIES = 2;
 
--- a/backends/src/main/java/io/persimmonstack/backends/http/BodyMemory.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/BodyMemory.java
@@ -6,10 +6,7 @@
  * Memory that the large bodies of concurrent calls share, so that several endless bodies together cannot fill the heap.
  * Small bodies need none of it. Thread-safe.
  */
-public final class BodyMemory {
-    /** Share of the heap that large bodies may take. */
-    private static final double HEAP_SHARE = 0.25;
-
+final class BodyMemory {
     private final AtomicLong freeBytes;
 
     private BodyMemory(long bytes) {
@@ -17,17 +14,12 @@
     }
 
     /** Returns a memory of the given size, in bytes. */
-    public static BodyMemory ofBytes(long bytes) {
+    static BodyMemory ofBytes(long bytes) {
         return new BodyMemory(bytes);
     }
 
-    /** Returns a memory of a share of this process's heap. */
-    static BodyMemory ofHeapShare() {
-        return ofBytes((long) (HEAP_SHARE * Runtime.getRuntime().maxMemory()));
-    }
-
     /** Returns a memory that is never used up. */
-    public static BodyMemory unlimited() {
+    static BodyMemory unlimited() {
         return ofBytes(Long.MAX_VALUE / 2);
     }
 
--- a/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
@@ -18,7 +18,7 @@
  * received data to the reading thread.
  */
 final class ExchangeDriver {
-    private static final int MAX_HEAD_BYTES = 64 * 1024;
+    private static final int MAX_HEAD_BYTES = 16 * 1024;
     /** Most bytes between two parts of a body that belong to neither: chunk sizes, their extensions and trailers. */
     private static final int MAX_FRAMING_BYTES = 64 * 1024;
 
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
@@ -40,6 +40,7 @@
     private final ExchangeDriver driver;
     private final ResponseBuffer buffer;
     private final HttpTimeouts timeouts;
+    private final BodyMemory memory;
     private volatile SilenceWatcher watcher;
     private volatile int progressMs;
     private final AtomicBoolean connectionReleased = new AtomicBoolean();
@@ -54,12 +55,14 @@
             ExchangeDriver driver,
             ResponseBuffer buffer,
             HttpTimeouts timeouts,
+            BodyMemory memory,
             SilenceWatcher watcher) {
         this.connection = connection;
         this.owner = owner;
         this.driver = driver;
         this.buffer = buffer;
         this.timeouts = timeouts;
+        this.memory = memory;
         this.watcher = watcher;
         this.progressMs = timeouts.progressMs();
         this.body = new BodyStream(this);
@@ -73,11 +76,12 @@
             HttpTimeouts timeouts,
             SilenceWatcher watcher,
             int maxBufferedBytes,
+            BodyMemory memory,
             ResponseHeadGuard guard)
             throws HttpFailure {
         ResponseBuffer buffer = ResponseBuffer.ofCapacity(maxBufferedBytes);
         ExchangeDriver driver = ExchangeDriver.of(connection, request, buffer);
-        HttpCall call = new HttpCall(connection, owner, driver, buffer, timeouts, watcher);
+        HttpCall call = new HttpCall(connection, owner, driver, buffer, timeouts, memory, watcher);
         guard.add(driver);
         try {
             driver.start();
@@ -125,25 +129,29 @@
      *
      * @param maxBytes largest body that is accepted, in bytes
      * @return the body
-     * @throws HttpFailure if the body is larger or did not arrive completely
+     * @throws HttpFailure if the body is larger, finds no memory or did not arrive completely
      */
     public byte[] readAll(int maxBytes) throws HttpFailure {
         long timeoutMs = (long) PROGRESS_TIMEOUTS_PER_BODY * timeouts.progressMs();
-        return readAll(maxBytes, (int) Math.min(Integer.MAX_VALUE, timeoutMs), BodyMemory.unlimited());
+        return readAll(maxBytes, (int) Math.min(Integer.MAX_VALUE, timeoutMs));
     }
 
     /**
-     * Reads the rest of the body.
+     * Reads the rest of the body. A large one takes memory that all calls of the connector share, until the call is
+     * closed.
      *
      * @param maxBytes largest body that is accepted, in bytes
      * @param timeoutMs longest time until the end of the body, in milliseconds, even if parts of it keep arriving
-     * @param memory memory that a large body takes until the call is closed
      * @return the body
      * @throws HttpFailure if the body is larger, finds no memory or did not arrive completely
      */
-    public byte[] readAll(int maxBytes, int timeoutMs, BodyMemory memory) throws HttpFailure {
+    public byte[] readAll(int maxBytes, int timeoutMs) throws HttpFailure {
+        return readAll(maxBytes, timeoutMs, memory);
+    }
+
+    byte[] readAll(int maxBytes, int timeoutMs, BodyMemory bodyMemory) throws HttpFailure {
         bodyLimit.ifPresent(BodyLimit::close);
-        bodyLimit = Optional.of(BodyLimit.of(timeoutMs, memory));
+        bodyLimit = Optional.of(BodyLimit.of(timeoutMs, bodyMemory));
         try {
             byte[] content = body.readNBytes(maxBytes);
             if (body.read() >= 0) {
--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
@@ -45,7 +45,7 @@
     private final ConnectionPool pool;
     private final Optional<CheckedSsl> ssl;
     private final ResponseHeadGuard guard = ResponseHeadGuard.start();
-    private final BodyMemory bodyMemory = BodyMemory.ofHeapShare();
+    private final BodyMemory bodyMemory;
 
     private HttpConnector(HttpConnectorOptions options, XnioWorker worker, ByteBufferPool buffers) {
         this.options = options;
@@ -53,6 +53,7 @@
         this.buffers = buffers;
         this.ssl = options.tls().map(CheckedSsl::of);
         this.pool = ConnectionPool.create(options);
+        this.bodyMemory = BodyMemory.ofBytes(options.bodyMemoryBytes());
     }
 
     /** Returns a connector with its own I/O threads, to be closed after use. */
@@ -173,11 +174,6 @@
         return openCall(opened, request, timeouts, watcher);
     }
 
-    /** Returns the memory for large bodies that calls may share, see {@link HttpCall#readAll(int, int, BodyMemory)}. */
-    public BodyMemory bodyMemory() {
-        return bodyMemory;
-    }
-
     HttpCall openCall(PooledConnection connection, HttpRequest request, HttpTimeouts timeouts, SilenceWatcher watcher)
             throws HttpFailure {
         return openCall(connection, request, timeouts, watcher, pool);
@@ -190,7 +186,8 @@
             SilenceWatcher watcher,
             ConnectionOwner owner)
             throws HttpFailure {
-        return HttpCall.open(connection, owner, request, timeouts, watcher, options.maxBufferedBytes(), guard);
+        return HttpCall.open(
+                connection, owner, request, timeouts, watcher, options.maxBufferedBytes(), bodyMemory, guard);
     }
 
     /**
--- a/backends/src/test/java/io/persimmonstack/backends/http/EndlessResponseTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/http/EndlessResponseTest.java
@@ -270,4 +270,22 @@
             return new String(call.readAll(MAX_BYTES), StandardCharsets.UTF_8);
         }
     }
+
+    /** Guards against a heap that calls without a memory of their own fill together, such as status requests. */
+    @Test
+    void allCallsOfAConnectorShareItsMemory() throws Exception {
+        HttpConnectorOptions options = HttpConnectorOptions.defaults().withBodyMemoryBytes(3L * MAX_BYTES);
+        try (HttpConnector small = HttpConnector.create(options);
+                ScriptedServer server = ScriptedServer.start((connection, number) -> {
+                    connection.readRequest();
+                    connection.respond("y".repeat(MAX_BYTES));
+                    connection.awaitClose();
+                });
+                HttpCall first = small.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS);
+                HttpCall second = small.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS)) {
+            assertEquals(MAX_BYTES, first.readAll(MAX_BYTES).length);
+            HttpFailure failure = assertThrows(HttpFailure.class, () -> second.readAll(MAX_BYTES));
+            assertEquals(HttpFailure.Kind.TOO_LARGE, failure.kind(), failure.getMessage());
+        }
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -1,6 +1,5 @@
 package io.persimmonstack.node.sending;
 
-import io.persimmonstack.backends.http.BodyMemory;
 import io.persimmonstack.backends.http.HttpCall;
 import io.persimmonstack.backends.http.HttpConnector;
 import io.persimmonstack.backends.http.HttpFailure;
@@ -221,7 +220,7 @@
         refused = true;
         int status = call.status();
         try {
-            call.readAll(MAX_REFUSAL_BYTES, REFUSAL_BODY_TIMEOUT_MS, BodyMemory.unlimited());
+            call.readAll(MAX_REFUSAL_BYTES, REFUSAL_BODY_TIMEOUT_MS);
         } catch (HttpFailure e) {
             return new Outcome.NotRun(cause, runner().id() + ": status " + status + ", body lost: " + e.getMessage());
         }
@@ -230,7 +229,7 @@
 
     private Outcome deliverWhole(HttpCall call) throws HttpFailure, CallerGoneException {
         int waitMs = (int) Math.clamp(request.remainingMs(System.nanoTime()), 1, Integer.MAX_VALUE);
-        byte[] body = call.readAll(MAX_ANSWER_BYTES, waitMs, connector.bodyMemory());
+        byte[] body = call.readAll(MAX_ANSWER_BYTES, waitMs);
         WholeAnswer answer = new WholeAnswer(call.status(), HopByHopHeaders.toReplyHeaders(call.headers()), body);
         if (call.status() >= MIN_SERVER_ERROR_STATUS) {
             return new Outcome.RanWithError(answer);
--- a/router/src/test/java/io/persimmonstack/router/RouterBenchmark.java
+++ b/router/src/test/java/io/persimmonstack/router/RouterBenchmark.java
@@ -100,8 +100,8 @@
     private static void measure(Path directory, String... selectedCases) throws Exception {
         PeerAddress target = PeerAddress.parse(awaitFile(directory.resolve("target")));
         String[] router = awaitFile(directory.resolve("router")).split(" ");
-        HttpConnectorOptions options =
-                new HttpConnectorOptions(2, 2_000, 60_000, 64 << 10, new MetricRegistry(), java.util.Optional.empty());
+        HttpConnectorOptions options = new HttpConnectorOptions(
+                2, 2_000, 60_000, 64 << 10, 64 << 20, new MetricRegistry(), java.util.Optional.empty());
         try (HttpConnector connector = HttpConnector.create(options)) {
             RouterBenchmark benchmark =
                     new RouterBenchmark(connector, target, PeerAddress.parse(router[0]), PeerAddress.parse(router[1]));
