node: requests that a stop would cut are answered before the process ends

What callers saw: a request that a stopping node had accepted and passed on got no byte of an answer if its runner needed longer than the grace period, also one that may not be repeated.

Cause: any request is accepted in the first 3 s of a drain, whatever its time limit, and at the end the listeners were closed with requests open.

Change: 0.2 s before the drain ends, requests whose answer has not begun are interrupted and refused: 502 if they were sent, 503 if not.

Evidence: DrainEndTest.requestThatCannotBeAnsweredBeforeTheEndIsToldSo failed before (no byte received) and passes; the three repetitions of the other case pass.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -70,6 +70,8 @@
     private static final long MIN_DRAIN_MS = 3_200;
     /** Part of the grace period that is reserved for closing and for the exit of the process. */
     private static final long EXIT_MARGIN_MS = 400;
+    /** Time before the end of the drain in which requests without an answer are refused. */
+    private static final long LAST_ANSWERS_MS = 200;
 
     private final NodeOptions options;
     private final Closer closer;
@@ -264,16 +266,23 @@
         drainState.start(stopStartedNanos);
         session.close();
         long maxDrainMs = options.graceMs() - EXIT_MARGIN_MS;
-        while (elapsedMs(stopStartedNanos) < maxDrainMs
+        while (elapsedMs(stopStartedNanos) < maxDrainMs - LAST_ANSWERS_MS
                 && (elapsedMs(stopStartedNanos) < MIN_DRAIN_MS || receiver.openRequests() > 0)) {
             placer.refuseQueuedUnless(request -> drainState.accepts(request, System.nanoTime()));
             TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MS);
         }
         drainState.startClosing();
-        while (elapsedMs(stopStartedNanos) < maxDrainMs && receiver.openRequests() > 0) {
+        awaitNoOpenRequests(stopStartedNanos, maxDrainMs - LAST_ANSWERS_MS);
+        drainState.startEnding();
+        receiver.interruptUnanswered();
+        awaitNoOpenRequests(stopStartedNanos, maxDrainMs);
+        LOG.write(NodeEvent.LEFT, options.name(), receiver.openRequests());
+    }
+
+    private void awaitNoOpenRequests(long startNanos, long untilMs) throws InterruptedException {
+        while (elapsedMs(startNanos) < untilMs && receiver.openRequests() > 0) {
             TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MS);
         }
-        LOG.write(NodeEvent.LEFT, options.name(), receiver.openRequests());
     }
 
     private static long elapsedMs(long sinceNanos) {
--- a/node/src/main/java/io/persimmonstack/node/callers/DrainState.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/DrainState.java
@@ -20,6 +20,7 @@
     private volatile long startedNanos;
     private volatile boolean draining;
     private volatile boolean closing;
+    private volatile boolean ending;
 
     private DrainState(long graceMs) {
         this.graceMs = graceMs;
@@ -45,6 +46,16 @@
         closing = true;
     }
 
+    /** Reports that the process is about to end, whatever is still open. */
+    public void startEnding() {
+        ending = true;
+    }
+
+    /** Returns whether the process is about to end. */
+    public boolean isEnding() {
+        return ending;
+    }
+
     /** Returns whether the drain has started. */
     public boolean isDraining() {
         return draining;
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
@@ -11,6 +11,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -28,6 +30,7 @@
     private final BooleanSupplier draining;
     private final CallerWatch callerWatch = CallerWatch.start();
     private final AtomicInteger openRequests = new AtomicInteger();
+    private final Map<Thread, UndertowReply> serving = new ConcurrentHashMap<>();
 
     private RequestReceiver(RequestServer server, ExecutorService executor, BooleanSupplier draining) {
         this.server = server;
@@ -51,6 +54,15 @@
         return openRequests.get();
     }
 
+    /** Interrupts the requests whose answer has not begun, so that each of them gets a refusal. */
+    public void interruptUnanswered() {
+        serving.forEach((thread, reply) -> {
+            if (!reply.begun()) {
+                thread.interrupt();
+            }
+        });
+    }
+
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         openRequests.incrementAndGet();
@@ -91,7 +103,12 @@
         }
         Thread thread = Thread.currentThread();
         reply.onCallerGone(thread::interrupt);
-        server.serve(toRawRequest(exchange, body), receivedNanos, reply);
+        serving.put(thread, reply);
+        try {
+            server.serve(toRawRequest(exchange, body), receivedNanos, reply);
+        } finally {
+            serving.remove(thread);
+        }
     }
 
     private static RawRequest toRawRequest(HttpServerExchange exchange, byte[] body) {
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -98,6 +98,10 @@
         } catch (RefusedException e) {
             refuse(summary, e.refusal(), reply);
         } catch (CallerGoneException e) {
+            if (drainState.isEnding() && !reply.begun()) {
+                refuseAtEnd(summary, reply);
+                return;
+            }
             reply.abort();
             metrics.recordCallerLeft();
             LOG.write(
@@ -115,6 +119,17 @@
         }
     }
 
+    /** Answers a request that was interrupted since the process ends. */
+    private void refuseAtEnd(RequestSummary summary, Reply reply) {
+        // The interrupt has served its purpose, and would keep the answer from being written.
+        Thread.interrupted();
+        String detail = "this node ends before the answer";
+        refuse(
+                summary,
+                summary.sends.count() == 0 ? Refusal.notRun("leaving", detail, 0) : Refusal.outcomeUnknown(detail),
+                reply);
+    }
+
     /** Returns the answer to a request that cannot be served because of an unexpected error. */
     private static Refusal refusalAfterError(RequestSummary summary) {
         String detail = "unexpected error";
