node: the store confirms the only software version before a stream of unknown origin goes on

What callers saw: text of two software versions in one stream, where it was taken up at a node that had been cut off or had stood still while the second version joined, and the node that began it was lost.

Cause: certainVersion takes the node's picture of the runners for complete for 10 s after the store's last answer, and a frozen process does not count the time that passes.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -31,6 +31,7 @@
 import io.persimmonstack.node.streams.ResumptionResolver;
 import io.persimmonstack.node.streams.SharedOrigins;
 import io.persimmonstack.node.streams.StoredStreams;
+import io.persimmonstack.node.streams.StoredVersions;
 import io.persimmonstack.router.crash.CrashReportMessages;
 import io.persimmonstack.router.crash.CrashReportSender;
 import io.persimmonstack.runtime.Closer;
@@ -110,7 +111,9 @@
                 origins,
                 ports.processCheck(),
                 prompts);
-        ResumptionResolver resumptions = ResumptionResolver.of(origins, streams.versions());
+        StoredVersions currentVersions =
+                StoredVersions.of(ports.store(), options.runnersPrefix(), ports.runnerDecoder());
+        ResumptionResolver resumptions = ResumptionResolver.of(origins, streams.versions(), currentVersions);
         RequestServer server = RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, drainState, resumptions);
         this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
         AtomicReference<Optional<byte[]>> lastReport = new AtomicReference<>(Optional.empty());
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -59,6 +59,8 @@
     STORE_ERA_CHANGED(6025, Level.WARN, "store-era-changed era={} before={}"),
     /** An answer of the store tells no usable era; no decision rests on it. One line for each process. */
     STORE_ERA_UNUSABLE(6026, Level.WARN, "store-era-unusable value={} known={}"),
+    /** The software versions could not be read from the store, so that a stream of unknown origin is refused. */
+    VERSIONS_NOT_READ(6027, Level.WARN, "versions-not-read cause={}"),
     /** A request was answered by a runner. */
     SERVED(
             6101,
--- a/node/src/main/java/io/persimmonstack/node/streams/ResumptionResolver.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/ResumptionResolver.java
@@ -9,6 +9,7 @@
 import io.persimmonstack.router.request.Jitter;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Finds out where a stream began that a caller resumes, and refuses what cannot be told. */
 public final class ResumptionResolver {
@@ -19,20 +20,24 @@
 
     private final OriginDirectory origins;
     private final RecentVersions versions;
+    private final CurrentVersions currentVersions;
 
-    private ResumptionResolver(OriginDirectory origins, RecentVersions versions) {
+    private ResumptionResolver(OriginDirectory origins, RecentVersions versions, CurrentVersions currentVersions) {
         this.origins = origins;
         this.versions = versions;
+        this.currentVersions = currentVersions;
     }
 
     /**
      * Returns a resolver.
      *
      * @param origins origins of the streams of all nodes
-     * @param versions software versions that the services have, or had lately
+     * @param versions software versions that the services have, or had lately, as this node knows them
+     * @param currentVersions the same as the store knows them
      */
-    public static ResumptionResolver of(OriginDirectory origins, RecentVersions versions) {
-        return new ResumptionResolver(origins, versions);
+    public static ResumptionResolver of(
+            OriginDirectory origins, RecentVersions versions, CurrentVersions currentVersions) {
+        return new ResumptionResolver(origins, versions, currentVersions);
     }
 
     /**
@@ -68,9 +73,7 @@
     /** Returns the origin of the stream of a named request: as it was kept, or the only one that it can have. */
     private StreamOrigin find(String request, Route route) throws RefusedException, InterruptedException {
         OriginDirectory.Search search = origins.search(request);
-        Optional<StreamOrigin> origin = search.origin()
-                .or(() -> onlyService(route)
-                        .flatMap(service -> origin(service, versions.certainVersion(service, nowNanos()))));
+        Optional<StreamOrigin> origin = search.origin().isPresent() ? search.origin() : onlyOrigin(route);
         if (origin.isPresent()) {
             return origin.get();
         }
@@ -81,6 +84,23 @@
                         : Refusal.notRun("stream-unknown", detail, RETRY_AFTER_MS));
     }
 
+    /**
+     * Returns the only origin that a stream of a route can have. What this node does not know may exist nevertheless if
+     * it was cut off or stood still: so the store has to confirm it after the request came in.
+     */
+    private Optional<StreamOrigin> onlyOrigin(Route route) throws InterruptedException {
+        Optional<StreamOrigin> only =
+                onlyService(route).flatMap(service -> origin(service, versions.certainVersion(service, nowNanos())));
+        if (only.isEmpty()) {
+            return only;
+        }
+        Optional<Set<StreamOrigin>> current = currentVersions.read();
+        boolean confirmed = current.stream()
+                .flatMap(Set::stream)
+                .allMatch(origin -> !origin.service().equals(only.get().service()) || origin.equals(only.get()));
+        return current.isPresent() && confirmed ? only : Optional.empty();
+    }
+
     private static long nowNanos() {
         return System.nanoTime();
     }
--- a/node/src/test/java/io/persimmonstack/node/streams/ResumptionResolverTest.java
+++ b/node/src/test/java/io/persimmonstack/node/streams/ResumptionResolverTest.java
@@ -26,8 +26,9 @@
     private static final StreamOrigin BEGUN = new StreamOrigin("s1", "v1");
     private static final Optional<String> UNNAMED = Optional.empty();
     private final RecentVersions versions = RecentVersions.create();
+    private Optional<Set<StreamOrigin>> stored = Optional.of(Set.of(BEGUN));
     private final ResumptionResolver resolver =
-            ResumptionResolver.of(new KnownOrigins(Map.of("first", BEGUN)), versions);
+            ResumptionResolver.of(new KnownOrigins(Map.of("first", BEGUN)), versions, () -> stored);
 
     /** Directory that knows the given origins only. */
     private record KnownOrigins(Map<String, StreamOrigin> origins) implements OriginDirectory {
@@ -165,4 +166,41 @@
         versions.observe(List.of(runner("s1", "v2")), wentNanos);
         assertEquals(Optional.empty(), versions.onlyVersion("s1", wentNanos + 1));
     }
+
+    /** Has this node know one version for certain, as long as its picture of the runners is taken for complete. */
+    private void knowOneVersion() {
+        long now = System.nanoTime();
+        versions.startWith(List.of(BEGUN), now);
+        versions.observe(List.of(runner("s1", "v1")), now);
+        versions.recordCompleteUpTo(now);
+    }
+
+    @Test
+    void streamThatNoNodeKnowsGoesOnAtTheOnlyVersionOfTheStore() throws Exception {
+        knowOneVersion();
+        stored = Optional.of(Set.of(BEGUN, new StreamOrigin("s2", "v9")));
+        assertEquals(Optional.of(BEGUN), resolver.resolve(resuming(Optional.of("unknown")), streamRoute("s1")));
+    }
+
+    /**
+     * Failure: a node that had been cut off or had stood still did not know of a version that had joined meanwhile, and
+     * let streams of that version go on at the other one.
+     */
+    @Test
+    void streamIsRefusedIfTheStoreKnowsAVersionThatThisNodeMissed() {
+        knowOneVersion();
+        stored = Optional.of(Set.of(BEGUN, new StreamOrigin("s1", "v2")));
+        Refusal refusal = refusal(resuming(Optional.of("unknown")), streamRoute("s1"));
+        assertEquals("stream-unknown", refusal.reason());
+        assertEquals(503, refusal.status());
+    }
+
+    @Test
+    void streamIsRefusedIfTheStoreDoesNotAnswer() {
+        knowOneVersion();
+        stored = Optional.empty();
+        assertEquals(
+                "stream-unknown",
+                refusal(resuming(Optional.of("unknown")), streamRoute("s1")).reason());
+    }
 }
