wire: one timeout closes all idle connections to the peer

A call timed out, its connection was closed, and the next call took another silent one from the pool: up to eight timeouts in a row for each peer. The HTTP client already closes all idle connections to a target after one timeout; the links between processes did not.

Evidence: ThriftPeersTest.oneTimeoutClosesAllConnectionsThatMayBeSilent failed before (second call timed out as well) and passes.

--- a/wire/src/main/java/io/persimmonstack/wire/ThriftPeers.java
+++ b/wire/src/main/java/io/persimmonstack/wire/ThriftPeers.java
@@ -119,12 +119,26 @@
             reusable = true;
             throw WireException.refused(address + " refused: " + e.getReason(), e, e.getCode());
         } catch (TException e) {
+            closeIfSilent(address, e);
             throw WireException.unknown(address + ": no answer: " + e.getMessage(), e);
         } finally {
             release(address, connection, reusable);
         }
     }
 
+    /** Closes the idle connections to a peer after a timeout, since they may have fallen silent with this one. */
+    private void closeIfSilent(PeerAddress address, TException failure) {
+        boolean timedOut = failure instanceof TTransportException transport
+                && transport.getType() == TTransportException.TIMED_OUT;
+        Deque<Connection<C>> pool = idleConnections.get(address);
+        if (!timedOut || pool == null) {
+            return;
+        }
+        for (Connection<C> idle = pool.pollFirst(); idle != null; idle = pool.pollFirst()) {
+            idle.transport().close();
+        }
+    }
+
     /** Returns a pooled connection to a peer, or a new one where none is open and recently used. */
     private Connection<C> borrow(PeerAddress address) throws WireException {
         Deque<Connection<C>> pool = idleConnections.computeIfAbsent(address, ignored -> new ConcurrentLinkedDeque<>());
--- a/wire/src/test/java/io/persimmonstack/wire/ThriftPeersTest.java
+++ b/wire/src/test/java/io/persimmonstack/wire/ThriftPeersTest.java
@@ -11,6 +11,12 @@
 import io.persimmonstack.wire.gen.WireRefusal;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class ThriftPeersTest {
@@ -101,4 +107,60 @@
     private static ThriftPeers<RouterPeer.Client> peers() {
         return ThriftPeers.of(new RouterPeer.Client.Factory(), 500);
     }
+
+    /** Answers claims, but none on the connections that it has served before it falls silent. */
+    private static final class SilentHandler implements RouterPeer.Iface {
+        private static final int CONNECTIONS = 3;
+        private final Set<Thread> connections = ConcurrentHashMap.newKeySet();
+        private final CountDownLatch allConnected = new CountDownLatch(CONNECTIONS);
+        private volatile boolean silent;
+
+        @Override
+        public ClaimAnswer claim(ClaimRecord claim, int waitMs, Map<String, String> trace) {
+            if (silent && connections.contains(Thread.currentThread())) {
+                DelayedHandler.sleep(TIMEOUT_MS);
+            } else if (!silent) {
+                connections.add(Thread.currentThread());
+                allConnected.countDown();
+                awaitAllConnected();
+            }
+            return new ClaimAnswer(ClaimResult.CLAIMED);
+        }
+
+        private void awaitAllConnected() {
+            try {
+                allConnected.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        @Override
+        public void settle(ClaimRecord outcome, Map<String, String> trace) {}
+
+        @Override
+        public void keepCrashReports(List<CrashReportRecord> reports) {}
+    }
+
+    /** Guards against one timeout after another where all open connections to a peer have fallen silent at once. */
+    @Test
+    void oneTimeoutClosesAllConnectionsThatMayBeSilent() throws Exception {
+        SilentHandler handler = new SilentHandler();
+        try (ThriftServer server =
+                        ThriftServer.start(new PeerAddress("127.0.0.1", 0), new RouterPeer.Processor<>(handler));
+                ThriftPeers<RouterPeer.Client> peers = peers()) {
+            PeerAddress address = new PeerAddress("127.0.0.1", server.port());
+            ThriftPeers.Call<RouterPeer.Client, ClaimAnswer> claim = client -> client.claim(CLAIM, 10, Map.of());
+            try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+                for (int i = 0; i < SilentHandler.CONNECTIONS; i++) {
+                    callers.submit(() -> peers.call(address, TIMEOUT_MS, claim));
+                }
+            }
+            handler.silent = true;
+            assertThrows(WireException.class, () -> peers.call(address, 50, claim));
+            assertEquals(
+                    ClaimResult.CLAIMED,
+                    peers.call(address, TIMEOUT_MS / 2, claim).getResult());
+        }
+    }
 }
