platform: a lease carries its era beside its identifier

Cause: identifiers of leases were joined with the era into one number as revisions are, and refused from 2^40 on. The store's are random, up to 2^48, so that a node took leases until one was small enough. The failure was swallowed by the session, and the fakes count their leases from 7,000.

Change: Lease has the era as a field of its own.

--- a/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.node.store;
 
 import io.persimmonstack.coordination.kv.Expectation;
+import io.persimmonstack.coordination.kv.KvCorruptException;
 import io.persimmonstack.coordination.kv.KvEntry;
 import io.persimmonstack.coordination.kv.KvException;
 import io.persimmonstack.coordination.kv.KvLeaseEndedException;
@@ -127,14 +128,20 @@
             }
         } catch (KvLeaseEndedException e) {
             leaseEnded("lease ended");
+        } catch (KvCorruptException e) {
+            pauseAfterFailedStep(e);
         } catch (KvException e) {
             TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
         } catch (RuntimeException e) {
-            LOG.write(NodeEvent.STORE_STEP_FAILED, "lease of " + self.node(), e.toString(), e);
-            TimeUnit.MILLISECONDS.sleep(ERROR_RETRY_MS);
+            pauseAfterFailedStep(e);
         }
     }
 
+    private void pauseAfterFailedStep(Exception e) throws InterruptedException {
+        LOG.write(NodeEvent.STORE_STEP_FAILED, "lease of " + self.node(), e.toString(), e);
+        TimeUnit.MILLISECONDS.sleep(ERROR_RETRY_MS);
+    }
+
     private void leaseEnded(String cause) {
         lease = Optional.empty();
         registered = false;
--- a/node/src/test/java/io/persimmonstack/node/store/StoreWithLeases.java
+++ b/node/src/test/java/io/persimmonstack/node/store/StoreWithLeases.java
@@ -53,7 +53,7 @@
 
     @Override
     public Lease grant(int ttlMs) {
-        return new Lease(granted.incrementAndGet(), ttlMs);
+        return new Lease(granted.incrementAndGet(), ttlMs, 0);
     }
 
     @Override
