--- a/backends/src/main/java/io/persimmonstack/backends/http/BodyMemory.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/BodyMemory.java
@@ -18,11 +18,6 @@
         return new BodyMemory(bytes);
     }
 
-    /** Returns a memory that is never used up. */
-    static BodyMemory unlimited() {
-        return ofBytes(Long.MAX_VALUE / 2);
-    }
-
     /** Takes a number of bytes if they are free, and returns whether they were. */
     boolean tryReserve(long bytes) {
         if (freeBytes.addAndGet(-bytes) >= 0) {
--- a/backends/src/main/java/io/persimmonstack/backends/http/ResponseFraming.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ResponseFraming.java
@@ -20,7 +20,7 @@
     private boolean interim;
     private OptionalLong length = OptionalLong.empty();
     private boolean chunkedHead;
-    private volatile boolean bodiless;
+    private boolean bodiless;
     private Body body = new Body.None();
 
     /** What follows the last head that was read. */
@@ -45,7 +45,7 @@
         return new ResponseFraming();
     }
 
-    /** Reports that a request is about to be sent; the response to a HEAD request has no body. */
+    /** Reports, on the I/O thread, that a request is about to be sent; the response to a HEAD request has no body. */
     void requestStarts(String method) {
         bodiless = method.equals("HEAD");
     }
--- a/backends/src/test/java/io/persimmonstack/backends/http/EndlessResponseTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/http/EndlessResponseTest.java
@@ -224,8 +224,7 @@
                     dribble(connection, "x");
                 });
                 HttpCall call = connector.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS)) {
-            HttpFailure failure = assertThrows(
-                    HttpFailure.class, () -> call.readAll(MAX_BYTES, BODY_TIMEOUT_MS, BodyMemory.unlimited()));
+            HttpFailure failure = assertThrows(HttpFailure.class, () -> call.readAll(MAX_BYTES, BODY_TIMEOUT_MS));
             assertEquals(HttpFailure.Kind.PROGRESS_TIMEOUT, failure.kind(), failure.getMessage());
         }
     }
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -121,7 +121,7 @@
 
     /** Answers a request that was interrupted since the process ends. */
     private void refuseAtEnd(RequestSummary summary, Reply reply) {
-        // The interrupt has served its purpose, and would keep the answer from being written.
+        // An interrupted thread could not write the answer.
         Thread.interrupted();
         String detail = "this node ends before the answer";
         refuse(
