node: the end of the watch of the store is logged, with the age of the last confirmation

Nothing told in a log how a node's picture of the store became old: the end of a watch was swallowed. Event 6028 tells the cause and how long ago all changes were last known.

--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -61,6 +61,8 @@
     STORE_ERA_UNUSABLE(6026, Level.WARN, "store-era-unusable value={} known={}"),
     /** The software versions could not be read from the store, so that a stream of unknown origin is refused. */
     VERSIONS_NOT_READ(6027, Level.WARN, "versions-not-read cause={}"),
+    /** The watch of the store ended; all keys are read again. */
+    STORE_WATCH_ENDED(6028, Level.WARN, "store-watch-ended cause={} unconfirmed-ms={}"),
     /** A request was answered by a runner. */
     SERVED(
             6101,
--- a/node/src/main/java/io/persimmonstack/node/store/StoreFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoreFollower.java
@@ -33,8 +33,10 @@
     private final IntSupplier batchDelayMs;
     private final Thread thread = Thread.ofVirtual().name("follow-store").unstarted(this::run);
     private long unavailableSinceNanos;
+    private volatile long completeUpToNanos = System.nanoTime();
     private int backoffMs = MIN_BACKOFF_MS;
     private boolean listenerFailed;
+    private volatile boolean closed;
 
     /** Receives the entries below a prefix and their changes. Calls do not overlap. */
     public interface Listener {
@@ -172,6 +174,7 @@
 
             @Override
             public void completeUpTo(long nanos) {
+                completeUpToNanos = nanos;
                 if (ended.getCount() > 0) {
                     prefixes.forEach(followed ->
                             notified(followed, () -> followed.listener().onCompleteUpTo(nanos)));
@@ -185,6 +188,9 @@
 
             @Override
             public void ended(KvException cause) {
+                if (!closed) {
+                    LOG.write(NodeEvent.STORE_WATCH_ENDED, cause.getMessage(), unconfirmedMs());
+                }
                 ended.countDown();
             }
         };
@@ -197,6 +203,11 @@
         }
     }
 
+    /** Returns how old the last confirmation is that all changes are known, in milliseconds. */
+    private long unconfirmedMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - completeUpToNanos);
+    }
+
     private void recordUnavailable(KvException cause) {
         if (unavailableSinceNanos == 0) {
             unavailableSinceNanos = System.nanoTime();
@@ -216,6 +227,7 @@
 
     @Override
     public void close() {
+        closed = true;
         thread.interrupt();
     }
 }
