platform, node: a change in the store takes effect within its limit though connections to the store fall silent

Cause: freshness rested on one connection whose timeout knew nothing of the limit that it serves. A poll on a silent connection was held for 2.5 s and waited 1 s more, after a pause of 0.5 s to half of the limit; then five prefixes were read anew, the configuration third.

Change: WatchTimes divides the limit of the settings among pause, poll, timeout and repetition, so that their sum can't exceed it. A poll without an answer is repeated at once on a new connection, from the same revision; nothing is read anew. Only a store that is silent on new connections too, for 2 s, counts as lost. An ended watch leaves no idle connection to the reread, which begins with the configuration. And a node whose last confirmation is older than the limit claims of no route that it does not exist: 503 configuration-unconfirmed, not run, in place of 404. So a 404 can't come from an outdated version, whatever fails. The threads of the watch survive unexpected errors.

--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpConnector.java
@@ -200,8 +200,8 @@
         pool.release(connection, peerIdleMs);
     }
 
-    /** Closes all idle connections to a target after another connection to it timed out. */
-    void closeIdle(PeerAddress target) {
+    /** Closes all idle connections to a target, since they may be silent. */
+    public void closeIdle(PeerAddress target) {
         pool.closeIdle(target);
     }
 
--- a/coordination/src/main/java/io/persimmonstack/coordination/kv/KvWatcher.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/kv/KvWatcher.java
@@ -4,6 +4,9 @@
 
 /** Callback for changes to the keys of a watched prefix. */
 public interface KvWatcher {
+    /** Durations for watchers that collect no changes. */
+    WatchTimes DEFAULT_TIMES = WatchTimes.within(2_000, 0);
+
     /**
      * Called for a single change.
      *
@@ -36,10 +39,14 @@
     void ended(KvException cause);
 
     /**
-     * Returns how long changes may be collected before they are reported as one batch, in milliseconds; 0 reports at
-     * once.
+     * Called when a poll got no answer in time and is repeated. Changes are late, but none is missed.
+     *
+     * @param cause how long the store was silent
      */
-    default int batchDelayMs() {
-        return 0;
+    default void silent(KvException cause) {}
+
+    /** Returns the durations of the next poll, for a store that is polled. */
+    default WatchTimes times() {
+        return DEFAULT_TIMES;
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.node;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.coordination.kv.WatchTimes;
 import io.persimmonstack.node.callers.Directory;
 import io.persimmonstack.node.callers.DrainState;
 import io.persimmonstack.node.callers.RequestReceiver;
@@ -114,7 +115,8 @@
         StoredVersions currentVersions =
                 StoredVersions.of(ports.store(), options.runnersPrefix(), ports.runnerDecoder());
         ResumptionResolver resumptions = ResumptionResolver.of(origins, streams.versions(), currentVersions);
-        RequestServer server = RequestServer.of(fleet, ports.protocol(), dispatcher, metrics, drainState, resumptions);
+        RequestServer server = RequestServer.of(
+                fleet, ports.protocol(), dispatcher, metrics, drainState, resumptions, options.applyMs());
         this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
         AtomicReference<Optional<byte[]>> lastReport = new AtomicReference<>(Optional.empty());
         StoredValue crashReport = closer.add(StoredValue.start(
@@ -165,23 +167,23 @@
         PeerFollower peers = PeerFollower.of(fleet);
         RoutingFollower routing = RoutingFollower.of(options.routingKey(), ports.routingDecoder(), fleet);
         List<StoreFollower.FollowedPrefix> prefixes = List.of(
+                new StoreFollower.FollowedPrefix(options.routingKey(), routing),
                 new StoreFollower.FollowedPrefix(NodeKeys.CRASH_REPORTS, reports),
                 new StoreFollower.FollowedPrefix(NodeKeys.STREAMS, streams.follower()),
-                new StoreFollower.FollowedPrefix(options.routingKey(), routing),
                 new StoreFollower.FollowedPrefix(options.runnersPrefix(), runners),
                 new StoreFollower.FollowedPrefix(NodeKeys.PREFIX, peers));
-        closer.add(StoreFollower.start(ports.store(), prefixes, this::batchDelayMs));
+        closer.add(StoreFollower.start(ports.store(), prefixes, this::watchTimes));
         Thread housekeeping = Thread.ofVirtual().name("housekeeping").start(() -> runHousekeeping(runners, peers));
         closer.add(housekeeping::interrupt);
     }
 
     /**
-     * Returns how long changes in the store are collected before they are fetched as one batch, in milliseconds. The
-     * delay grows with the number of nodes, since each of them fetches the changes.
+     * Returns the durations of the next poll of the store. The pause before it grows with the number of nodes, since
+     * each of them fetches the changes.
      */
-    private int batchDelayMs() {
+    private WatchTimes watchTimes() {
         int nodes = fleet.current().peers().size();
-        return Math.clamp((long) BATCH_DELAY_MS_PER_NODE * nodes, MIN_BATCH_DELAY_MS, options.applyMs() / 2);
+        return WatchTimes.within(options.applyMs(), Math.max(MIN_BATCH_DELAY_MS, BATCH_DELAY_MS_PER_NODE * nodes));
     }
 
     private void runHousekeeping(RunnerFollower runners, PeerFollower peers) {
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -24,8 +24,8 @@
     SETTINGS_REFUSED(6008, Level.ERROR, "settings-refused file={} cause={}"),
     /** The store became unavailable, or did not end the lease of a stopping node. */
     STORE_LOST(6010, Level.WARN, "store-lost cause={}"),
-    /** The store is available again and its keys were reread. */
-    STORE_REGAINED(6011, Level.INFO, "store-regained revision={} lost-ms={}"),
+    /** The store answers again; all changes are known. */
+    STORE_REGAINED(6011, Level.INFO, "store-regained lost-ms={}"),
     /** A runner was added, or its process, address, service or leaving state changed. */
     RUNNER_CHANGED(
             6012,
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -44,6 +44,7 @@
     private final NodeMetrics metrics;
     private final DrainState drainState;
     private final ResumptionResolver resumptions;
+    private final int applyMs;
 
     private RequestServer(
             FleetView fleet,
@@ -51,9 +52,11 @@
             Dispatcher dispatcher,
             NodeMetrics metrics,
             DrainState drainState,
-            ResumptionResolver resumptions) {
+            ResumptionResolver resumptions,
+            int applyMs) {
         this.drainState = drainState;
         this.resumptions = resumptions;
+        this.applyMs = applyMs;
         this.fleet = fleet;
         this.protocol = protocol;
         this.dispatcher = dispatcher;
@@ -69,6 +72,7 @@
      * @param metrics counts requests by their end
      * @param drainState decides which requests a stopping node still accepts
      * @param resumptions finds out where a stream began that a caller resumes
+     * @param applyMs time limit within which a new configuration must take effect, in milliseconds
      */
     public static RequestServer of(
             FleetView fleet,
@@ -76,8 +80,9 @@
             Dispatcher dispatcher,
             NodeMetrics metrics,
             DrainState drainState,
-            ResumptionResolver resumptions) {
-        return new RequestServer(fleet, protocol, dispatcher, metrics, drainState, resumptions);
+            ResumptionResolver resumptions,
+            int applyMs) {
+        return new RequestServer(fleet, protocol, dispatcher, metrics, drainState, resumptions, applyMs);
     }
 
     /**
@@ -148,8 +153,7 @@
                     Refusal.notRun("fleet-unknown", "no configuration or runners yet", RETRY_AFTER_MS));
         }
         Route route = routing.route(callerRequest.host(), callerRequest.path())
-                .orElseThrow(() -> new RefusedException(Refusal.noRoute(
-                        callerRequest.host() + callerRequest.path() + " in configuration " + routing.version())));
+                .orElseThrow(() -> new RefusedException(noRoute(callerRequest, routing)));
         summary.route = route;
         Optional<StreamOrigin> origin = origin(callerRequest, route);
         String name = origin.map(StreamOrigin::service)
@@ -164,6 +168,16 @@
         return request;
     }
 
+    /** That a route does not exist is claimed only if no newer configuration can be in force that has it. */
+    private Refusal noRoute(CallerRequest callerRequest, RoutingTable routing) {
+        String detail = callerRequest.host() + callerRequest.path() + " in configuration " + routing.version();
+        long unconfirmedMs = fleet.routingUnconfirmedMs(System.nanoTime());
+        return unconfirmedMs <= applyMs
+                ? Refusal.noRoute(detail)
+                : Refusal.notRun(
+                        "configuration-unconfirmed", detail + ", " + unconfirmedMs + " ms old", RETRY_AFTER_MS);
+    }
+
     /** Returns where the stream began that a request resumes, empty if it starts anew. */
     private Optional<StreamOrigin> origin(CallerRequest callerRequest, Route route)
             throws RefusedException, CallerGoneException {
--- a/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
@@ -22,6 +23,8 @@
     private final AtomicInteger maxPeersSeen = new AtomicInteger();
     private volatile Set<String> silentNodes = Set.of();
 
+    private volatile long routingCompleteUpToNanos;
+
     private final RunnerNotices notices = RunnerNotices.create();
     private final LeavingRunners leavingRunners;
 
@@ -69,6 +72,16 @@
         return updated;
     }
 
+    /** Records that the configuration of the snapshot is the newest that the store accepted before a monotonic time. */
+    public void recordRoutingCompleteUpTo(long nanos) {
+        routingCompleteUpToNanos = nanos;
+    }
+
+    /** Returns for how long newer configurations may have been in the store unnoticed, in milliseconds. */
+    public long routingUnconfirmedMs(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - routingCompleteUpToNanos);
+    }
+
     /** Records that the runners of the snapshot reflect all that the store accepted before a monotonic time. */
     public void recordRunnersCompleteUpTo(long nanos) {
         leavingRunners.recordCompleteUpTo(nanos);
--- a/node/src/main/java/io/persimmonstack/node/store/RoutingFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RoutingFollower.java
@@ -47,6 +47,11 @@
         }
     }
 
+    @Override
+    public void onCompleteUpTo(long nanos) {
+        fleet.recordRoutingCompleteUpTo(nanos);
+    }
+
     private void applyEntry(KvEntry entry) {
         if (!entry.key().equals(key)) {
             return;
--- a/node/src/main/java/io/persimmonstack/node/store/StoreFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoreFollower.java
@@ -6,6 +6,7 @@
 import io.persimmonstack.coordination.kv.KvStore;
 import io.persimmonstack.coordination.kv.KvSubscription;
 import io.persimmonstack.coordination.kv.KvWatcher;
+import io.persimmonstack.coordination.kv.WatchTimes;
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.ArrayList;
@@ -13,7 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /**
  * Reads the keys below several prefixes and watches them for changes. One watch covers all prefixes, because each call
@@ -30,9 +31,9 @@
 
     private final KvStore store;
     private final List<FollowedPrefix> prefixes;
-    private final IntSupplier batchDelayMs;
+    private final Supplier<WatchTimes> times;
     private final Thread thread = Thread.ofVirtual().name("follow-store").unstarted(this::run);
-    private long unavailableSinceNanos;
+    private volatile long unavailableSinceNanos;
     private volatile long completeUpToNanos = System.nanoTime();
     private int backoffMs = MIN_BACKOFF_MS;
     private boolean listenerFailed;
@@ -61,10 +62,10 @@
      */
     public record FollowedPrefix(String prefix, Listener listener) {}
 
-    private StoreFollower(KvStore store, List<FollowedPrefix> prefixes, IntSupplier batchDelayMs) {
+    private StoreFollower(KvStore store, List<FollowedPrefix> prefixes, Supplier<WatchTimes> times) {
         this.store = store;
         this.prefixes = prefixes;
-        this.batchDelayMs = batchDelayMs;
+        this.times = times;
     }
 
     /**
@@ -72,17 +73,17 @@
      *
      * @param store store to read and watch
      * @param prefixes prefixes to follow, read in this order
-     * @param batchDelayMs returns how long changes are collected before they are reported together, in milliseconds
+     * @param times returns the durations of the next poll
      */
-    public static StoreFollower start(KvStore store, List<FollowedPrefix> prefixes, IntSupplier batchDelayMs) {
-        StoreFollower follower = new StoreFollower(store, List.copyOf(prefixes), batchDelayMs);
+    public static StoreFollower start(KvStore store, List<FollowedPrefix> prefixes, Supplier<WatchTimes> times) {
+        StoreFollower follower = new StoreFollower(store, List.copyOf(prefixes), times);
         follower.thread.start();
         return follower;
     }
 
     private void run() {
         try {
-            while (true) {
+            while (!closed) {
                 readAndWatch();
             }
         } catch (InterruptedException e) {
@@ -93,7 +94,7 @@
     private void readAndWatch() throws InterruptedException {
         try {
             watch(readAll());
-        } catch (KvException e) {
+        } catch (KvException | RuntimeException | Error e) {
             recordUnavailable(e);
             TimeUnit.MILLISECONDS.sleep(ThreadLocalRandom.current().nextInt(backoffMs / 2, backoffMs));
             backoffMs = Math.min(MAX_BACKOFF_MS, 2 * backoffMs);
@@ -104,11 +105,16 @@
         List<Cursor> cursors = new ArrayList<>();
         listenerFailed = false;
         for (FollowedPrefix followed : prefixes) {
+            long askedNanos = System.nanoTime();
             KvRange range = store.list(followed.prefix());
-            listenerFailed |= !notified(followed, () -> followed.listener().onSnapshot(range));
+            listenerFailed |= !notified(followed, () -> {
+                followed.listener().onSnapshot(range);
+                followed.listener().onCompleteUpTo(askedNanos);
+            });
             cursors.add(new Cursor(followed, range.revision()));
         }
-        recordAvailable(cursors);
+        recordAvailable();
+        backoffMs = MIN_BACKOFF_MS;
         return cursors;
     }
 
@@ -174,7 +180,7 @@
 
             @Override
             public void completeUpTo(long nanos) {
-                completeUpToNanos = nanos;
+                recordComplete(nanos);
                 if (ended.getCount() > 0) {
                     prefixes.forEach(followed ->
                             notified(followed, () -> followed.listener().onCompleteUpTo(nanos)));
@@ -182,8 +188,13 @@
             }
 
             @Override
-            public int batchDelayMs() {
-                return batchDelayMs.getAsInt();
+            public WatchTimes times() {
+                return times.get();
+            }
+
+            @Override
+            public void silent(KvException cause) {
+                recordUnavailable(cause);
             }
 
             @Override
@@ -208,21 +219,25 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - completeUpToNanos);
     }
 
-    private void recordUnavailable(KvException cause) {
+    private void recordUnavailable(Throwable cause) {
         if (unavailableSinceNanos == 0) {
             unavailableSinceNanos = System.nanoTime();
-            LOG.write(NodeEvent.STORE_LOST, cause.getMessage());
+            LOG.write(NodeEvent.STORE_LOST, cause.toString());
         }
         prefixes.forEach(followed -> notified(followed, followed.listener()::onUnavailable));
     }
 
-    private void recordAvailable(List<Cursor> cursors) {
+    private void recordComplete(long nanos) {
+        completeUpToNanos = nanos;
+        recordAvailable();
+    }
+
+    private void recordAvailable() {
         if (unavailableSinceNanos != 0) {
             long unavailableMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - unavailableSinceNanos);
-            LOG.write(NodeEvent.STORE_REGAINED, cursors.getLast().revision(), unavailableMs);
+            LOG.write(NodeEvent.STORE_REGAINED, unavailableMs);
             unavailableSinceNanos = 0;
         }
-        backoffMs = MIN_BACKOFF_MS;
     }
 
     @Override
--- a/node/src/test/java/io/persimmonstack/node/store/StoreFollowerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/store/StoreFollowerTest.java
@@ -7,6 +7,7 @@
 import io.persimmonstack.coordination.kv.KvChange;
 import io.persimmonstack.coordination.kv.KvException;
 import io.persimmonstack.coordination.kv.KvRange;
+import io.persimmonstack.coordination.kv.KvWatcher;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -109,7 +110,7 @@
         follower = StoreFollower.start(
                 store,
                 List.of(new StoreFollower.FollowedPrefix("a/", a), new StoreFollower.FollowedPrefix("b/", b)),
-                () -> 0);
+                () -> KvWatcher.DEFAULT_TIMES);
     }
 
     private void write(String key, String value) throws KvException {
