platform, backends: an odd entry among those of the runners is left out, whatever it holds

What callers saw: an entry whose address was 127.0.0.1:70000, or no IP address, was taken as a runner; requests placed there ended with 503 internal-error, and the leader's status thread ended with an uncaught error.

In our own interface one odd host made the whole host list unreadable, so that later changes went unnoticed; it is left out now (event 4004).

--- a/backends/src/main/java/io/persimmonstack/backends/BackendEvent.java
+++ b/backends/src/main/java/io/persimmonstack/backends/BackendEvent.java
@@ -12,6 +12,8 @@
     WATCH_ENDED(4002, Level.INFO, "watch of '{}' ended: {}"),
     /** A call to the key-value service was refused because the node's call budget was exhausted. */
     KV_BUDGET_SPENT(4003, Level.DEBUG, "{} '{}' refused: the key-value call budget is exhausted"),
+    /** An entry of the host list cannot be used; the others are. */
+    HOST_UNREADABLE(4004, Level.WARN, "host list entry {} left out: {}"),
     /** A process without a valid certificate tried to connect to one of the system's own processes. */
     PEER_REFUSED(4010, Level.WARN, "connection from {} refused, no valid certificate: {}");
 
--- a/backends/src/main/java/io/persimmonstack/backends/hosts/HttpHostList.java
+++ b/backends/src/main/java/io/persimmonstack/backends/hosts/HttpHostList.java
@@ -1,10 +1,12 @@
 package io.persimmonstack.backends.hosts;
 
+import io.persimmonstack.backends.BackendEvent;
 import io.persimmonstack.backends.http.HttpConnector;
 import io.persimmonstack.backends.http.HttpFailure;
 import io.persimmonstack.backends.http.HttpTimeouts;
 import io.persimmonstack.backends.json.JsonClient;
 import io.persimmonstack.backends.json.JsonResponse;
+import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,6 +16,7 @@
 
 /** Reads the host list over HTTP. If the service sends entity tags, an unchanged list is not transferred again. */
 public final class HttpHostList implements HostList {
+    private static final EventLog LOG = EventLog.of(HttpHostList.class);
     private static final int MAX_RESPONSE_BYTES = 8 << 20;
     private static final int OK = 200;
     private static final int NOT_MODIFIED = 304;
@@ -75,24 +78,26 @@
         }
         List<Host> hosts = new ArrayList<>();
         for (HostBody host : body.get().hosts()) {
-            hosts.add(toHost(host));
+            toHost(host).ifPresent(hosts::add);
         }
         return List.copyOf(hosts);
     }
 
-    private static Host toHost(HostBody body) throws HostListException {
+    /** Converts an entry; one that cannot be used is left out, so that it does not keep the others from being used. */
+    private static Optional<Host> toHost(HostBody body) {
         try {
-            return new Host(
+            return Optional.of(new Host(
                     requireField("host", body.host()),
                     HostKind.valueOf(requireField("kind", body.kind()).toUpperCase(Locale.ROOT)),
                     HostState.valueOf(requireField("state", body.state()).toUpperCase(Locale.ROOT)),
-                    PeerAddress.parse(requireField("address", body.address())),
+                    PeerAddress.parseConnectable(requireField("address", body.address())),
                     requireField("zone", body.zone()),
                     requireField("region", body.region()),
                     Optional.ofNullable(body.service()),
-                    Boolean.TRUE.equals(body.epochs()));
+                    Boolean.TRUE.equals(body.epochs())));
         } catch (IllegalArgumentException e) {
-            throw new HostListException("host list entry " + body + ": " + e.getMessage(), e);
+            LOG.write(BackendEvent.HOST_UNREADABLE, body, e.getMessage());
+            return Optional.empty();
         }
     }
 
--- a/node/src/main/java/io/persimmonstack/node/store/NodeRecordCodec.java
+++ b/node/src/main/java/io/persimmonstack/node/store/NodeRecordCodec.java
@@ -34,8 +34,8 @@
                     stored.getNode(),
                     stored.getStartedMs(),
                     stored.getZone(),
-                    PeerAddress.parse(stored.getCallers()),
-                    PeerAddress.parse(stored.getLink()));
+                    PeerAddress.parseConnectable(stored.getCallers()),
+                    PeerAddress.parseConnectable(stored.getLink()));
         } catch (KvCorruptException | IllegalArgumentException e) {
             throw new UnreadableException("node record: " + e.getMessage(), e);
         }
