backends, platform: a refusal counts only if it belongs to this very send

What callers saw, by the operators' report: 'not run, try again' for a request that a runner had run or was running (REFUSED), or such a request ran at a second runner (TWICE): a faulty runner wrote an earlier refusal once more on a kept connection.

Cause: an answer was tied to its request by its identifier alone, and only if it had one. An answer without one was believed; the second send of a request on the connection of its first has the same identifier; a call without an identifier believed any answer.

Change: a connection remembers the identifiers of the requests that the peer refused or failed on it, and none of these is sent on it again; after 32 it is closed, so what it remembers is bounded. An answer that bears an identifier is never that of a call without one.

--- a/backends/src/main/java/io/persimmonstack/backends/http/ConnectionPool.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ConnectionPool.java
@@ -38,14 +38,14 @@
         return Optional.empty();
     }
 
-    /** Keeps the connection, or closes it if it may not stay idle or the pool of its target is full. */
+    /** Keeps the connection, or closes it if it may not stay idle, is exhausted or the pool of its target is full. */
     @Override
     public void release(PooledConnection connection, OptionalInt peerIdleMs) {
         int idleMs = Math.min(options.idleMs(), peerIdleMs.orElse(options.idleMs()));
         if (!connection.isOpen()) {
             return;
         }
-        if (idleMs <= 0) {
+        if (idleMs <= 0 || connection.isExhausted()) {
             connection.close(CloseCause.IDLE);
             return;
         }
--- a/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
@@ -9,6 +9,7 @@
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -18,6 +19,7 @@
  * received data to the reading thread.
  */
 final class ExchangeDriver {
+    private static final int MIN_ERROR_STATUS = 400;
     private static final int MAX_HEAD_BYTES = 16 * 1024;
     /** Most bytes between two parts of a body that belong to neither: chunk sizes, their extensions and trailers. */
     private static final int MAX_FRAMING_BYTES = 64 * 1024;
@@ -25,6 +27,7 @@
     private static final HttpString REQUEST_ID = HttpString.tryFromString("X-Request-Id");
     private final PooledConnection connection;
     private final HttpRequest request;
+    private final Optional<String> requestId;
     private final ResponseBuffer buffer;
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.NEW);
     private long bytesWrittenBefore;
@@ -42,6 +45,7 @@
     private ExchangeDriver(PooledConnection connection, HttpRequest request, ResponseBuffer buffer) {
         this.connection = connection;
         this.request = request;
+        this.requestId = request.header(REQUEST_ID.toString());
         this.buffer = buffer;
     }
 
@@ -113,6 +117,10 @@
             fail(HttpFailure.Kind.LOST, new IOException("connection closed by the peer before the request was sent"));
             return;
         }
+        if (requestId.filter(connection::hasRefused).isPresent()) {
+            fail(HttpFailure.Kind.LOST, new IOException("the peer has refused the request on this connection before"));
+            return;
+        }
         if (!request.sendable().getAsBoolean()) {
             fail(HttpFailure.Kind.CANCELLED, new IOException("no longer to be sent once the connection was open"));
             return;
@@ -190,13 +198,14 @@
     private void responseStarted(ClientExchange exchange) {
         ClientResponse response = exchange.getResponse();
         String responseId = response.getResponseHeaders().getFirst(REQUEST_ID);
-        String expectedId = request.header(REQUEST_ID.toString()).orElse(responseId);
-        if (responseId != null && !responseId.equals(expectedId)) {
-            fail(
-                    HttpFailure.Kind.MISMATCH,
-                    new IOException("X-Request-Id '" + responseId + "'; expected '" + expectedId + "'"));
+        if (responseId != null && !requestId.equals(Optional.of(responseId))) {
+            String expected = requestId.map(id -> "'" + id + "'").orElse("none");
+            fail(HttpFailure.Kind.MISMATCH, new IOException("X-Request-Id '" + responseId + "'; expected " + expected));
             return;
         }
+        if (response.getResponseCode() >= MIN_ERROR_STATUS) {
+            requestId.ifPresent(connection::recordRefusal);
+        }
         if (connection.framing().isChunked() != response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)) {
             fail(HttpFailure.Kind.LOST, new FramingException("response head: ambiguous framing of the body"));
             return;
--- a/backends/src/main/java/io/persimmonstack/backends/http/PooledConnection.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/PooledConnection.java
@@ -5,6 +5,8 @@
 import io.undertow.client.ClientConnection;
 import java.io.IOException;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -13,11 +15,17 @@
 
 /** Open connection to one target, used by at most one exchange at a time. */
 final class PooledConnection {
+    /** Refusals after which the connection is not used again, which bounds what it remembers. */
+    private static final int MAX_REFUSALS = 32;
+
     private final PeerAddress target;
     private final ClientConnection connection;
     private final ResponseFraming framing;
     private final MetricRegistry metrics;
     private final AtomicBoolean closed = new AtomicBoolean();
+    /** Identifiers of the requests that the peer has refused, or failed, on this connection. */
+    private final Set<String> refused = ConcurrentHashMap.newKeySet();
+
     private volatile XnioExecutor.Key expiryTask;
     private volatile OptionalLong peerStartedMs = OptionalLong.empty();
 
@@ -63,6 +71,20 @@
         peerStartedMs = OptionalLong.of(startedMs);
     }
 
+    /** Remembers a refused request: the peer might write the same refusal once more if it were sent here again. */
+    void recordRefusal(String requestId) {
+        refused.add(requestId);
+    }
+
+    boolean hasRefused(String requestId) {
+        return refused.contains(requestId);
+    }
+
+    /** Returns whether the connection can remember no further refusal. */
+    boolean isExhausted() {
+        return refused.size() >= MAX_REFUSALS;
+    }
+
     long bytesWritten() {
         return connection.getStatistics().getWritten();
     }
--- a/node/src/main/java/io/persimmonstack/node/sending/AnswerHead.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/AnswerHead.java
@@ -8,6 +8,6 @@
     MISDIRECTED,
     /** The runner ran the request; this is its answer, possibly an error. */
     RAN,
-    /** The answer lacks the mark of a runner, so whether the request ran is unknown. */
+    /** The answer lacks the mark of a runner or the name of the request, so whether the request ran is unknown. */
     FORGED
 }
