node: only events end or continue a stream that broke off

What callers saw: in the middle of a stream the text of an error of the next runner, or a stream that ended as if it were complete.

Cause: of the answer to a request for the rest of a stream only the status was looked at.

Change: where a stream has begun, the next answer has to have status 200, each piece of it an event with an id, and its last event must not lie before what the caller has. Otherwise the attempt failed, and the stream goes on elsewhere or is broken off. An answer without any event still ends the stream: the runner was asked for what follows the last event, and nothing does (AnswerWithoutLengthTest).

Looked at elsewhere: the router requires the media type of events and a closing [DONE] of each answer, so that this cannot happen there (RelayFilter).

--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -13,6 +13,7 @@
 import io.persimmonstack.router.request.Reply;
 import java.io.IOException;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -27,6 +28,7 @@
     /** Longest wait for the body of a refusal; the request waits for its next runner meanwhile. */
     private static final int REFUSAL_BODY_TIMEOUT_MS = 100;
 
+    private static final int OK = 200;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     /** Time after the deadline that a silent stream is kept open. */
     private static final int LATE_STREAM_TIMEOUT_MS = 250;
@@ -243,12 +245,21 @@
     }
 
     private Outcome deliverStream(HttpCall call) throws CallerGoneException {
+        boolean continues = reply.begun();
+        if (continues && call.status() != OK) {
+            return unknown(runner().id() + ": status " + call.status() + " in place of the rest of the stream");
+        }
+        OptionalLong lastId = OptionalLong.empty();
         EventReader events = EventReader.of(call.body());
         call.beginUnit();
         try {
             for (Optional<EventReader.StreamEvent> event = events.next(); event.isPresent(); event = events.next()) {
                 lastReceivedNanos = System.nanoTime();
                 reserved.prompt().answerBegun();
+                if (continues && event.get().id().isEmpty()) {
+                    return unknown(runner().id() + ": text that is no event in place of the rest of the stream");
+                }
+                lastId = event.get().id();
                 if (!progress.isNew(event.get())) {
                     continue;
                 }
@@ -268,6 +279,9 @@
             return broken(
                     runner().id() + ": stream broke after event " + progress.lastEventId() + ": " + e.getMessage());
         }
+        if (continues && lastId.isPresent() && !lastId.equals(progress.lastEventId())) {
+            return unknown(runner().id() + ": ended at event " + lastId + " before " + progress.lastEventId());
+        }
         if (!reply.begun()) {
             reply.begin(call.status(), HopByHopHeaders.toReplyHeaders(call.headers()));
         }
