coordinator: a failed read of the configuration's head is repeated at once

A node that does not watch reads the head each 4 s, with jitter 4.8 s. If its connection to the key-value service had fallen silent, the read ended after 2 s, and the next one came 4.8 s later: 11.6 s, and a router that follows a silent coordinator takes 2.2 s and a poll of 1 s more. Repeated at once, on a new connection since the idle ones are closed after a timeout, it is 6.8 s and 10 s in all.

Failed before: ConfigurationUpdaterTest.failedReadIsRepeatedAtOnce (1 read in place of 2). No caller was seen to suffer from it.

--- a/coordinator/src/main/java/io/persimmonstack/coordinator/config/ConfigurationUpdater.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/config/ConfigurationUpdater.java
@@ -31,6 +31,7 @@
 public final class ConfigurationUpdater implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(ConfigurationUpdater.class);
     private static final int FETCH_TIMEOUT_MS = 2_000;
+    private static final int READ_ATTEMPTS = 2;
     private static final String WATCHER_HASH_KEY_PREFIX = "configuration-watch/";
     private final ConfigurationFeed<FleetConfiguration> feed;
     private final KvStore kv;
@@ -69,12 +70,24 @@
         return new ConfigurationUpdater(feed, kv, store, peers);
     }
 
-    /** Reads the head, and the content if it is newer than the active version. Failures are logged. */
+    /**
+     * Reads the head, and the content if it is newer than the active version. Failures are logged. A failed read is
+     * repeated at once: its connection may have fallen silent, and the next read is due only after an interval.
+     */
     public void refresh() {
+        boolean read = false;
+        for (int attempt = 0; !read && attempt < READ_ATTEMPTS; attempt++) {
+            read = tryRefresh();
+        }
+    }
+
+    private boolean tryRefresh() {
         try {
             feed.refresh(store);
+            return true;
         } catch (KvException e) {
             LOG.write(CoordinatorEvent.CONFIGURATION_READ_FAILED, e.getMessage());
+            return false;
         }
     }
 
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/config/ConfigurationUpdaterTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/config/ConfigurationUpdaterTest.java
@@ -23,6 +23,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -81,6 +82,21 @@
         watchers.getLast().ended(new KvUnavailableException("the connection was closed"));
     }
 
+    /** Failure: a read on a connection that had fallen silent was repeated only an interval later. */
+    @Test
+    void failedReadIsRepeatedAtOnce() {
+        AtomicInteger reads = new AtomicInteger();
+        store.intercept((call, key) -> {
+            if (reads.incrementAndGet() == 1) {
+                throw new KvUnavailableException("no answer");
+            }
+        });
+        updater.refresh();
+        assertEquals(2, reads.get());
+        updater.refresh();
+        assertEquals(3, reads.get());
+    }
+
     @Test
     void openWatchIsKept() {
         updateWatch();
