platform: one silent connection to the store is no outage

A poll without an answer on one connection told the listeners of the store's changes that the store was unavailable. Entries that are removed then are kept for 2.5 s, longer than a runner without a word of leaving serves (2 s). They are told now only if a new connection gets no answer either: a silent connection changes nothing but the time of that poll.

--- a/coordination/src/main/java/io/persimmonstack/coordination/kv/KvWatcher.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/kv/KvWatcher.java
@@ -39,9 +39,10 @@
     void ended(KvException cause);
 
     /**
-     * Called when a poll got no answer in time and is repeated. Changes are late, but none is missed.
+     * Called when a poll got no answer in time on a new connection either and is repeated, so that the store may be
+     * unavailable. Changes are late, but none is missed.
      *
-     * @param cause how long the store was silent
+     * @param cause for how long there was no answer
      */
     default void silent(KvException cause) {}
 
