node, backends: the event of an unreadable entry names its key; one way to read a whole body

Event 6014 is written for entries of runners, nodes, the leader, streams and reports of ends, but was called runner-unreadable and carried key and cause in one field. The pause between polls is named so. HttpCall.readAll with a memory as an argument served a test alone; the test reads through a connector with that memory now, its assertions are the same. No change of behaviour.

--- a/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/HttpCall.java
@@ -146,12 +146,8 @@
      * @throws HttpFailure if the body is larger, finds no memory or did not arrive completely
      */
     public byte[] readAll(int maxBytes, int timeoutMs) throws HttpFailure {
-        return readAll(maxBytes, timeoutMs, memory);
-    }
-
-    byte[] readAll(int maxBytes, int timeoutMs, BodyMemory bodyMemory) throws HttpFailure {
         bodyLimit.ifPresent(BodyLimit::close);
-        bodyLimit = Optional.of(BodyLimit.of(timeoutMs, bodyMemory));
+        bodyLimit = Optional.of(BodyLimit.of(timeoutMs, memory));
         try {
             byte[] content = body.readNBytes(maxBytes);
             if (body.read() >= 0) {
--- a/backends/src/test/java/io/persimmonstack/backends/http/EndlessResponseTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/http/EndlessResponseTest.java
@@ -245,21 +245,22 @@
     /** Two large bodies at once, and memory for one of them. */
     @Test
     void largeBodiesShareTheirMemory() throws Exception {
-        BodyMemory memory = BodyMemory.ofBytes(3L * MAX_BYTES);
-        try (ScriptedServer server = ScriptedServer.start((connection, number) -> {
-            while (!connection.readRequest().isEmpty()) {
-                connection.respond("y".repeat(MAX_BYTES));
-            }
-        })) {
-            try (HttpCall first = connector.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS);
-                    HttpCall second = connector.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS)) {
-                assertEquals(MAX_BYTES, first.readAll(MAX_BYTES, LONG_BODY_TIMEOUT_MS, memory).length);
+        HttpConnectorOptions options = HttpConnectorOptions.defaults().withBodyMemoryBytes(3L * MAX_BYTES);
+        try (HttpConnector small = HttpConnector.create(options);
+                ScriptedServer server = ScriptedServer.start((connection, number) -> {
+                    while (!connection.readRequest().isEmpty()) {
+                        connection.respond("y".repeat(MAX_BYTES));
+                    }
+                })) {
+            try (HttpCall first = small.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS);
+                    HttpCall second = small.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS)) {
+                assertEquals(MAX_BYTES, first.readAll(MAX_BYTES, LONG_BODY_TIMEOUT_MS).length);
                 HttpFailure failure =
-                        assertThrows(HttpFailure.class, () -> second.readAll(MAX_BYTES, LONG_BODY_TIMEOUT_MS, memory));
+                        assertThrows(HttpFailure.class, () -> second.readAll(MAX_BYTES, LONG_BODY_TIMEOUT_MS));
                 assertEquals(HttpFailure.Kind.TOO_LARGE, failure.kind(), failure.getMessage());
             }
-            try (HttpCall third = connector.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS)) {
-                assertEquals(MAX_BYTES, third.readAll(MAX_BYTES, LONG_BODY_TIMEOUT_MS, memory).length);
+            try (HttpCall third = small.open(server.address(), HttpRequest.get("/"), LONG_TIMEOUTS)) {
+                assertEquals(MAX_BYTES, third.readAll(MAX_BYTES, LONG_BODY_TIMEOUT_MS).length);
             }
         }
     }
--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -61,8 +61,8 @@
     private static final EventLog LOG = EventLog.of(Node.class);
     private static final int LINK_CONNECT_TIMEOUT_MS = 400;
     private static final int DRAIN_POLL_MS = 50;
-    private static final int BATCH_DELAY_MS_PER_NODE = 20;
-    private static final int MIN_BATCH_DELAY_MS = 500;
+    private static final int POLL_PAUSE_MS_PER_NODE = 20;
+    private static final int MIN_POLL_PAUSE_MS = 500;
     private static final int HOUSEKEEPING_INTERVAL_MS = 200;
     /** Pause between two writes of the report about runners that ended. */
     private static final int CRASH_REPORT_INTERVAL_MS = 500;
@@ -183,7 +183,7 @@
      */
     private WatchTimes watchTimes() {
         int nodes = fleet.current().peers().size();
-        return WatchTimes.within(options.applyMs(), Math.max(MIN_BATCH_DELAY_MS, BATCH_DELAY_MS_PER_NODE * nodes));
+        return WatchTimes.within(options.applyMs(), Math.max(MIN_POLL_PAUSE_MS, POLL_PAUSE_MS_PER_NODE * nodes));
     }
 
     private void runHousekeeping(RunnerFollower runners, PeerFollower peers) {
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -34,7 +34,7 @@
     /** A runner was removed from the list. */
     RUNNER_GONE(6013, Level.INFO, "runner-gone runner={} revision={} cause={}"),
     /** An entry of a runner, a node or the leader cannot be decoded. */
-    RUNNER_UNREADABLE(6014, Level.WARN, "runner-unreadable runner={} revision={}"),
+    ENTRY_UNREADABLE(6014, Level.WARN, "entry-unreadable key={} revision={} cause={}"),
     /** The store lists another leader, or none. */
     LEADER_CHANGED(6015, Level.INFO, "leader-changed leader={} term={}"),
     /** This node was elected leader. */
--- a/node/src/main/java/io/persimmonstack/node/prompts/CrashReportFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/prompts/CrashReportFollower.java
@@ -70,7 +70,7 @@
                 guard.merge(report);
             }
         } catch (KvCorruptException e) {
-            LOG.write(NodeEvent.RUNNER_UNREADABLE, entry.key() + " " + e.getMessage(), entry.revision());
+            LOG.write(NodeEvent.ENTRY_UNREADABLE, entry.key(), entry.revision(), e.getMessage());
         }
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/store/PeerFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/PeerFollower.java
@@ -66,7 +66,7 @@
                 peers.put(entry.key(), peer);
             }
         } catch (UnreadableException e) {
-            LOG.write(NodeEvent.RUNNER_UNREADABLE, entry.key() + " " + e.getMessage(), entry.revision());
+            LOG.write(NodeEvent.ENTRY_UNREADABLE, entry.key(), entry.revision(), e.getMessage());
         }
     }
 
--- a/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RunnerFollower.java
@@ -126,7 +126,7 @@
                         entry.revision());
             }
         } catch (UnreadableException e) {
-            LOG.write(NodeEvent.RUNNER_UNREADABLE, id + " " + e.getMessage(), entry.revision());
+            LOG.write(NodeEvent.ENTRY_UNREADABLE, entry.key(), entry.revision(), e.getMessage());
             // Such an entry names no runner to use, whatever an earlier one said.
             if (runners.removeNow(id)) {
                 logRemoved(List.of(id), "entry unreadable");
--- a/node/src/main/java/io/persimmonstack/node/streams/StoredVersions.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/StoredVersions.java
@@ -115,7 +115,7 @@
             Runner runner = decoder.runner(id, entry.value());
             versions.add(new StreamOrigin(runner.service(), runner.softwareVersion()));
         } catch (UnreadableException e) {
-            LOG.write(NodeEvent.RUNNER_UNREADABLE, id + " " + e.getMessage(), entry.revision());
+            LOG.write(NodeEvent.ENTRY_UNREADABLE, entry.key(), entry.revision(), e.getMessage());
         }
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/streams/StreamRecordFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/StreamRecordFollower.java
@@ -91,7 +91,7 @@
         try {
             return Optional.of(StreamRecordCodec.decode(entry.value()));
         } catch (KvCorruptException e) {
-            LOG.write(NodeEvent.RUNNER_UNREADABLE, entry.key() + " " + e.getMessage(), entry.revision());
+            LOG.write(NodeEvent.ENTRY_UNREADABLE, entry.key(), entry.revision(), e.getMessage());
             return Optional.empty();
         }
     }
