--- a/node/src/main/java/io/persimmonstack/node/peers/LinkHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LinkHandler.java
@@ -6,6 +6,8 @@
 import io.persimmonstack.wire.gen.NodeLink;
 import io.persimmonstack.wire.gen.NodeLoad;
 import io.persimmonstack.wire.gen.StreamOrigin;
+import io.persimmonstack.wire.gen.TokenGrant;
+import io.persimmonstack.wire.gen.TokenRequest;
 import io.persimmonstack.wire.gen.WireRefusal;
 import java.util.List;
 import java.util.function.Consumer;
@@ -53,4 +55,9 @@
     public void keepCrashReports(List<CrashReportRecord> reports) {
         crashReports.accept(reports);
     }
+
+    @Override
+    public TokenGrant takeTokens(TokenRequest request) {
+        return new TokenGrant(0, 0, -1);
+    }
 }
--- a/node/src/test/java/io/persimmonstack/node/streams/SharedOriginsTest.java
+++ b/node/src/test/java/io/persimmonstack/node/streams/SharedOriginsTest.java
@@ -18,6 +18,8 @@
 import io.persimmonstack.wire.gen.FleetLoad;
 import io.persimmonstack.wire.gen.NodeLink;
 import io.persimmonstack.wire.gen.NodeLoad;
+import io.persimmonstack.wire.gen.TokenGrant;
+import io.persimmonstack.wire.gen.TokenRequest;
 import io.persimmonstack.wire.gen.WireRefusal;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -249,6 +251,11 @@
             @Override
             public void keepCrashReports(List<CrashReportRecord> reports) {}
 
+            @Override
+            public TokenGrant takeTokens(TokenRequest request) {
+                return new TokenGrant(0, 0, -1);
+            }
+
             @Override
             public List<io.persimmonstack.wire.gen.StreamOrigin> findOrigin(String request) {
                 return asks.incrementAndGet() == 1
--- a/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
@@ -8597,15 +8597,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map304 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map304.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key305;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val306;
-                  for (int _i307 = 0; _i307 < _map304.size; ++_i307)
+                  org.apache.thrift.protocol.TMap _map344 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map344.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key345;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val346;
+                  for (int _i347 = 0; _i347 < _map344.size; ++_i347)
                   {
-                    _key305 = iprot.readString();
-                    _val306 = iprot.readString();
-                    struct.trace.put(_key305, _val306);
+                    _key345 = iprot.readString();
+                    _val346 = iprot.readString();
+                    struct.trace.put(_key345, _val346);
                   }
                   iprot.readMapEnd();
                 }
@@ -8639,10 +8639,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter308 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter348 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter308.getKey());
-              oprot.writeString(_iter308.getValue());
+              oprot.writeString(_iter348.getKey());
+              oprot.writeString(_iter348.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -8680,10 +8680,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter309 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter349 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter309.getKey());
-              oprot.writeString(_iter309.getValue());
+              oprot.writeString(_iter349.getKey());
+              oprot.writeString(_iter349.getValue());
             }
           }
         }
@@ -8700,15 +8700,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map310 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map310.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key311;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val312;
-            for (int _i313 = 0; _i313 < _map310.size; ++_i313)
+            org.apache.thrift.protocol.TMap _map350 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map350.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key351;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val352;
+            for (int _i353 = 0; _i353 < _map350.size; ++_i353)
             {
-              _key311 = iprot.readString();
-              _val312 = iprot.readString();
-              struct.trace.put(_key311, _val312);
+              _key351 = iprot.readString();
+              _val352 = iprot.readString();
+              struct.trace.put(_key351, _val352);
             }
           }
           struct.setTraceIsSet(true);
@@ -9620,14 +9620,14 @@
             case 1: // USES
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list314 = iprot.readListBegin();
-                  struct.uses = new java.util.ArrayList<ModelUse>(_list314.size);
-                  @org.apache.thrift.annotation.Nullable ModelUse _elem315;
-                  for (int _i316 = 0; _i316 < _list314.size; ++_i316)
+                  org.apache.thrift.protocol.TList _list354 = iprot.readListBegin();
+                  struct.uses = new java.util.ArrayList<ModelUse>(_list354.size);
+                  @org.apache.thrift.annotation.Nullable ModelUse _elem355;
+                  for (int _i356 = 0; _i356 < _list354.size; ++_i356)
                   {
-                    _elem315 = new ModelUse();
-                    _elem315.read(iprot);
-                    struct.uses.add(_elem315);
+                    _elem355 = new ModelUse();
+                    _elem355.read(iprot);
+                    struct.uses.add(_elem355);
                   }
                   iprot.readListEnd();
                 }
@@ -9664,9 +9664,9 @@
           oprot.writeFieldBegin(USES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-            for (ModelUse _iter317 : struct.uses)
+            for (ModelUse _iter357 : struct.uses)
             {
-              _iter317.write(oprot);
+              _iter357.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -9704,9 +9704,9 @@
         if (struct.isSetUses()) {
           {
             oprot.writeI32(struct.uses.size());
-            for (ModelUse _iter318 : struct.uses)
+            for (ModelUse _iter358 : struct.uses)
             {
-              _iter318.write(oprot);
+              _iter358.write(oprot);
             }
           }
         }
@@ -9721,14 +9721,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list319 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.uses = new java.util.ArrayList<ModelUse>(_list319.size);
-            @org.apache.thrift.annotation.Nullable ModelUse _elem320;
-            for (int _i321 = 0; _i321 < _list319.size; ++_i321)
+            org.apache.thrift.protocol.TList _list359 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.uses = new java.util.ArrayList<ModelUse>(_list359.size);
+            @org.apache.thrift.annotation.Nullable ModelUse _elem360;
+            for (int _i361 = 0; _i361 < _list359.size; ++_i361)
             {
-              _elem320 = new ModelUse();
-              _elem320.read(iprot);
-              struct.uses.add(_elem320);
+              _elem360 = new ModelUse();
+              _elem360.read(iprot);
+              struct.uses.add(_elem360);
             }
           }
           struct.setUsesIsSet(true);
@@ -14385,14 +14385,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list322 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StatusLine>(_list322.size);
-                  @org.apache.thrift.annotation.Nullable StatusLine _elem323;
-                  for (int _i324 = 0; _i324 < _list322.size; ++_i324)
+                  org.apache.thrift.protocol.TList _list362 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StatusLine>(_list362.size);
+                  @org.apache.thrift.annotation.Nullable StatusLine _elem363;
+                  for (int _i364 = 0; _i364 < _list362.size; ++_i364)
                   {
-                    _elem323 = new StatusLine();
-                    _elem323.read(iprot);
-                    struct.success.add(_elem323);
+                    _elem363 = new StatusLine();
+                    _elem363.read(iprot);
+                    struct.success.add(_elem363);
                   }
                   iprot.readListEnd();
                 }
@@ -14430,9 +14430,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StatusLine _iter325 : struct.success)
+            for (StatusLine _iter365 : struct.success)
             {
-              _iter325.write(oprot);
+              _iter365.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -14472,9 +14472,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StatusLine _iter326 : struct.success)
+            for (StatusLine _iter366 : struct.success)
             {
-              _iter326.write(oprot);
+              _iter366.write(oprot);
             }
           }
         }
@@ -14489,14 +14489,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list327 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StatusLine>(_list327.size);
-            @org.apache.thrift.annotation.Nullable StatusLine _elem328;
-            for (int _i329 = 0; _i329 < _list327.size; ++_i329)
+            org.apache.thrift.protocol.TList _list367 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StatusLine>(_list367.size);
+            @org.apache.thrift.annotation.Nullable StatusLine _elem368;
+            for (int _i369 = 0; _i369 < _list367.size; ++_i369)
             {
-              _elem328 = new StatusLine();
-              _elem328.read(iprot);
-              struct.success.add(_elem328);
+              _elem368 = new StatusLine();
+              _elem368.read(iprot);
+              struct.success.add(_elem368);
             }
           }
           struct.setSuccessIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
@@ -22,6 +22,9 @@
   private static final org.apache.thrift.protocol.TField NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("number", org.apache.thrift.protocol.TType.I64, (short)7);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)8);
   private static final org.apache.thrift.protocol.TField VERSION_ARRIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("versionArrivals", org.apache.thrift.protocol.TType.LIST, (short)9);
+  private static final org.apache.thrift.protocol.TField CAP_SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("capSlots", org.apache.thrift.protocol.TType.LIST, (short)10);
+  private static final org.apache.thrift.protocol.TField CAP_SLOTS_VALID_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("capSlotsValidMs", org.apache.thrift.protocol.TType.I64, (short)11);
+  private static final org.apache.thrift.protocol.TField PACES_FIELD_DESC = new org.apache.thrift.protocol.TField("paces", org.apache.thrift.protocol.TType.LIST, (short)12);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FleetLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FleetLoadTupleSchemeFactory();
@@ -35,6 +38,9 @@
   private long number; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerProcess> leaving; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<ModelArrival> versionArrivals; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<CapSlot> capSlots; // optional
+  private long capSlotsValidMs; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<RunnerPace> paces; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -46,7 +52,10 @@
     ARRIVALS((short)6, "arrivals"),
     NUMBER((short)7, "number"),
     LEAVING((short)8, "leaving"),
-    VERSION_ARRIVALS((short)9, "versionArrivals");
+    VERSION_ARRIVALS((short)9, "versionArrivals"),
+    CAP_SLOTS((short)10, "capSlots"),
+    CAP_SLOTS_VALID_MS((short)11, "capSlotsValidMs"),
+    PACES((short)12, "paces");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -80,6 +89,12 @@
           return LEAVING;
         case 9: // VERSION_ARRIVALS
           return VERSION_ARRIVALS;
+        case 10: // CAP_SLOTS
+          return CAP_SLOTS;
+        case 11: // CAP_SLOTS_VALID_MS
+          return CAP_SLOTS_VALID_MS;
+        case 12: // PACES
+          return PACES;
         default:
           return null;
       }
@@ -127,8 +142,9 @@
   private static final int __CONFIGURATIONVERSION_ISSET_ID = 1;
   private static final int __RUNNERSREVISION_ISSET_ID = 2;
   private static final int __NUMBER_ISSET_ID = 3;
+  private static final int __CAPSLOTSVALIDMS_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.LEAVING,_Fields.VERSION_ARRIVALS};
+  private static final _Fields optionals[] = {_Fields.LEAVING,_Fields.VERSION_ARRIVALS,_Fields.CAP_SLOTS,_Fields.CAP_SLOTS_VALID_MS,_Fields.PACES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -155,6 +171,14 @@
     tmpMap.put(_Fields.VERSION_ARRIVALS, new org.apache.thrift.meta_data.FieldMetaData("versionArrivals", org.apache.thrift.TFieldRequirementType.OPTIONAL,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ModelArrival.class))));
+    tmpMap.put(_Fields.CAP_SLOTS, new org.apache.thrift.meta_data.FieldMetaData("capSlots", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CapSlot.class))));
+    tmpMap.put(_Fields.CAP_SLOTS_VALID_MS, new org.apache.thrift.meta_data.FieldMetaData("capSlotsValidMs", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PACES, new org.apache.thrift.meta_data.FieldMetaData("paces", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RunnerPace.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FleetLoad.class, metaDataMap);
   }
@@ -226,6 +250,21 @@
       }
       this.versionArrivals = __this__versionArrivals;
     }
+    if (other.isSetCapSlots()) {
+      java.util.List<CapSlot> __this__capSlots = new java.util.ArrayList<CapSlot>(other.capSlots.size());
+      for (CapSlot other_element : other.capSlots) {
+        __this__capSlots.add(new CapSlot(other_element));
+      }
+      this.capSlots = __this__capSlots;
+    }
+    this.capSlotsValidMs = other.capSlotsValidMs;
+    if (other.isSetPaces()) {
+      java.util.List<RunnerPace> __this__paces = new java.util.ArrayList<RunnerPace>(other.paces.size());
+      for (RunnerPace other_element : other.paces) {
+        __this__paces.add(new RunnerPace(other_element));
+      }
+      this.paces = __this__paces;
+    }
   }
 
   @Override
@@ -248,6 +287,10 @@
     this.number = 0;
     this.leaving = null;
     this.versionArrivals = null;
+    this.capSlots = null;
+    setCapSlotsValidMsIsSet(false);
+    this.capSlotsValidMs = 0;
+    this.paces = null;
   }
 
   public long getTerm() {
@@ -547,6 +590,111 @@
     }
   }
 
+  public int getCapSlotsSize() {
+    return (this.capSlots == null) ? 0 : this.capSlots.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<CapSlot> getCapSlotsIterator() {
+    return (this.capSlots == null) ? null : this.capSlots.iterator();
+  }
+
+  public void addToCapSlots(CapSlot elem) {
+    if (this.capSlots == null) {
+      this.capSlots = new java.util.ArrayList<CapSlot>();
+    }
+    this.capSlots.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<CapSlot> getCapSlots() {
+    return this.capSlots;
+  }
+
+  public FleetLoad setCapSlots(@org.apache.thrift.annotation.Nullable java.util.List<CapSlot> capSlots) {
+    this.capSlots = capSlots;
+    return this;
+  }
+
+  public void unsetCapSlots() {
+    this.capSlots = null;
+  }
+
+  /** Returns true if field capSlots is set (has been assigned a value) and false otherwise */
+  public boolean isSetCapSlots() {
+    return this.capSlots != null;
+  }
+
+  public void setCapSlotsIsSet(boolean value) {
+    if (!value) {
+      this.capSlots = null;
+    }
+  }
+
+  public long getCapSlotsValidMs() {
+    return this.capSlotsValidMs;
+  }
+
+  public FleetLoad setCapSlotsValidMs(long capSlotsValidMs) {
+    this.capSlotsValidMs = capSlotsValidMs;
+    setCapSlotsValidMsIsSet(true);
+    return this;
+  }
+
+  public void unsetCapSlotsValidMs() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CAPSLOTSVALIDMS_ISSET_ID);
+  }
+
+  /** Returns true if field capSlotsValidMs is set (has been assigned a value) and false otherwise */
+  public boolean isSetCapSlotsValidMs() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CAPSLOTSVALIDMS_ISSET_ID);
+  }
+
+  public void setCapSlotsValidMsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CAPSLOTSVALIDMS_ISSET_ID, value);
+  }
+
+  public int getPacesSize() {
+    return (this.paces == null) ? 0 : this.paces.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<RunnerPace> getPacesIterator() {
+    return (this.paces == null) ? null : this.paces.iterator();
+  }
+
+  public void addToPaces(RunnerPace elem) {
+    if (this.paces == null) {
+      this.paces = new java.util.ArrayList<RunnerPace>();
+    }
+    this.paces.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<RunnerPace> getPaces() {
+    return this.paces;
+  }
+
+  public FleetLoad setPaces(@org.apache.thrift.annotation.Nullable java.util.List<RunnerPace> paces) {
+    this.paces = paces;
+    return this;
+  }
+
+  public void unsetPaces() {
+    this.paces = null;
+  }
+
+  /** Returns true if field paces is set (has been assigned a value) and false otherwise */
+  public boolean isSetPaces() {
+    return this.paces != null;
+  }
+
+  public void setPacesIsSet(boolean value) {
+    if (!value) {
+      this.paces = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -622,6 +770,30 @@
       }
       break;
 
+    case CAP_SLOTS:
+      if (value == null) {
+        unsetCapSlots();
+      } else {
+        setCapSlots((java.util.List<CapSlot>)value);
+      }
+      break;
+
+    case CAP_SLOTS_VALID_MS:
+      if (value == null) {
+        unsetCapSlotsValidMs();
+      } else {
+        setCapSlotsValidMs((java.lang.Long)value);
+      }
+      break;
+
+    case PACES:
+      if (value == null) {
+        unsetPaces();
+      } else {
+        setPaces((java.util.List<RunnerPace>)value);
+      }
+      break;
+
     }
   }
 
@@ -656,6 +828,15 @@
     case VERSION_ARRIVALS:
       return getVersionArrivals();
 
+    case CAP_SLOTS:
+      return getCapSlots();
+
+    case CAP_SLOTS_VALID_MS:
+      return getCapSlotsValidMs();
+
+    case PACES:
+      return getPaces();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -686,6 +867,12 @@
       return isSetLeaving();
     case VERSION_ARRIVALS:
       return isSetVersionArrivals();
+    case CAP_SLOTS:
+      return isSetCapSlots();
+    case CAP_SLOTS_VALID_MS:
+      return isSetCapSlotsValidMs();
+    case PACES:
+      return isSetPaces();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -784,6 +971,33 @@
         return false;
     }
 
+    boolean this_present_capSlots = true && this.isSetCapSlots();
+    boolean that_present_capSlots = true && that.isSetCapSlots();
+    if (this_present_capSlots || that_present_capSlots) {
+      if (!(this_present_capSlots && that_present_capSlots))
+        return false;
+      if (!this.capSlots.equals(that.capSlots))
+        return false;
+    }
+
+    boolean this_present_capSlotsValidMs = true && this.isSetCapSlotsValidMs();
+    boolean that_present_capSlotsValidMs = true && that.isSetCapSlotsValidMs();
+    if (this_present_capSlotsValidMs || that_present_capSlotsValidMs) {
+      if (!(this_present_capSlotsValidMs && that_present_capSlotsValidMs))
+        return false;
+      if (this.capSlotsValidMs != that.capSlotsValidMs)
+        return false;
+    }
+
+    boolean this_present_paces = true && this.isSetPaces();
+    boolean that_present_paces = true && that.isSetPaces();
+    if (this_present_paces || that_present_paces) {
+      if (!(this_present_paces && that_present_paces))
+        return false;
+      if (!this.paces.equals(that.paces))
+        return false;
+    }
+
     return true;
   }
 
@@ -819,6 +1033,18 @@
     if (isSetVersionArrivals())
       hashCode = hashCode * 8191 + versionArrivals.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetCapSlots()) ? 131071 : 524287);
+    if (isSetCapSlots())
+      hashCode = hashCode * 8191 + capSlots.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetCapSlotsValidMs()) ? 131071 : 524287);
+    if (isSetCapSlotsValidMs())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(capSlotsValidMs);
+
+    hashCode = hashCode * 8191 + ((isSetPaces()) ? 131071 : 524287);
+    if (isSetPaces())
+      hashCode = hashCode * 8191 + paces.hashCode();
+
     return hashCode;
   }
 
@@ -920,6 +1146,36 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCapSlots(), other.isSetCapSlots());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCapSlots()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.capSlots, other.capSlots);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetCapSlotsValidMs(), other.isSetCapSlotsValidMs());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCapSlotsValidMs()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.capSlotsValidMs, other.capSlotsValidMs);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPaces(), other.isSetPaces());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPaces()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.paces, other.paces);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1003,6 +1259,32 @@
       }
       first = false;
     }
+    if (isSetCapSlots()) {
+      if (!first) sb.append(", ");
+      sb.append("capSlots:");
+      if (this.capSlots == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.capSlots);
+      }
+      first = false;
+    }
+    if (isSetCapSlotsValidMs()) {
+      if (!first) sb.append(", ");
+      sb.append("capSlotsValidMs:");
+      sb.append(this.capSlotsValidMs);
+      first = false;
+    }
+    if (isSetPaces()) {
+      if (!first) sb.append(", ");
+      sb.append("paces:");
+      if (this.paces == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.paces);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1090,14 +1372,14 @@
           case 4: // RUNNERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list256 = iprot.readListBegin();
-                struct.runners = new java.util.ArrayList<RunnerHolding>(_list256.size);
-                @org.apache.thrift.annotation.Nullable RunnerHolding _elem257;
-                for (int _i258 = 0; _i258 < _list256.size; ++_i258)
+                org.apache.thrift.protocol.TList _list280 = iprot.readListBegin();
+                struct.runners = new java.util.ArrayList<RunnerHolding>(_list280.size);
+                @org.apache.thrift.annotation.Nullable RunnerHolding _elem281;
+                for (int _i282 = 0; _i282 < _list280.size; ++_i282)
                 {
-                  _elem257 = new RunnerHolding();
-                  _elem257.read(iprot);
-                  struct.runners.add(_elem257);
+                  _elem281 = new RunnerHolding();
+                  _elem281.read(iprot);
+                  struct.runners.add(_elem281);
                 }
                 iprot.readListEnd();
               }
@@ -1109,13 +1391,13 @@
           case 5: // SILENT_NODES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list259 = iprot.readListBegin();
-                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list259.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem260;
-                for (int _i261 = 0; _i261 < _list259.size; ++_i261)
+                org.apache.thrift.protocol.TList _list283 = iprot.readListBegin();
+                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list283.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem284;
+                for (int _i285 = 0; _i285 < _list283.size; ++_i285)
                 {
-                  _elem260 = iprot.readString();
-                  struct.silentNodes.add(_elem260);
+                  _elem284 = iprot.readString();
+                  struct.silentNodes.add(_elem284);
                 }
                 iprot.readListEnd();
               }
@@ -1127,14 +1409,14 @@
           case 6: // ARRIVALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list262 = iprot.readListBegin();
-                struct.arrivals = new java.util.ArrayList<ModelArrival>(_list262.size);
-                @org.apache.thrift.annotation.Nullable ModelArrival _elem263;
-                for (int _i264 = 0; _i264 < _list262.size; ++_i264)
+                org.apache.thrift.protocol.TList _list286 = iprot.readListBegin();
+                struct.arrivals = new java.util.ArrayList<ModelArrival>(_list286.size);
+                @org.apache.thrift.annotation.Nullable ModelArrival _elem287;
+                for (int _i288 = 0; _i288 < _list286.size; ++_i288)
                 {
-                  _elem263 = new ModelArrival();
-                  _elem263.read(iprot);
-                  struct.arrivals.add(_elem263);
+                  _elem287 = new ModelArrival();
+                  _elem287.read(iprot);
+                  struct.arrivals.add(_elem287);
                 }
                 iprot.readListEnd();
               }
@@ -1154,14 +1436,14 @@
           case 8: // LEAVING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list265 = iprot.readListBegin();
-                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list265.size);
-                @org.apache.thrift.annotation.Nullable RunnerProcess _elem266;
-                for (int _i267 = 0; _i267 < _list265.size; ++_i267)
+                org.apache.thrift.protocol.TList _list289 = iprot.readListBegin();
+                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list289.size);
+                @org.apache.thrift.annotation.Nullable RunnerProcess _elem290;
+                for (int _i291 = 0; _i291 < _list289.size; ++_i291)
                 {
-                  _elem266 = new RunnerProcess();
-                  _elem266.read(iprot);
-                  struct.leaving.add(_elem266);
+                  _elem290 = new RunnerProcess();
+                  _elem290.read(iprot);
+                  struct.leaving.add(_elem290);
                 }
                 iprot.readListEnd();
               }
@@ -1173,14 +1455,14 @@
           case 9: // VERSION_ARRIVALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list268 = iprot.readListBegin();
-                struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list268.size);
-                @org.apache.thrift.annotation.Nullable ModelArrival _elem269;
-                for (int _i270 = 0; _i270 < _list268.size; ++_i270)
+                org.apache.thrift.protocol.TList _list292 = iprot.readListBegin();
+                struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list292.size);
+                @org.apache.thrift.annotation.Nullable ModelArrival _elem293;
+                for (int _i294 = 0; _i294 < _list292.size; ++_i294)
                 {
-                  _elem269 = new ModelArrival();
-                  _elem269.read(iprot);
-                  struct.versionArrivals.add(_elem269);
+                  _elem293 = new ModelArrival();
+                  _elem293.read(iprot);
+                  struct.versionArrivals.add(_elem293);
                 }
                 iprot.readListEnd();
               }
@@ -1189,6 +1471,52 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 10: // CAP_SLOTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list295 = iprot.readListBegin();
+                struct.capSlots = new java.util.ArrayList<CapSlot>(_list295.size);
+                @org.apache.thrift.annotation.Nullable CapSlot _elem296;
+                for (int _i297 = 0; _i297 < _list295.size; ++_i297)
+                {
+                  _elem296 = new CapSlot();
+                  _elem296.read(iprot);
+                  struct.capSlots.add(_elem296);
+                }
+                iprot.readListEnd();
+              }
+              struct.setCapSlotsIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 11: // CAP_SLOTS_VALID_MS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.capSlotsValidMs = iprot.readI64();
+              struct.setCapSlotsValidMsIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 12: // PACES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list298 = iprot.readListBegin();
+                struct.paces = new java.util.ArrayList<RunnerPace>(_list298.size);
+                @org.apache.thrift.annotation.Nullable RunnerPace _elem299;
+                for (int _i300 = 0; _i300 < _list298.size; ++_i300)
+                {
+                  _elem299 = new RunnerPace();
+                  _elem299.read(iprot);
+                  struct.paces.add(_elem299);
+                }
+                iprot.readListEnd();
+              }
+              struct.setPacesIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1230,9 +1558,9 @@
         oprot.writeFieldBegin(RUNNERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.runners.size()));
-          for (RunnerHolding _iter271 : struct.runners)
+          for (RunnerHolding _iter301 : struct.runners)
           {
-            _iter271.write(oprot);
+            _iter301.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1242,9 +1570,9 @@
         oprot.writeFieldBegin(SILENT_NODES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.silentNodes.size()));
-          for (java.lang.String _iter272 : struct.silentNodes)
+          for (java.lang.String _iter302 : struct.silentNodes)
           {
-            oprot.writeString(_iter272);
+            oprot.writeString(_iter302);
           }
           oprot.writeListEnd();
         }
@@ -1254,9 +1582,9 @@
         oprot.writeFieldBegin(ARRIVALS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.arrivals.size()));
-          for (ModelArrival _iter273 : struct.arrivals)
+          for (ModelArrival _iter303 : struct.arrivals)
           {
-            _iter273.write(oprot);
+            _iter303.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1270,9 +1598,9 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (RunnerProcess _iter274 : struct.leaving)
+            for (RunnerProcess _iter304 : struct.leaving)
             {
-              _iter274.write(oprot);
+              _iter304.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1284,9 +1612,42 @@
           oprot.writeFieldBegin(VERSION_ARRIVALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.versionArrivals.size()));
-            for (ModelArrival _iter275 : struct.versionArrivals)
+            for (ModelArrival _iter305 : struct.versionArrivals)
             {
-              _iter275.write(oprot);
+              _iter305.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.capSlots != null) {
+        if (struct.isSetCapSlots()) {
+          oprot.writeFieldBegin(CAP_SLOTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.capSlots.size()));
+            for (CapSlot _iter306 : struct.capSlots)
+            {
+              _iter306.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.isSetCapSlotsValidMs()) {
+        oprot.writeFieldBegin(CAP_SLOTS_VALID_MS_FIELD_DESC);
+        oprot.writeI64(struct.capSlotsValidMs);
+        oprot.writeFieldEnd();
+      }
+      if (struct.paces != null) {
+        if (struct.isSetPaces()) {
+          oprot.writeFieldBegin(PACES_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.paces.size()));
+            for (RunnerPace _iter307 : struct.paces)
+            {
+              _iter307.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1316,23 +1677,23 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.runners.size());
-        for (RunnerHolding _iter276 : struct.runners)
+        for (RunnerHolding _iter308 : struct.runners)
         {
-          _iter276.write(oprot);
+          _iter308.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.silentNodes.size());
-        for (java.lang.String _iter277 : struct.silentNodes)
+        for (java.lang.String _iter309 : struct.silentNodes)
         {
-          oprot.writeString(_iter277);
+          oprot.writeString(_iter309);
         }
       }
       {
         oprot.writeI32(struct.arrivals.size());
-        for (ModelArrival _iter278 : struct.arrivals)
+        for (ModelArrival _iter310 : struct.arrivals)
         {
-          _iter278.write(oprot);
+          _iter310.write(oprot);
         }
       }
       oprot.writeI64(struct.number);
@@ -1343,22 +1704,52 @@
       if (struct.isSetVersionArrivals()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetCapSlots()) {
+        optionals.set(2);
+      }
+      if (struct.isSetCapSlotsValidMs()) {
+        optionals.set(3);
+      }
+      if (struct.isSetPaces()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (RunnerProcess _iter279 : struct.leaving)
+          for (RunnerProcess _iter311 : struct.leaving)
           {
-            _iter279.write(oprot);
+            _iter311.write(oprot);
           }
         }
       }
       if (struct.isSetVersionArrivals()) {
         {
           oprot.writeI32(struct.versionArrivals.size());
-          for (ModelArrival _iter280 : struct.versionArrivals)
+          for (ModelArrival _iter312 : struct.versionArrivals)
+          {
+            _iter312.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetCapSlots()) {
+        {
+          oprot.writeI32(struct.capSlots.size());
+          for (CapSlot _iter313 : struct.capSlots)
+          {
+            _iter313.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetCapSlotsValidMs()) {
+        oprot.writeI64(struct.capSlotsValidMs);
+      }
+      if (struct.isSetPaces()) {
+        {
+          oprot.writeI32(struct.paces.size());
+          for (RunnerPace _iter314 : struct.paces)
           {
-            _iter280.write(oprot);
+            _iter314.write(oprot);
           }
         }
       }
@@ -1374,71 +1765,103 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list281 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.runners = new java.util.ArrayList<RunnerHolding>(_list281.size);
-        @org.apache.thrift.annotation.Nullable RunnerHolding _elem282;
-        for (int _i283 = 0; _i283 < _list281.size; ++_i283)
+        org.apache.thrift.protocol.TList _list315 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.runners = new java.util.ArrayList<RunnerHolding>(_list315.size);
+        @org.apache.thrift.annotation.Nullable RunnerHolding _elem316;
+        for (int _i317 = 0; _i317 < _list315.size; ++_i317)
         {
-          _elem282 = new RunnerHolding();
-          _elem282.read(iprot);
-          struct.runners.add(_elem282);
+          _elem316 = new RunnerHolding();
+          _elem316.read(iprot);
+          struct.runners.add(_elem316);
         }
       }
       struct.setRunnersIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list284 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list284.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem285;
-        for (int _i286 = 0; _i286 < _list284.size; ++_i286)
+        org.apache.thrift.protocol.TList _list318 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list318.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem319;
+        for (int _i320 = 0; _i320 < _list318.size; ++_i320)
         {
-          _elem285 = iprot.readString();
-          struct.silentNodes.add(_elem285);
+          _elem319 = iprot.readString();
+          struct.silentNodes.add(_elem319);
         }
       }
       struct.setSilentNodesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list287 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list287.size);
-        @org.apache.thrift.annotation.Nullable ModelArrival _elem288;
-        for (int _i289 = 0; _i289 < _list287.size; ++_i289)
+        org.apache.thrift.protocol.TList _list321 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list321.size);
+        @org.apache.thrift.annotation.Nullable ModelArrival _elem322;
+        for (int _i323 = 0; _i323 < _list321.size; ++_i323)
         {
-          _elem288 = new ModelArrival();
-          _elem288.read(iprot);
-          struct.arrivals.add(_elem288);
+          _elem322 = new ModelArrival();
+          _elem322.read(iprot);
+          struct.arrivals.add(_elem322);
         }
       }
       struct.setArrivalsIsSet(true);
       struct.number = iprot.readI64();
       struct.setNumberIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list290 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list290.size);
-          @org.apache.thrift.annotation.Nullable RunnerProcess _elem291;
-          for (int _i292 = 0; _i292 < _list290.size; ++_i292)
+          org.apache.thrift.protocol.TList _list324 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list324.size);
+          @org.apache.thrift.annotation.Nullable RunnerProcess _elem325;
+          for (int _i326 = 0; _i326 < _list324.size; ++_i326)
           {
-            _elem291 = new RunnerProcess();
-            _elem291.read(iprot);
-            struct.leaving.add(_elem291);
+            _elem325 = new RunnerProcess();
+            _elem325.read(iprot);
+            struct.leaving.add(_elem325);
           }
         }
         struct.setLeavingIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list293 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list293.size);
-          @org.apache.thrift.annotation.Nullable ModelArrival _elem294;
-          for (int _i295 = 0; _i295 < _list293.size; ++_i295)
+          org.apache.thrift.protocol.TList _list327 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list327.size);
+          @org.apache.thrift.annotation.Nullable ModelArrival _elem328;
+          for (int _i329 = 0; _i329 < _list327.size; ++_i329)
           {
-            _elem294 = new ModelArrival();
-            _elem294.read(iprot);
-            struct.versionArrivals.add(_elem294);
+            _elem328 = new ModelArrival();
+            _elem328.read(iprot);
+            struct.versionArrivals.add(_elem328);
           }
         }
         struct.setVersionArrivalsIsSet(true);
       }
+      if (incoming.get(2)) {
+        {
+          org.apache.thrift.protocol.TList _list330 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.capSlots = new java.util.ArrayList<CapSlot>(_list330.size);
+          @org.apache.thrift.annotation.Nullable CapSlot _elem331;
+          for (int _i332 = 0; _i332 < _list330.size; ++_i332)
+          {
+            _elem331 = new CapSlot();
+            _elem331.read(iprot);
+            struct.capSlots.add(_elem331);
+          }
+        }
+        struct.setCapSlotsIsSet(true);
+      }
+      if (incoming.get(3)) {
+        struct.capSlotsValidMs = iprot.readI64();
+        struct.setCapSlotsValidMsIsSet(true);
+      }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list333 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.paces = new java.util.ArrayList<RunnerPace>(_list333.size);
+          @org.apache.thrift.annotation.Nullable RunnerPace _elem334;
+          for (int _i335 = 0; _i335 < _list333.size; ++_i335)
+          {
+            _elem334 = new RunnerPace();
+            _elem334.read(iprot);
+            struct.paces.add(_elem334);
+          }
+        }
+        struct.setPacesIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/HeldModel.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/HeldModel.java
@@ -520,13 +520,13 @@
           case 3: // ADAPTERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list240 = iprot.readListBegin();
-                struct.adapters = new java.util.ArrayList<java.lang.String>(_list240.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem241;
-                for (int _i242 = 0; _i242 < _list240.size; ++_i242)
+                org.apache.thrift.protocol.TList _list264 = iprot.readListBegin();
+                struct.adapters = new java.util.ArrayList<java.lang.String>(_list264.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem265;
+                for (int _i266 = 0; _i266 < _list264.size; ++_i266)
                 {
-                  _elem241 = iprot.readString();
-                  struct.adapters.add(_elem241);
+                  _elem265 = iprot.readString();
+                  struct.adapters.add(_elem265);
                 }
                 iprot.readListEnd();
               }
@@ -566,9 +566,9 @@
         oprot.writeFieldBegin(ADAPTERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.adapters.size()));
-          for (java.lang.String _iter243 : struct.adapters)
+          for (java.lang.String _iter267 : struct.adapters)
           {
-            oprot.writeString(_iter243);
+            oprot.writeString(_iter267);
           }
           oprot.writeListEnd();
         }
@@ -596,9 +596,9 @@
       oprot.writeI64(struct.version);
       {
         oprot.writeI32(struct.adapters.size());
-        for (java.lang.String _iter244 : struct.adapters)
+        for (java.lang.String _iter268 : struct.adapters)
         {
-          oprot.writeString(_iter244);
+          oprot.writeString(_iter268);
         }
       }
     }
@@ -611,13 +611,13 @@
       struct.version = iprot.readI64();
       struct.setVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list245 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.adapters = new java.util.ArrayList<java.lang.String>(_list245.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem246;
-        for (int _i247 = 0; _i247 < _list245.size; ++_i247)
+        org.apache.thrift.protocol.TList _list269 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.adapters = new java.util.ArrayList<java.lang.String>(_list269.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem270;
+        for (int _i271 = 0; _i271 < _list269.size; ++_i271)
         {
-          _elem246 = iprot.readString();
-          struct.adapters.add(_elem246);
+          _elem270 = iprot.readString();
+          struct.adapters.add(_elem270);
         }
       }
       struct.setAdaptersIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
@@ -39,6 +39,13 @@
      */
     public void keepCrashReports(java.util.List<CrashReportRecord> reports) throws org.apache.thrift.TException;
 
+    /**
+     * Takes tokens of a workspace's usage cap from a slot that the called node holds.
+     *
+     * @param request
+     */
+    public TokenGrant takeTokens(TokenRequest request) throws org.apache.thrift.TException;
+
   }
 
   public interface AsyncIface {
@@ -51,6 +58,8 @@
 
     public void keepCrashReports(java.util.List<CrashReportRecord> reports, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
 
+    public void takeTokens(TokenRequest request, org.apache.thrift.async.AsyncMethodCallback<TokenGrant> resultHandler) throws org.apache.thrift.TException;
+
   }
 
   public static class Client extends org.apache.thrift.TServiceClient implements Iface {
@@ -168,6 +177,30 @@
       return;
     }
 
+    @Override
+    public TokenGrant takeTokens(TokenRequest request) throws org.apache.thrift.TException
+    {
+      send_takeTokens(request);
+      return recv_takeTokens();
+    }
+
+    public void send_takeTokens(TokenRequest request) throws org.apache.thrift.TException
+    {
+      takeTokens_args args = new takeTokens_args();
+      args.setRequest(request);
+      sendBase("takeTokens", args);
+    }
+
+    public TokenGrant recv_takeTokens() throws org.apache.thrift.TException
+    {
+      takeTokens_result result = new takeTokens_result();
+      receiveBase(result, "takeTokens");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "takeTokens failed: unknown result");
+    }
+
   }
   public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
     public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
@@ -329,6 +362,41 @@
       }
     }
 
+    @Override
+    public void takeTokens(TokenRequest request, org.apache.thrift.async.AsyncMethodCallback<TokenGrant> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      takeTokens_call method_call = new takeTokens_call(request, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class takeTokens_call extends org.apache.thrift.async.TAsyncMethodCall<TokenGrant> {
+      private TokenRequest request;
+      public takeTokens_call(TokenRequest request, org.apache.thrift.async.AsyncMethodCallback<TokenGrant> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.request = request;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("takeTokens", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        takeTokens_args args = new takeTokens_args();
+        args.setRequest(request);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public TokenGrant getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_takeTokens();
+      }
+    }
+
   }
 
   public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
@@ -346,6 +414,7 @@
       processMap.put("keepOrigins", new keepOrigins());
       processMap.put("findOrigin", new findOrigin());
       processMap.put("keepCrashReports", new keepCrashReports());
+      processMap.put("takeTokens", new takeTokens());
       return processMap;
     }
 
@@ -465,6 +534,34 @@
       }
     }
 
+    public static class takeTokens<I extends Iface> extends org.apache.thrift.ProcessFunction<I, takeTokens_args> {
+      public takeTokens() {
+        super("takeTokens");
+      }
+
+      @Override
+      public takeTokens_args getEmptyArgsInstance() {
+        return new takeTokens_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public takeTokens_result getResult(I iface, takeTokens_args args) throws org.apache.thrift.TException {
+        takeTokens_result result = new takeTokens_result();
+        result.success = iface.takeTokens(args.request);
+        return result;
+      }
+    }
+
   }
 
   public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
@@ -482,6 +579,7 @@
       processMap.put("keepOrigins", new keepOrigins());
       processMap.put("findOrigin", new findOrigin());
       processMap.put("keepCrashReports", new keepCrashReports());
+      processMap.put("takeTokens", new takeTokens());
       return processMap;
     }
 
@@ -755,6 +853,73 @@
       }
     }
 
+    public static class takeTokens<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, takeTokens_args, TokenGrant> {
+      public takeTokens() {
+        super("takeTokens");
+      }
+
+      @Override
+      public takeTokens_args getEmptyArgsInstance() {
+        return new takeTokens_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<TokenGrant> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<TokenGrant>() {
+          @Override
+          public void onComplete(TokenGrant o) {
+            takeTokens_result result = new takeTokens_result();
+            result.success = o;
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            takeTokens_result result = new takeTokens_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, takeTokens_args args, org.apache.thrift.async.AsyncMethodCallback<TokenGrant> resultHandler) throws org.apache.thrift.TException {
+        iface.takeTokens(args.request,resultHandler);
+      }
+    }
+
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
@@ -1961,14 +2126,14 @@
             case 1: // ORIGINS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list358 = iprot.readListBegin();
-                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list358.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem359;
-                  for (int _i360 = 0; _i360 < _list358.size; ++_i360)
+                  org.apache.thrift.protocol.TList _list398 = iprot.readListBegin();
+                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list398.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem399;
+                  for (int _i400 = 0; _i400 < _list398.size; ++_i400)
                   {
-                    _elem359 = new StreamOrigin();
-                    _elem359.read(iprot);
-                    struct.origins.add(_elem359);
+                    _elem399 = new StreamOrigin();
+                    _elem399.read(iprot);
+                    struct.origins.add(_elem399);
                   }
                   iprot.readListEnd();
                 }
@@ -1997,9 +2162,9 @@
           oprot.writeFieldBegin(ORIGINS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.origins.size()));
-            for (StreamOrigin _iter361 : struct.origins)
+            for (StreamOrigin _iter401 : struct.origins)
             {
-              _iter361.write(oprot);
+              _iter401.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2031,9 +2196,9 @@
         if (struct.isSetOrigins()) {
           {
             oprot.writeI32(struct.origins.size());
-            for (StreamOrigin _iter362 : struct.origins)
+            for (StreamOrigin _iter402 : struct.origins)
             {
-              _iter362.write(oprot);
+              _iter402.write(oprot);
             }
           }
         }
@@ -2045,14 +2210,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list363 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.origins = new java.util.ArrayList<StreamOrigin>(_list363.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem364;
-            for (int _i365 = 0; _i365 < _list363.size; ++_i365)
+            org.apache.thrift.protocol.TList _list403 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.origins = new java.util.ArrayList<StreamOrigin>(_list403.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem404;
+            for (int _i405 = 0; _i405 < _list403.size; ++_i405)
             {
-              _elem364 = new StreamOrigin();
-              _elem364.read(iprot);
-              struct.origins.add(_elem364);
+              _elem404 = new StreamOrigin();
+              _elem404.read(iprot);
+              struct.origins.add(_elem404);
             }
           }
           struct.setOriginsIsSet(true);
@@ -3038,14 +3203,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list366 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StreamOrigin>(_list366.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem367;
-                  for (int _i368 = 0; _i368 < _list366.size; ++_i368)
+                  org.apache.thrift.protocol.TList _list406 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StreamOrigin>(_list406.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem407;
+                  for (int _i408 = 0; _i408 < _list406.size; ++_i408)
                   {
-                    _elem367 = new StreamOrigin();
-                    _elem367.read(iprot);
-                    struct.success.add(_elem367);
+                    _elem407 = new StreamOrigin();
+                    _elem407.read(iprot);
+                    struct.success.add(_elem407);
                   }
                   iprot.readListEnd();
                 }
@@ -3074,9 +3239,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StreamOrigin _iter369 : struct.success)
+            for (StreamOrigin _iter409 : struct.success)
             {
-              _iter369.write(oprot);
+              _iter409.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -3108,9 +3273,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StreamOrigin _iter370 : struct.success)
+            for (StreamOrigin _iter410 : struct.success)
             {
-              _iter370.write(oprot);
+              _iter410.write(oprot);
             }
           }
         }
@@ -3122,14 +3287,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list371 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StreamOrigin>(_list371.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem372;
-            for (int _i373 = 0; _i373 < _list371.size; ++_i373)
+            org.apache.thrift.protocol.TList _list411 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StreamOrigin>(_list411.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem412;
+            for (int _i413 = 0; _i413 < _list411.size; ++_i413)
             {
-              _elem372 = new StreamOrigin();
-              _elem372.read(iprot);
-              struct.success.add(_elem372);
+              _elem412 = new StreamOrigin();
+              _elem412.read(iprot);
+              struct.success.add(_elem412);
             }
           }
           struct.setSuccessIsSet(true);
@@ -3472,14 +3637,14 @@
             case 1: // REPORTS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list374 = iprot.readListBegin();
-                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list374.size);
-                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem375;
-                  for (int _i376 = 0; _i376 < _list374.size; ++_i376)
+                  org.apache.thrift.protocol.TList _list414 = iprot.readListBegin();
+                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list414.size);
+                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem415;
+                  for (int _i416 = 0; _i416 < _list414.size; ++_i416)
                   {
-                    _elem375 = new CrashReportRecord();
-                    _elem375.read(iprot);
-                    struct.reports.add(_elem375);
+                    _elem415 = new CrashReportRecord();
+                    _elem415.read(iprot);
+                    struct.reports.add(_elem415);
                   }
                   iprot.readListEnd();
                 }
@@ -3508,9 +3673,9 @@
           oprot.writeFieldBegin(REPORTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-            for (CrashReportRecord _iter377 : struct.reports)
+            for (CrashReportRecord _iter417 : struct.reports)
             {
-              _iter377.write(oprot);
+              _iter417.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -3542,9 +3707,9 @@
         if (struct.isSetReports()) {
           {
             oprot.writeI32(struct.reports.size());
-            for (CrashReportRecord _iter378 : struct.reports)
+            for (CrashReportRecord _iter418 : struct.reports)
             {
-              _iter378.write(oprot);
+              _iter418.write(oprot);
             }
           }
         }
@@ -3556,14 +3721,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list379 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list379.size);
-            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem380;
-            for (int _i381 = 0; _i381 < _list379.size; ++_i381)
+            org.apache.thrift.protocol.TList _list419 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list419.size);
+            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem420;
+            for (int _i421 = 0; _i421 < _list419.size; ++_i421)
             {
-              _elem380 = new CrashReportRecord();
-              _elem380.read(iprot);
-              struct.reports.add(_elem380);
+              _elem420 = new CrashReportRecord();
+              _elem420.read(iprot);
+              struct.reports.add(_elem420);
             }
           }
           struct.setReportsIsSet(true);
@@ -3841,4 +4006,771 @@
     }
   }
 
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class takeTokens_args implements org.apache.thrift.TBase<takeTokens_args, takeTokens_args._Fields>, java.io.Serializable, Cloneable, Comparable<takeTokens_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("takeTokens_args");
+
+    private static final org.apache.thrift.protocol.TField REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("request", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new takeTokens_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new takeTokens_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable TokenRequest request; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      REQUEST((short)1, "request");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // REQUEST
+            return REQUEST;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.REQUEST, new org.apache.thrift.meta_data.FieldMetaData("request", org.apache.thrift.TFieldRequirementType.DEFAULT,
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TokenRequest.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(takeTokens_args.class, metaDataMap);
+    }
+
+    public takeTokens_args() {
+    }
+
+    public takeTokens_args(
+      TokenRequest request)
+    {
+      this();
+      this.request = request;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public takeTokens_args(takeTokens_args other) {
+      if (other.isSetRequest()) {
+        this.request = new TokenRequest(other.request);
+      }
+    }
+
+    @Override
+    public takeTokens_args deepCopy() {
+      return new takeTokens_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.request = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public TokenRequest getRequest() {
+      return this.request;
+    }
+
+    public takeTokens_args setRequest(@org.apache.thrift.annotation.Nullable TokenRequest request) {
+      this.request = request;
+      return this;
+    }
+
+    public void unsetRequest() {
+      this.request = null;
+    }
+
+    /** Returns true if field request is set (has been assigned a value) and false otherwise */
+    public boolean isSetRequest() {
+      return this.request != null;
+    }
+
+    public void setRequestIsSet(boolean value) {
+      if (!value) {
+        this.request = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case REQUEST:
+        if (value == null) {
+          unsetRequest();
+        } else {
+          setRequest((TokenRequest)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case REQUEST:
+        return getRequest();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case REQUEST:
+        return isSetRequest();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof takeTokens_args)
+        return this.equals((takeTokens_args)that);
+      return false;
+    }
+
+    public boolean equals(takeTokens_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_request = true && this.isSetRequest();
+      boolean that_present_request = true && that.isSetRequest();
+      if (this_present_request || that_present_request) {
+        if (!(this_present_request && that_present_request))
+          return false;
+        if (!this.request.equals(that.request))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetRequest()) ? 131071 : 524287);
+      if (isSetRequest())
+        hashCode = hashCode * 8191 + request.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(takeTokens_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetRequest(), other.isSetRequest());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetRequest()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.request, other.request);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("takeTokens_args(");
+      boolean first = true;
+
+      sb.append("request:");
+      if (this.request == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.request);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (request != null) {
+        request.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class takeTokens_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public takeTokens_argsStandardScheme getScheme() {
+        return new takeTokens_argsStandardScheme();
+      }
+    }
+
+    private static class takeTokens_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<takeTokens_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, takeTokens_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // REQUEST
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.request = new TokenRequest();
+                struct.request.read(iprot);
+                struct.setRequestIsSet(true);
+              } else {
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, takeTokens_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.request != null) {
+          oprot.writeFieldBegin(REQUEST_FIELD_DESC);
+          struct.request.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class takeTokens_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public takeTokens_argsTupleScheme getScheme() {
+        return new takeTokens_argsTupleScheme();
+      }
+    }
+
+    private static class takeTokens_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<takeTokens_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, takeTokens_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetRequest()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetRequest()) {
+          struct.request.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, takeTokens_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.request = new TokenRequest();
+          struct.request.read(iprot);
+          struct.setRequestIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class takeTokens_result implements org.apache.thrift.TBase<takeTokens_result, takeTokens_result._Fields>, java.io.Serializable, Cloneable, Comparable<takeTokens_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("takeTokens_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.STRUCT, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new takeTokens_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new takeTokens_resultTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable TokenGrant success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT,
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TokenGrant.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(takeTokens_result.class, metaDataMap);
+    }
+
+    public takeTokens_result() {
+    }
+
+    public takeTokens_result(
+      TokenGrant success)
+    {
+      this();
+      this.success = success;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public takeTokens_result(takeTokens_result other) {
+      if (other.isSetSuccess()) {
+        this.success = new TokenGrant(other.success);
+      }
+    }
+
+    @Override
+    public takeTokens_result deepCopy() {
+      return new takeTokens_result(this);
+    }
+
+    @Override
+    public void clear() {
+      this.success = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public TokenGrant getSuccess() {
+      return this.success;
+    }
+
+    public takeTokens_result setSuccess(@org.apache.thrift.annotation.Nullable TokenGrant success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((TokenGrant)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof takeTokens_result)
+        return this.equals((takeTokens_result)that);
+      return false;
+    }
+
+    public boolean equals(takeTokens_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(takeTokens_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("takeTokens_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (success != null) {
+        success.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class takeTokens_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public takeTokens_resultStandardScheme getScheme() {
+        return new takeTokens_resultStandardScheme();
+      }
+    }
+
+    private static class takeTokens_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<takeTokens_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, takeTokens_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.success = new TokenGrant();
+                struct.success.read(iprot);
+                struct.setSuccessIsSet(true);
+              } else {
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, takeTokens_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          struct.success.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class takeTokens_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public takeTokens_resultTupleScheme getScheme() {
+        return new takeTokens_resultTupleScheme();
+      }
+    }
+
+    private static class takeTokens_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<takeTokens_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, takeTokens_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          struct.success.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, takeTokens_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = new TokenGrant();
+          struct.success.read(iprot);
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
 }
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
@@ -23,6 +23,9 @@
   private static final org.apache.thrift.protocol.TField ANSWER_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("answerTerm", org.apache.thrift.protocol.TType.I64, (short)8);
   private static final org.apache.thrift.protocol.TField ANSWER_NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("answerNumber", org.apache.thrift.protocol.TType.I64, (short)9);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)10);
+  private static final org.apache.thrift.protocol.TField STARTED_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("startedMs", org.apache.thrift.protocol.TType.I64, (short)11);
+  private static final org.apache.thrift.protocol.TField RELEASED_SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("releasedSlots", org.apache.thrift.protocol.TType.LIST, (short)12);
+  private static final org.apache.thrift.protocol.TField PACES_FIELD_DESC = new org.apache.thrift.protocol.TField("paces", org.apache.thrift.protocol.TType.LIST, (short)13);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new NodeLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new NodeLoadTupleSchemeFactory();
@@ -37,6 +40,9 @@
   private long answerTerm; // required
   private long answerNumber; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerProcess> leaving; // optional
+  private long startedMs; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> releasedSlots; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<RunnerPace> paces; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -49,7 +55,10 @@
     UNREACHABLE((short)7, "unreachable"),
     ANSWER_TERM((short)8, "answerTerm"),
     ANSWER_NUMBER((short)9, "answerNumber"),
-    LEAVING((short)10, "leaving");
+    LEAVING((short)10, "leaving"),
+    STARTED_MS((short)11, "startedMs"),
+    RELEASED_SLOTS((short)12, "releasedSlots"),
+    PACES((short)13, "paces");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -85,6 +94,12 @@
           return ANSWER_NUMBER;
         case 10: // LEAVING
           return LEAVING;
+        case 11: // STARTED_MS
+          return STARTED_MS;
+        case 12: // RELEASED_SLOTS
+          return RELEASED_SLOTS;
+        case 13: // PACES
+          return PACES;
         default:
           return null;
       }
@@ -133,8 +148,9 @@
   private static final int __RUNNERSREVISION_ISSET_ID = 2;
   private static final int __ANSWERTERM_ISSET_ID = 3;
   private static final int __ANSWERNUMBER_ISSET_ID = 4;
+  private static final int __STARTEDMS_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.LEAVING};
+  private static final _Fields optionals[] = {_Fields.LEAVING,_Fields.STARTED_MS,_Fields.RELEASED_SLOTS,_Fields.PACES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -162,6 +178,14 @@
     tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RunnerProcess.class))));
+    tmpMap.put(_Fields.STARTED_MS, new org.apache.thrift.meta_data.FieldMetaData("startedMs", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RELEASED_SLOTS, new org.apache.thrift.meta_data.FieldMetaData("releasedSlots", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
+    tmpMap.put(_Fields.PACES, new org.apache.thrift.meta_data.FieldMetaData("paces", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RunnerPace.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(NodeLoad.class, metaDataMap);
   }
@@ -235,6 +259,18 @@
       }
       this.leaving = __this__leaving;
     }
+    this.startedMs = other.startedMs;
+    if (other.isSetReleasedSlots()) {
+      java.util.List<java.lang.Integer> __this__releasedSlots = new java.util.ArrayList<java.lang.Integer>(other.releasedSlots);
+      this.releasedSlots = __this__releasedSlots;
+    }
+    if (other.isSetPaces()) {
+      java.util.List<RunnerPace> __this__paces = new java.util.ArrayList<RunnerPace>(other.paces.size());
+      for (RunnerPace other_element : other.paces) {
+        __this__paces.add(new RunnerPace(other_element));
+      }
+      this.paces = __this__paces;
+    }
   }
 
   @Override
@@ -259,6 +295,10 @@
     setAnswerNumberIsSet(false);
     this.answerNumber = 0;
     this.leaving = null;
+    setStartedMsIsSet(false);
+    this.startedMs = 0;
+    this.releasedSlots = null;
+    this.paces = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -565,6 +605,111 @@
     }
   }
 
+  public long getStartedMs() {
+    return this.startedMs;
+  }
+
+  public NodeLoad setStartedMs(long startedMs) {
+    this.startedMs = startedMs;
+    setStartedMsIsSet(true);
+    return this;
+  }
+
+  public void unsetStartedMs() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STARTEDMS_ISSET_ID);
+  }
+
+  /** Returns true if field startedMs is set (has been assigned a value) and false otherwise */
+  public boolean isSetStartedMs() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STARTEDMS_ISSET_ID);
+  }
+
+  public void setStartedMsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STARTEDMS_ISSET_ID, value);
+  }
+
+  public int getReleasedSlotsSize() {
+    return (this.releasedSlots == null) ? 0 : this.releasedSlots.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Integer> getReleasedSlotsIterator() {
+    return (this.releasedSlots == null) ? null : this.releasedSlots.iterator();
+  }
+
+  public void addToReleasedSlots(int elem) {
+    if (this.releasedSlots == null) {
+      this.releasedSlots = new java.util.ArrayList<java.lang.Integer>();
+    }
+    this.releasedSlots.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Integer> getReleasedSlots() {
+    return this.releasedSlots;
+  }
+
+  public NodeLoad setReleasedSlots(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> releasedSlots) {
+    this.releasedSlots = releasedSlots;
+    return this;
+  }
+
+  public void unsetReleasedSlots() {
+    this.releasedSlots = null;
+  }
+
+  /** Returns true if field releasedSlots is set (has been assigned a value) and false otherwise */
+  public boolean isSetReleasedSlots() {
+    return this.releasedSlots != null;
+  }
+
+  public void setReleasedSlotsIsSet(boolean value) {
+    if (!value) {
+      this.releasedSlots = null;
+    }
+  }
+
+  public int getPacesSize() {
+    return (this.paces == null) ? 0 : this.paces.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<RunnerPace> getPacesIterator() {
+    return (this.paces == null) ? null : this.paces.iterator();
+  }
+
+  public void addToPaces(RunnerPace elem) {
+    if (this.paces == null) {
+      this.paces = new java.util.ArrayList<RunnerPace>();
+    }
+    this.paces.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<RunnerPace> getPaces() {
+    return this.paces;
+  }
+
+  public NodeLoad setPaces(@org.apache.thrift.annotation.Nullable java.util.List<RunnerPace> paces) {
+    this.paces = paces;
+    return this;
+  }
+
+  public void unsetPaces() {
+    this.paces = null;
+  }
+
+  /** Returns true if field paces is set (has been assigned a value) and false otherwise */
+  public boolean isSetPaces() {
+    return this.paces != null;
+  }
+
+  public void setPacesIsSet(boolean value) {
+    if (!value) {
+      this.paces = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -648,6 +793,30 @@
       }
       break;
 
+    case STARTED_MS:
+      if (value == null) {
+        unsetStartedMs();
+      } else {
+        setStartedMs((java.lang.Long)value);
+      }
+      break;
+
+    case RELEASED_SLOTS:
+      if (value == null) {
+        unsetReleasedSlots();
+      } else {
+        setReleasedSlots((java.util.List<java.lang.Integer>)value);
+      }
+      break;
+
+    case PACES:
+      if (value == null) {
+        unsetPaces();
+      } else {
+        setPaces((java.util.List<RunnerPace>)value);
+      }
+      break;
+
     }
   }
 
@@ -685,6 +854,15 @@
     case LEAVING:
       return getLeaving();
 
+    case STARTED_MS:
+      return getStartedMs();
+
+    case RELEASED_SLOTS:
+      return getReleasedSlots();
+
+    case PACES:
+      return getPaces();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -717,6 +895,12 @@
       return isSetAnswerNumber();
     case LEAVING:
       return isSetLeaving();
+    case STARTED_MS:
+      return isSetStartedMs();
+    case RELEASED_SLOTS:
+      return isSetReleasedSlots();
+    case PACES:
+      return isSetPaces();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -824,6 +1008,33 @@
         return false;
     }
 
+    boolean this_present_startedMs = true && this.isSetStartedMs();
+    boolean that_present_startedMs = true && that.isSetStartedMs();
+    if (this_present_startedMs || that_present_startedMs) {
+      if (!(this_present_startedMs && that_present_startedMs))
+        return false;
+      if (this.startedMs != that.startedMs)
+        return false;
+    }
+
+    boolean this_present_releasedSlots = true && this.isSetReleasedSlots();
+    boolean that_present_releasedSlots = true && that.isSetReleasedSlots();
+    if (this_present_releasedSlots || that_present_releasedSlots) {
+      if (!(this_present_releasedSlots && that_present_releasedSlots))
+        return false;
+      if (!this.releasedSlots.equals(that.releasedSlots))
+        return false;
+    }
+
+    boolean this_present_paces = true && this.isSetPaces();
+    boolean that_present_paces = true && that.isSetPaces();
+    if (this_present_paces || that_present_paces) {
+      if (!(this_present_paces && that_present_paces))
+        return false;
+      if (!this.paces.equals(that.paces))
+        return false;
+    }
+
     return true;
   }
 
@@ -861,6 +1072,18 @@
     if (isSetLeaving())
       hashCode = hashCode * 8191 + leaving.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetStartedMs()) ? 131071 : 524287);
+    if (isSetStartedMs())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(startedMs);
+
+    hashCode = hashCode * 8191 + ((isSetReleasedSlots()) ? 131071 : 524287);
+    if (isSetReleasedSlots())
+      hashCode = hashCode * 8191 + releasedSlots.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetPaces()) ? 131071 : 524287);
+    if (isSetPaces())
+      hashCode = hashCode * 8191 + paces.hashCode();
+
     return hashCode;
   }
 
@@ -972,6 +1195,36 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetStartedMs(), other.isSetStartedMs());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStartedMs()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.startedMs, other.startedMs);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetReleasedSlots(), other.isSetReleasedSlots());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetReleasedSlots()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.releasedSlots, other.releasedSlots);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPaces(), other.isSetPaces());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPaces()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.paces, other.paces);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1057,6 +1310,32 @@
       }
       first = false;
     }
+    if (isSetStartedMs()) {
+      if (!first) sb.append(", ");
+      sb.append("startedMs:");
+      sb.append(this.startedMs);
+      first = false;
+    }
+    if (isSetReleasedSlots()) {
+      if (!first) sb.append(", ");
+      sb.append("releasedSlots:");
+      if (this.releasedSlots == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.releasedSlots);
+      }
+      first = false;
+    }
+    if (isSetPaces()) {
+      if (!first) sb.append(", ");
+      sb.append("paces:");
+      if (this.paces == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.paces);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1156,14 +1435,14 @@
           case 5: // USES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list208 = iprot.readListBegin();
-                struct.uses = new java.util.ArrayList<RunnerUse>(_list208.size);
-                @org.apache.thrift.annotation.Nullable RunnerUse _elem209;
-                for (int _i210 = 0; _i210 < _list208.size; ++_i210)
+                org.apache.thrift.protocol.TList _list216 = iprot.readListBegin();
+                struct.uses = new java.util.ArrayList<RunnerUse>(_list216.size);
+                @org.apache.thrift.annotation.Nullable RunnerUse _elem217;
+                for (int _i218 = 0; _i218 < _list216.size; ++_i218)
                 {
-                  _elem209 = new RunnerUse();
-                  _elem209.read(iprot);
-                  struct.uses.add(_elem209);
+                  _elem217 = new RunnerUse();
+                  _elem217.read(iprot);
+                  struct.uses.add(_elem217);
                 }
                 iprot.readListEnd();
               }
@@ -1175,14 +1454,14 @@
           case 6: // NEEDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list211 = iprot.readListBegin();
-                struct.needs = new java.util.ArrayList<ModelNeed>(_list211.size);
-                @org.apache.thrift.annotation.Nullable ModelNeed _elem212;
-                for (int _i213 = 0; _i213 < _list211.size; ++_i213)
+                org.apache.thrift.protocol.TList _list219 = iprot.readListBegin();
+                struct.needs = new java.util.ArrayList<ModelNeed>(_list219.size);
+                @org.apache.thrift.annotation.Nullable ModelNeed _elem220;
+                for (int _i221 = 0; _i221 < _list219.size; ++_i221)
                 {
-                  _elem212 = new ModelNeed();
-                  _elem212.read(iprot);
-                  struct.needs.add(_elem212);
+                  _elem220 = new ModelNeed();
+                  _elem220.read(iprot);
+                  struct.needs.add(_elem220);
                 }
                 iprot.readListEnd();
               }
@@ -1194,13 +1473,13 @@
           case 7: // UNREACHABLE
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list214 = iprot.readListBegin();
-                struct.unreachable = new java.util.ArrayList<java.lang.String>(_list214.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem215;
-                for (int _i216 = 0; _i216 < _list214.size; ++_i216)
+                org.apache.thrift.protocol.TList _list222 = iprot.readListBegin();
+                struct.unreachable = new java.util.ArrayList<java.lang.String>(_list222.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem223;
+                for (int _i224 = 0; _i224 < _list222.size; ++_i224)
                 {
-                  _elem215 = iprot.readString();
-                  struct.unreachable.add(_elem215);
+                  _elem223 = iprot.readString();
+                  struct.unreachable.add(_elem223);
                 }
                 iprot.readListEnd();
               }
@@ -1228,14 +1507,14 @@
           case 10: // LEAVING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list217 = iprot.readListBegin();
-                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list217.size);
-                @org.apache.thrift.annotation.Nullable RunnerProcess _elem218;
-                for (int _i219 = 0; _i219 < _list217.size; ++_i219)
+                org.apache.thrift.protocol.TList _list225 = iprot.readListBegin();
+                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list225.size);
+                @org.apache.thrift.annotation.Nullable RunnerProcess _elem226;
+                for (int _i227 = 0; _i227 < _list225.size; ++_i227)
                 {
-                  _elem218 = new RunnerProcess();
-                  _elem218.read(iprot);
-                  struct.leaving.add(_elem218);
+                  _elem226 = new RunnerProcess();
+                  _elem226.read(iprot);
+                  struct.leaving.add(_elem226);
                 }
                 iprot.readListEnd();
               }
@@ -1244,6 +1523,51 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 11: // STARTED_MS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.startedMs = iprot.readI64();
+              struct.setStartedMsIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 12: // RELEASED_SLOTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list228 = iprot.readListBegin();
+                struct.releasedSlots = new java.util.ArrayList<java.lang.Integer>(_list228.size);
+                int _elem229;
+                for (int _i230 = 0; _i230 < _list228.size; ++_i230)
+                {
+                  _elem229 = iprot.readI32();
+                  struct.releasedSlots.add(_elem229);
+                }
+                iprot.readListEnd();
+              }
+              struct.setReleasedSlotsIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 13: // PACES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list231 = iprot.readListBegin();
+                struct.paces = new java.util.ArrayList<RunnerPace>(_list231.size);
+                @org.apache.thrift.annotation.Nullable RunnerPace _elem232;
+                for (int _i233 = 0; _i233 < _list231.size; ++_i233)
+                {
+                  _elem232 = new RunnerPace();
+                  _elem232.read(iprot);
+                  struct.paces.add(_elem232);
+                }
+                iprot.readListEnd();
+              }
+              struct.setPacesIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1293,9 +1617,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (RunnerUse _iter220 : struct.uses)
+          for (RunnerUse _iter234 : struct.uses)
           {
-            _iter220.write(oprot);
+            _iter234.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1305,9 +1629,9 @@
         oprot.writeFieldBegin(NEEDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.needs.size()));
-          for (ModelNeed _iter221 : struct.needs)
+          for (ModelNeed _iter235 : struct.needs)
           {
-            _iter221.write(oprot);
+            _iter235.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1317,9 +1641,9 @@
         oprot.writeFieldBegin(UNREACHABLE_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.unreachable.size()));
-          for (java.lang.String _iter222 : struct.unreachable)
+          for (java.lang.String _iter236 : struct.unreachable)
           {
-            oprot.writeString(_iter222);
+            oprot.writeString(_iter236);
           }
           oprot.writeListEnd();
         }
@@ -1336,9 +1660,42 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (RunnerProcess _iter223 : struct.leaving)
+            for (RunnerProcess _iter237 : struct.leaving)
             {
-              _iter223.write(oprot);
+              _iter237.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.isSetStartedMs()) {
+        oprot.writeFieldBegin(STARTED_MS_FIELD_DESC);
+        oprot.writeI64(struct.startedMs);
+        oprot.writeFieldEnd();
+      }
+      if (struct.releasedSlots != null) {
+        if (struct.isSetReleasedSlots()) {
+          oprot.writeFieldBegin(RELEASED_SLOTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.releasedSlots.size()));
+            for (int _iter238 : struct.releasedSlots)
+            {
+              oprot.writeI32(_iter238);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.paces != null) {
+        if (struct.isSetPaces()) {
+          oprot.writeFieldBegin(PACES_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.paces.size()));
+            for (RunnerPace _iter239 : struct.paces)
+            {
+              _iter239.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1369,23 +1726,23 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.uses.size());
-        for (RunnerUse _iter224 : struct.uses)
+        for (RunnerUse _iter240 : struct.uses)
         {
-          _iter224.write(oprot);
+          _iter240.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.needs.size());
-        for (ModelNeed _iter225 : struct.needs)
+        for (ModelNeed _iter241 : struct.needs)
         {
-          _iter225.write(oprot);
+          _iter241.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.unreachable.size());
-        for (java.lang.String _iter226 : struct.unreachable)
+        for (java.lang.String _iter242 : struct.unreachable)
         {
-          oprot.writeString(_iter226);
+          oprot.writeString(_iter242);
         }
       }
       oprot.writeI64(struct.answerTerm);
@@ -1394,13 +1751,43 @@
       if (struct.isSetLeaving()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetStartedMs()) {
+        optionals.set(1);
+      }
+      if (struct.isSetReleasedSlots()) {
+        optionals.set(2);
+      }
+      if (struct.isSetPaces()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (RunnerProcess _iter227 : struct.leaving)
+          for (RunnerProcess _iter243 : struct.leaving)
+          {
+            _iter243.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetStartedMs()) {
+        oprot.writeI64(struct.startedMs);
+      }
+      if (struct.isSetReleasedSlots()) {
+        {
+          oprot.writeI32(struct.releasedSlots.size());
+          for (int _iter244 : struct.releasedSlots)
+          {
+            oprot.writeI32(_iter244);
+          }
+        }
+      }
+      if (struct.isSetPaces()) {
+        {
+          oprot.writeI32(struct.paces.size());
+          for (RunnerPace _iter245 : struct.paces)
           {
-            _iter227.write(oprot);
+            _iter245.write(oprot);
           }
         }
       }
@@ -1418,37 +1805,37 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list228 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.uses = new java.util.ArrayList<RunnerUse>(_list228.size);
-        @org.apache.thrift.annotation.Nullable RunnerUse _elem229;
-        for (int _i230 = 0; _i230 < _list228.size; ++_i230)
+        org.apache.thrift.protocol.TList _list246 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.uses = new java.util.ArrayList<RunnerUse>(_list246.size);
+        @org.apache.thrift.annotation.Nullable RunnerUse _elem247;
+        for (int _i248 = 0; _i248 < _list246.size; ++_i248)
         {
-          _elem229 = new RunnerUse();
-          _elem229.read(iprot);
-          struct.uses.add(_elem229);
+          _elem247 = new RunnerUse();
+          _elem247.read(iprot);
+          struct.uses.add(_elem247);
         }
       }
       struct.setUsesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list231 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.needs = new java.util.ArrayList<ModelNeed>(_list231.size);
-        @org.apache.thrift.annotation.Nullable ModelNeed _elem232;
-        for (int _i233 = 0; _i233 < _list231.size; ++_i233)
+        org.apache.thrift.protocol.TList _list249 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.needs = new java.util.ArrayList<ModelNeed>(_list249.size);
+        @org.apache.thrift.annotation.Nullable ModelNeed _elem250;
+        for (int _i251 = 0; _i251 < _list249.size; ++_i251)
         {
-          _elem232 = new ModelNeed();
-          _elem232.read(iprot);
-          struct.needs.add(_elem232);
+          _elem250 = new ModelNeed();
+          _elem250.read(iprot);
+          struct.needs.add(_elem250);
         }
       }
       struct.setNeedsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list234 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.unreachable = new java.util.ArrayList<java.lang.String>(_list234.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem235;
-        for (int _i236 = 0; _i236 < _list234.size; ++_i236)
+        org.apache.thrift.protocol.TList _list252 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.unreachable = new java.util.ArrayList<java.lang.String>(_list252.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem253;
+        for (int _i254 = 0; _i254 < _list252.size; ++_i254)
         {
-          _elem235 = iprot.readString();
-          struct.unreachable.add(_elem235);
+          _elem253 = iprot.readString();
+          struct.unreachable.add(_elem253);
         }
       }
       struct.setUnreachableIsSet(true);
@@ -1456,21 +1843,52 @@
       struct.setAnswerTermIsSet(true);
       struct.answerNumber = iprot.readI64();
       struct.setAnswerNumberIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list237 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list237.size);
-          @org.apache.thrift.annotation.Nullable RunnerProcess _elem238;
-          for (int _i239 = 0; _i239 < _list237.size; ++_i239)
+          org.apache.thrift.protocol.TList _list255 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list255.size);
+          @org.apache.thrift.annotation.Nullable RunnerProcess _elem256;
+          for (int _i257 = 0; _i257 < _list255.size; ++_i257)
           {
-            _elem238 = new RunnerProcess();
-            _elem238.read(iprot);
-            struct.leaving.add(_elem238);
+            _elem256 = new RunnerProcess();
+            _elem256.read(iprot);
+            struct.leaving.add(_elem256);
           }
         }
         struct.setLeavingIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.startedMs = iprot.readI64();
+        struct.setStartedMsIsSet(true);
+      }
+      if (incoming.get(2)) {
+        {
+          org.apache.thrift.protocol.TList _list258 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.releasedSlots = new java.util.ArrayList<java.lang.Integer>(_list258.size);
+          int _elem259;
+          for (int _i260 = 0; _i260 < _list258.size; ++_i260)
+          {
+            _elem259 = iprot.readI32();
+            struct.releasedSlots.add(_elem259);
+          }
+        }
+        struct.setReleasedSlotsIsSet(true);
+      }
+      if (incoming.get(3)) {
+        {
+          org.apache.thrift.protocol.TList _list261 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.paces = new java.util.ArrayList<RunnerPace>(_list261.size);
+          @org.apache.thrift.annotation.Nullable RunnerPace _elem262;
+          for (int _i263 = 0; _i263 < _list261.size; ++_i263)
+          {
+            _elem262 = new RunnerPace();
+            _elem262.read(iprot);
+            struct.paces.add(_elem262);
+          }
+        }
+        struct.setPacesIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeStreamsRecord.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeStreamsRecord.java
@@ -342,14 +342,14 @@
           case 1: // VERSIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list296 = iprot.readListBegin();
-                struct.versions = new java.util.ArrayList<VersionStreamsRecord>(_list296.size);
-                @org.apache.thrift.annotation.Nullable VersionStreamsRecord _elem297;
-                for (int _i298 = 0; _i298 < _list296.size; ++_i298)
+                org.apache.thrift.protocol.TList _list336 = iprot.readListBegin();
+                struct.versions = new java.util.ArrayList<VersionStreamsRecord>(_list336.size);
+                @org.apache.thrift.annotation.Nullable VersionStreamsRecord _elem337;
+                for (int _i338 = 0; _i338 < _list336.size; ++_i338)
                 {
-                  _elem297 = new VersionStreamsRecord();
-                  _elem297.read(iprot);
-                  struct.versions.add(_elem297);
+                  _elem337 = new VersionStreamsRecord();
+                  _elem337.read(iprot);
+                  struct.versions.add(_elem337);
                 }
                 iprot.readListEnd();
               }
@@ -378,9 +378,9 @@
         oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.versions.size()));
-          for (VersionStreamsRecord _iter299 : struct.versions)
+          for (VersionStreamsRecord _iter339 : struct.versions)
           {
-            _iter299.write(oprot);
+            _iter339.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -406,9 +406,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.versions.size());
-        for (VersionStreamsRecord _iter300 : struct.versions)
+        for (VersionStreamsRecord _iter340 : struct.versions)
         {
-          _iter300.write(oprot);
+          _iter340.write(oprot);
         }
       }
     }
@@ -417,14 +417,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, NodeStreamsRecord struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list301 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.versions = new java.util.ArrayList<VersionStreamsRecord>(_list301.size);
-        @org.apache.thrift.annotation.Nullable VersionStreamsRecord _elem302;
-        for (int _i303 = 0; _i303 < _list301.size; ++_i303)
+        org.apache.thrift.protocol.TList _list341 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.versions = new java.util.ArrayList<VersionStreamsRecord>(_list341.size);
+        @org.apache.thrift.annotation.Nullable VersionStreamsRecord _elem342;
+        for (int _i343 = 0; _i343 < _list341.size; ++_i343)
         {
-          _elem302 = new VersionStreamsRecord();
-          _elem302.read(iprot);
-          struct.versions.add(_elem302);
+          _elem342 = new VersionStreamsRecord();
+          _elem342.read(iprot);
+          struct.versions.add(_elem342);
         }
       }
       struct.setVersionsIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
@@ -1109,15 +1109,15 @@
             case 3: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map330 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map330.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key331;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val332;
-                  for (int _i333 = 0; _i333 < _map330.size; ++_i333)
+                  org.apache.thrift.protocol.TMap _map370 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map370.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key371;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val372;
+                  for (int _i373 = 0; _i373 < _map370.size; ++_i373)
                   {
-                    _key331 = iprot.readString();
-                    _val332 = iprot.readString();
-                    struct.trace.put(_key331, _val332);
+                    _key371 = iprot.readString();
+                    _val372 = iprot.readString();
+                    struct.trace.put(_key371, _val372);
                   }
                   iprot.readMapEnd();
                 }
@@ -1154,10 +1154,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter334 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter374 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter334.getKey());
-              oprot.writeString(_iter334.getValue());
+              oprot.writeString(_iter374.getKey());
+              oprot.writeString(_iter374.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1201,10 +1201,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter335 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter375 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter335.getKey());
-              oprot.writeString(_iter335.getValue());
+              oprot.writeString(_iter375.getKey());
+              oprot.writeString(_iter375.getValue());
             }
           }
         }
@@ -1225,15 +1225,15 @@
         }
         if (incoming.get(2)) {
           {
-            org.apache.thrift.protocol.TMap _map336 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map336.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key337;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val338;
-            for (int _i339 = 0; _i339 < _map336.size; ++_i339)
+            org.apache.thrift.protocol.TMap _map376 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map376.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key377;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val378;
+            for (int _i379 = 0; _i379 < _map376.size; ++_i379)
             {
-              _key337 = iprot.readString();
-              _val338 = iprot.readString();
-              struct.trace.put(_key337, _val338);
+              _key377 = iprot.readString();
+              _val378 = iprot.readString();
+              struct.trace.put(_key377, _val378);
             }
           }
           struct.setTraceIsSet(true);
@@ -2153,15 +2153,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map340 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map340.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key341;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val342;
-                  for (int _i343 = 0; _i343 < _map340.size; ++_i343)
+                  org.apache.thrift.protocol.TMap _map380 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map380.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key381;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val382;
+                  for (int _i383 = 0; _i383 < _map380.size; ++_i383)
                   {
-                    _key341 = iprot.readString();
-                    _val342 = iprot.readString();
-                    struct.trace.put(_key341, _val342);
+                    _key381 = iprot.readString();
+                    _val382 = iprot.readString();
+                    struct.trace.put(_key381, _val382);
                   }
                   iprot.readMapEnd();
                 }
@@ -2195,10 +2195,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter344 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter384 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter344.getKey());
-              oprot.writeString(_iter344.getValue());
+              oprot.writeString(_iter384.getKey());
+              oprot.writeString(_iter384.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -2236,10 +2236,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter345 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter385 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter345.getKey());
-              oprot.writeString(_iter345.getValue());
+              oprot.writeString(_iter385.getKey());
+              oprot.writeString(_iter385.getValue());
             }
           }
         }
@@ -2256,15 +2256,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map346 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map346.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key347;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val348;
-            for (int _i349 = 0; _i349 < _map346.size; ++_i349)
+            org.apache.thrift.protocol.TMap _map386 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map386.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key387;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val388;
+            for (int _i389 = 0; _i389 < _map386.size; ++_i389)
             {
-              _key347 = iprot.readString();
-              _val348 = iprot.readString();
-              struct.trace.put(_key347, _val348);
+              _key387 = iprot.readString();
+              _val388 = iprot.readString();
+              struct.trace.put(_key387, _val388);
             }
           }
           struct.setTraceIsSet(true);
@@ -2987,14 +2987,14 @@
             case 1: // REPORTS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list350 = iprot.readListBegin();
-                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list350.size);
-                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem351;
-                  for (int _i352 = 0; _i352 < _list350.size; ++_i352)
+                  org.apache.thrift.protocol.TList _list390 = iprot.readListBegin();
+                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list390.size);
+                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem391;
+                  for (int _i392 = 0; _i392 < _list390.size; ++_i392)
                   {
-                    _elem351 = new CrashReportRecord();
-                    _elem351.read(iprot);
-                    struct.reports.add(_elem351);
+                    _elem391 = new CrashReportRecord();
+                    _elem391.read(iprot);
+                    struct.reports.add(_elem391);
                   }
                   iprot.readListEnd();
                 }
@@ -3023,9 +3023,9 @@
           oprot.writeFieldBegin(REPORTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-            for (CrashReportRecord _iter353 : struct.reports)
+            for (CrashReportRecord _iter393 : struct.reports)
             {
-              _iter353.write(oprot);
+              _iter393.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -3057,9 +3057,9 @@
         if (struct.isSetReports()) {
           {
             oprot.writeI32(struct.reports.size());
-            for (CrashReportRecord _iter354 : struct.reports)
+            for (CrashReportRecord _iter394 : struct.reports)
             {
-              _iter354.write(oprot);
+              _iter394.write(oprot);
             }
           }
         }
@@ -3071,14 +3071,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list355 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list355.size);
-            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem356;
-            for (int _i357 = 0; _i357 < _list355.size; ++_i357)
+            org.apache.thrift.protocol.TList _list395 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list395.size);
+            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem396;
+            for (int _i397 = 0; _i397 < _list395.size; ++_i397)
             {
-              _elem356 = new CrashReportRecord();
-              _elem356.read(iprot);
-              struct.reports.add(_elem356);
+              _elem396 = new CrashReportRecord();
+              _elem396.read(iprot);
+              struct.reports.add(_elem396);
             }
           }
           struct.setReportsIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RunnerHolding.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RunnerHolding.java
@@ -673,14 +673,14 @@
           case 3: // MODELS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list248 = iprot.readListBegin();
-                struct.models = new java.util.ArrayList<HeldModel>(_list248.size);
-                @org.apache.thrift.annotation.Nullable HeldModel _elem249;
-                for (int _i250 = 0; _i250 < _list248.size; ++_i250)
+                org.apache.thrift.protocol.TList _list272 = iprot.readListBegin();
+                struct.models = new java.util.ArrayList<HeldModel>(_list272.size);
+                @org.apache.thrift.annotation.Nullable HeldModel _elem273;
+                for (int _i274 = 0; _i274 < _list272.size; ++_i274)
                 {
-                  _elem249 = new HeldModel();
-                  _elem249.read(iprot);
-                  struct.models.add(_elem249);
+                  _elem273 = new HeldModel();
+                  _elem273.read(iprot);
+                  struct.models.add(_elem273);
                 }
                 iprot.readListEnd();
               }
@@ -743,9 +743,9 @@
           oprot.writeFieldBegin(MODELS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.models.size()));
-            for (HeldModel _iter251 : struct.models)
+            for (HeldModel _iter275 : struct.models)
             {
-              _iter251.write(oprot);
+              _iter275.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -788,9 +788,9 @@
       if (struct.isSetModels()) {
         {
           oprot.writeI32(struct.models.size());
-          for (HeldModel _iter252 : struct.models)
+          for (HeldModel _iter276 : struct.models)
           {
-            _iter252.write(oprot);
+            _iter276.write(oprot);
           }
         }
       }
@@ -810,14 +810,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list253 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.models = new java.util.ArrayList<HeldModel>(_list253.size);
-          @org.apache.thrift.annotation.Nullable HeldModel _elem254;
-          for (int _i255 = 0; _i255 < _list253.size; ++_i255)
+          org.apache.thrift.protocol.TList _list277 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.models = new java.util.ArrayList<HeldModel>(_list277.size);
+          @org.apache.thrift.annotation.Nullable HeldModel _elem278;
+          for (int _i279 = 0; _i279 < _list277.size; ++_i279)
           {
-            _elem254 = new HeldModel();
-            _elem254.read(iprot);
-            struct.models.add(_elem254);
+            _elem278 = new HeldModel();
+            _elem278.read(iprot);
+            struct.models.add(_elem278);
           }
         }
         struct.setModelsIsSet(true);
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -351,6 +351,42 @@
   2: required i64 startedMs                 // start of the runner's process, by its own clock
 }
 
+/** How fast a runner has answered, compared with the other runners of its service. */
+struct RunnerPace {
+  1: required string runner
+  2: required i64 startedMs                 // start of the runner's process, by its own clock
+  3: required i32 answers                   // number of answers that the ratio is based on
+  4: required double ratio                  // duration over the usual duration: 2 for half the speed
+}
+
+/** Part of all usage caps, and the only process that may hand it out. */
+struct CapSlot {
+  1: required i32 slot
+  2: required string node                   // empty if nobody holds it
+  3: required i64 startedMs                 // start of the holder's process, by its own clock
+}
+
+/** Value of the key of the slots of usage caps in the key-value service. */
+struct CapSlotTable {
+  1: required i64 term                      // of the leader that wrote it
+  2: required list<CapSlot> slots
+}
+
+/** Request of a node for a part of a workspace's usage cap. */
+struct TokenRequest {
+  1: required string workspace
+  2: required i64 needed                    // granted completely or not at all
+  3: required i64 ahead                     // granted as far as possible
+  4: required i64 configurationVersion      // by which the node knows the cap
+}
+
+/** Answer of the holder of a slot. */
+struct TokenGrant {
+  1: required i64 granted                   // 0 for none
+  2: required i64 validMs                   // for how long the node may use them, from when it sent its request
+  3: required i64 retryAfterMs              // without a grant: when there is room for the need again; negative if not known
+}
+
 /** Report of a node to the leader. */
 struct NodeLoad {
   1: required string node
@@ -363,6 +399,9 @@
   8: required i64 answerTerm                // term and number of the last answer that the node has taken; 0 for none
   9: required i64 answerNumber
   10: optional list<RunnerProcess> leaving  // processes that have said that they are shutting down
+  11: optional i64 startedMs                // start of the reporting process, by its own clock
+  12: optional list<i32> releasedSlots      // slots of usage caps that the process held and will not use any more
+  13: optional list<RunnerPace> paces       // of runners that the node has had answers from since its last report
 }
 
 /** Model that a runner holds, with the adapters loaded for it. */
@@ -400,6 +439,9 @@
   7: required i64 number                    // rises with each answer to a node
   8: optional list<RunnerProcess> leaving   // processes that have said, to any node, that they are shutting down
   9: optional list<ModelArrival> versionArrivals // of models that the rest of streams waits for; nodes without this field ignore them
+  10: optional list<CapSlot> capSlots       // holders of the parts of usage caps
+  11: optional i64 capSlotsValidMs          // for how long the node may use those that it holds, from when it sent its report
+  12: optional list<RunnerPace> paces       // of all runners whose pace is known
 }
 
 /** Where a stream began, so that its caller can resume it through any node. */
@@ -434,4 +476,7 @@
 
   /** Takes reports of the calling node and of others; those that are new here are passed on. */
   void keepCrashReports(1: list<CrashReportRecord> reports)
+
+  /** Takes tokens of a workspace's usage cap from a slot that the called node holds. */
+  TokenGrant takeTokens(1: TokenRequest request)
 }
