backends: a status that HTTP does not have is no response

Cause: the client of runners, store and targets took any number in the status line for a status, so that callers got answers of runners in trouble with a status of 000, 101 or 600, text included. Change: ResponseFraming, which reads the head of each response before the parser, rejects a status line without HTTP/1.x or with a status other than 100 and 200 to 599. The call fails as after a broken connection: the outcome is unknown.

--- a/backends/src/main/java/io/persimmonstack/backends/http/ResponseFraming.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ResponseFraming.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.Locale;
 import java.util.OptionalLong;
+import java.util.regex.Pattern;
 
 /**
  * Framing of the responses on one connection: their heads, and the bodies whose end the heads tell. Reads no more of a
@@ -13,7 +14,10 @@
     private static final int MAX_KEPT_LINE_BYTES = 256;
 
     private static final int MAX_LENGTH_DIGITS = 18;
-    private static final String CONTINUE_STATUS_LINE = "HTTP/1\\.\\d 100( .*)?";
+    private static final Pattern CONTINUE_STATUS_LINE = Pattern.compile("HTTP/1\\.\\d 100( .*)?");
+    /** Statuses that end an exchange; HTTP has no others, and this client asks for no other protocol (101). */
+    private static final Pattern FINAL_STATUS_LINE = Pattern.compile("HTTP/1\\.\\d [2-5]\\d\\d( .*)?");
+
     private final StringBuilder line = new StringBuilder();
     private boolean carriageReturn;
     private boolean statusLineRead;
@@ -106,9 +110,14 @@
         }
     }
 
-    private void startHead(String statusLine) {
+    /** Rejects a status that HTTP does not have: nothing is known of a request that is answered so. */
+    private void startHead(String statusLine) throws FramingException {
         statusLineRead = true;
-        interim = statusLine.matches(CONTINUE_STATUS_LINE);
+        interim = CONTINUE_STATUS_LINE.matcher(statusLine).matches();
+        if (!interim && !FINAL_STATUS_LINE.matcher(statusLine).matches()) {
+            throw new FramingException(
+                    "status line: " + statusLine + "; expected HTTP/1.x and a status of 100 or from 200 to 599");
+        }
         length = OptionalLong.empty();
         chunkedHead = false;
     }
