node, platform: requests need a key of a workspace where tenants are configured

Cause: `tenants` and `auth_exempt` of op/config were not read. Requests ran without a key, Authorization reached runners, and X-Tenant was whatever the caller stated.

WorkspaceCheck runs once for each request after its route is found: 401 (key-absent, key-unreadable, key-unknown) or, while the configuration is unconfirmed for longer than config_apply_ms, 503. revoke_strict and revoke_ms refuse any key with 503 once the configuration is unconfirmed for too long. ActiveRequest carries the workspace and a RequestPriority; X-Request-Priority is the rank of the pair of priorities (PriorityScale). Refusal.overCap is the 429 for usage caps. Retry-After is written for every refusal that has one and rounded up, since a caller that comes back too early is refused again.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -6,6 +6,7 @@
 import io.persimmonstack.node.callers.DrainState;
 import io.persimmonstack.node.callers.RequestReceiver;
 import io.persimmonstack.node.callers.RequestServer;
+import io.persimmonstack.node.callers.WorkspaceCheck;
 import io.persimmonstack.node.fleet.Fleet;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Peer;
@@ -115,8 +116,9 @@
         StoredVersions currentVersions =
                 StoredVersions.of(ports.store(), options.runnersPrefix(), ports.runnerDecoder());
         ResumptionResolver resumptions = ResumptionResolver.of(origins, streams.versions(), currentVersions);
+        WorkspaceCheck workspaces = WorkspaceCheck.of(fleet, ports.protocol(), options.applyMs(), options.revokeMs());
         RequestServer server = RequestServer.of(
-                fleet, ports.protocol(), dispatcher, metrics, drainState, resumptions, options.applyMs());
+                fleet, ports.protocol(), dispatcher, metrics, drainState, resumptions, workspaces, options.applyMs());
         this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
         AtomicReference<Optional<byte[]>> lastReport = new AtomicReference<>(Optional.empty());
         StoredValue crashReport = closer.add(StoredValue.start(
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -63,6 +63,8 @@
     VERSIONS_NOT_READ(6027, Level.WARN, "versions-not-read cause={}"),
     /** The watch of the store ended; all keys are read again. */
     STORE_WATCH_ENDED(6028, Level.WARN, "store-watch-ended cause={} unconfirmed-ms={}"),
+    /** The configuration that was applied has workspaces, so that requests need keys. */
+    WORKSPACES(6040, Level.INFO, "workspaces version={} workspaces={} keys={}"),
     /** A request was answered by a runner. */
     SERVED(
             6101,
--- a/node/src/main/java/io/persimmonstack/node/NodeOptions.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeOptions.java
@@ -19,6 +19,8 @@
  * @param applyMs time limit within which a change in the store must take effect, in milliseconds
  * @param leavingServesMs time for which a runner serves after the store has accepted that it leaves, in milliseconds;
  *     empty if it is not known
+ * @param revokeMs age of the last confirmation of the configuration beyond which no key of a workspace is accepted, in
+ *     milliseconds; empty if keys are accepted at any age
  * @param graceMs grace period from the stop signal until the process is killed, in milliseconds
  */
 public record NodeOptions(
@@ -32,4 +34,5 @@
         long orderPauseMs,
         int applyMs,
         OptionalLong leavingServesMs,
+        OptionalLong revokeMs,
         long graceMs) {}
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -36,14 +36,16 @@
     /** Retry-After while the configuration or the runners are not known yet, and after an unexpected error. */
     private static final long RETRY_AFTER_MS = 500;
 
-    private static final double MS_PER_SECOND = 1_000;
-    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final double MS_PER_SHOWN_DIGIT = 10;
+    private static final double SHOWN_DIGITS_PER_SECOND = 100;
+    private static final int UNAUTHORIZED = 401;
     private final FleetView fleet;
     private final RunnerProtocol protocol;
     private final Dispatcher dispatcher;
     private final NodeMetrics metrics;
     private final DrainState drainState;
     private final ResumptionResolver resumptions;
+    private final WorkspaceCheck workspaces;
     private final int applyMs;
 
     private RequestServer(
@@ -53,9 +55,11 @@
             NodeMetrics metrics,
             DrainState drainState,
             ResumptionResolver resumptions,
+            WorkspaceCheck workspaces,
             int applyMs) {
         this.drainState = drainState;
         this.resumptions = resumptions;
+        this.workspaces = workspaces;
         this.applyMs = applyMs;
         this.fleet = fleet;
         this.protocol = protocol;
@@ -72,6 +76,7 @@
      * @param metrics counts requests by their end
      * @param drainState decides which requests a stopping node still accepts
      * @param resumptions finds out where a stream began that a caller resumes
+     * @param workspaces checks the keys of requests
      * @param applyMs time limit within which a new configuration must take effect, in milliseconds
      */
     public static RequestServer of(
@@ -81,8 +86,9 @@
             NodeMetrics metrics,
             DrainState drainState,
             ResumptionResolver resumptions,
+            WorkspaceCheck workspaces,
             int applyMs) {
-        return new RequestServer(fleet, protocol, dispatcher, metrics, drainState, resumptions, applyMs);
+        return new RequestServer(fleet, protocol, dispatcher, metrics, drainState, resumptions, workspaces, applyMs);
     }
 
     /**
@@ -155,13 +161,21 @@
         Route route = routing.route(callerRequest.host(), callerRequest.path())
                 .orElseThrow(() -> new RefusedException(noRoute(callerRequest, routing)));
         summary.route = route;
-        Optional<StreamOrigin> origin = origin(callerRequest, route);
+        WorkspaceCheck.Checked checked = workspaces.check(callerRequest, route, routing, System.nanoTime());
+        Optional<StreamOrigin> origin = origin(checked.callerRequest(), route);
         String name = origin.map(StreamOrigin::service)
                 .orElseGet(() -> route.pickService(ThreadLocalRandom.current().nextDouble()));
         Service service = routing.service(name)
                 .orElseThrow(
                         () -> new RefusedException(Refusal.notRun("no-service", "service " + name, RETRY_AFTER_MS)));
-        ActiveRequest request = new ActiveRequest(callerRequest, route, service, origin, receivedNanos);
+        ActiveRequest request = new ActiveRequest(
+                checked.callerRequest(),
+                route,
+                service,
+                origin,
+                receivedNanos,
+                checked.workspace(),
+                routing.priority(checked.workspace(), route));
         if (!drainState.accepts(request, System.nanoTime())) {
             throw new RefusedException(Refusal.notRun("leaving", "this node is about to end", 0));
         }
@@ -238,10 +252,15 @@
     private static List<Reply.Header> refusalHeaders(RequestSummary summary, Refusal refusal) {
         List<Reply.Header> headers = new ArrayList<>();
         headers.add(new Reply.Header("Content-Type", "text/plain"));
-        if (refusal.status() == SERVICE_UNAVAILABLE) {
-            double seconds = refusal.retryAfterMs().orElse(0) / MS_PER_SECOND;
+        if (refusal.retryAfterMs().isPresent()) {
+            // Rounded up: a caller that comes back too early is refused again.
+            double seconds =
+                    Math.ceil(refusal.retryAfterMs().getAsLong() / MS_PER_SHOWN_DIGIT) / SHOWN_DIGITS_PER_SECOND;
             headers.add(new Reply.Header("Retry-After", String.format(Locale.ROOT, "%.2f", seconds)));
         }
+        if (refusal.status() == UNAUTHORIZED) {
+            headers.add(new Reply.Header("WWW-Authenticate", "Bearer"));
+        }
         return headers;
     }
 
--- a/node/src/main/java/io/persimmonstack/node/config/Route.java
+++ b/node/src/main/java/io/persimmonstack/node/config/Route.java
@@ -15,6 +15,7 @@
  * @param maxGapMs target for the longest pause between two events of a stream, in milliseconds; 0 if not configured
  * @param priority priority of its requests, 0 is the most urgent
  * @param maxAttempts most runners that may run one idempotent request
+ * @param authExempt whether requests need no key of a workspace
  * @param shares services among which its requests are split
  */
 public record Route(
@@ -28,12 +29,41 @@
         int maxGapMs,
         int priority,
         int maxAttempts,
+        boolean authExempt,
         List<ServiceShare> shares) {
     /** Copies the shares. */
     public Route {
         shares = List.copyOf(shares);
     }
 
+    /** Creates a route that is not exempt from keys. */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            RouteKind kind,
+            boolean resumable,
+            int timeoutMs,
+            int targetLatencyMs,
+            int maxGapMs,
+            int priority,
+            int maxAttempts,
+            List<ServiceShare> shares) {
+        this(
+                name,
+                host,
+                prefix,
+                kind,
+                resumable,
+                timeoutMs,
+                targetLatencyMs,
+                maxGapMs,
+                priority,
+                maxAttempts,
+                false,
+                shares);
+    }
+
     /** Returns whether a request may safely run more than once. */
     public boolean isIdempotent() {
         return kind == RouteKind.SAFE || kind == RouteKind.STREAM && resumable;
--- a/node/src/main/java/io/persimmonstack/node/config/RoutingTable.java
+++ b/node/src/main/java/io/persimmonstack/node/config/RoutingTable.java
@@ -14,9 +14,18 @@
     private final long version;
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
+    private final Optional<WorkspaceKeys> workspaceKeys;
+    private final PriorityScale priorities;
 
-    private RoutingTable(long version) {
+    private RoutingTable(long version, Optional<WorkspaceKeys> workspaceKeys, PriorityScale priorities) {
         this.version = version;
+        this.workspaceKeys = workspaceKeys;
+        this.priorities = priorities;
+    }
+
+    /** Returns a table without workspaces. */
+    public static RoutingTable of(long version, List<Route> routes, List<Service> services) {
+        return of(version, routes, services, Optional.empty());
     }
 
     /**
@@ -25,9 +34,13 @@
      * @param version version of the configuration; newer versions are higher
      * @param routes all routes
      * @param services all services
+     * @param workspaceKeys all workspaces and their keys, empty if no keys are required
      */
-    public static RoutingTable of(long version, List<Route> routes, List<Service> services) {
-        RoutingTable table = new RoutingTable(version);
+    public static RoutingTable of(
+            long version, List<Route> routes, List<Service> services, Optional<WorkspaceKeys> workspaceKeys) {
+        PriorityScale priorities =
+                PriorityScale.of(workspaceKeys.map(WorkspaceKeys::workspaces).orElse(List.of()), routes);
+        RoutingTable table = new RoutingTable(version, workspaceKeys, priorities);
         for (Route route : routes) {
             table.routesByHost
                     .computeIfAbsent(route.host(), host -> new ArrayList<>())
@@ -66,6 +79,16 @@
         return List.copyOf(services.values());
     }
 
+    /** Returns the workspaces and their keys; empty if no keys are required. */
+    public Optional<WorkspaceKeys> workspaceKeys() {
+        return workspaceKeys;
+    }
+
+    /** Returns the priority of a request of a workspace, empty if it has none, on a route of this table. */
+    public RequestPriority priority(Optional<Workspace> workspace, Route route) {
+        return priorities.of(workspace, route);
+    }
+
     /** Returns the number of routes. */
     public int routeCount() {
         return routesByHost.values().stream().mapToInt(List::size).sum();
--- a/node/src/main/java/io/persimmonstack/node/placing/QueuedRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/QueuedRequest.java
@@ -9,8 +9,8 @@
 
 /** Request that waits for a runner; its result is a {@link Placement} or a refusal. */
 final class QueuedRequest implements Comparable<QueuedRequest> {
-    private static final Comparator<QueuedRequest> ORDER = Comparator.comparingInt(
-                    (QueuedRequest queued) -> queued.request.route().priority())
+    private static final Comparator<QueuedRequest> ORDER = Comparator.comparing(
+                    (QueuedRequest queued) -> queued.request.priority())
             .thenComparing(QueuedRequest::isNew)
             .thenComparingLong(queued -> queued.request.receivedNanos());
 
--- a/node/src/main/java/io/persimmonstack/node/request/ActiveRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/request/ActiveRequest.java
@@ -1,8 +1,10 @@
 package io.persimmonstack.node.request;
 
+import io.persimmonstack.node.config.RequestPriority;
 import io.persimmonstack.node.config.Route;
 import io.persimmonstack.node.config.RouteKind;
 import io.persimmonstack.node.config.Service;
+import io.persimmonstack.node.config.Workspace;
 import io.persimmonstack.node.streams.StreamOrigin;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -15,15 +17,40 @@
  * @param service service picked for it
  * @param origin where the stream began that it resumes, empty if it starts anew
  * @param receivedNanos monotonic time at which it was received completely
+ * @param workspace workspace of its key, empty if it has none or none are configured
+ * @param priority priority over other requests
  */
 public record ActiveRequest(
-        CallerRequest callerRequest, Route route, Service service, Optional<StreamOrigin> origin, long receivedNanos) {
+        CallerRequest callerRequest,
+        Route route,
+        Service service,
+        Optional<StreamOrigin> origin,
+        long receivedNanos,
+        Optional<Workspace> workspace,
+        RequestPriority priority) {
     private static final int MIN_STREAM_IDLE_TIMEOUT_MS = 2_000;
     /** Smallest idle timeout of a stream, as a multiple of the latency target of its route. */
     private static final int TARGET_LATENCY_FACTOR = 4;
     /** Smallest idle timeout of a stream, as a multiple of the largest gap between events that its route targets. */
     private static final int MAX_GAP_FACTOR = 8;
 
+    /** Creates a request without a workspace, with the priority of its route. */
+    public ActiveRequest(
+            CallerRequest callerRequest,
+            Route route,
+            Service service,
+            Optional<StreamOrigin> origin,
+            long receivedNanos) {
+        this(
+                callerRequest,
+                route,
+                service,
+                origin,
+                receivedNanos,
+                Optional.empty(),
+                RequestPriority.ofRoute(route.priority()));
+    }
+
     /** Returns the time limit of the final answer, in milliseconds: the route's timeout or the caller's, if shorter. */
     public int timeLimitMs() {
         int timeoutMs = route.timeoutMs() > 0 ? route.timeoutMs() : Integer.MAX_VALUE;
--- a/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
@@ -45,6 +45,24 @@
         prompt = List.copyOf(prompt);
     }
 
+    /** Returns a copy with other headers. */
+    public CallerRequest withHeaders(List<HttpHeader> newHeaders) {
+        return new CallerRequest(
+                id,
+                method,
+                host,
+                path,
+                target,
+                newHeaders,
+                body,
+                timeLimitMs,
+                model,
+                tokens,
+                prompt,
+                lastEventId,
+                resumedRequest);
+    }
+
     /** Returns the parts of the prompt that other requests may have, too: all but the last, which is its own. */
     public List<PromptPart> sharedParts() {
         return prompt.isEmpty() ? List.of() : prompt.subList(0, prompt.size() - 1);
--- a/node/src/main/java/io/persimmonstack/node/request/Refusal.java
+++ b/node/src/main/java/io/persimmonstack/node/request/Refusal.java
@@ -12,7 +12,9 @@
  */
 public record Refusal(int status, String reason, String detail, OptionalLong retryAfterMs) {
     private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
+    private static final int TOO_MANY_REQUESTS = 429;
     private static final int BAD_GATEWAY = 502;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -22,6 +24,16 @@
         return new Refusal(BAD_REQUEST, "malformed", detail, OptionalLong.empty());
     }
 
+    /** Returns the refusal of a request without a key of a workspace where one is required. */
+    public static Refusal unauthorized(String reason, String detail) {
+        return new Refusal(UNAUTHORIZED, reason, detail, OptionalLong.empty());
+    }
+
+    /** Returns the refusal of a request beyond the cap of its workspace, which has not run and will not run. */
+    public static Refusal overCap(String detail, long retryAfterMs) {
+        return new Refusal(TOO_MANY_REQUESTS, "over-cap", detail, OptionalLong.of(retryAfterMs));
+    }
+
     /** Returns the refusal of a request that matches no route. */
     public static Refusal noRoute(String detail) {
         return new Refusal(NOT_FOUND, "no-route", detail, OptionalLong.empty());
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -34,8 +34,6 @@
     private static final int LATE_STREAM_TIMEOUT_MS = 250;
     /** Connections that are tried in place of closed ones; a restarted runner has closed all that were idle. */
     private static final int MAX_RECONNECTIONS = 20;
-    /** Least urgent priority that the protocol of the runners allows. */
-    private static final int LEAST_URGENT = 9;
 
     private final HttpConnector connector;
     private final RunnerProtocol protocol;
@@ -157,7 +155,7 @@
     /** Encodes the request for a runner, or the rest of a stream that has begun. */
     private HttpRequest encode(Runner target) {
         long remainingMs = request.remainingMs(System.nanoTime());
-        int urgency = Math.clamp(request.route().priority(), 0, LEAST_URGENT);
+        int urgency = request.priority().atRunner();
         return protocol.encode(
                 request.callerRequest(), new SendOptions(target.id(), remainingMs, urgency, progress.lastEventId()));
     }
--- a/node/src/main/java/io/persimmonstack/node/sending/RunnerProtocol.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/RunnerProtocol.java
@@ -4,9 +4,11 @@
 import io.persimmonstack.backends.http.HttpRequest;
 import io.persimmonstack.node.fleet.RunnerNotice;
 import io.persimmonstack.node.request.CallerRequest;
+import io.persimmonstack.node.request.PresentedKey;
 import io.persimmonstack.node.request.RawRequest;
 import io.persimmonstack.node.request.RefusedException;
 import java.util.List;
+import java.util.Optional;
 
 /** HTTP conventions between callers, nodes and runners. */
 public interface RunnerProtocol {
@@ -19,6 +21,17 @@
      */
     CallerRequest decode(RawRequest raw) throws RefusedException;
 
+    /** Reads the key of a workspace that a request presents. */
+    PresentedKey presentedKey(CallerRequest request);
+
+    /**
+     * Returns a request without its key and with the name of its workspace, whatever name the caller stated.
+     *
+     * @param request request as the caller sent it
+     * @param workspace name of the workspace, empty if it has none
+     */
+    CallerRequest withWorkspace(CallerRequest request, Optional<String> workspace);
+
     /**
      * Encodes a request for a runner.
      *
--- a/node/src/main/java/io/persimmonstack/node/store/RoutingFollower.java
+++ b/node/src/main/java/io/persimmonstack/node/store/RoutingFollower.java
@@ -69,6 +69,12 @@
                         entry.revision(),
                         routing.routeCount(),
                         routing.services().size());
+                routing.workspaceKeys()
+                        .ifPresent(keys -> LOG.write(
+                                NodeEvent.WORKSPACES,
+                                routing.version(),
+                                keys.workspaces().size(),
+                                keys.keyCount()));
             }
         } catch (UnreadableException e) {
             LOG.write(NodeEvent.CONFIGURATION_UNREADABLE, entry.revision(), e.getMessage());
