planning: send the order after an unload when the unload is expected to be complete

Cause: the load that follows an unload was sent 10 to 50 ms after it and then each 80 ms, while an unload waits for the requests of its model. The runner refuses each of these (409). A load that took longer than configured ended the directive after it. And the status requested right after a load showed the state 0.2 s ago, with the load in progress, so that the model was withdrawn from the nodes and the runner got no orders until another status.

Change: the executor waits for a learned time (UnloadTiming), and for the requests of the victim to leave the nodes' reports; conflicts are retried with growing pauses. The first order after a load is retried for 0.4 s. The status lag counts from the end of a directive as well.

--- a/node/src/main/java/io/persimmonstack/node/NodeMetrics.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeMetrics.java
@@ -45,6 +45,11 @@
         registry.counter("orders." + outcome).inc();
     }
 
+    /** Records the time from the acceptance of an unload to that of the next order, in milliseconds. */
+    public void recordUnload(long ms) {
+        registry.timer("orders.unload-time").update(ms, TimeUnit.MILLISECONDS);
+    }
+
     /** Counts copies of origins that another node has confirmed. */
     public void recordOriginCopiesSent(long copies) {
         registry.counter("origins.copies.sent").inc(copies);
--- a/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
@@ -4,6 +4,7 @@
 import io.persimmonstack.node.NodeMetrics;
 import io.persimmonstack.runtime.event.EventLog;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -13,7 +14,15 @@
     /** Time after which the load of an adapter is taken to be carried out. */
     private static final int ADAPTER_LOAD_MS = 10;
 
+    /** Pause after the first conflict; each further one doubles it. */
     private static final int CONFLICT_RETRY_MS = 80;
+    /** Longest pause between two tries. */
+    private static final int MAX_CONFLICT_RETRY_MS = 320;
+    /** Interval at which the requests that an unload waits for are looked up in the nodes' reports. */
+    private static final int RUNS_POLL_MS = 20;
+    /** Time for which the first order after a load is retried, since the load may take longer than configured. */
+    private static final long LOAD_OVERRUN_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
     /** Time to wait in addition to the configured duration of a load. */
     private static final int LOAD_MARGIN_MS = 15;
 
@@ -35,6 +44,20 @@
     private final RunnerControl control;
     private final NodeMetrics metrics;
     private final Consumer<String> onFenced;
+    private final UnloadTiming unloadTiming = new UnloadTiming();
+
+    /** Unload of a model that the runner has accepted at the given monotonic time. */
+    private record UnloadInProgress(String model, long acceptedNanos) {
+        /** Returns how long the order after it is still tried, in nanoseconds. */
+        long remainingNanos() {
+            return UNLOAD_TIMEOUT_NANOS - (System.nanoTime() - acceptedNanos);
+        }
+    }
+
+    /** Waits before an order is tried again. */
+    private interface RetryWait {
+        void await() throws InterruptedException;
+    }
 
     private OrderExecutor(String node, RunnerControl control, NodeMetrics metrics, Consumer<String> onFenced) {
         this.node = node;
@@ -82,9 +105,11 @@
 
     private boolean executeOrders(DirectiveTask task) throws InterruptedException {
         long sequence = task.directive().sequence();
-        long conflictTimeoutNanos = 0;
+        Optional<UnloadInProgress> unload = Optional.empty();
         for (PlacementOrder order : task.directive().orders()) {
-            OrderAnswer answer = sendWithRetry(task, order, sequence, conflictTimeoutNanos);
+            OrderAnswer answer = unload.isPresent()
+                    ? sendAfterUnload(task, order, sequence, unload.get())
+                    : sendWithRetry(task, order, sequence, firstOrderTimeoutNanos(task, sequence));
             if (answer == OrderAnswer.UNKNOWN) {
                 task.tracker().orderUnanswered(order, sequence);
             }
@@ -92,21 +117,79 @@
                 return false;
             }
             task.tracker().orderAccepted(System.nanoTime());
+            unload = unloadInProgress(order);
             if (!awaitCompletion(task, order, answer)) {
                 return false;
             }
             sequence++;
-            conflictTimeoutNanos = order instanceof PlacementOrder.UnloadModel ? UNLOAD_TIMEOUT_NANOS : 0;
         }
         return true;
     }
 
+    /** Returns how long to retry the first order of a directive: the load before it may not have ended yet. */
+    private static long firstOrderTimeoutNanos(DirectiveTask task, long sequence) {
+        boolean first = sequence == task.directive().sequence();
+        return first && task.tracker().loadEndedWithin(LOAD_OVERRUN_NANOS, System.nanoTime()) ? LOAD_OVERRUN_NANOS : 0;
+    }
+
+    private static Optional<UnloadInProgress> unloadInProgress(PlacementOrder order) {
+        return order instanceof PlacementOrder.UnloadModel unload
+                ? Optional.of(new UnloadInProgress(unload.model(), System.nanoTime()))
+                : Optional.empty();
+    }
+
+    /**
+     * Sends the order that follows an unload of a model, once the unload is expected to be complete: an unload waits
+     * for the requests of its model, and then takes the learned time.
+     */
+    private OrderAnswer sendAfterUnload(
+            DirectiveTask task, PlacementOrder order, long sequence, UnloadInProgress unload)
+            throws InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(unloadTiming.unloadMs());
+        boolean waitedForRequests = awaitRequests(task, unload);
+        boolean[] refused = {false};
+        OrderAnswer answer = sendWithRetry(task, order, sequence, unload.remainingNanos(), () -> {
+            refused[0] = true;
+            awaitRequests(task, unload);
+        });
+        boolean answered = answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.CONFLICT;
+        if (answered && !waitedForRequests) {
+            unloadTiming.record(refused[0]);
+        }
+        if (answer == OrderAnswer.ACCEPTED) {
+            metrics.recordUnload(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - unload.acceptedNanos()));
+        }
+        return answer;
+    }
+
+    /**
+     * Waits until the nodes report no more requests of the model that is being unloaded.
+     *
+     * @return whether there were any
+     */
+    private static boolean awaitRequests(DirectiveTask task, UnloadInProgress unload) throws InterruptedException {
+        boolean waited = false;
+        while (task.requestsOf().applyAsInt(unload.model()) > 0
+                && unload.remainingNanos() > 0
+                && task.stillLeads().getAsBoolean()) {
+            waited = true;
+            TimeUnit.MILLISECONDS.sleep(RUNS_POLL_MS);
+        }
+        return waited;
+    }
+
     /** Returns whether a runner that gave this answer has counted the order. */
     private static boolean countsAsAccepted(PlacementOrder order, OrderAnswer answer) {
         return answer == OrderAnswer.ACCEPTED
                 || answer == OrderAnswer.ALREADY && order instanceof PlacementOrder.UnloadAdapter;
     }
 
+    private OrderAnswer sendWithRetry(
+            DirectiveTask task, PlacementOrder order, long sequence, long conflictTimeoutNanos)
+            throws InterruptedException {
+        return sendWithRetry(task, order, sequence, conflictTimeoutNanos, () -> {});
+    }
+
     /**
      * Sends an order, and retries it while the runner answers with a conflict because the previous order is in
      * progress, or wants quiet.
@@ -115,10 +198,11 @@
      * @param order order to send
      * @param sequence number of orders that the runner has accepted if its state is the one that was planned on
      * @param conflictTimeoutNanos how long to retry, in nanoseconds; 0 if no previous order can be in progress
+     * @param beforeRetry waits for what the conflict may be due to, in addition to the pause
      * @return the last answer, {@code UNKNOWN} if this node no longer leads
      */
     private OrderAnswer sendWithRetry(
-            DirectiveTask task, PlacementOrder order, long sequence, long conflictTimeoutNanos)
+            DirectiveTask task, PlacementOrder order, long sequence, long conflictTimeoutNanos, RetryWait beforeRetry)
             throws InterruptedException {
         if (!task.stillLeads().getAsBoolean()) {
             return OrderAnswer.UNKNOWN;
@@ -126,9 +210,14 @@
         long startNanos = System.nanoTime();
         OrderAnswer answer = send(task, order, sequence);
         logOrder(task, order, sequence, answer);
+        int pauseMs = CONFLICT_RETRY_MS;
         while ((answer == OrderAnswer.CONFLICT || answer == OrderAnswer.WITHHELD)
                 && System.nanoTime() - startNanos < conflictTimeoutNanos) {
-            TimeUnit.MILLISECONDS.sleep(CONFLICT_RETRY_MS);
+            TimeUnit.MILLISECONDS.sleep(pauseMs);
+            pauseMs = Math.min(2 * pauseMs, MAX_CONFLICT_RETRY_MS);
+            if (answer == OrderAnswer.CONFLICT) {
+                beforeRetry.await();
+            }
             if (!task.stillLeads().getAsBoolean()) {
                 return OrderAnswer.UNKNOWN;
             }
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -261,7 +261,15 @@
             storeLoadNanos.addLast(System.nanoTime());
         }
         long orderTerm = term.getAsLong();
-        DirectiveTask task = new DirectiveTask(tracker, directive, orderTerm, engine, () -> isLeading(orderTerm));
+        String runner = directive.runner();
+        DirectiveTask task = new DirectiveTask(
+                tracker,
+                directive,
+                orderTerm,
+                engine,
+                () -> isLeading(orderTerm),
+                model -> RequestCounts.of(reports.requestsByModel(runner, System.nanoTime()))
+                        .ofModel(model));
         executor.execute(() -> orderExecutor.execute(task));
     }
 
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerStateTracker.java
@@ -57,7 +57,9 @@
 
     private long statusNanos;
     private long statusRequestedNanos;
+    /** Monotonic time of the last accepted order or of the end of the last directive, the later of both. */
     private long lastOrderNanos;
+
     private long suspectedUntilNanos = System.nanoTime();
     private long unavailableUntilNanos = suspectedUntilNanos;
 
@@ -195,12 +197,21 @@
         return true;
     }
 
-    /** Ends the directive in progress, whether its orders were carried out or not. */
+    /**
+     * Ends the directive in progress, whether its orders were carried out or not. A status that is requested at once
+     * may still show its last load in progress.
+     */
     synchronized void endDirective() {
+        lastOrderNanos = System.nanoTime();
         activeDirective = Optional.empty();
         loadingFromStore = false;
     }
 
+    /** Returns whether a load of a model has been taken as done within the given time. */
+    synchronized boolean loadEndedWithin(long nanos, long nowNanos) {
+        return loadedNanos.values().stream().anyMatch(endNanos -> nowNanos - endNanos < nanos);
+    }
+
     /** Returns the number of orders that the runner has accepted so far. */
     synchronized long sequence() {
         return sequence;
--- a/node/src/test/java/io/persimmonstack/node/planning/SimulatedRunners.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/SimulatedRunners.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -20,9 +21,10 @@
 import java.util.stream.Collectors;
 
 /**
- * Runners that carry out orders for adapters as documented, with selectable faults of the orders. An unload of an
- * adapter in use is accepted and takes effect when its last request ends. Records every load beyond a runner's adapter
- * slots. Thread-safe.
+ * Runners that carry out orders for models and adapters as documented, with selectable faults of the orders. An unload
+ * of an adapter in use is accepted and takes effect when its last request ends. An unload of a model waits for its
+ * requests and then takes a while; until then, and during the load of a model, each order is answered with a conflict.
+ * Records every load beyond a runner's adapter slots. Thread-safe.
  */
 final class SimulatedRunners implements RunnerControl {
     /** Age of the state that a status reports. */
@@ -46,10 +48,22 @@
     private final List<String> overloads = Collections.synchronizedList(new ArrayList<>());
     private final List<PlacementOrder> executedOrders = Collections.synchronizedList(new ArrayList<>());
 
+    private final List<PlacementOrder> conflicts = Collections.synchronizedList(new ArrayList<>());
+
     private Runnable beforeFirstOrder = () -> {};
+    private long unloadNanos;
+    private long loadNanos;
 
     /** State of one runner. */
     private static final class State {
+        private final Set<String> models = new HashSet<>(Set.of("a"));
+        /** Monotonic times until which requests of models run. */
+        private final Map<String, Long> modelInUseUntilNanos = new HashMap<>();
+        /** Order for a model in progress, and the earliest time of its end. */
+        private Optional<PlacementOrder> modelOrder = Optional.empty();
+
+        private long modelOrderEndNanos;
+
         private final Set<ModelRef> adapters = new HashSet<>();
         /** Monotonic times until which adapters are in use. */
         private final Map<ModelRef, Long> inUseUntilNanos = new HashMap<>();
@@ -85,6 +99,28 @@
         this.threads = threads;
     }
 
+    /** Sets how long runners take to unload a model without requests and to load one, in milliseconds. */
+    synchronized void modelTimes(long unloadMs, long loadMs) {
+        unloadNanos = TimeUnit.MILLISECONDS.toNanos(unloadMs);
+        loadNanos = TimeUnit.MILLISECONDS.toNanos(loadMs);
+    }
+
+    /** Lets requests of a model run at a runner for a time, in milliseconds. */
+    synchronized void run(String runner, String model, long ms) {
+        runners.get(runner).modelInUseUntilNanos.put(model, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms));
+    }
+
+    /** Returns whether requests of a model run at a runner. */
+    synchronized boolean isRunning(String runner, String model) {
+        Long untilNanos = runners.get(runner).modelInUseUntilNanos.get(model);
+        return untilNanos != null && System.nanoTime() - untilNanos < 0;
+    }
+
+    /** Returns the orders that were answered with a conflict. */
+    List<PlacementOrder> conflicts() {
+        return List.copyOf(conflicts);
+    }
+
     /** Adds a runner that holds the given adapters of the model {@code a}. */
     synchronized void add(String runner, String... adapters) {
         State state = new State();
@@ -154,8 +190,12 @@
     private synchronized OrderAnswer execute(String runner, PlacementOrder order, OrderPrecondition precondition) {
         State state = runners.get(runner);
         endUnloads(state);
+        endModelOrder(state);
         OrderAnswer answer = answer(runner, state, order, precondition);
         state.history.add(System.nanoTime() / 1_000_000 + " " + order + " " + precondition + " " + answer);
+        if (answer == OrderAnswer.CONFLICT) {
+            conflicts.add(order);
+        }
         if (answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY) {
             executedOrders.add(order);
         }
@@ -168,14 +208,14 @@
             return OrderAnswer.FENCED;
         }
         state.highestTerm = precondition.term();
-        if (precondition.sequence() != state.sequence) {
+        if (state.modelOrder.isPresent() || precondition.sequence() != state.sequence) {
             return OrderAnswer.CONFLICT;
         }
         OrderAnswer answer = switch (order) {
             case PlacementOrder.LoadAdapter load -> load(runner, state, new ModelRef(load.model(), load.adapter()));
             case PlacementOrder.UnloadAdapter unload -> unload(state, new ModelRef(unload.model(), unload.adapter()));
-            case PlacementOrder.LoadModel load -> OrderAnswer.INVALID;
-            case PlacementOrder.UnloadModel unload -> OrderAnswer.INVALID;
+            case PlacementOrder.LoadModel load -> beginModelOrder(state, load, loadNanos);
+            case PlacementOrder.UnloadModel unload -> beginModelOrder(state, unload, unloadNanos);
         };
         if (answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.ALREADY) {
             executedOrders.add(order);
@@ -184,6 +224,35 @@
         return answer;
     }
 
+    private static OrderAnswer beginModelOrder(State state, PlacementOrder order, long durationNanos) {
+        if (state.models.contains(order.model()) == order instanceof PlacementOrder.LoadModel) {
+            return OrderAnswer.ALREADY;
+        }
+        long nowNanos = System.nanoTime();
+        long inUseNanos = order instanceof PlacementOrder.UnloadModel
+                ? Math.max(0, state.modelInUseUntilNanos.getOrDefault(order.model(), nowNanos) - nowNanos)
+                : 0;
+        state.modelOrder = Optional.of(order);
+        state.modelOrderEndNanos = nowNanos + inUseNanos + durationNanos;
+        state.sequence++;
+        return OrderAnswer.ACCEPTED;
+    }
+
+    /** Ends the order for a model whose time is over. */
+    private static void endModelOrder(State state) {
+        if (state.modelOrder.isEmpty() || System.nanoTime() - state.modelOrderEndNanos < 0) {
+            return;
+        }
+        PlacementOrder order = state.modelOrder.get();
+        state.modelOrder = Optional.empty();
+        if (order instanceof PlacementOrder.LoadModel) {
+            state.models.add(order.model());
+        } else {
+            state.models.remove(order.model());
+        }
+        state.statuses.add(new TimedStatus(state.modelOrderEndNanos, status(state)));
+    }
+
     private OrderAnswer load(String runner, State state, ModelRef adapter) {
         if (state.adapters.contains(adapter)) {
             return OrderAnswer.ALREADY;
@@ -228,6 +297,7 @@
     public synchronized RunnerStatus status(Runner runner) {
         State state = runners.get(runner.id());
         endUnloads(state);
+        endModelOrder(state);
         long asOfNanos = System.nanoTime() - STATUS_LAG_NANOS;
         return state.statuses.stream()
                 .filter(timed -> timed.nanos() - asOfNanos <= 0)
@@ -237,8 +307,16 @@
     }
 
     private static RunnerStatus status(State state) {
-        Set<String> adapters = state.adapters.stream().map(ModelRef::adapter).collect(Collectors.toSet());
-        HeldModel model = new HeldModel("a", 1, adapters);
-        return new RunnerStatus(false, state.sequence, List.of(model), Set.of(), Set.of(), Set.of("a"));
+        List<HeldModel> held = state.models.stream()
+                .map(model -> new HeldModel(
+                        model,
+                        1,
+                        state.adapters.stream()
+                                .filter(adapter -> adapter.model().equals(model))
+                                .map(ModelRef::adapter)
+                                .collect(Collectors.toSet())))
+                .toList();
+        return new RunnerStatus(
+                state.modelOrder.isPresent(), state.sequence, held, Set.of(), Set.of(), Set.of("a", "b", "c"));
     }
 }
