--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -24,26 +24,10 @@
     /** Limit of concurrent loads from the weight store for models above the busy rate. */
     private static final int MAX_URGENT_STORE_LOADS = 6;
 
-    /** Request rate above which a model may use the higher load limit and evict models in use at once. */
-    private static final double BUSY_RATE_PER_SECOND = 2;
-    /** Cost of unloading a model in use: its requests must end first. */
-    private static final double IN_USE_COST_MS = 1_500;
 
-    /** Cost of unloading a model whose other replicas can take over its requests. */
-    private static final double SPARE_REPLICA_COST_MS = 20;
-    /** Wait of a request after which models in use may be evicted for it. */
-    private static final long EVICT_IN_USE_AFTER_MS = 1_500;
     /** Longest wait for a busy runner with a local copy before the model is loaded from the weight store elsewhere. */
     private static final long MAX_WAIT_FOR_COPY_MS = 5_000;
-    /** Factor of the cost of unloading the last replica of a model. */
-    private static final double LAST_REPLICA_FACTOR = 4;
 
-    /** Request rate below which a model may be evicted for a preload. */
-    private static final double IDLE_RATE_PER_SECOND = 0.05;
-    /** Request rate assumed for a model without demand, so that unloading it always has a cost. */
-    private static final double MIN_RATE_PER_SECOND = 0.01;
-    /** Request rate added for a model that requests wait for. */
-    private static final double WAITING_RATE_PER_SECOND = 1;
 
     private static final double MS_PER_SECOND = 1_000;
     /** Urgency that a model gains for each second of unmet demand, so that it is not starved. */
@@ -60,25 +44,19 @@
     private final Map<String, List<String>> evictionOrders = new HashMap<>();
 
     private final Set<String> assignedRunners = new HashSet<>();
+    private final EvictionRules rules;
     private final List<Directive> directives = new ArrayList<>();
     private int storeLoads;
 
     /** Way to load a model on a runner: the models to evict first and the total cost. */
     private record LoadOption(RunnerState runner, List<String> victims, double costMs) {}
 
-    /** Model that needs another replica; cold if no runner holds it that may serve the demand. */
-    private record ReplicaNeed(FleetDemand demand, boolean cold, double urgency) {
-        /** Returns whether the replica may be at any runner; a need that few runners can meet is planned first. */
-        boolean anyRunner() {
-            return demand.softwareVersion().isEmpty();
-        }
-    }
-
     private ModelPolicy(ServiceState state) {
         this.state = state;
         this.demands = ServiceAggregates.demandByModel(state);
         this.storeLoads = state.storeLoads();
         this.index = ServiceIndex.of(state);
+        this.rules = new EvictionRules(state.engine(), demands, index, assignedRunners);
     }
 
     /**
@@ -143,7 +121,7 @@
         String model = need.demand().model().model();
         state.runners().stream()
                 .filter(runner -> need.demand().allows(runner) && canLoad(runner, model))
-                .map(runner -> loadOption(runner, model, victim -> mayEvict(runner, victim, need)))
+                .map(runner -> loadOption(runner, model, victim -> rules.mayEvict(runner, victim, need)))
                 .flatMap(Optional::stream)
                 .min(Comparator.comparingDouble(LoadOption::costMs))
                 .filter(option -> option.runner().hasLocalCopy(model) || !shouldWaitForCopy(need))
@@ -171,16 +149,6 @@
                 && !runner.holds(model);
     }
 
-    /** Returns the request rate of a model per second, raised if requests wait for it, and never 0. */
-    private double demandRate(String model) {
-        FleetDemand demand = demands.get(model);
-        if (demand == null) {
-            return MIN_RATE_PER_SECOND;
-        }
-        double waiting = demand.waiting() > 0 ? WAITING_RATE_PER_SECOND : 0;
-        return Math.max(MIN_RATE_PER_SECOND, demand.perSecond() + waiting);
-    }
-
     /**
      * Returns the cheapest way to load a model on a runner, empty if not enough memory can be freed.
      *
@@ -196,12 +164,12 @@
         }
         double loadMs = loadMs(runner, wantedModel);
         boolean drainsRequests = victims.get().stream().anyMatch(victim -> runner.requestsOf(victim) > 0);
-        double orderMs = drainsRequests ? loadMs + IN_USE_COST_MS : loadMs;
+        double orderMs = drainsRequests ? loadMs + EvictionRules.IN_USE_COST_MS : loadMs;
         double cost = loadMs
                 + FULL_RUNNER_COST_MS * runner.utilisation()
                 + blockingCost(runner, orderMs)
                 + victims.get().stream()
-                        .mapToDouble(victim -> evictionCost(runner, victim))
+                        .mapToDouble(victim -> rules.evictionCost(runner, victim))
                         .sum();
         return Optional.of(new LoadOption(runner, victims.get(), cost));
     }
@@ -226,7 +194,7 @@
         return runner.models().keySet().stream()
                 .filter(held -> engine().models().containsKey(held)
                         && !runner.recentlyLoaded().contains(held))
-                .sorted(Comparator.comparingDouble(held -> evictionCost(runner, held)))
+                .sorted(Comparator.comparingDouble(held -> rules.evictionCost(runner, held)))
                 .toList();
     }
 
@@ -259,47 +227,11 @@
         return index.adapterRate(runner) * orderMs * orderMs / MS_PER_SECOND;
     }
 
-    /**
-     * Returns the cost of unloading a model: the expected waiting time of later requests, in milliseconds per second.
-     */
-    private double evictionCost(RunnerState runner, String victim) {
-        double inUseCost = runner.requestsOf(victim) > 0 ? IN_USE_COST_MS : 0;
-        if (isSpareReplica(runner, victim)) {
-            return SPARE_REPLICA_COST_MS + inUseCost;
-        }
-        Model model = engine().models().get(victim);
-        double restartMs = runner.hasLocalCopy(victim) ? model.diskLoadMs() : model.storeLoadMs();
-        List<RunnerState> holders = index.holders(victim);
-        boolean lastReplica = holders.size() <= 1
-                || inUseCost > 0 && holders.stream().noneMatch(other -> isOtherOfSameVersion(other, runner));
-        double lastReplicaFactor = lastReplica ? LAST_REPLICA_FACTOR : 1;
-        return demandRate(victim) * restartMs * lastReplicaFactor + inUseCost;
-    }
-
-    /** Returns whether the other replicas of a model have enough free slots to take over its requests on a runner. */
-    private boolean isSpareReplica(RunnerState runner, String model) {
-        boolean inUse = runner.requestsOf(model) > 0;
-        double freeSlotCount = index.holders(model).stream()
-                .filter(other -> inUse
-                        ? isOtherOfSameVersion(other, runner)
-                        : !other.id().equals(runner.id()))
-                .filter(other -> !assignedRunners.contains(other.id()))
-                .mapToDouble(other -> RunnerState.CROWDED_UTILISATION * other.slots() - other.requests())
-                .filter(freeSlots -> freeSlots > 0)
-                .sum();
-        return freeSlotCount > runner.requestsOf(model);
-    }
-
-    /** Returns whether streams in progress at a runner can go on at another one. */
-    private static boolean isOtherOfSameVersion(RunnerState other, RunnerState runner) {
-        return !other.id().equals(runner.id()) && other.softwareVersion().equals(runner.softwareVersion());
-    }
-
     /** Adds the directive for a load, unless the limits of the weight store forbid it. */
     private void addDirective(String model, LoadOption option, String reason) {
         RunnerState runner = option.runner();
         boolean fromStore = !runner.hasLocalCopy(model);
-        boolean highDemand = demands.containsKey(model) && demands.get(model).perSecond() > BUSY_RATE_PER_SECOND;
+        boolean highDemand = demands.containsKey(model) && demands.get(model).perSecond() > EvictionRules.BUSY_RATE_PER_SECOND;
         int maxLoads = highDemand ? MAX_URGENT_STORE_LOADS : MAX_STORE_LOADS;
         if (fromStore && (!state.storeLoadAllowed() || storeLoads >= maxLoads)) {
             return;
@@ -313,26 +245,6 @@
         directives.add(new Directive(runner.id(), runner.sequence(), orders, reason));
     }
 
-    /**
-     * Returns whether a model may be evicted for the needed one. If no runner holds the needed model, models with
-     * waiting requests stay, and a model in use is evicted only if it is in less demand and the needed model has a high
-     * request rate or requests that have waited long. For another replica, only idle models are evicted, and only if
-     * they are spare replicas or are requested less than half as often as the new replica would be.
-     */
-    private boolean mayEvict(RunnerState runner, String victim, ReplicaNeed need) {
-        boolean inUse = runner.requestsOf(victim) > 0;
-        if (need.cold()) {
-            boolean hasWaitingRequests =
-                    demands.containsKey(victim) && demands.get(victim).waiting() > 0;
-            boolean urgent = need.demand().oldestWaitMs() > EVICT_IN_USE_AFTER_MS
-                    || need.demand().perSecond() > BUSY_RATE_PER_SECOND;
-            return !hasWaitingRequests && (!inUse || urgent && demandRate(victim) < need.urgency());
-        }
-        int replicas = index.holders(need.demand()).size();
-        double ratePerReplica = need.demand().perSecond() / (1 + replicas);
-        return !inUse && (isSpareReplica(runner, victim) || demandRate(victim) < ratePerReplica / 2);
-    }
-
     /**
      * Plans loads of models without a copy on any runner, into free memory or in place of idle models, a few at a time.
      */
@@ -357,7 +269,7 @@
     /** Returns the memory that a preload may use on a runner at most, free or in place of idle models, in megabytes. */
     private double reclaimableMb(RunnerState runner) {
         double idleMb = runner.models().keySet().stream()
-                .filter(model -> engine().models().containsKey(model) && mayEvictForPreload(runner, model))
+                .filter(model -> engine().models().containsKey(model) && rules.mayEvictForPreload(runner, model))
                 .mapToDouble(this::weightsMb)
                 .sum();
         return index.freeMb(runner) + idleMb;
@@ -366,19 +278,9 @@
     private void planPreload(String model, Map<String, Double> reclaimableMb) {
         state.runners().stream()
                 .filter(runner -> reclaimableMb.get(runner.id()) >= weightsMb(model) && canLoad(runner, model))
-                .map(runner -> loadOption(runner, model, victim -> mayEvictForPreload(runner, victim)))
+                .map(runner -> loadOption(runner, model, victim -> rules.mayEvictForPreload(runner, victim)))
                 .flatMap(Optional::stream)
                 .min(Comparator.comparingDouble(LoadOption::costMs))
                 .ifPresent(option -> addDirective(model, option, "ahead"));
     }
-
-    /**
-     * Returns whether a model may be evicted for a preload: it is idle, has no other replica and loads quickly again
-     * from a local copy.
-     */
-    private boolean mayEvictForPreload(RunnerState runner, String victim) {
-        boolean idle = runner.requestsOf(victim) == 0 && demandRate(victim) < IDLE_RATE_PER_SECOND;
-        boolean hasOtherReplicas = index.holders(victim).size() > 1;
-        return idle && !hasOtherReplicas && runner.hasLocalCopy(victim);
-    }
 }
