planning: evict for rare models in time, no swaps among equals, learned loads of the weight store

Cause: in the model of loads under shortage, 4 to 6 concurrent loads from a store that serves one at full speed each block a runner for over a minute. A model in use was evicted for a waiting request after 1.5 s, too late for a target of 3 s, and never if it was a spare replica of a frequent model. A rarely requested model at a crowded runner got a second replica in place of one like itself.

Change: StoreConcurrency learns the concurrency from durations of loads, the constants apply until then (event 6205). Models in use may be evicted when waiting longer would miss the target, and spare replicas then, too. Crowded models below 1 request a second evict nothing unless requests wait. Busy runners with a copy are awaited for half of the time of a load from the store.

--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -122,6 +122,8 @@
             Level.INFO,
             "directive runner={} orders={} sequence={} used-mb={} memory-mb={} adapters={} loading={} adapter-slots={}"
                     + " requests={} reason={}"),
+    /** The number of loads that the weight store serves concurrently at full speed has been learned anew. */
+    STORE_LIMITS(6205, Level.INFO, "store-limits loads={} urgent-loads={}"),
     /** Lines of one event were suppressed by its rate limit. */
     SUPPRESSED(6900, Level.INFO, "lines-left-out event={} count={}");
 
--- a/node/src/main/java/io/persimmonstack/node/planning/EvictionRules.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/EvictionRules.java
@@ -14,8 +14,14 @@
     static final double IN_USE_COST_MS = 1_500;
     /** Cost of unloading a model whose other replicas can take over its requests. */
     private static final double SPARE_REPLICA_COST_MS = 20;
-    /** Wait of a request after which models in use may be evicted for it. */
-    private static final long EVICT_IN_USE_AFTER_MS = 1_500;
+    /** Shortest wait of a request after which models in use may be evicted for it. */
+    private static final long MIN_EVICT_IN_USE_AFTER_MS = 300;
+    /** Longest wait of a request after which models in use may be evicted for it. */
+    private static final long MAX_EVICT_IN_USE_AFTER_MS = 1_500;
+    /** Expected time until the requests of a model in use have ended. */
+    private static final long DRAIN_MS = 1_000;
+    /** Request rate from which a model without waiting requests may evict others for another replica. */
+    private static final double MIN_REPLICA_RATE_PER_SECOND = 1;
     /** Factor of the cost of unloading the last replica of a model. */
     private static final double LAST_REPLICA_FACTOR = 4;
     /** Request rate below which a model may be evicted for a preload. */
@@ -95,24 +101,41 @@
 
     /**
      * Returns whether a model may be evicted for the needed one. If no runner holds the needed model, models with
-     * waiting requests stay, and a model in use is evicted only if it is in less demand and the needed model has a high
-     * request rate or requests that have waited long. For another replica, only idle models are evicted, and only if
-     * they are spare replicas or are requested less than half as often as the new replica would be.
+     * waiting requests stay, and a model in use is evicted only if its other replicas can take over its requests or it
+     * is in less demand, and if the need is urgent. For another replica, only idle models are evicted, and only if they
+     * are spare replicas or are requested less than half as often as the new replica would be; a rarely requested model
+     * without waiting requests gets another replica only in free memory, since it would evict one like itself.
      */
     boolean mayEvict(RunnerState runner, String victim, ReplicaNeed need) {
         boolean inUse = runner.requestsOf(victim) > 0;
+        FleetDemand demand = need.demand();
         if (need.cold()) {
             boolean hasWaitingRequests =
                     demands.containsKey(victim) && demands.get(victim).waiting() > 0;
-            boolean urgent = need.demand().oldestWaitMs() > EVICT_IN_USE_AFTER_MS
-                    || need.demand().perSecond() > BUSY_RATE_PER_SECOND;
-            return !hasWaitingRequests && (!inUse || urgent && demandRate(victim) < need.urgency());
+            return !hasWaitingRequests
+                    && (!inUse
+                            || isUrgent(demand)
+                                    && (isSpareReplica(runner, victim) || demandRate(victim) < need.urgency()));
         }
-        int replicas = index.holders(need.demand()).size();
-        double ratePerReplica = need.demand().perSecond() / (1 + replicas);
+        if (demand.waiting() == 0 && demand.perSecond() < MIN_REPLICA_RATE_PER_SECOND) {
+            return false;
+        }
+        int replicas = index.holders(demand).size();
+        double ratePerReplica = demand.perSecond() / (1 + replicas);
         return !inUse && (isSpareReplica(runner, victim) || demandRate(victim) < ratePerReplica / 2);
     }
 
+    /**
+     * Returns whether models in use may be evicted for a model: it has a high request rate, or its requests would miss
+     * their latency target if they waited longer for a victim without requests.
+     */
+    private boolean isUrgent(FleetDemand demand) {
+        long diskLoadMs = engine.models().get(demand.model().model()).diskLoadMs();
+        long slackMs = demand.targetLatencyMs() - diskLoadMs - DRAIN_MS;
+        long evictAfterMs = Math.clamp(slackMs, MIN_EVICT_IN_USE_AFTER_MS, MAX_EVICT_IN_USE_AFTER_MS);
+        return demand.oldestWaitMs() > evictAfterMs || demand.perSecond() > BUSY_RATE_PER_SECOND;
+    }
+
     /**
      * Returns whether a model may be evicted for a preload: it is idle, has no other replica and loads quickly again
      * from a local copy.
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -19,15 +19,11 @@
  * state.
  */
 final class ModelPolicy {
-    /** Loads that the weight store serves concurrently at full speed; more slow each other down. */
-    private static final int MAX_STORE_LOADS = 4;
-    /** Limit of concurrent loads from the weight store for models above the busy rate. */
-    private static final int MAX_URGENT_STORE_LOADS = 6;
-
-
-    /** Longest wait for a busy runner with a local copy before the model is loaded from the weight store elsewhere. */
-    private static final long MAX_WAIT_FOR_COPY_MS = 5_000;
 
+    /** Shortest wait for a busy runner with a local copy before the model is loaded from the weight store elsewhere. */
+    private static final long MIN_WAIT_FOR_COPY_MS = 5_000;
+    /** Share of the duration of a load from the weight store for which a busy runner with a local copy is awaited. */
+    private static final double WAIT_FOR_COPY_SHARE = 0.5;
 
     private static final double MS_PER_SECOND = 1_000;
     /** Urgency that a model gains for each second of unmet demand, so that it is not starved. */
@@ -137,7 +133,9 @@
         boolean hasCopy = state.runners().stream()
                 .filter(runner -> need.demand().allows(runner))
                 .anyMatch(runner -> !runner.leaving() && !runner.holds(model) && runner.hasLocalCopy(model));
-        return hasCopy && need.demand().oldestWaitMs() < MAX_WAIT_FOR_COPY_MS;
+        double storeLoadMs = engine().models().get(model).storeLoadMs() * storeSlowdown();
+        return hasCopy
+                && need.demand().oldestWaitMs() < Math.max(MIN_WAIT_FOR_COPY_MS, WAIT_FOR_COPY_SHARE * storeLoadMs);
     }
 
     /** Returns whether a model order may be sent to a runner now. */
@@ -218,8 +216,12 @@
     /** Returns the estimated duration of a load, longer while the weight store serves many loads. */
     private double loadMs(RunnerState runner, Model model) {
         LoadSource source = LoadSource.of(model.name(), runner.inMemory(), runner.onDisk());
-        double slowdown = source == LoadSource.STORE ? (storeLoads + 1.0) / MAX_STORE_LOADS : 1;
-        return source.loadMs(model) * Math.max(1, slowdown);
+        return source.loadMs(model) * (source == LoadSource.STORE ? storeSlowdown() : 1);
+    }
+
+    /** Returns the factor by which another load from the weight store takes longer because of those in progress. */
+    private double storeSlowdown() {
+        return Math.max(1, (storeLoads + 1.0) / state.storeLimits().loads());
     }
 
     /** Returns the cost of blocking adapter orders on a runner while it loads a model for the given time. */
@@ -231,8 +233,11 @@
     private void addDirective(String model, LoadOption option, String reason) {
         RunnerState runner = option.runner();
         boolean fromStore = !runner.hasLocalCopy(model);
-        boolean highDemand = demands.containsKey(model) && demands.get(model).perSecond() > EvictionRules.BUSY_RATE_PER_SECOND;
-        int maxLoads = highDemand ? MAX_URGENT_STORE_LOADS : MAX_STORE_LOADS;
+        boolean highDemand =
+                demands.containsKey(model) && demands.get(model).perSecond() > EvictionRules.BUSY_RATE_PER_SECOND;
+        int maxLoads = highDemand
+                ? state.storeLimits().urgentLoads()
+                : state.storeLimits().loads();
         if (fromStore && (!state.storeLoadAllowed() || storeLoads >= maxLoads)) {
             return;
         }
@@ -249,7 +254,7 @@
      * Plans loads of models without a copy on any runner, into free memory or in place of idle models, a few at a time.
      */
     private void planPreloads() {
-        if (storeLoads >= MAX_STORE_LOADS || !state.storeLoadAllowed()) {
+        if (storeLoads >= state.storeLimits().loads() || !state.storeLoadAllowed()) {
             return;
         }
         Set<String> available = index.availableModels();
@@ -260,7 +265,7 @@
                 .sorted()
                 .toList();
         for (String model : missing) {
-            if (storeLoads < MAX_STORE_LOADS) {
+            if (storeLoads < state.storeLimits().loads()) {
                 planPreload(model, reclaimableMb);
             }
         }
--- a/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
@@ -45,6 +45,7 @@
     private final NodeMetrics metrics;
     private final Consumer<String> onFenced;
     private final UnloadTiming unloadTiming = new UnloadTiming();
+    private final StoreConcurrency storeConcurrency = new StoreConcurrency();
 
     /** Unload of a model that the runner has accepted at the given monotonic time. */
     private record UnloadInProgress(String model, long acceptedNanos) {
@@ -78,6 +79,11 @@
         return new OrderExecutor(node, control, metrics, onFenced);
     }
 
+    /** Returns the limits of concurrent loads from the weight store, learned from the loads of this executor. */
+    StoreLimits storeLimits() {
+        return storeConcurrency.limits();
+    }
+
     /** Executes a directive and ends it at its runner's tracker. Blocks until all orders are done or one has failed. */
     void execute(DirectiveTask task) {
         RunnerStateTracker tracker = task.tracker();
@@ -277,14 +283,34 @@
     private boolean awaitModel(DirectiveTask task, PlacementOrder.LoadModel load) throws InterruptedException {
         RunnerStateTracker tracker = task.tracker();
         LoadSource source = tracker.loadSource(load.model());
-        TimeUnit.MILLISECONDS.sleep(source.loadMs(task.engine().models().get(load.model())) + LOAD_MARGIN_MS);
-        if (source == LoadSource.STORE && !awaitStatus(tracker, load, LOAD_TIMEOUT_NANOS)) {
-            return false;
+        long loadMs = source.loadMs(task.engine().models().get(load.model()));
+        if (source == LoadSource.STORE) {
+            return awaitStoreLoad(tracker, load, loadMs);
         }
+        TimeUnit.MILLISECONDS.sleep(loadMs + LOAD_MARGIN_MS);
         tracker.applyOrder(load);
         return true;
     }
 
+    private boolean awaitStoreLoad(RunnerStateTracker tracker, PlacementOrder.LoadModel load, long loadMs)
+            throws InterruptedException {
+        StoreConcurrency.Load storeLoad = storeConcurrency.begin(System.nanoTime());
+        boolean loaded = false;
+        try {
+            TimeUnit.MILLISECONDS.sleep(loadMs + LOAD_MARGIN_MS);
+            loaded = awaitStatus(tracker, load, LOAD_TIMEOUT_NANOS);
+        } finally {
+            if (storeConcurrency.end(storeLoad, loadMs, loaded, System.nanoTime())) {
+                StoreLimits limits = storeLimits();
+                LOG.write(NodeEvent.STORE_LIMITS, limits.loads(), limits.urgentLoads());
+            }
+        }
+        if (loaded) {
+            tracker.applyOrder(load);
+        }
+        return loaded;
+    }
+
     /**
      * Polls the runner until its status shows the result of an order whose duration cannot be predicted. A runner that
      * gives no status for a moment may still be carrying out the order.
--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -229,6 +229,7 @@
                 Map.of(),
                 activeStoreLoads,
                 storeLoadAllowed(engine, nowNanos),
+                orderExecutor.storeLimits(),
                 nowNanos - runnersChangedNanos > STABLE_AFTER_NANOS);
         unmetDemand.observe(service, observed, nowNanos);
         ServiceState state = observed.withUnmet(unmetDemand.durationsMs(service, nowNanos));
--- a/node/src/test/java/io/persimmonstack/node/planning/LoadShortageModel.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/LoadShortageModel.java
@@ -31,11 +31,15 @@
 
     private static final long RECENT_LOAD_MS = 1_000;
     private static final double RATE_WINDOW_MS = 5_000;
-    private static final long WARM_UP_MS = 15_000;
+    /** Time from the unload of a model to its load within which the load counts as a swap back. */
+    private static final long SWAP_BACK_MS = 5_000;
+
     private static final double MS_PER_SECOND = 1_000;
 
     private final Workload workload;
-    private final Random random = new Random(11);
+    private final long warmUpMs;
+    private final Random random;
+    private final Random runRandom = new Random(12);
     private final Engine engine;
     private final List<Group> groups;
     private final List<SimRunner> runners = new ArrayList<>();
@@ -105,6 +109,7 @@
         }
     }
 
+    private final StoreConcurrency storeConcurrency = new StoreConcurrency();
     private final Map<String, Outcome> outcomes = new TreeMap<>();
 
     private static final class SimRunner {
@@ -117,6 +122,7 @@
         private Optional<String> loading = Optional.empty();
         private boolean loadStarted;
         private boolean fromStore;
+        private StoreConcurrency.Load storeLoad;
         private double loadLeftMs;
 
         SimRunner(String id) {
@@ -130,8 +136,17 @@
 
     private record Run(String model, long endMs) {}
 
-    LoadShortageModel(Workload workload) {
+    /**
+     * Creates a model whose runners hold the first models of their disks.
+     *
+     * @param workload runners and requests
+     * @param warmUpMs simulated time after which requests and loads are counted
+     * @param seed seed of the arrivals
+     */
+    LoadShortageModel(Workload workload, long warmUpMs, long seed) {
         this.workload = workload;
+        this.warmUpMs = warmUpMs;
+        this.random = new Random(seed);
         this.groups = workload.groups();
         Map<String, Model> models = new HashMap<>();
         for (Group group : groups) {
@@ -141,8 +156,7 @@
                 double mb = i % 2 == 0 ? workload.smallMb() : workload.largeMb();
                 models.put(
                         name,
-                        new Model(
-                                name, mb, workload.storeLoadMs(), workload.diskLoadMs(), workload.memoryLoadMs(), 0));
+                        new Model(name, mb, workload.storeLoadMs(), workload.diskLoadMs(), workload.memoryLoadMs(), 0));
                 groupOf.put(name, group);
                 waiting.put(name, new ArrayDeque<>());
             }
@@ -166,21 +180,20 @@
             for (String model : runner.disk) {
                 double mb = engine.models().get(model).weightsMb();
                 if (mb <= freeMb) {
-                    runner.loadedMs.put(model, -WARM_UP_MS);
+                    runner.loadedMs.put(model, -RECENT_LOAD_MS);
                     freeMb -= mb;
                 }
             }
         }
     }
 
+    /** Runs until a simulated time and returns the outcome by the prefix of the group. */
     Map<String, Outcome> run(long durationMs) {
         for (nowMs = 0; nowMs < durationMs; nowMs += STEP_MS) {
             addArrivals();
             advanceRunners();
             serveWaiting();
-            if (nowMs % STEP_MS == 0) {
-                ModelPolicy.plan(state()).forEach(this::execute);
-            }
+            ModelPolicy.plan(state()).forEach(this::execute);
         }
         return outcomes;
     }
@@ -193,8 +206,7 @@
             int count = poisson(expected);
             for (int i = 0; i < count; i++) {
                 double skewed = Math.pow(random.nextDouble(), group.activeModels() < 40 ? 1.3 : 1);
-                String model =
-                        group.prefix() + (first + (int) (skewed * group.activeModels())) % group.models();
+                String model = group.prefix() + (first + (int) (skewed * group.activeModels())) % group.models();
                 rates.merge(model, MS_PER_SECOND / RATE_WINDOW_MS, Double::sum);
                 waiting.get(model).add(nowMs);
                 outcomes.get(group.prefix()).arrived += counts(nowMs) ? 1 : 0;
@@ -211,15 +223,15 @@
         return count;
     }
 
-    private static boolean counts(long arrivedMs) {
-        return arrivedMs >= WARM_UP_MS;
+    private boolean counts(long arrivedMs) {
+        return arrivedMs >= warmUpMs;
     }
 
     private void advanceRunners() {
         long storeLoads = runners.stream()
                 .filter(runner -> runner.loadStarted && runner.fromStore)
                 .count();
-        peakStoreLoads = Math.max(peakStoreLoads, (int) storeLoads);
+        peakStoreLoads = counts(nowMs) ? Math.max(peakStoreLoads, (int) storeLoads) : 0;
         double storeSpeed = Math.min(1, (double) workload.fullSpeedStoreLoads() / Math.max(1, storeLoads));
         for (SimRunner runner : runners) {
             runner.runs.removeIf(run -> run.endMs() <= nowMs);
@@ -230,6 +242,9 @@
             if (runner.loading.isEmpty() || !runner.unloading.isEmpty()) {
                 continue;
             }
+            if (!runner.loadStarted && runner.fromStore) {
+                runner.storeLoad = storeConcurrency.begin(TimeUnit.MILLISECONDS.toNanos(nowMs));
+            }
             runner.loadStarted = true;
             runner.loadLeftMs -= STEP_MS * (runner.fromStore ? storeSpeed : 1);
             if (runner.loadLeftMs <= 0) {
@@ -239,6 +254,9 @@
     }
 
     private void endLoad(SimRunner runner, String model) {
+        if (runner.fromStore) {
+            storeConcurrency.end(runner.storeLoad, workload.storeLoadMs(), true, TimeUnit.MILLISECONDS.toNanos(nowMs));
+        }
         runner.loading = Optional.empty();
         runner.loadStarted = false;
         runner.loadedMs.put(model, nowMs);
@@ -274,7 +292,7 @@
                 if (free.isEmpty()) {
                     break;
                 }
-                long runMs = workload.runMs() / 2 + random.nextLong(workload.runMs());
+                long runMs = workload.runMs() / 2 + runRandom.nextLong(workload.runMs());
                 free.get().runs.add(new Run(model, nowMs + runMs));
                 end(model, queue.remove(), true);
             }
@@ -317,10 +335,9 @@
                 loads++;
                 loadsByCause.merge(
                         groupOf.get(model).prefix() + " " + directive.reason() + " " + source, 1, Integer::sum);
-                boolean drains = directive.orders().stream()
-                        .anyMatch(order2 -> runner.runsOf(order2.model()) > 0);
+                boolean drains = directive.orders().stream().anyMatch(planned -> runner.runsOf(planned.model()) > 0);
                 drainingLoads += drains ? 1 : 0;
-                reloads += nowMs - unloadedMs.getOrDefault(runner.id + model, -WARM_UP_MS) < 5_000 ? 1 : 0;
+                reloads += nowMs - unloadedMs.getOrDefault(runner.id + model, -SWAP_BACK_MS) < SWAP_BACK_MS ? 1 : 0;
             }
         }
     }
@@ -337,7 +354,14 @@
                 .filter(runner -> runner.loading.isPresent() && runner.fromStore)
                 .count();
         ServiceState observed = new ServiceState(
-                engine, runners.stream().map(this::state).toList(), demands, Map.of(), storeLoads, true, true);
+                engine,
+                runners.stream().map(this::state).toList(),
+                demands,
+                Map.of(),
+                storeLoads,
+                true,
+                storeConcurrency.limits(),
+                true);
         long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMs);
         unmetDemand.observe("s", observed, nowNanos);
         return observed.withUnmet(unmetDemand.durationsMs("s", nowNanos));
@@ -393,37 +417,64 @@
     @Override
     public String toString() {
         return outcomes + ", loads " + loads + ", of which reloads within 5 s " + reloads + ", behind requests "
-                + drainingLoads + ", peak store loads " + peakStoreLoads + ", by cause " + loadsByCause
+                + drainingLoads + ", peak store loads " + peakStoreLoads + ", limits " + storeConcurrency.limits()
+                + ", by cause " + loadsByCause
                 + ", replicas " + replicas();
     }
 
     /** Returns the workload of deployment A: short loads, runners with room for two to five models. */
     static Workload deploymentA() {
         return new Workload(
-                78, 12, 83_000, 16_100, 34_300, 2, 8, 330, 430, 10_200, 2, 1_500,
-                List.of(new Group("frequent", 91, 37, 196, 402, 10_000), new Group("rare", 174, 174, 66, 4_000, 17_000)));
+                78,
+                12,
+                83_000,
+                16_100,
+                34_300,
+                2,
+                8,
+                330,
+                430,
+                10_200,
+                2,
+                1_500,
+                List.of(
+                        new Group("frequent", 91, 37, 196, 402, 10_000),
+                        new Group("rare", 174, 174, 66, 4_000, 17_000)));
     }
 
     /** Returns the workload of deployment B: long loads, runners with room for three models. */
     static Workload deploymentB() {
         return new Workload(
-                42, 24, 230_000, 65_100, 72_700, 2, 11, 600, 1_250, 13_200, 1, 1_500,
-                List.of(new Group("frequent", 20, 20, 221, 302, 8_000), new Group("rare", 171, 171, 34, 3_000, 25_000)));
+                42,
+                24,
+                230_000,
+                65_100,
+                72_700,
+                2,
+                11,
+                600,
+                1_250,
+                13_200,
+                1,
+                1_500,
+                List.of(
+                        new Group("frequent", 20, 20, 221, 302, 8_000),
+                        new Group("rare", 171, 171, 34, 3_000, 25_000)));
     }
 
     /**
-     * Prints the outcome for both deployments.
+     * Prints the outcome for both deployments, 100 s of warm-up not counted.
      *
-     * @param args simulated seconds
+     * @param args simulated seconds, and the seed
      */
     public static void main(String[] args) {
-        long seconds = args.length > 0 ? Long.parseLong(args[0]) : 75;
+        long warmUpMs = TimeUnit.SECONDS.toMillis(100);
+        long seconds = args.length > 0 ? Long.parseLong(args[0]) : 220;
+        long seed = args.length > 1 ? Long.parseLong(args[1]) : 11;
         for (Workload workload : List.of(deploymentA(), deploymentB())) {
-            long startNanos = System.nanoTime();
-            LoadShortageModel model = new LoadShortageModel(workload);
+            LoadShortageModel model = new LoadShortageModel(workload, warmUpMs, seed);
             model.run(TimeUnit.SECONDS.toMillis(seconds));
-            System.out.println(workload.runners() + " runners, " + seconds + " s: " + model + ", "
-                    + (System.nanoTime() - startNanos) / 1_000_000 + " ms");
+            System.out.println(workload.runners() + " runners, seed " + seed + ": " + model);
         }
     }
 }
--- /dev/null
+++ b/node/src/test/java/io/persimmonstack/node/planning/StoreConcurrencyTest.java
@@ -0,0 +1,68 @@
+package io.persimmonstack.node.planning;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The concurrency of the weight store is learned: with the constant 4, and 6 for models in high demand, loads from a
+ * store that serves one at full speed took six times as long, and blocked six runners.
+ */
+class StoreConcurrencyTest {
+    private static final long LOAD_MS = 10_000;
+    private final StoreConcurrency concurrency = new StoreConcurrency();
+    private long nowMs = 1_000;
+
+    private long nanos() {
+        return TimeUnit.MILLISECONDS.toNanos(nowMs);
+    }
+
+    /** Runs concurrent loads that start and end together, at a store that serves some of them at full speed. */
+    private void load(int loads, int atFullSpeed, boolean completed) {
+        List<StoreConcurrency.Load> started = new ArrayList<>();
+        for (int i = 0; i < loads; i++) {
+            started.add(concurrency.begin(nanos()));
+        }
+        nowMs += LOAD_MS * Math.max(loads, atFullSpeed) / atFullSpeed;
+        started.forEach(load -> concurrency.end(load, LOAD_MS, completed, nanos()));
+    }
+
+    @Test
+    void constantsApplyUntilLearned() {
+        assertEquals(StoreLimits.UNLEARNED, concurrency.limits());
+        load(1, 2, true);
+        load(2, 2, true);
+        assertEquals(StoreLimits.UNLEARNED, concurrency.limits());
+    }
+
+    @Test
+    void slowLoadsShowHowManyRunAtFullSpeed() {
+        load(6, 1, true);
+        assertEquals(new StoreLimits(1, 2), concurrency.limits());
+        StoreConcurrency other = new StoreConcurrency();
+        StoreConcurrency.Load one = other.begin(0);
+        StoreConcurrency.Load two = other.begin(0);
+        StoreConcurrency.Load three = other.begin(0);
+        long endNanos = TimeUnit.MILLISECONDS.toNanos(LOAD_MS * 3 / 2);
+        List.of(one, two, three).forEach(load -> other.end(load, LOAD_MS, true, endNanos));
+        assertEquals(new StoreLimits(2, 3), other.limits());
+    }
+
+    @Test
+    void moreLoadsAtFullSpeedRaiseTheLimit() {
+        load(4, 1, true);
+        load(2, 8, true);
+        assertEquals(2, concurrency.limits().loads());
+        load(3, 8, true);
+        assertEquals(3, concurrency.limits().loads());
+    }
+
+    @Test
+    void loadThatFailedTeachesNothing() {
+        load(6, 1, false);
+        assertEquals(StoreLimits.UNLEARNED, concurrency.limits());
+    }
+}
