--- a/node/src/main/java/io/persimmonstack/node/planning/Planner.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/Planner.java
@@ -229,6 +229,7 @@
                 Map.of(),
                 activeStoreLoads,
                 storeLoadAllowed(engine, nowNanos),
+                orderExecutor.storeLimits(),
                 nowNanos - runnersChangedNanos > STABLE_AFTER_NANOS);
         unmetDemand.observe(service, observed, nowNanos);
         ServiceState state = observed.withUnmet(unmetDemand.durationsMs(service, nowNanos));
@@ -261,7 +262,15 @@
             storeLoadNanos.addLast(System.nanoTime());
         }
         long orderTerm = term.getAsLong();
-        DirectiveTask task = new DirectiveTask(tracker, directive, orderTerm, engine, () -> isLeading(orderTerm));
+        String runner = directive.runner();
+        DirectiveTask task = new DirectiveTask(
+                tracker,
+                directive,
+                orderTerm,
+                engine,
+                () -> isLeading(orderTerm),
+                model -> RequestCounts.of(reports.requestsByModel(runner, System.nanoTime()))
+                        .ofModel(model));
         executor.execute(() -> orderExecutor.execute(task));
     }
 
