node: waiting requests are ordered by workspace, on time and share, and indexed by model

Each release sorted the queue and tried every waiting request at every runner.

Change: RequestQueue holds groups (service, model, runner filter) of lanes (priority, rest or new, workspace), each on time before late. FairShares divides a priority's capacity by start-time fair queueing, in tokens weighted by the caps. A release offers the freed runner to the groups of the models that it holds; RunnerLoadTrackers keeps the reported models for that. New requests no longer pass those of their group that precede them, unless these do not fit. Without workspaces the order is as before, but on time before late. RunnerSelector and RunnerLoadTracker are unchanged, as are Placer's public methods; Placer.waiting() is new. Event 6130 tells of waits of 20 ms and more, with gauges for late requests, workspaces and operations.

ReleaseCostTest (2): operations of a release are equal with 10 and 5,000 waiting requests. RequestQueueTest 8. All tests of node: 339 passed; DocumentationTest 9 passed.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -221,6 +221,10 @@
     private void registerGauges(MetricRegistry registry) {
         registry.gauge("requests.open", () -> receiver::openRequests);
         registry.gauge("requests.waiting", () -> placer::queuedCount);
+        registry.gauge("requests.waiting.late", () -> () -> placer.waiting().late());
+        registry.gauge(
+                "requests.waiting.workspaces", () -> () -> placer.waiting().workspaces());
+        registry.gauge("queue.operations", () -> () -> placer.waiting().operations());
         registry.gauge("fleet.runners", () -> () -> fleet.current().runners().size());
         registry.gauge("fleet.nodes", () -> () -> fleet.current().peers().size());
         registry.gauge(
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -112,6 +112,8 @@
     PART_TRIED(6118, Level.INFO, "part-tried part={}"),
     /** A node did not take reports about ended runners; it may hear of them from others or from the store. */
     CRASH_REPORT_NOT_SENT(6119, Level.INFO, "crash-report-not-sent node={} reports={} cause={}"),
+    /** A request got a runner only after a wait, in the order of the queue. */
+    WAITED(6130, Level.INFO, "request-waited id={} workspace={} priority={} runner={} ms={} late={}"),
     /** A load or unload order was sent to a runner. */
     ORDER(6201, Level.INFO, "order runner={} order={} term={} sequence={} outcome={} reason={} source={}"),
     /** An order was completed. */
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -7,11 +7,10 @@
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.router.request.Jitter;
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -21,11 +20,11 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 
-/** Assigns requests to runners, or queues them by priority and age. Thread-safe; only {@link #place} waits. */
+/** Assigns requests to runners, or lets them wait in a {@link RequestQueue}. Thread-safe; only {@link #place} waits. */
 public final class Placer {
     private static final ModelRef NO_MODEL = new ModelRef("", "");
     private final ReentrantLock lock = new ReentrantLock();
-    private final PriorityQueue<QueuedRequest> queue = new PriorityQueue<>();
+    private final RequestQueue queue = new RequestQueue();
     private final PromptAffinityCache promptAffinity = new PromptAffinityCache();
     private final ModelArrivalTracker modelArrivals = new ModelArrivalTracker();
     private final LocalLoadCollector loadCollector = new LocalLoadCollector(modelArrivals);
@@ -75,24 +74,31 @@
     public Placement place(ActiveRequest request, RunnerFilter runnerFilter, long deadlineNanos)
             throws RefusedException, InterruptedException {
         QueuedRequest queued = new QueuedRequest(request, runnerFilter, deadlineNanos);
+        submit(queued);
+        if (!queued.result().isDone()) {
+            onQueued.run();
+        }
+        return await(queued);
+    }
+
+    /** Places or refuses a request if that is possible at once; otherwise it waits in the queue. */
+    void submit(QueuedRequest queued) {
         lock.lock();
         try {
-            Optional<Placement> placed = tryPlace(queued);
-            if (placed.isPresent()) {
-                return placed.get();
+            queue.add(queued);
+            offerAllRunners(queue.groupOf(queued));
+            if (queued.result().isDone()) {
+                return;
             }
             refuseIfVersionGone(queued);
             refuseIfModelTooLate(queued);
             refuseIfQuietTooLong(queued);
-            if (queued.refusal().isPresent()) {
-                throw queued.refusal().get();
+            if (queued.result().isDone()) {
+                queue.remove(queued);
             }
-            queue.add(queued);
         } finally {
             lock.unlock();
         }
-        onQueued.run();
-        return await(queued);
     }
 
     /**
@@ -121,7 +127,9 @@
                     .orElseThrow(() -> new IllegalStateException(
                             "queued request ended with neither a placement nor a refusal", e));
         } catch (InterruptedException e) {
-            cancel(queued);
+            // The request may have been placed at the same moment.
+            dequeue(queued);
+            queued.placement().ifPresent(Placement::close);
             throw e;
         }
     }
@@ -138,12 +146,6 @@
         throw PlacementRefusals.noPlace(queued.request());
     }
 
-    /** Removes a request whose caller has disconnected, and releases its slot if it was placed at the same moment. */
-    private void cancel(QueuedRequest queued) {
-        dequeue(queued);
-        queued.placement().ifPresent(Placement::close);
-    }
-
     /** Removes a request from the queue; its result cannot change any more once this returns. */
     private void dequeue(QueuedRequest queued) {
         lock.lock();
@@ -155,10 +157,14 @@
     }
 
     private Optional<Placement> tryPlace(QueuedRequest queued) {
+        return tryPlace(queued, trackers.ofService(queued.request().service().name()));
+    }
+
+    private Optional<Placement> tryPlace(QueuedRequest queued, Collection<RunnerLoadTracker> candidates) {
         ActiveRequest request = queued.request();
         RunnerSelector.Requirements requirements = requirements(queued);
         return selector(request)
-                .choose(trackers.ofService(request.service().name()), requirements)
+                .choose(candidates, requirements)
                 .map(tracker -> occupySlot(tracker, request, requirements.expectedTokens()));
     }
 
@@ -181,6 +187,7 @@
         ModelRef model = request.callerRequest().model().orElse(NO_MODEL);
         tracker.requestStarted(model, expectedTokens);
         promptAffinity.recordRunner(request.callerRequest(), tracker.runner().id());
+        queue.recordPlaced(request);
         return new Placement(tracker.runner(), () -> releaseSlot(tracker, model, expectedTokens));
     }
 
@@ -188,31 +195,34 @@
         lock.lock();
         try {
             tracker.requestEnded(model, expectedTokens);
-            placeQueuedRequests();
+            if (trackers.contains(tracker)) {
+                offerRunner(tracker);
+            }
         } finally {
             lock.unlock();
         }
     }
 
-    /** Tries to place the queued requests in order of priority; those that no runner can take stay queued. */
-    private void placeQueuedRequests() {
-        List<QueuedRequest> byPriority = new ArrayList<>(queue);
-        byPriority.sort(null);
-        for (QueuedRequest queued : byPriority) {
-            tryPlace(queued).ifPresent(placement -> {
-                queue.remove(queued);
-                if (!queued.result().complete(placement)) {
-                    placement.close();
-                }
-            });
-        }
+    /** Offers one runner, which may have room now, to the queued requests that it can serve. */
+    private void offerRunner(RunnerLoadTracker tracker) {
+        long nowNanos = System.nanoTime();
+        queue.offer(
+                queue.groupsFor(tracker.runner(), trackers.models(tracker)),
+                nowNanos,
+                queued -> queued.tryComplete(() -> tryPlace(queued, List.of(tracker))),
+                () -> tracker.totalRequests() >= tracker.slotLimit(nowNanos));
+    }
+
+    /** Offers all runners to groups of queued requests, after a change that may concern any of the runners. */
+    private void offerAllRunners(List<WaitingGroup> groups) {
+        queue.offer(groups, System.nanoTime(), queued -> queued.tryComplete(() -> tryPlace(queued)), () -> false);
     }
 
     private void updateRunners() {
         lock.lock();
         try {
             trackers.update(System.nanoTime());
-            placeQueuedRequests();
+            offerAllRunners(queue.allGroups());
             refuseQueued(this::refuseIfVersionGone);
             refuseQueued(this::refuseIfQuietTooLong);
         } finally {
@@ -225,7 +235,7 @@
         lock.lock();
         try {
             boolean allApplied = trackers.applySnapshots(snapshots);
-            placeQueuedRequests();
+            offerAllRunners(queue.allGroups());
             return allApplied;
         } finally {
             lock.unlock();
@@ -245,8 +255,9 @@
 
     /** Applies a check that may refuse requests to all queued ones. */
     private void refuseQueued(Consumer<QueuedRequest> check) {
-        List.copyOf(queue).forEach(check);
-        queue.removeIf(queued -> queued.refusal().isPresent());
+        List<QueuedRequest> waiting = List.copyOf(queue.all());
+        waiting.forEach(check);
+        waiting.stream().filter(queued -> queued.refusal().isPresent()).forEach(queue::remove);
     }
 
     /** Refuses the rest of a stream if no runner of the software version that began it stays or can still take it. */
@@ -291,7 +302,7 @@
         lock.lock();
         try {
             trackers.discardSnapshots();
-            placeQueuedRequests();
+            offerAllRunners(queue.allGroups());
         } finally {
             lock.unlock();
         }
@@ -348,7 +359,7 @@
     public void retryQueued() {
         lock.lock();
         try {
-            placeQueuedRequests();
+            offerAllRunners(queue.allGroups());
             refuseQueued(this::refuseIfVersionGone);
         } finally {
             lock.unlock();
@@ -359,7 +370,17 @@
     public int queuedCount() {
         lock.lock();
         try {
-            return queue.size();
+            return queue.all().size();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns what waits in the queue, and what placing queued requests has cost. */
+    public WaitingCounts waiting() {
+        lock.lock();
+        try {
+            return queue.counts(System.nanoTime());
         } finally {
             lock.unlock();
         }
@@ -369,7 +390,7 @@
     public LocalLoad drainLoad() {
         lock.lock();
         try {
-            return loadCollector.drain(trackers.all(), queue, System.nanoTime());
+            return loadCollector.drain(trackers.all(), queue.all(), System.nanoTime());
         } finally {
             lock.unlock();
         }
--- a/node/src/main/java/io/persimmonstack/node/placing/QueuedRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/QueuedRequest.java
@@ -4,8 +4,11 @@
 import io.persimmonstack.node.request.RefusedException;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /** Request that waits for a runner; its result is a {@link Placement} or a refusal. */
 final class QueuedRequest implements Comparable<QueuedRequest> {
@@ -18,6 +21,7 @@
     private final RunnerFilter runnerFilter;
     private final long deadlineNanos;
     private final CompletableFuture<Placement> result = new CompletableFuture<>();
+    private long sequence;
 
     QueuedRequest(ActiveRequest request, RunnerFilter runnerFilter, long deadlineNanos) {
         this.request = request;
@@ -38,6 +42,32 @@
         return deadlineNanos;
     }
 
+    /** Returns the number that orders requests of the same age. */
+    long sequence() {
+        return sequence;
+    }
+
+    void setSequence(long number) {
+        sequence = number;
+    }
+
+    /**
+     * Returns until when an answer that begins is on time, by the monotonic clock; empty if the route has no target
+     * latency, or if the answer has begun, as that of the rest of a stream.
+     */
+    OptionalLong onTimeUntilNanos() {
+        int targetMs = request.route().targetLatencyMs();
+        return targetMs > 0 && isNew()
+                ? OptionalLong.of(request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(targetMs))
+                : OptionalLong.empty();
+    }
+
+    /** Returns whether the request cannot be on time any more. */
+    boolean isLate(long nowNanos) {
+        OptionalLong untilNanos = onTimeUntilNanos();
+        return untilNanos.isPresent() && untilNanos.getAsLong() - nowNanos < 0;
+    }
+
     CompletableFuture<Placement> result() {
         return result;
     }
@@ -46,6 +76,14 @@
         result.completeExceptionally(refusal);
     }
 
+    /** Ends the wait if the request can be placed; returns whether the wait has ended, now or before. */
+    boolean tryComplete(Supplier<Optional<Placement>> placing) {
+        if (!result.isDone()) {
+            placing.get().ifPresent(result::complete);
+        }
+        return result.isDone();
+    }
+
     /** Returns the placement, empty while the request waits or if it was refused. */
     Optional<Placement> placement() {
         return result.state() == Future.State.SUCCESS ? Optional.of(result.resultNow()) : Optional.empty();
@@ -59,15 +97,17 @@
     }
 
     /**
-     * Orders by route priority, lower values first, then the rest of streams before new requests, since it can go to
-     * one software version only and its caller has part of the answer, then by time of receipt.
+     * Orders by priority, lower values first, then the rest of streams before new requests, since it can go to one
+     * software version only and its caller has part of the answer, then by time of receipt. {@link RequestQueue}
+     * refines this order by what depends on the time and on the other waiting requests.
      */
     @Override
     public int compareTo(QueuedRequest other) {
         return ORDER.compare(this, other);
     }
 
-    private boolean isNew() {
+    /** Returns whether the request is not the rest of a stream. */
+    boolean isNew() {
         return runnerFilter.softwareVersion().isEmpty();
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -3,6 +3,7 @@
 import io.persimmonstack.backends.http.HttpConnector;
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.node.RateLimitedLog;
+import io.persimmonstack.node.config.Workspace;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.fleet.RunnerProcess;
@@ -21,12 +22,15 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** Finds a runner for each request, sends it there, and retries on other runners while {@link RetryState} allows it. */
 public final class Dispatcher {
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(Dispatcher.class));
     /** Retry-After of a request that no runner ran. */
     private static final long RETRY_AFTER_MS = 300;
+    /** Shorter waits for a runner are not logged, since they hardly make an answer late. */
+    private static final long MIN_LOGGED_WAIT_MS = 20;
 
     private final FleetView fleet;
     private final Placer placer;
@@ -236,8 +240,10 @@
         long latestStartNanos = retryState.latestStartNanos(progress);
         Set<RunnerProcess> asked = new HashSet<>();
         while (true) {
+            long beganNanos = System.nanoTime();
             Placement placement =
                     placer.place(request, retryState.runnerFilter(origin.softwareVersion()), latestStartNanos);
+            logWait(request, placement, beganNanos);
             if (asked.contains(placement.runner().process())) {
                 return admit(request, placement, new SendPermit.Granted(Optional.empty()), latestStartNanos);
             }
@@ -267,6 +273,24 @@
         }
     }
 
+    private static void logWait(ActiveRequest request, Placement placement, long beganNanos) {
+        long nowNanos = System.nanoTime();
+        long waitedMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - beganNanos);
+        if (waitedMs < MIN_LOGGED_WAIT_MS) {
+            return;
+        }
+        int targetMs = request.route().targetLatencyMs();
+        long ageMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos());
+        LOG.write(
+                NodeEvent.WAITED,
+                request.callerRequest().id(),
+                request.workspace().map(Workspace::name).orElse("-"),
+                request.priority().workspace() + "/" + request.priority().route(),
+                placement.runner().id(),
+                waitedMs,
+                targetMs > 0 && ageMs > targetMs);
+    }
+
     /** Lets a request be sent to the runner that was chosen, unless its prompt keeps it from all runners. */
     private ReservedRunner admit(
             ActiveRequest request, Placement placement, SendPermit.Granted permit, long latestStartNanos)
