--- /dev/null
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/GrantedTokens.java
@@ -0,0 +1,193 @@
+package io.persimmonstack.coordination.cap;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Tokens of one workspace that a node has been granted and not used yet, and what it knows of the holders. Not
+ * thread-safe.
+ */
+public final class GrantedTokens {
+    /** Time over which the use of this node is averaged, for the tokens that it asks for ahead of need. */
+    private static final double USE_AVERAGE_MS = 2_000;
+    /** Time for which a holder is passed over that did not answer, or that held no slot. */
+    private static final long SILENT_MS = 300;
+    /** Batches that are remembered until they can be given back. */
+    private static final int MAX_RETURNS = 64;
+
+    private final long grantMs;
+    private final Deque<Grant> grants = new ArrayDeque<>();
+    private final Deque<TokenBatch> returns = new ArrayDeque<>();
+    private final Map<Process, Exhaustion> exhausted = new HashMap<>();
+    private final Map<Process, ClockReading> silent = new HashMap<>();
+    private double usedPerMs;
+    private long usedAtNanos;
+
+    /** Holder of one or several slots. */
+    private record Process(String node, long startedMs) {
+        private static Process of(SlotHolder holder) {
+            return new Process(holder.node(), holder.startedMs());
+        }
+    }
+
+    /** Tokens and the moment at which they were asked for. */
+    private record Grant(TokenBatch batch, ClockReading asked) {}
+
+    /** Moment at which a holder has room for a need. */
+    private record Exhaustion(long need, long untilNanos) {
+        /** Returns when there is room for a need; a smaller one finds it earlier. */
+        private long untilNanos(long otherNeed, double ratePerSecond) {
+            double earlierSeconds = Math.max(0, (need - otherNeed) / ratePerSecond);
+            return untilNanos - (long) (earlierSeconds * TimeUnit.SECONDS.toNanos(1));
+        }
+    }
+
+    /**
+     * Creates a store of tokens without any.
+     *
+     * @param bounds tell for how long a grant is valid
+     */
+    public GrantedTokens(CapBounds bounds) {
+        this.grantMs = bounds.grantMs();
+    }
+
+    /** Records that a request of this node counts so many tokens. */
+    public void recordUse(long tokens, ClockReading now) {
+        double elapsedMs = (now.monotonicNanos() - usedAtNanos) / (double) TimeUnit.MILLISECONDS.toNanos(1);
+        usedPerMs = usedPerMs * Math.exp(-Math.max(0, elapsedMs) / USE_AVERAGE_MS) + tokens / USE_AVERAGE_MS;
+        usedAtNanos = now.monotonicNanos();
+    }
+
+    /** Returns how many more tokens the node probably uses while a grant is valid than it has. */
+    public long ahead(ClockReading now) {
+        expire(now);
+        return Math.max(0, (long) (usedPerMs * grantMs) - available());
+    }
+
+    /** Adds tokens that a holder has granted. */
+    public void add(TokenBatch batch, ClockReading asked) {
+        if (batch.tokens() > 0) {
+            grants.addLast(new Grant(batch, asked));
+        }
+    }
+
+    /** Returns whether tokens that were asked for at a moment may still be used. */
+    public boolean isValid(ClockReading asked, ClockReading now) {
+        return now.msSince(asked) < grantMs;
+    }
+
+    /** Takes what a request needs, oldest grants first; empty if the valid grants are not enough. */
+    public Optional<List<TokenBatch>> take(long need, ClockReading now) {
+        expire(now);
+        if (available() < need) {
+            return Optional.empty();
+        }
+        List<TokenBatch> taken = new ArrayList<>();
+        long missing = need;
+        while (missing > 0) {
+            Grant oldest = grants.removeFirst();
+            long part = Math.min(missing, oldest.batch.tokens());
+            taken.add(oldest.batch.withTokens(part));
+            missing -= part;
+            if (part < oldest.batch.tokens()) {
+                grants.addFirst(new Grant(oldest.batch.withTokens(oldest.batch.tokens() - part), oldest.asked));
+            }
+        }
+        return Optional.of(taken);
+    }
+
+    private long available() {
+        return grants.stream().mapToLong(grant -> grant.batch.tokens()).sum();
+    }
+
+    private void expire(ClockReading now) {
+        for (Iterator<Grant> all = grants.iterator(); all.hasNext(); ) {
+            Grant grant = all.next();
+            if (!isValid(grant.asked, now)) {
+                all.remove();
+                giveBack(grant.batch);
+            }
+        }
+    }
+
+    /** Remembers tokens that were not used, until they can be given back to their holder. */
+    public void giveBack(TokenBatch batch) {
+        if (batch.tokens() > 0) {
+            returns.addLast(batch);
+        }
+        if (returns.size() > MAX_RETURNS) {
+            returns.removeFirst();
+        }
+    }
+
+    /** Returns and forgets the tokens that go back to a holder. */
+    public List<TokenBatch> drainReturns(SlotHolder holder) {
+        List<TokenBatch> drained = returns.stream()
+                .filter(batch -> batch.holder().isProcess(holder.node(), holder.startedMs()))
+                .toList();
+        returns.removeAll(drained);
+        return drained;
+    }
+
+    /** Records that a holder has no room for a need for so long. */
+    public void recordExhausted(SlotHolder holder, long need, long retryMs, ClockReading now) {
+        exhausted.put(
+                Process.of(holder),
+                new Exhaustion(need, now.monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(retryMs)));
+    }
+
+    /** Records that a holder did not answer, or said that it holds no slot of the workspace. */
+    public void recordSilent(SlotHolder holder, ClockReading now) {
+        silent.put(Process.of(holder), now);
+    }
+
+    /** Returns whether a holder is worth asking for a need now. */
+    public boolean mayHave(SlotHolder holder, long need, CapShare share, ClockReading now) {
+        return !isSilent(holder, now) && waitMs(holder, need, share, now).isEmpty();
+    }
+
+    private boolean isSilent(SlotHolder holder, ClockReading now) {
+        ClockReading since = silent.get(Process.of(holder));
+        return since != null && now.msSince(since) < SILENT_MS;
+    }
+
+    private OptionalLong waitMs(SlotHolder holder, long need, CapShare share, ClockReading now) {
+        Exhaustion known = exhausted.get(Process.of(holder));
+        if (known == null) {
+            return OptionalLong.empty();
+        }
+        long leftNanos = known.untilNanos(need, share.ratePerSecond()) - now.monotonicNanos();
+        if (known.untilNanos - now.monotonicNanos() <= 0) {
+            exhausted.remove(Process.of(holder));
+        }
+        return leftNanos > 0 ? OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(leftNanos) + 1) : OptionalLong.empty();
+    }
+
+    /** Returns how long it takes until the first of the holders has room for a need; empty if none has told. */
+    public OptionalLong retryMs(List<SlotHolder> holders, long need, CapShare share, ClockReading now) {
+        return holders.stream()
+                .map(holder -> waitMs(holder, need, share, now))
+                .filter(OptionalLong::isPresent)
+                .mapToLong(OptionalLong::getAsLong)
+                .min();
+    }
+
+    /** Forgets processes that hold no slot any more. */
+    public void retain(SlotTable table) {
+        exhausted.keySet().removeIf(process -> !holds(table, process));
+        silent.keySet().removeIf(process -> !holds(table, process));
+        returns.removeIf(batch -> !table.holders().containsValue(batch.holder()));
+    }
+
+    private static boolean holds(SlotTable table, Process process) {
+        return table.holders().values().stream().anyMatch(holder -> holder.isProcess(process.node, process.startedMs));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/HeldSlots.java
@@ -0,0 +1,183 @@
+package io.persimmonstack.coordination.cap;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Slots that one process holds, with the buckets of the workspaces. It grants tokens only while the leader's last
+ * answer lets it go on. Not thread-safe.
+ */
+public final class HeldSlots {
+    /**
+     * Largest part of the tokens in a bucket that is granted ahead of need. Such tokens may expire unused, so that
+     * hardly any are granted where tokens are scarce.
+     */
+    private static final double MAX_AHEAD_SHARE = 0.125;
+
+    private final String node;
+    private final long startedMs;
+    private final Map<Integer, Slot> slots = new HashMap<>();
+    private Optional<ClockReading> rightFrom = Optional.empty();
+    private long rightMs;
+    private long answeredTerm;
+    private long lastStamp;
+    private boolean released;
+
+    /** Slot with its buckets by workspace. */
+    private static final class Slot {
+        private final SlotHolder holder;
+        private final long startNanos;
+        private final long firstStamp;
+        private final Map<String, TokenBucket> buckets = new HashMap<>();
+
+        private Slot(SlotHolder holder, long startNanos, long firstStamp) {
+            this.holder = holder;
+            this.startNanos = startNanos;
+            this.firstStamp = firstStamp;
+        }
+    }
+
+    /** Answer to a request for tokens. */
+    public sealed interface Answer {
+        /**
+         * The request was granted.
+         *
+         * @param batch tokens needed, and those ahead of need
+         */
+        record Granted(TokenBatch batch) implements Answer {}
+
+        /**
+         * There is not enough.
+         *
+         * @param retryMs time until there is if nobody else takes tokens, in milliseconds; empty if there never is
+         */
+        record Exhausted(OptionalLong retryMs) implements Answer {}
+
+        /** This process may not grant tokens of the workspace. */
+        record NotHeld() implements Answer {}
+    }
+
+    /**
+     * Creates the slots of a process, none at first.
+     *
+     * @param node name of the node
+     * @param startedMs start of this process, by its own clock
+     */
+    public HeldSlots(String node, long startedMs) {
+        this.node = node;
+        this.startedMs = startedMs;
+    }
+
+    /**
+     * Takes an answer of the leader.
+     *
+     * @param table table that the leader has written
+     * @param sent moment at which this process sent the report that the leader answered
+     * @param validMs for how long it may go on from then, in milliseconds; empty if the answer does not extend it
+     * @param now present moment
+     */
+    public void update(SlotTable table, ClockReading sent, OptionalLong validMs, ClockReading now) {
+        if (released || table.term() < answeredTerm) {
+            return;
+        }
+        answeredTerm = table.term();
+        slots.values().removeIf(slot -> !table.holders().containsValue(slot.holder));
+        table.holders().forEach((slot, holder) -> {
+            boolean isNew = !slots.containsKey(slot) || !slots.get(slot).holder.equals(holder);
+            if (!holder.isProcess(node, startedMs)) {
+                slots.remove(slot);
+            } else if (isNew) {
+                slots.put(slot, new Slot(holder, now.monotonicNanos(), lastStamp + 1));
+            }
+        });
+        if (validMs.isPresent()) {
+            rightFrom = Optional.of(sent);
+            rightMs = validMs.getAsLong();
+        }
+    }
+
+    /** Returns whether this process may grant tokens of its slots. */
+    public boolean mayGrant(ClockReading now) {
+        return rightFrom.isPresent() && now.msSince(rightFrom.get()) < rightMs;
+    }
+
+    /** Returns the assignments by which this process may grant tokens now. */
+    public Map<Integer, SlotHolder> held(ClockReading now) {
+        Map<Integer, SlotHolder> held = new HashMap<>();
+        if (mayGrant(now)) {
+            slots.forEach((number, slot) -> held.put(number, slot.holder));
+        }
+        return held;
+    }
+
+    /** Stops granting for good, and returns the slots that were held. */
+    public Set<Integer> release() {
+        Set<Integer> given = Set.copyOf(slots.keySet());
+        released = true;
+        slots.clear();
+        return given;
+    }
+
+    /**
+     * Grants tokens of the fullest of its slots that the workspace uses.
+     *
+     * @param workspace name of the workspace
+     * @param share share of its cap that belongs to each slot
+     * @param need tokens that are granted completely or not at all
+     * @param ahead tokens that are granted as far as there are plenty
+     * @param now present moment
+     */
+    public Answer take(String workspace, CapShare share, long need, long ahead, ClockReading now) {
+        long nowNanos = now.monotonicNanos();
+        List<Integer> numbers =
+                share.slots().stream().filter(slots::containsKey).toList();
+        if (numbers.isEmpty() || !mayGrant(now)) {
+            return new Answer.NotHeld();
+        }
+        int fullest = numbers.getFirst();
+        for (int number : numbers) {
+            boolean fuller = bucket(number, workspace, share, nowNanos).level(nowNanos)
+                    > bucket(fullest, workspace, share, nowNanos).level(nowNanos);
+            fullest = fuller ? number : fullest;
+        }
+        TokenBucket bucket = bucket(fullest, workspace, share, nowNanos);
+        if (!bucket.tryTake(need, ++lastStamp, nowNanos)) {
+            return exhausted(numbers, workspace, share, need, nowNanos);
+        }
+        long granted = need + bucket.takeAhead(ahead, MAX_AHEAD_SHARE);
+        return new Answer.Granted(new TokenBatch(slots.get(fullest).holder, fullest, lastStamp, granted));
+    }
+
+    private Answer exhausted(List<Integer> numbers, String workspace, CapShare share, long need, long nowNanos) {
+        OptionalLong earliestNanos = numbers.stream()
+                .map(number -> bucket(number, workspace, share, nowNanos).waitNanos(need, nowNanos))
+                .filter(OptionalLong::isPresent)
+                .mapToLong(OptionalLong::getAsLong)
+                .min();
+        return new Answer.Exhausted(
+                earliestNanos.isPresent()
+                        ? OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(earliestNanos.getAsLong()) + 1)
+                        : OptionalLong.empty());
+    }
+
+    /** Takes back tokens that were granted and not used; those of another assignment are ignored. */
+    public void giveBack(String workspace, int slot, long stamp, long tokens, ClockReading now) {
+        Slot held = slots.get(slot);
+        if (held != null && held.buckets.containsKey(workspace)) {
+            held.buckets.get(workspace).giveBack(tokens, stamp, now.monotonicNanos());
+        }
+    }
+
+    private TokenBucket bucket(int number, String workspace, CapShare share, long nowNanos) {
+        Slot slot = slots.get(number);
+        TokenBucket bucket = slot.buckets.computeIfAbsent(
+                workspace, name -> new TokenBucket(share, slot.startNanos, slot.firstStamp));
+        bucket.reshape(share, nowNanos, lastStamp + 1);
+        return bucket;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/TokenTaker.java
@@ -0,0 +1,191 @@
+package io.persimmonstack.coordination.cap;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Takes the tokens that requests of one node need: from what it has been granted or from the holders of the slots. It
+ * asks one holder after the other and remembers which have no room. Thread-safe; holders are asked without a lock.
+ */
+public final class TokenTaker {
+    private final CapBounds bounds;
+    private final Holders holders;
+    private final Predicate<SlotHolder> isSelf;
+    private final Supplier<ClockReading> clock;
+    private final RandomGenerator random;
+    private final Map<String, GrantedTokens> workspaces = new HashMap<>();
+    private SlotTable table = SlotTable.NONE;
+
+    /**
+     * Question to a holder.
+     *
+     * @param workspace name of the workspace
+     * @param share share of its cap that belongs to each slot
+     * @param need tokens that are granted completely or not at all
+     * @param ahead tokens that are granted as far as there are plenty
+     * @param returns tokens of earlier answers that were not used
+     */
+    public record Question(String workspace, CapShare share, long need, long ahead, List<TokenBatch> returns) {}
+
+    /** Asks the holders of slots. */
+    public interface Holders {
+        /** Asks a holder; one that does not answer counts as holding nothing. */
+        HeldSlots.Answer ask(SlotHolder holder, Question question);
+    }
+
+    /** Whether a request may be sent. */
+    public sealed interface Decision {
+        /**
+         * It may be sent.
+         *
+         * @param batches tokens that were taken for it
+         */
+        record Admitted(List<TokenBatch> batches) implements Decision {}
+
+        /**
+         * The workspace is over its cap.
+         *
+         * @param retryMs time until there is room for the request, in milliseconds
+         */
+        record OverCap(long retryMs) implements Decision {}
+
+        /** No holder answers. */
+        record Unknown() implements Decision {}
+    }
+
+    /**
+     * Creates a taker without tokens.
+     *
+     * @param bounds tell for how long a grant is valid
+     * @param holders asks holders
+     * @param isSelf returns whether this process is a holder, which is asked first
+     * @param clock reads the clocks
+     * @param random source of the order in which other holders are asked
+     */
+    public TokenTaker(
+            CapBounds bounds,
+            Holders holders,
+            Predicate<SlotHolder> isSelf,
+            Supplier<ClockReading> clock,
+            RandomGenerator random) {
+        this.bounds = bounds;
+        this.holders = holders;
+        this.isSelf = isSelf;
+        this.clock = clock;
+        this.random = random;
+    }
+
+    /** Replaces the table of slots. */
+    public synchronized void updateTable(SlotTable newTable) {
+        if (!newTable.equals(table)) {
+            table = newTable;
+            workspaces.values().forEach(tokens -> tokens.retain(newTable));
+        }
+    }
+
+    /**
+     * Takes the tokens of a request.
+     *
+     * @param workspace name of the workspace
+     * @param share share of its cap that belongs to each slot
+     * @param need tokens that the request counts
+     */
+    public Decision take(String workspace, CapShare share, long need) {
+        if (!share.canServe(need)) {
+            return new Decision.OverCap(bounds.windowMs());
+        }
+        List<SlotHolder> candidates;
+        synchronized (this) {
+            GrantedTokens tokens = tokens(workspace);
+            ClockReading now = clock.get();
+            tokens.recordUse(need, now);
+            Optional<List<TokenBatch>> granted = tokens.take(need, now);
+            if (granted.isPresent()) {
+                return new Decision.Admitted(granted.get());
+            }
+            candidates = holdersOf(share);
+        }
+        for (SlotHolder holder : candidates) {
+            List<TokenBatch> taken = ask(holder, workspace, share, need);
+            if (!taken.isEmpty()) {
+                return new Decision.Admitted(taken);
+            }
+        }
+        synchronized (this) {
+            OptionalLong retryMs = tokens(workspace).retryMs(candidates, need, share, clock.get());
+            return retryMs.isPresent() ? new Decision.OverCap(retryMs.getAsLong()) : new Decision.Unknown();
+        }
+    }
+
+    /** Returns the processes that hold slots of the workspace, this one first and the others in random order. */
+    private List<SlotHolder> holdersOf(CapShare share) {
+        Map<String, SlotHolder> byNode = new HashMap<>();
+        for (int slot : share.slots()) {
+            SlotHolder holder = table.holders().get(slot);
+            if (holder != null) {
+                byNode.put(holder.node(), holder);
+            }
+        }
+        List<SlotHolder> ordered = new ArrayList<>(byNode.values());
+        Collections.shuffle(ordered, Random.from(random));
+        ordered.sort((one, other) -> Boolean.compare(isSelf.test(other), isSelf.test(one)));
+        return ordered;
+    }
+
+    /** Asks a holder, unless it is known to have no room; returns what it gave for the request. */
+    private List<TokenBatch> ask(SlotHolder holder, String workspace, CapShare share, long need) {
+        Question question;
+        ClockReading asked;
+        synchronized (this) {
+            GrantedTokens tokens = tokens(workspace);
+            asked = clock.get();
+            if (!tokens.mayHave(holder, need, share, asked)) {
+                return List.of();
+            }
+            question = new Question(workspace, share, need, tokens.ahead(asked), tokens.drainReturns(holder));
+        }
+        HeldSlots.Answer answer = holders.ask(holder, question);
+        synchronized (this) {
+            return apply(tokens(workspace), holder, need, answer, asked);
+        }
+    }
+
+    private List<TokenBatch> apply(
+            GrantedTokens tokens, SlotHolder holder, long need, HeldSlots.Answer answer, ClockReading asked) {
+        ClockReading now = clock.get();
+        switch (answer) {
+            case HeldSlots.Answer.Granted granted -> {
+                TokenBatch batch = granted.batch();
+                if (!tokens.isValid(asked, now)) {
+                    tokens.giveBack(batch);
+                    return List.of();
+                }
+                tokens.add(batch.withTokens(batch.tokens() - need), asked);
+                return List.of(batch.withTokens(need));
+            }
+            case HeldSlots.Answer.Exhausted exhausted ->
+                tokens.recordExhausted(holder, need, exhausted.retryMs().orElse(bounds.windowMs()), now);
+            case HeldSlots.Answer.NotHeld notHeld -> tokens.recordSilent(holder, now);
+        }
+        return List.of();
+    }
+
+    /** Gives back the tokens of a request that was not run. */
+    public synchronized void giveBack(String workspace, List<TokenBatch> batches) {
+        GrantedTokens tokens = tokens(workspace);
+        batches.forEach(tokens::giveBack);
+    }
+
+    private GrantedTokens tokens(String workspace) {
+        return workspaces.computeIfAbsent(workspace, name -> new GrantedTokens(bounds));
+    }
+}
--- a/wire/src/main/java/io/persimmonstack/wire/gen/CapSlot.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/CapSlot.java
@@ -16,6 +16,8 @@
   private static final org.apache.thrift.protocol.TField SLOT_FIELD_DESC = new org.apache.thrift.protocol.TField("slot", org.apache.thrift.protocol.TType.I32, (short)1);
   private static final org.apache.thrift.protocol.TField NODE_FIELD_DESC = new org.apache.thrift.protocol.TField("node", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField STARTED_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("startedMs", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField ASSIGNED_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("assignedTerm", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField ASSIGNED_NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("assignedNumber", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new CapSlotStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new CapSlotTupleSchemeFactory();
@@ -23,12 +25,16 @@
   private int slot; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String node; // required
   private long startedMs; // required
+  private long assignedTerm; // required
+  private long assignedNumber; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SLOT((short)1, "slot"),
     NODE((short)2, "node"),
-    STARTED_MS((short)3, "startedMs");
+    STARTED_MS((short)3, "startedMs"),
+    ASSIGNED_TERM((short)4, "assignedTerm"),
+    ASSIGNED_NUMBER((short)5, "assignedNumber");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,6 +56,10 @@
           return NODE;
         case 3: // STARTED_MS
           return STARTED_MS;
+        case 4: // ASSIGNED_TERM
+          return ASSIGNED_TERM;
+        case 5: // ASSIGNED_NUMBER
+          return ASSIGNED_NUMBER;
         default:
           return null;
       }
@@ -95,6 +105,8 @@
   // isset id assignments
   private static final int __SLOT_ISSET_ID = 0;
   private static final int __STARTEDMS_ISSET_ID = 1;
+  private static final int __ASSIGNEDTERM_ISSET_ID = 2;
+  private static final int __ASSIGNEDNUMBER_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -105,6 +117,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.STARTED_MS, new org.apache.thrift.meta_data.FieldMetaData("startedMs", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ASSIGNED_TERM, new org.apache.thrift.meta_data.FieldMetaData("assignedTerm", org.apache.thrift.TFieldRequirementType.REQUIRED,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ASSIGNED_NUMBER, new org.apache.thrift.meta_data.FieldMetaData("assignedNumber", org.apache.thrift.TFieldRequirementType.REQUIRED,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CapSlot.class, metaDataMap);
   }
@@ -115,7 +131,9 @@
   public CapSlot(
     int slot,
     java.lang.String node,
-    long startedMs)
+    long startedMs,
+    long assignedTerm,
+    long assignedNumber)
   {
     this();
     this.slot = slot;
@@ -123,6 +141,10 @@
     this.node = node;
     this.startedMs = startedMs;
     setStartedMsIsSet(true);
+    this.assignedTerm = assignedTerm;
+    setAssignedTermIsSet(true);
+    this.assignedNumber = assignedNumber;
+    setAssignedNumberIsSet(true);
   }
 
   /**
@@ -135,6 +157,8 @@
       this.node = other.node;
     }
     this.startedMs = other.startedMs;
+    this.assignedTerm = other.assignedTerm;
+    this.assignedNumber = other.assignedNumber;
   }
 
   @Override
@@ -149,6 +173,10 @@
     this.node = null;
     setStartedMsIsSet(false);
     this.startedMs = 0;
+    setAssignedTermIsSet(false);
+    this.assignedTerm = 0;
+    setAssignedNumberIsSet(false);
+    this.assignedNumber = 0;
   }
 
   public int getSlot() {
@@ -222,6 +250,52 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STARTEDMS_ISSET_ID, value);
   }
 
+  public long getAssignedTerm() {
+    return this.assignedTerm;
+  }
+
+  public CapSlot setAssignedTerm(long assignedTerm) {
+    this.assignedTerm = assignedTerm;
+    setAssignedTermIsSet(true);
+    return this;
+  }
+
+  public void unsetAssignedTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASSIGNEDTERM_ISSET_ID);
+  }
+
+  /** Returns true if field assignedTerm is set (has been assigned a value) and false otherwise */
+  public boolean isSetAssignedTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASSIGNEDTERM_ISSET_ID);
+  }
+
+  public void setAssignedTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASSIGNEDTERM_ISSET_ID, value);
+  }
+
+  public long getAssignedNumber() {
+    return this.assignedNumber;
+  }
+
+  public CapSlot setAssignedNumber(long assignedNumber) {
+    this.assignedNumber = assignedNumber;
+    setAssignedNumberIsSet(true);
+    return this;
+  }
+
+  public void unsetAssignedNumber() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASSIGNEDNUMBER_ISSET_ID);
+  }
+
+  /** Returns true if field assignedNumber is set (has been assigned a value) and false otherwise */
+  public boolean isSetAssignedNumber() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASSIGNEDNUMBER_ISSET_ID);
+  }
+
+  public void setAssignedNumberIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASSIGNEDNUMBER_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -249,6 +323,22 @@
       }
       break;
 
+    case ASSIGNED_TERM:
+      if (value == null) {
+        unsetAssignedTerm();
+      } else {
+        setAssignedTerm((java.lang.Long)value);
+      }
+      break;
+
+    case ASSIGNED_NUMBER:
+      if (value == null) {
+        unsetAssignedNumber();
+      } else {
+        setAssignedNumber((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -265,6 +355,12 @@
     case STARTED_MS:
       return getStartedMs();
 
+    case ASSIGNED_TERM:
+      return getAssignedTerm();
+
+    case ASSIGNED_NUMBER:
+      return getAssignedNumber();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -283,6 +379,10 @@
       return isSetNode();
     case STARTED_MS:
       return isSetStartedMs();
+    case ASSIGNED_TERM:
+      return isSetAssignedTerm();
+    case ASSIGNED_NUMBER:
+      return isSetAssignedNumber();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -327,6 +427,24 @@
         return false;
     }
 
+    boolean this_present_assignedTerm = true;
+    boolean that_present_assignedTerm = true;
+    if (this_present_assignedTerm || that_present_assignedTerm) {
+      if (!(this_present_assignedTerm && that_present_assignedTerm))
+        return false;
+      if (this.assignedTerm != that.assignedTerm)
+        return false;
+    }
+
+    boolean this_present_assignedNumber = true;
+    boolean that_present_assignedNumber = true;
+    if (this_present_assignedNumber || that_present_assignedNumber) {
+      if (!(this_present_assignedNumber && that_present_assignedNumber))
+        return false;
+      if (this.assignedNumber != that.assignedNumber)
+        return false;
+    }
+
     return true;
   }
 
@@ -342,6 +460,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(startedMs);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(assignedTerm);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(assignedNumber);
+
     return hashCode;
   }
 
@@ -383,6 +505,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAssignedTerm(), other.isSetAssignedTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAssignedTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.assignedTerm, other.assignedTerm);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAssignedNumber(), other.isSetAssignedNumber());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAssignedNumber()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.assignedNumber, other.assignedNumber);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -422,6 +564,14 @@
     sb.append("startedMs:");
     sb.append(this.startedMs);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("assignedTerm:");
+    sb.append(this.assignedTerm);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("assignedNumber:");
+    sb.append(this.assignedNumber);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -433,6 +583,8 @@
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'node' was not present! Struct: " + toString());
     }
     // alas, we cannot check 'startedMs' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'assignedTerm' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'assignedNumber' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -498,6 +650,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // ASSIGNED_TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.assignedTerm = iprot.readI64();
+              struct.setAssignedTermIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // ASSIGNED_NUMBER
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.assignedNumber = iprot.readI64();
+              struct.setAssignedNumberIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -512,6 +680,12 @@
       if (!struct.isSetStartedMs()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'startedMs' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetAssignedTerm()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'assignedTerm' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetAssignedNumber()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'assignedNumber' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -531,6 +705,12 @@
       oprot.writeFieldBegin(STARTED_MS_FIELD_DESC);
       oprot.writeI64(struct.startedMs);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ASSIGNED_TERM_FIELD_DESC);
+      oprot.writeI64(struct.assignedTerm);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ASSIGNED_NUMBER_FIELD_DESC);
+      oprot.writeI64(struct.assignedNumber);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -552,6 +732,8 @@
       oprot.writeI32(struct.slot);
       oprot.writeString(struct.node);
       oprot.writeI64(struct.startedMs);
+      oprot.writeI64(struct.assignedTerm);
+      oprot.writeI64(struct.assignedNumber);
     }
 
     @Override
@@ -563,6 +745,10 @@
       struct.setNodeIsSet(true);
       struct.startedMs = iprot.readI64();
       struct.setStartedMsIsSet(true);
+      struct.assignedTerm = iprot.readI64();
+      struct.setAssignedTermIsSet(true);
+      struct.assignedNumber = iprot.readI64();
+      struct.setAssignedNumberIsSet(true);
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/CapSlotTable.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/CapSlotTable.java
@@ -15,17 +15,20 @@
 
   private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slots", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("number", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new CapSlotTableStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new CapSlotTableTupleSchemeFactory();
 
   private long term; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<CapSlot> slots; // required
+  private long number; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     TERM((short)1, "term"),
-    SLOTS((short)2, "slots");
+    SLOTS((short)2, "slots"),
+    NUMBER((short)3, "number");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +48,8 @@
           return TERM;
         case 2: // SLOTS
           return SLOTS;
+        case 3: // NUMBER
+          return NUMBER;
         default:
           return null;
       }
@@ -89,6 +94,7 @@
 
   // isset id assignments
   private static final int __TERM_ISSET_ID = 0;
+  private static final int __NUMBER_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -98,6 +104,8 @@
     tmpMap.put(_Fields.SLOTS, new org.apache.thrift.meta_data.FieldMetaData("slots", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CapSlot.class))));
+    tmpMap.put(_Fields.NUMBER, new org.apache.thrift.meta_data.FieldMetaData("number", org.apache.thrift.TFieldRequirementType.REQUIRED,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CapSlotTable.class, metaDataMap);
   }
@@ -107,12 +115,15 @@
 
   public CapSlotTable(
     long term,
-    java.util.List<CapSlot> slots)
+    java.util.List<CapSlot> slots,
+    long number)
   {
     this();
     this.term = term;
     setTermIsSet(true);
     this.slots = slots;
+    this.number = number;
+    setNumberIsSet(true);
   }
 
   /**
@@ -128,6 +139,7 @@
       }
       this.slots = __this__slots;
     }
+    this.number = other.number;
   }
 
   @Override
@@ -140,6 +152,8 @@
     setTermIsSet(false);
     this.term = 0;
     this.slots = null;
+    setNumberIsSet(false);
+    this.number = 0;
   }
 
   public long getTerm() {
@@ -206,6 +220,29 @@
     }
   }
 
+  public long getNumber() {
+    return this.number;
+  }
+
+  public CapSlotTable setNumber(long number) {
+    this.number = number;
+    setNumberIsSet(true);
+    return this;
+  }
+
+  public void unsetNumber() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NUMBER_ISSET_ID);
+  }
+
+  /** Returns true if field number is set (has been assigned a value) and false otherwise */
+  public boolean isSetNumber() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NUMBER_ISSET_ID);
+  }
+
+  public void setNumberIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NUMBER_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -225,6 +262,14 @@
       }
       break;
 
+    case NUMBER:
+      if (value == null) {
+        unsetNumber();
+      } else {
+        setNumber((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -238,6 +283,9 @@
     case SLOTS:
       return getSlots();
 
+    case NUMBER:
+      return getNumber();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -254,6 +302,8 @@
       return isSetTerm();
     case SLOTS:
       return isSetSlots();
+    case NUMBER:
+      return isSetNumber();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -289,6 +339,15 @@
         return false;
     }
 
+    boolean this_present_number = true;
+    boolean that_present_number = true;
+    if (this_present_number || that_present_number) {
+      if (!(this_present_number && that_present_number))
+        return false;
+      if (this.number != that.number)
+        return false;
+    }
+
     return true;
   }
 
@@ -302,6 +361,8 @@
     if (isSetSlots())
       hashCode = hashCode * 8191 + slots.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(number);
+
     return hashCode;
   }
 
@@ -333,6 +394,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetNumber(), other.isSetNumber());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetNumber()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.number, other.number);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -368,6 +439,10 @@
       sb.append(this.slots);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("number:");
+    sb.append(this.number);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -378,6 +453,7 @@
     if (slots == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'slots' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'number' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -446,6 +522,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // NUMBER
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.number = iprot.readI64();
+              struct.setNumberIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -457,6 +541,9 @@
       if (!struct.isSetTerm()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'term' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetNumber()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'number' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -480,6 +567,9 @@
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(NUMBER_FIELD_DESC);
+      oprot.writeI64(struct.number);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -506,6 +596,7 @@
           _iter212.write(oprot);
         }
       }
+      oprot.writeI64(struct.number);
     }
 
     @Override
@@ -525,6 +616,8 @@
         }
       }
       struct.setSlotsIsSet(true);
+      struct.number = iprot.readI64();
+      struct.setNumberIsSet(true);
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/Coordinator.java
@@ -8597,15 +8597,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map344 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map344.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key345;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val346;
-                  for (int _i347 = 0; _i347 < _map344.size; ++_i347)
+                  org.apache.thrift.protocol.TMap _map352 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map352.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key353;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val354;
+                  for (int _i355 = 0; _i355 < _map352.size; ++_i355)
                   {
-                    _key345 = iprot.readString();
-                    _val346 = iprot.readString();
-                    struct.trace.put(_key345, _val346);
+                    _key353 = iprot.readString();
+                    _val354 = iprot.readString();
+                    struct.trace.put(_key353, _val354);
                   }
                   iprot.readMapEnd();
                 }
@@ -8639,10 +8639,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter348 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter356 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter348.getKey());
-              oprot.writeString(_iter348.getValue());
+              oprot.writeString(_iter356.getKey());
+              oprot.writeString(_iter356.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -8680,10 +8680,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter349 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter357 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter349.getKey());
-              oprot.writeString(_iter349.getValue());
+              oprot.writeString(_iter357.getKey());
+              oprot.writeString(_iter357.getValue());
             }
           }
         }
@@ -8700,15 +8700,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map350 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map350.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key351;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val352;
-            for (int _i353 = 0; _i353 < _map350.size; ++_i353)
+            org.apache.thrift.protocol.TMap _map358 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map358.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key359;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val360;
+            for (int _i361 = 0; _i361 < _map358.size; ++_i361)
             {
-              _key351 = iprot.readString();
-              _val352 = iprot.readString();
-              struct.trace.put(_key351, _val352);
+              _key359 = iprot.readString();
+              _val360 = iprot.readString();
+              struct.trace.put(_key359, _val360);
             }
           }
           struct.setTraceIsSet(true);
@@ -9620,14 +9620,14 @@
             case 1: // USES
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list354 = iprot.readListBegin();
-                  struct.uses = new java.util.ArrayList<ModelUse>(_list354.size);
-                  @org.apache.thrift.annotation.Nullable ModelUse _elem355;
-                  for (int _i356 = 0; _i356 < _list354.size; ++_i356)
+                  org.apache.thrift.protocol.TList _list362 = iprot.readListBegin();
+                  struct.uses = new java.util.ArrayList<ModelUse>(_list362.size);
+                  @org.apache.thrift.annotation.Nullable ModelUse _elem363;
+                  for (int _i364 = 0; _i364 < _list362.size; ++_i364)
                   {
-                    _elem355 = new ModelUse();
-                    _elem355.read(iprot);
-                    struct.uses.add(_elem355);
+                    _elem363 = new ModelUse();
+                    _elem363.read(iprot);
+                    struct.uses.add(_elem363);
                   }
                   iprot.readListEnd();
                 }
@@ -9664,9 +9664,9 @@
           oprot.writeFieldBegin(USES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-            for (ModelUse _iter357 : struct.uses)
+            for (ModelUse _iter365 : struct.uses)
             {
-              _iter357.write(oprot);
+              _iter365.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -9704,9 +9704,9 @@
         if (struct.isSetUses()) {
           {
             oprot.writeI32(struct.uses.size());
-            for (ModelUse _iter358 : struct.uses)
+            for (ModelUse _iter366 : struct.uses)
             {
-              _iter358.write(oprot);
+              _iter366.write(oprot);
             }
           }
         }
@@ -9721,14 +9721,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list359 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.uses = new java.util.ArrayList<ModelUse>(_list359.size);
-            @org.apache.thrift.annotation.Nullable ModelUse _elem360;
-            for (int _i361 = 0; _i361 < _list359.size; ++_i361)
+            org.apache.thrift.protocol.TList _list367 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.uses = new java.util.ArrayList<ModelUse>(_list367.size);
+            @org.apache.thrift.annotation.Nullable ModelUse _elem368;
+            for (int _i369 = 0; _i369 < _list367.size; ++_i369)
             {
-              _elem360 = new ModelUse();
-              _elem360.read(iprot);
-              struct.uses.add(_elem360);
+              _elem368 = new ModelUse();
+              _elem368.read(iprot);
+              struct.uses.add(_elem368);
             }
           }
           struct.setUsesIsSet(true);
@@ -14385,14 +14385,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list362 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StatusLine>(_list362.size);
-                  @org.apache.thrift.annotation.Nullable StatusLine _elem363;
-                  for (int _i364 = 0; _i364 < _list362.size; ++_i364)
+                  org.apache.thrift.protocol.TList _list370 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StatusLine>(_list370.size);
+                  @org.apache.thrift.annotation.Nullable StatusLine _elem371;
+                  for (int _i372 = 0; _i372 < _list370.size; ++_i372)
                   {
-                    _elem363 = new StatusLine();
-                    _elem363.read(iprot);
-                    struct.success.add(_elem363);
+                    _elem371 = new StatusLine();
+                    _elem371.read(iprot);
+                    struct.success.add(_elem371);
                   }
                   iprot.readListEnd();
                 }
@@ -14430,9 +14430,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StatusLine _iter365 : struct.success)
+            for (StatusLine _iter373 : struct.success)
             {
-              _iter365.write(oprot);
+              _iter373.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -14472,9 +14472,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StatusLine _iter366 : struct.success)
+            for (StatusLine _iter374 : struct.success)
             {
-              _iter366.write(oprot);
+              _iter374.write(oprot);
             }
           }
         }
@@ -14489,14 +14489,14 @@
         java.util.BitSet incoming = iprot.readBitSet(2);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list367 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StatusLine>(_list367.size);
-            @org.apache.thrift.annotation.Nullable StatusLine _elem368;
-            for (int _i369 = 0; _i369 < _list367.size; ++_i369)
+            org.apache.thrift.protocol.TList _list375 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StatusLine>(_list375.size);
+            @org.apache.thrift.annotation.Nullable StatusLine _elem376;
+            for (int _i377 = 0; _i377 < _list375.size; ++_i377)
             {
-              _elem368 = new StatusLine();
-              _elem368.read(iprot);
-              struct.success.add(_elem368);
+              _elem376 = new StatusLine();
+              _elem376.read(iprot);
+              struct.success.add(_elem376);
             }
           }
           struct.setSuccessIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/FleetLoad.java
@@ -22,7 +22,7 @@
   private static final org.apache.thrift.protocol.TField NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("number", org.apache.thrift.protocol.TType.I64, (short)7);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)8);
   private static final org.apache.thrift.protocol.TField VERSION_ARRIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("versionArrivals", org.apache.thrift.protocol.TType.LIST, (short)9);
-  private static final org.apache.thrift.protocol.TField CAP_SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("capSlots", org.apache.thrift.protocol.TType.LIST, (short)10);
+  private static final org.apache.thrift.protocol.TField CAP_SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("capSlots", org.apache.thrift.protocol.TType.STRUCT, (short)10);
   private static final org.apache.thrift.protocol.TField CAP_SLOTS_VALID_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("capSlotsValidMs", org.apache.thrift.protocol.TType.I64, (short)11);
   private static final org.apache.thrift.protocol.TField PACES_FIELD_DESC = new org.apache.thrift.protocol.TField("paces", org.apache.thrift.protocol.TType.LIST, (short)12);
 
@@ -38,7 +38,7 @@
   private long number; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerProcess> leaving; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<ModelArrival> versionArrivals; // optional
-  private @org.apache.thrift.annotation.Nullable java.util.List<CapSlot> capSlots; // optional
+  private @org.apache.thrift.annotation.Nullable CapSlotTable capSlots; // optional
   private long capSlotsValidMs; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerPace> paces; // optional
 
@@ -172,8 +172,7 @@
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ModelArrival.class))));
     tmpMap.put(_Fields.CAP_SLOTS, new org.apache.thrift.meta_data.FieldMetaData("capSlots", org.apache.thrift.TFieldRequirementType.OPTIONAL,
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CapSlot.class))));
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CapSlotTable.class)));
     tmpMap.put(_Fields.CAP_SLOTS_VALID_MS, new org.apache.thrift.meta_data.FieldMetaData("capSlotsValidMs", org.apache.thrift.TFieldRequirementType.OPTIONAL,
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.PACES, new org.apache.thrift.meta_data.FieldMetaData("paces", org.apache.thrift.TFieldRequirementType.OPTIONAL,
@@ -251,11 +250,7 @@
       this.versionArrivals = __this__versionArrivals;
     }
     if (other.isSetCapSlots()) {
-      java.util.List<CapSlot> __this__capSlots = new java.util.ArrayList<CapSlot>(other.capSlots.size());
-      for (CapSlot other_element : other.capSlots) {
-        __this__capSlots.add(new CapSlot(other_element));
-      }
-      this.capSlots = __this__capSlots;
+      this.capSlots = new CapSlotTable(other.capSlots);
     }
     this.capSlotsValidMs = other.capSlotsValidMs;
     if (other.isSetPaces()) {
@@ -590,28 +585,12 @@
     }
   }
 
-  public int getCapSlotsSize() {
-    return (this.capSlots == null) ? 0 : this.capSlots.size();
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<CapSlot> getCapSlotsIterator() {
-    return (this.capSlots == null) ? null : this.capSlots.iterator();
-  }
-
-  public void addToCapSlots(CapSlot elem) {
-    if (this.capSlots == null) {
-      this.capSlots = new java.util.ArrayList<CapSlot>();
-    }
-    this.capSlots.add(elem);
-  }
-
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<CapSlot> getCapSlots() {
+  public CapSlotTable getCapSlots() {
     return this.capSlots;
   }
 
-  public FleetLoad setCapSlots(@org.apache.thrift.annotation.Nullable java.util.List<CapSlot> capSlots) {
+  public FleetLoad setCapSlots(@org.apache.thrift.annotation.Nullable CapSlotTable capSlots) {
     this.capSlots = capSlots;
     return this;
   }
@@ -774,7 +753,7 @@
       if (value == null) {
         unsetCapSlots();
       } else {
-        setCapSlots((java.util.List<CapSlot>)value);
+        setCapSlots((CapSlotTable)value);
       }
       break;
 
@@ -1305,6 +1284,9 @@
     }
     // alas, we cannot check 'number' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
+    if (capSlots != null) {
+      capSlots.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -1372,14 +1354,14 @@
           case 4: // RUNNERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list280 = iprot.readListBegin();
-                struct.runners = new java.util.ArrayList<RunnerHolding>(_list280.size);
-                @org.apache.thrift.annotation.Nullable RunnerHolding _elem281;
-                for (int _i282 = 0; _i282 < _list280.size; ++_i282)
+                org.apache.thrift.protocol.TList _list296 = iprot.readListBegin();
+                struct.runners = new java.util.ArrayList<RunnerHolding>(_list296.size);
+                @org.apache.thrift.annotation.Nullable RunnerHolding _elem297;
+                for (int _i298 = 0; _i298 < _list296.size; ++_i298)
                 {
-                  _elem281 = new RunnerHolding();
-                  _elem281.read(iprot);
-                  struct.runners.add(_elem281);
+                  _elem297 = new RunnerHolding();
+                  _elem297.read(iprot);
+                  struct.runners.add(_elem297);
                 }
                 iprot.readListEnd();
               }
@@ -1391,13 +1373,13 @@
           case 5: // SILENT_NODES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list283 = iprot.readListBegin();
-                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list283.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem284;
-                for (int _i285 = 0; _i285 < _list283.size; ++_i285)
+                org.apache.thrift.protocol.TList _list299 = iprot.readListBegin();
+                struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list299.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem300;
+                for (int _i301 = 0; _i301 < _list299.size; ++_i301)
                 {
-                  _elem284 = iprot.readString();
-                  struct.silentNodes.add(_elem284);
+                  _elem300 = iprot.readString();
+                  struct.silentNodes.add(_elem300);
                 }
                 iprot.readListEnd();
               }
@@ -1409,14 +1391,14 @@
           case 6: // ARRIVALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list286 = iprot.readListBegin();
-                struct.arrivals = new java.util.ArrayList<ModelArrival>(_list286.size);
-                @org.apache.thrift.annotation.Nullable ModelArrival _elem287;
-                for (int _i288 = 0; _i288 < _list286.size; ++_i288)
+                org.apache.thrift.protocol.TList _list302 = iprot.readListBegin();
+                struct.arrivals = new java.util.ArrayList<ModelArrival>(_list302.size);
+                @org.apache.thrift.annotation.Nullable ModelArrival _elem303;
+                for (int _i304 = 0; _i304 < _list302.size; ++_i304)
                 {
-                  _elem287 = new ModelArrival();
-                  _elem287.read(iprot);
-                  struct.arrivals.add(_elem287);
+                  _elem303 = new ModelArrival();
+                  _elem303.read(iprot);
+                  struct.arrivals.add(_elem303);
                 }
                 iprot.readListEnd();
               }
@@ -1436,14 +1418,14 @@
           case 8: // LEAVING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list289 = iprot.readListBegin();
-                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list289.size);
-                @org.apache.thrift.annotation.Nullable RunnerProcess _elem290;
-                for (int _i291 = 0; _i291 < _list289.size; ++_i291)
+                org.apache.thrift.protocol.TList _list305 = iprot.readListBegin();
+                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list305.size);
+                @org.apache.thrift.annotation.Nullable RunnerProcess _elem306;
+                for (int _i307 = 0; _i307 < _list305.size; ++_i307)
                 {
-                  _elem290 = new RunnerProcess();
-                  _elem290.read(iprot);
-                  struct.leaving.add(_elem290);
+                  _elem306 = new RunnerProcess();
+                  _elem306.read(iprot);
+                  struct.leaving.add(_elem306);
                 }
                 iprot.readListEnd();
               }
@@ -1455,14 +1437,14 @@
           case 9: // VERSION_ARRIVALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list292 = iprot.readListBegin();
-                struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list292.size);
-                @org.apache.thrift.annotation.Nullable ModelArrival _elem293;
-                for (int _i294 = 0; _i294 < _list292.size; ++_i294)
+                org.apache.thrift.protocol.TList _list308 = iprot.readListBegin();
+                struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list308.size);
+                @org.apache.thrift.annotation.Nullable ModelArrival _elem309;
+                for (int _i310 = 0; _i310 < _list308.size; ++_i310)
                 {
-                  _elem293 = new ModelArrival();
-                  _elem293.read(iprot);
-                  struct.versionArrivals.add(_elem293);
+                  _elem309 = new ModelArrival();
+                  _elem309.read(iprot);
+                  struct.versionArrivals.add(_elem309);
                 }
                 iprot.readListEnd();
               }
@@ -1472,19 +1454,9 @@
             }
             break;
           case 10: // CAP_SLOTS
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list295 = iprot.readListBegin();
-                struct.capSlots = new java.util.ArrayList<CapSlot>(_list295.size);
-                @org.apache.thrift.annotation.Nullable CapSlot _elem296;
-                for (int _i297 = 0; _i297 < _list295.size; ++_i297)
-                {
-                  _elem296 = new CapSlot();
-                  _elem296.read(iprot);
-                  struct.capSlots.add(_elem296);
-                }
-                iprot.readListEnd();
-              }
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.capSlots = new CapSlotTable();
+              struct.capSlots.read(iprot);
               struct.setCapSlotsIsSet(true);
             } else {
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
@@ -1501,14 +1473,14 @@
           case 12: // PACES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list298 = iprot.readListBegin();
-                struct.paces = new java.util.ArrayList<RunnerPace>(_list298.size);
-                @org.apache.thrift.annotation.Nullable RunnerPace _elem299;
-                for (int _i300 = 0; _i300 < _list298.size; ++_i300)
+                org.apache.thrift.protocol.TList _list311 = iprot.readListBegin();
+                struct.paces = new java.util.ArrayList<RunnerPace>(_list311.size);
+                @org.apache.thrift.annotation.Nullable RunnerPace _elem312;
+                for (int _i313 = 0; _i313 < _list311.size; ++_i313)
                 {
-                  _elem299 = new RunnerPace();
-                  _elem299.read(iprot);
-                  struct.paces.add(_elem299);
+                  _elem312 = new RunnerPace();
+                  _elem312.read(iprot);
+                  struct.paces.add(_elem312);
                 }
                 iprot.readListEnd();
               }
@@ -1558,9 +1530,9 @@
         oprot.writeFieldBegin(RUNNERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.runners.size()));
-          for (RunnerHolding _iter301 : struct.runners)
+          for (RunnerHolding _iter314 : struct.runners)
           {
-            _iter301.write(oprot);
+            _iter314.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1570,9 +1542,9 @@
         oprot.writeFieldBegin(SILENT_NODES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.silentNodes.size()));
-          for (java.lang.String _iter302 : struct.silentNodes)
+          for (java.lang.String _iter315 : struct.silentNodes)
           {
-            oprot.writeString(_iter302);
+            oprot.writeString(_iter315);
           }
           oprot.writeListEnd();
         }
@@ -1582,9 +1554,9 @@
         oprot.writeFieldBegin(ARRIVALS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.arrivals.size()));
-          for (ModelArrival _iter303 : struct.arrivals)
+          for (ModelArrival _iter316 : struct.arrivals)
           {
-            _iter303.write(oprot);
+            _iter316.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1598,9 +1570,9 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (RunnerProcess _iter304 : struct.leaving)
+            for (RunnerProcess _iter317 : struct.leaving)
             {
-              _iter304.write(oprot);
+              _iter317.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1612,9 +1584,9 @@
           oprot.writeFieldBegin(VERSION_ARRIVALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.versionArrivals.size()));
-            for (ModelArrival _iter305 : struct.versionArrivals)
+            for (ModelArrival _iter318 : struct.versionArrivals)
             {
-              _iter305.write(oprot);
+              _iter318.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1624,14 +1596,7 @@
       if (struct.capSlots != null) {
         if (struct.isSetCapSlots()) {
           oprot.writeFieldBegin(CAP_SLOTS_FIELD_DESC);
-          {
-            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.capSlots.size()));
-            for (CapSlot _iter306 : struct.capSlots)
-            {
-              _iter306.write(oprot);
-            }
-            oprot.writeListEnd();
-          }
+          struct.capSlots.write(oprot);
           oprot.writeFieldEnd();
         }
       }
@@ -1645,9 +1610,9 @@
           oprot.writeFieldBegin(PACES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.paces.size()));
-            for (RunnerPace _iter307 : struct.paces)
+            for (RunnerPace _iter319 : struct.paces)
             {
-              _iter307.write(oprot);
+              _iter319.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1677,23 +1642,23 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.runners.size());
-        for (RunnerHolding _iter308 : struct.runners)
+        for (RunnerHolding _iter320 : struct.runners)
         {
-          _iter308.write(oprot);
+          _iter320.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.silentNodes.size());
-        for (java.lang.String _iter309 : struct.silentNodes)
+        for (java.lang.String _iter321 : struct.silentNodes)
         {
-          oprot.writeString(_iter309);
+          oprot.writeString(_iter321);
         }
       }
       {
         oprot.writeI32(struct.arrivals.size());
-        for (ModelArrival _iter310 : struct.arrivals)
+        for (ModelArrival _iter322 : struct.arrivals)
         {
-          _iter310.write(oprot);
+          _iter322.write(oprot);
         }
       }
       oprot.writeI64(struct.number);
@@ -1717,29 +1682,23 @@
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (RunnerProcess _iter311 : struct.leaving)
+          for (RunnerProcess _iter323 : struct.leaving)
           {
-            _iter311.write(oprot);
+            _iter323.write(oprot);
           }
         }
       }
       if (struct.isSetVersionArrivals()) {
         {
           oprot.writeI32(struct.versionArrivals.size());
-          for (ModelArrival _iter312 : struct.versionArrivals)
+          for (ModelArrival _iter324 : struct.versionArrivals)
           {
-            _iter312.write(oprot);
+            _iter324.write(oprot);
           }
         }
       }
       if (struct.isSetCapSlots()) {
-        {
-          oprot.writeI32(struct.capSlots.size());
-          for (CapSlot _iter313 : struct.capSlots)
-          {
-            _iter313.write(oprot);
-          }
-        }
+        struct.capSlots.write(oprot);
       }
       if (struct.isSetCapSlotsValidMs()) {
         oprot.writeI64(struct.capSlotsValidMs);
@@ -1747,9 +1706,9 @@
       if (struct.isSetPaces()) {
         {
           oprot.writeI32(struct.paces.size());
-          for (RunnerPace _iter314 : struct.paces)
+          for (RunnerPace _iter325 : struct.paces)
           {
-            _iter314.write(oprot);
+            _iter325.write(oprot);
           }
         }
       }
@@ -1765,37 +1724,37 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list315 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.runners = new java.util.ArrayList<RunnerHolding>(_list315.size);
-        @org.apache.thrift.annotation.Nullable RunnerHolding _elem316;
-        for (int _i317 = 0; _i317 < _list315.size; ++_i317)
+        org.apache.thrift.protocol.TList _list326 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.runners = new java.util.ArrayList<RunnerHolding>(_list326.size);
+        @org.apache.thrift.annotation.Nullable RunnerHolding _elem327;
+        for (int _i328 = 0; _i328 < _list326.size; ++_i328)
         {
-          _elem316 = new RunnerHolding();
-          _elem316.read(iprot);
-          struct.runners.add(_elem316);
+          _elem327 = new RunnerHolding();
+          _elem327.read(iprot);
+          struct.runners.add(_elem327);
         }
       }
       struct.setRunnersIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list318 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list318.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem319;
-        for (int _i320 = 0; _i320 < _list318.size; ++_i320)
+        org.apache.thrift.protocol.TList _list329 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.silentNodes = new java.util.ArrayList<java.lang.String>(_list329.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem330;
+        for (int _i331 = 0; _i331 < _list329.size; ++_i331)
         {
-          _elem319 = iprot.readString();
-          struct.silentNodes.add(_elem319);
+          _elem330 = iprot.readString();
+          struct.silentNodes.add(_elem330);
         }
       }
       struct.setSilentNodesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list321 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list321.size);
-        @org.apache.thrift.annotation.Nullable ModelArrival _elem322;
-        for (int _i323 = 0; _i323 < _list321.size; ++_i323)
+        org.apache.thrift.protocol.TList _list332 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.arrivals = new java.util.ArrayList<ModelArrival>(_list332.size);
+        @org.apache.thrift.annotation.Nullable ModelArrival _elem333;
+        for (int _i334 = 0; _i334 < _list332.size; ++_i334)
         {
-          _elem322 = new ModelArrival();
-          _elem322.read(iprot);
-          struct.arrivals.add(_elem322);
+          _elem333 = new ModelArrival();
+          _elem333.read(iprot);
+          struct.arrivals.add(_elem333);
         }
       }
       struct.setArrivalsIsSet(true);
@@ -1804,44 +1763,35 @@
       java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list324 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list324.size);
-          @org.apache.thrift.annotation.Nullable RunnerProcess _elem325;
-          for (int _i326 = 0; _i326 < _list324.size; ++_i326)
+          org.apache.thrift.protocol.TList _list335 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list335.size);
+          @org.apache.thrift.annotation.Nullable RunnerProcess _elem336;
+          for (int _i337 = 0; _i337 < _list335.size; ++_i337)
           {
-            _elem325 = new RunnerProcess();
-            _elem325.read(iprot);
-            struct.leaving.add(_elem325);
+            _elem336 = new RunnerProcess();
+            _elem336.read(iprot);
+            struct.leaving.add(_elem336);
           }
         }
         struct.setLeavingIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list327 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list327.size);
-          @org.apache.thrift.annotation.Nullable ModelArrival _elem328;
-          for (int _i329 = 0; _i329 < _list327.size; ++_i329)
+          org.apache.thrift.protocol.TList _list338 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.versionArrivals = new java.util.ArrayList<ModelArrival>(_list338.size);
+          @org.apache.thrift.annotation.Nullable ModelArrival _elem339;
+          for (int _i340 = 0; _i340 < _list338.size; ++_i340)
           {
-            _elem328 = new ModelArrival();
-            _elem328.read(iprot);
-            struct.versionArrivals.add(_elem328);
+            _elem339 = new ModelArrival();
+            _elem339.read(iprot);
+            struct.versionArrivals.add(_elem339);
           }
         }
         struct.setVersionArrivalsIsSet(true);
       }
       if (incoming.get(2)) {
-        {
-          org.apache.thrift.protocol.TList _list330 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.capSlots = new java.util.ArrayList<CapSlot>(_list330.size);
-          @org.apache.thrift.annotation.Nullable CapSlot _elem331;
-          for (int _i332 = 0; _i332 < _list330.size; ++_i332)
-          {
-            _elem331 = new CapSlot();
-            _elem331.read(iprot);
-            struct.capSlots.add(_elem331);
-          }
-        }
+        struct.capSlots = new CapSlotTable();
+        struct.capSlots.read(iprot);
         struct.setCapSlotsIsSet(true);
       }
       if (incoming.get(3)) {
@@ -1850,14 +1800,14 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list333 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.paces = new java.util.ArrayList<RunnerPace>(_list333.size);
-          @org.apache.thrift.annotation.Nullable RunnerPace _elem334;
-          for (int _i335 = 0; _i335 < _list333.size; ++_i335)
+          org.apache.thrift.protocol.TList _list341 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.paces = new java.util.ArrayList<RunnerPace>(_list341.size);
+          @org.apache.thrift.annotation.Nullable RunnerPace _elem342;
+          for (int _i343 = 0; _i343 < _list341.size; ++_i343)
           {
-            _elem334 = new RunnerPace();
-            _elem334.read(iprot);
-            struct.paces.add(_elem334);
+            _elem342 = new RunnerPace();
+            _elem342.read(iprot);
+            struct.paces.add(_elem342);
           }
         }
         struct.setPacesIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/HeldModel.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/HeldModel.java
@@ -520,13 +520,13 @@
           case 3: // ADAPTERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list264 = iprot.readListBegin();
-                struct.adapters = new java.util.ArrayList<java.lang.String>(_list264.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem265;
-                for (int _i266 = 0; _i266 < _list264.size; ++_i266)
+                org.apache.thrift.protocol.TList _list280 = iprot.readListBegin();
+                struct.adapters = new java.util.ArrayList<java.lang.String>(_list280.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem281;
+                for (int _i282 = 0; _i282 < _list280.size; ++_i282)
                 {
-                  _elem265 = iprot.readString();
-                  struct.adapters.add(_elem265);
+                  _elem281 = iprot.readString();
+                  struct.adapters.add(_elem281);
                 }
                 iprot.readListEnd();
               }
@@ -566,9 +566,9 @@
         oprot.writeFieldBegin(ADAPTERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.adapters.size()));
-          for (java.lang.String _iter267 : struct.adapters)
+          for (java.lang.String _iter283 : struct.adapters)
           {
-            oprot.writeString(_iter267);
+            oprot.writeString(_iter283);
           }
           oprot.writeListEnd();
         }
@@ -596,9 +596,9 @@
       oprot.writeI64(struct.version);
       {
         oprot.writeI32(struct.adapters.size());
-        for (java.lang.String _iter268 : struct.adapters)
+        for (java.lang.String _iter284 : struct.adapters)
         {
-          oprot.writeString(_iter268);
+          oprot.writeString(_iter284);
         }
       }
     }
@@ -611,13 +611,13 @@
       struct.version = iprot.readI64();
       struct.setVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list269 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.adapters = new java.util.ArrayList<java.lang.String>(_list269.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem270;
-        for (int _i271 = 0; _i271 < _list269.size; ++_i271)
+        org.apache.thrift.protocol.TList _list285 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.adapters = new java.util.ArrayList<java.lang.String>(_list285.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem286;
+        for (int _i287 = 0; _i287 < _list285.size; ++_i287)
         {
-          _elem270 = iprot.readString();
-          struct.adapters.add(_elem270);
+          _elem286 = iprot.readString();
+          struct.adapters.add(_elem286);
         }
       }
       struct.setAdaptersIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLink.java
@@ -2126,14 +2126,14 @@
             case 1: // ORIGINS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list398 = iprot.readListBegin();
-                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list398.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem399;
-                  for (int _i400 = 0; _i400 < _list398.size; ++_i400)
+                  org.apache.thrift.protocol.TList _list406 = iprot.readListBegin();
+                  struct.origins = new java.util.ArrayList<StreamOrigin>(_list406.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem407;
+                  for (int _i408 = 0; _i408 < _list406.size; ++_i408)
                   {
-                    _elem399 = new StreamOrigin();
-                    _elem399.read(iprot);
-                    struct.origins.add(_elem399);
+                    _elem407 = new StreamOrigin();
+                    _elem407.read(iprot);
+                    struct.origins.add(_elem407);
                   }
                   iprot.readListEnd();
                 }
@@ -2162,9 +2162,9 @@
           oprot.writeFieldBegin(ORIGINS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.origins.size()));
-            for (StreamOrigin _iter401 : struct.origins)
+            for (StreamOrigin _iter409 : struct.origins)
             {
-              _iter401.write(oprot);
+              _iter409.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2196,9 +2196,9 @@
         if (struct.isSetOrigins()) {
           {
             oprot.writeI32(struct.origins.size());
-            for (StreamOrigin _iter402 : struct.origins)
+            for (StreamOrigin _iter410 : struct.origins)
             {
-              _iter402.write(oprot);
+              _iter410.write(oprot);
             }
           }
         }
@@ -2210,14 +2210,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list403 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.origins = new java.util.ArrayList<StreamOrigin>(_list403.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem404;
-            for (int _i405 = 0; _i405 < _list403.size; ++_i405)
+            org.apache.thrift.protocol.TList _list411 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.origins = new java.util.ArrayList<StreamOrigin>(_list411.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem412;
+            for (int _i413 = 0; _i413 < _list411.size; ++_i413)
             {
-              _elem404 = new StreamOrigin();
-              _elem404.read(iprot);
-              struct.origins.add(_elem404);
+              _elem412 = new StreamOrigin();
+              _elem412.read(iprot);
+              struct.origins.add(_elem412);
             }
           }
           struct.setOriginsIsSet(true);
@@ -3203,14 +3203,14 @@
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list406 = iprot.readListBegin();
-                  struct.success = new java.util.ArrayList<StreamOrigin>(_list406.size);
-                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem407;
-                  for (int _i408 = 0; _i408 < _list406.size; ++_i408)
+                  org.apache.thrift.protocol.TList _list414 = iprot.readListBegin();
+                  struct.success = new java.util.ArrayList<StreamOrigin>(_list414.size);
+                  @org.apache.thrift.annotation.Nullable StreamOrigin _elem415;
+                  for (int _i416 = 0; _i416 < _list414.size; ++_i416)
                   {
-                    _elem407 = new StreamOrigin();
-                    _elem407.read(iprot);
-                    struct.success.add(_elem407);
+                    _elem415 = new StreamOrigin();
+                    _elem415.read(iprot);
+                    struct.success.add(_elem415);
                   }
                   iprot.readListEnd();
                 }
@@ -3239,9 +3239,9 @@
           oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.success.size()));
-            for (StreamOrigin _iter409 : struct.success)
+            for (StreamOrigin _iter417 : struct.success)
             {
-              _iter409.write(oprot);
+              _iter417.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -3273,9 +3273,9 @@
         if (struct.isSetSuccess()) {
           {
             oprot.writeI32(struct.success.size());
-            for (StreamOrigin _iter410 : struct.success)
+            for (StreamOrigin _iter418 : struct.success)
             {
-              _iter410.write(oprot);
+              _iter418.write(oprot);
             }
           }
         }
@@ -3287,14 +3287,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list411 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.success = new java.util.ArrayList<StreamOrigin>(_list411.size);
-            @org.apache.thrift.annotation.Nullable StreamOrigin _elem412;
-            for (int _i413 = 0; _i413 < _list411.size; ++_i413)
+            org.apache.thrift.protocol.TList _list419 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.success = new java.util.ArrayList<StreamOrigin>(_list419.size);
+            @org.apache.thrift.annotation.Nullable StreamOrigin _elem420;
+            for (int _i421 = 0; _i421 < _list419.size; ++_i421)
             {
-              _elem412 = new StreamOrigin();
-              _elem412.read(iprot);
-              struct.success.add(_elem412);
+              _elem420 = new StreamOrigin();
+              _elem420.read(iprot);
+              struct.success.add(_elem420);
             }
           }
           struct.setSuccessIsSet(true);
@@ -3637,14 +3637,14 @@
             case 1: // REPORTS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list414 = iprot.readListBegin();
-                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list414.size);
-                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem415;
-                  for (int _i416 = 0; _i416 < _list414.size; ++_i416)
+                  org.apache.thrift.protocol.TList _list422 = iprot.readListBegin();
+                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list422.size);
+                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem423;
+                  for (int _i424 = 0; _i424 < _list422.size; ++_i424)
                   {
-                    _elem415 = new CrashReportRecord();
-                    _elem415.read(iprot);
-                    struct.reports.add(_elem415);
+                    _elem423 = new CrashReportRecord();
+                    _elem423.read(iprot);
+                    struct.reports.add(_elem423);
                   }
                   iprot.readListEnd();
                 }
@@ -3673,9 +3673,9 @@
           oprot.writeFieldBegin(REPORTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-            for (CrashReportRecord _iter417 : struct.reports)
+            for (CrashReportRecord _iter425 : struct.reports)
             {
-              _iter417.write(oprot);
+              _iter425.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -3707,9 +3707,9 @@
         if (struct.isSetReports()) {
           {
             oprot.writeI32(struct.reports.size());
-            for (CrashReportRecord _iter418 : struct.reports)
+            for (CrashReportRecord _iter426 : struct.reports)
             {
-              _iter418.write(oprot);
+              _iter426.write(oprot);
             }
           }
         }
@@ -3721,14 +3721,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list419 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list419.size);
-            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem420;
-            for (int _i421 = 0; _i421 < _list419.size; ++_i421)
+            org.apache.thrift.protocol.TList _list427 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list427.size);
+            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem428;
+            for (int _i429 = 0; _i429 < _list427.size; ++_i429)
             {
-              _elem420 = new CrashReportRecord();
-              _elem420.read(iprot);
-              struct.reports.add(_elem420);
+              _elem428 = new CrashReportRecord();
+              _elem428.read(iprot);
+              struct.reports.add(_elem428);
             }
           }
           struct.setReportsIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
@@ -26,6 +26,9 @@
   private static final org.apache.thrift.protocol.TField STARTED_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("startedMs", org.apache.thrift.protocol.TType.I64, (short)11);
   private static final org.apache.thrift.protocol.TField RELEASED_SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("releasedSlots", org.apache.thrift.protocol.TType.LIST, (short)12);
   private static final org.apache.thrift.protocol.TField PACES_FIELD_DESC = new org.apache.thrift.protocol.TField("paces", org.apache.thrift.protocol.TType.LIST, (short)13);
+  private static final org.apache.thrift.protocol.TField HELD_SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("heldSlots", org.apache.thrift.protocol.TType.LIST, (short)14);
+  private static final org.apache.thrift.protocol.TField CAP_TABLE_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("capTableTerm", org.apache.thrift.protocol.TType.I64, (short)15);
+  private static final org.apache.thrift.protocol.TField CAP_TABLE_NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("capTableNumber", org.apache.thrift.protocol.TType.I64, (short)16);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new NodeLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new NodeLoadTupleSchemeFactory();
@@ -43,6 +46,9 @@
   private long startedMs; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> releasedSlots; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerPace> paces; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<CapSlot> heldSlots; // optional
+  private long capTableTerm; // optional
+  private long capTableNumber; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -58,7 +64,10 @@
     LEAVING((short)10, "leaving"),
     STARTED_MS((short)11, "startedMs"),
     RELEASED_SLOTS((short)12, "releasedSlots"),
-    PACES((short)13, "paces");
+    PACES((short)13, "paces"),
+    HELD_SLOTS((short)14, "heldSlots"),
+    CAP_TABLE_TERM((short)15, "capTableTerm"),
+    CAP_TABLE_NUMBER((short)16, "capTableNumber");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -100,6 +109,12 @@
           return RELEASED_SLOTS;
         case 13: // PACES
           return PACES;
+        case 14: // HELD_SLOTS
+          return HELD_SLOTS;
+        case 15: // CAP_TABLE_TERM
+          return CAP_TABLE_TERM;
+        case 16: // CAP_TABLE_NUMBER
+          return CAP_TABLE_NUMBER;
         default:
           return null;
       }
@@ -149,8 +164,10 @@
   private static final int __ANSWERTERM_ISSET_ID = 3;
   private static final int __ANSWERNUMBER_ISSET_ID = 4;
   private static final int __STARTEDMS_ISSET_ID = 5;
+  private static final int __CAPTABLETERM_ISSET_ID = 6;
+  private static final int __CAPTABLENUMBER_ISSET_ID = 7;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.LEAVING,_Fields.STARTED_MS,_Fields.RELEASED_SLOTS,_Fields.PACES};
+  private static final _Fields optionals[] = {_Fields.LEAVING,_Fields.STARTED_MS,_Fields.RELEASED_SLOTS,_Fields.PACES,_Fields.HELD_SLOTS,_Fields.CAP_TABLE_TERM,_Fields.CAP_TABLE_NUMBER};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -186,6 +203,13 @@
     tmpMap.put(_Fields.PACES, new org.apache.thrift.meta_data.FieldMetaData("paces", org.apache.thrift.TFieldRequirementType.OPTIONAL,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RunnerPace.class))));
+    tmpMap.put(_Fields.HELD_SLOTS, new org.apache.thrift.meta_data.FieldMetaData("heldSlots", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CapSlot.class))));
+    tmpMap.put(_Fields.CAP_TABLE_TERM, new org.apache.thrift.meta_data.FieldMetaData("capTableTerm", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CAP_TABLE_NUMBER, new org.apache.thrift.meta_data.FieldMetaData("capTableNumber", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(NodeLoad.class, metaDataMap);
   }
@@ -271,6 +295,15 @@
       }
       this.paces = __this__paces;
     }
+    if (other.isSetHeldSlots()) {
+      java.util.List<CapSlot> __this__heldSlots = new java.util.ArrayList<CapSlot>(other.heldSlots.size());
+      for (CapSlot other_element : other.heldSlots) {
+        __this__heldSlots.add(new CapSlot(other_element));
+      }
+      this.heldSlots = __this__heldSlots;
+    }
+    this.capTableTerm = other.capTableTerm;
+    this.capTableNumber = other.capTableNumber;
   }
 
   @Override
@@ -299,6 +332,11 @@
     this.startedMs = 0;
     this.releasedSlots = null;
     this.paces = null;
+    this.heldSlots = null;
+    setCapTableTermIsSet(false);
+    this.capTableTerm = 0;
+    setCapTableNumberIsSet(false);
+    this.capTableNumber = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -710,6 +748,93 @@
     }
   }
 
+  public int getHeldSlotsSize() {
+    return (this.heldSlots == null) ? 0 : this.heldSlots.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<CapSlot> getHeldSlotsIterator() {
+    return (this.heldSlots == null) ? null : this.heldSlots.iterator();
+  }
+
+  public void addToHeldSlots(CapSlot elem) {
+    if (this.heldSlots == null) {
+      this.heldSlots = new java.util.ArrayList<CapSlot>();
+    }
+    this.heldSlots.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<CapSlot> getHeldSlots() {
+    return this.heldSlots;
+  }
+
+  public NodeLoad setHeldSlots(@org.apache.thrift.annotation.Nullable java.util.List<CapSlot> heldSlots) {
+    this.heldSlots = heldSlots;
+    return this;
+  }
+
+  public void unsetHeldSlots() {
+    this.heldSlots = null;
+  }
+
+  /** Returns true if field heldSlots is set (has been assigned a value) and false otherwise */
+  public boolean isSetHeldSlots() {
+    return this.heldSlots != null;
+  }
+
+  public void setHeldSlotsIsSet(boolean value) {
+    if (!value) {
+      this.heldSlots = null;
+    }
+  }
+
+  public long getCapTableTerm() {
+    return this.capTableTerm;
+  }
+
+  public NodeLoad setCapTableTerm(long capTableTerm) {
+    this.capTableTerm = capTableTerm;
+    setCapTableTermIsSet(true);
+    return this;
+  }
+
+  public void unsetCapTableTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CAPTABLETERM_ISSET_ID);
+  }
+
+  /** Returns true if field capTableTerm is set (has been assigned a value) and false otherwise */
+  public boolean isSetCapTableTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CAPTABLETERM_ISSET_ID);
+  }
+
+  public void setCapTableTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CAPTABLETERM_ISSET_ID, value);
+  }
+
+  public long getCapTableNumber() {
+    return this.capTableNumber;
+  }
+
+  public NodeLoad setCapTableNumber(long capTableNumber) {
+    this.capTableNumber = capTableNumber;
+    setCapTableNumberIsSet(true);
+    return this;
+  }
+
+  public void unsetCapTableNumber() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CAPTABLENUMBER_ISSET_ID);
+  }
+
+  /** Returns true if field capTableNumber is set (has been assigned a value) and false otherwise */
+  public boolean isSetCapTableNumber() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CAPTABLENUMBER_ISSET_ID);
+  }
+
+  public void setCapTableNumberIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CAPTABLENUMBER_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -817,6 +942,30 @@
       }
       break;
 
+    case HELD_SLOTS:
+      if (value == null) {
+        unsetHeldSlots();
+      } else {
+        setHeldSlots((java.util.List<CapSlot>)value);
+      }
+      break;
+
+    case CAP_TABLE_TERM:
+      if (value == null) {
+        unsetCapTableTerm();
+      } else {
+        setCapTableTerm((java.lang.Long)value);
+      }
+      break;
+
+    case CAP_TABLE_NUMBER:
+      if (value == null) {
+        unsetCapTableNumber();
+      } else {
+        setCapTableNumber((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -863,6 +1012,15 @@
     case PACES:
       return getPaces();
 
+    case HELD_SLOTS:
+      return getHeldSlots();
+
+    case CAP_TABLE_TERM:
+      return getCapTableTerm();
+
+    case CAP_TABLE_NUMBER:
+      return getCapTableNumber();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -901,6 +1059,12 @@
       return isSetReleasedSlots();
     case PACES:
       return isSetPaces();
+    case HELD_SLOTS:
+      return isSetHeldSlots();
+    case CAP_TABLE_TERM:
+      return isSetCapTableTerm();
+    case CAP_TABLE_NUMBER:
+      return isSetCapTableNumber();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1035,6 +1199,33 @@
         return false;
     }
 
+    boolean this_present_heldSlots = true && this.isSetHeldSlots();
+    boolean that_present_heldSlots = true && that.isSetHeldSlots();
+    if (this_present_heldSlots || that_present_heldSlots) {
+      if (!(this_present_heldSlots && that_present_heldSlots))
+        return false;
+      if (!this.heldSlots.equals(that.heldSlots))
+        return false;
+    }
+
+    boolean this_present_capTableTerm = true && this.isSetCapTableTerm();
+    boolean that_present_capTableTerm = true && that.isSetCapTableTerm();
+    if (this_present_capTableTerm || that_present_capTableTerm) {
+      if (!(this_present_capTableTerm && that_present_capTableTerm))
+        return false;
+      if (this.capTableTerm != that.capTableTerm)
+        return false;
+    }
+
+    boolean this_present_capTableNumber = true && this.isSetCapTableNumber();
+    boolean that_present_capTableNumber = true && that.isSetCapTableNumber();
+    if (this_present_capTableNumber || that_present_capTableNumber) {
+      if (!(this_present_capTableNumber && that_present_capTableNumber))
+        return false;
+      if (this.capTableNumber != that.capTableNumber)
+        return false;
+    }
+
     return true;
   }
 
@@ -1084,6 +1275,18 @@
     if (isSetPaces())
       hashCode = hashCode * 8191 + paces.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetHeldSlots()) ? 131071 : 524287);
+    if (isSetHeldSlots())
+      hashCode = hashCode * 8191 + heldSlots.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetCapTableTerm()) ? 131071 : 524287);
+    if (isSetCapTableTerm())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(capTableTerm);
+
+    hashCode = hashCode * 8191 + ((isSetCapTableNumber()) ? 131071 : 524287);
+    if (isSetCapTableNumber())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(capTableNumber);
+
     return hashCode;
   }
 
@@ -1225,6 +1428,36 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetHeldSlots(), other.isSetHeldSlots());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHeldSlots()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.heldSlots, other.heldSlots);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetCapTableTerm(), other.isSetCapTableTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCapTableTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.capTableTerm, other.capTableTerm);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetCapTableNumber(), other.isSetCapTableNumber());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCapTableNumber()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.capTableNumber, other.capTableNumber);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1336,6 +1569,28 @@
       }
       first = false;
     }
+    if (isSetHeldSlots()) {
+      if (!first) sb.append(", ");
+      sb.append("heldSlots:");
+      if (this.heldSlots == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.heldSlots);
+      }
+      first = false;
+    }
+    if (isSetCapTableTerm()) {
+      if (!first) sb.append(", ");
+      sb.append("capTableTerm:");
+      sb.append(this.capTableTerm);
+      first = false;
+    }
+    if (isSetCapTableNumber()) {
+      if (!first) sb.append(", ");
+      sb.append("capTableNumber:");
+      sb.append(this.capTableNumber);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1435,14 +1690,14 @@
           case 5: // USES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list216 = iprot.readListBegin();
-                struct.uses = new java.util.ArrayList<RunnerUse>(_list216.size);
-                @org.apache.thrift.annotation.Nullable RunnerUse _elem217;
-                for (int _i218 = 0; _i218 < _list216.size; ++_i218)
+                org.apache.thrift.protocol.TList _list224 = iprot.readListBegin();
+                struct.uses = new java.util.ArrayList<RunnerUse>(_list224.size);
+                @org.apache.thrift.annotation.Nullable RunnerUse _elem225;
+                for (int _i226 = 0; _i226 < _list224.size; ++_i226)
                 {
-                  _elem217 = new RunnerUse();
-                  _elem217.read(iprot);
-                  struct.uses.add(_elem217);
+                  _elem225 = new RunnerUse();
+                  _elem225.read(iprot);
+                  struct.uses.add(_elem225);
                 }
                 iprot.readListEnd();
               }
@@ -1454,14 +1709,14 @@
           case 6: // NEEDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list219 = iprot.readListBegin();
-                struct.needs = new java.util.ArrayList<ModelNeed>(_list219.size);
-                @org.apache.thrift.annotation.Nullable ModelNeed _elem220;
-                for (int _i221 = 0; _i221 < _list219.size; ++_i221)
+                org.apache.thrift.protocol.TList _list227 = iprot.readListBegin();
+                struct.needs = new java.util.ArrayList<ModelNeed>(_list227.size);
+                @org.apache.thrift.annotation.Nullable ModelNeed _elem228;
+                for (int _i229 = 0; _i229 < _list227.size; ++_i229)
                 {
-                  _elem220 = new ModelNeed();
-                  _elem220.read(iprot);
-                  struct.needs.add(_elem220);
+                  _elem228 = new ModelNeed();
+                  _elem228.read(iprot);
+                  struct.needs.add(_elem228);
                 }
                 iprot.readListEnd();
               }
@@ -1473,13 +1728,13 @@
           case 7: // UNREACHABLE
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list222 = iprot.readListBegin();
-                struct.unreachable = new java.util.ArrayList<java.lang.String>(_list222.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem223;
-                for (int _i224 = 0; _i224 < _list222.size; ++_i224)
+                org.apache.thrift.protocol.TList _list230 = iprot.readListBegin();
+                struct.unreachable = new java.util.ArrayList<java.lang.String>(_list230.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem231;
+                for (int _i232 = 0; _i232 < _list230.size; ++_i232)
                 {
-                  _elem223 = iprot.readString();
-                  struct.unreachable.add(_elem223);
+                  _elem231 = iprot.readString();
+                  struct.unreachable.add(_elem231);
                 }
                 iprot.readListEnd();
               }
@@ -1507,14 +1762,14 @@
           case 10: // LEAVING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list225 = iprot.readListBegin();
-                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list225.size);
-                @org.apache.thrift.annotation.Nullable RunnerProcess _elem226;
-                for (int _i227 = 0; _i227 < _list225.size; ++_i227)
+                org.apache.thrift.protocol.TList _list233 = iprot.readListBegin();
+                struct.leaving = new java.util.ArrayList<RunnerProcess>(_list233.size);
+                @org.apache.thrift.annotation.Nullable RunnerProcess _elem234;
+                for (int _i235 = 0; _i235 < _list233.size; ++_i235)
                 {
-                  _elem226 = new RunnerProcess();
-                  _elem226.read(iprot);
-                  struct.leaving.add(_elem226);
+                  _elem234 = new RunnerProcess();
+                  _elem234.read(iprot);
+                  struct.leaving.add(_elem234);
                 }
                 iprot.readListEnd();
               }
@@ -1534,13 +1789,13 @@
           case 12: // RELEASED_SLOTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list228 = iprot.readListBegin();
-                struct.releasedSlots = new java.util.ArrayList<java.lang.Integer>(_list228.size);
-                int _elem229;
-                for (int _i230 = 0; _i230 < _list228.size; ++_i230)
+                org.apache.thrift.protocol.TList _list236 = iprot.readListBegin();
+                struct.releasedSlots = new java.util.ArrayList<java.lang.Integer>(_list236.size);
+                int _elem237;
+                for (int _i238 = 0; _i238 < _list236.size; ++_i238)
                 {
-                  _elem229 = iprot.readI32();
-                  struct.releasedSlots.add(_elem229);
+                  _elem237 = iprot.readI32();
+                  struct.releasedSlots.add(_elem237);
                 }
                 iprot.readListEnd();
               }
@@ -1552,14 +1807,14 @@
           case 13: // PACES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list231 = iprot.readListBegin();
-                struct.paces = new java.util.ArrayList<RunnerPace>(_list231.size);
-                @org.apache.thrift.annotation.Nullable RunnerPace _elem232;
-                for (int _i233 = 0; _i233 < _list231.size; ++_i233)
+                org.apache.thrift.protocol.TList _list239 = iprot.readListBegin();
+                struct.paces = new java.util.ArrayList<RunnerPace>(_list239.size);
+                @org.apache.thrift.annotation.Nullable RunnerPace _elem240;
+                for (int _i241 = 0; _i241 < _list239.size; ++_i241)
                 {
-                  _elem232 = new RunnerPace();
-                  _elem232.read(iprot);
-                  struct.paces.add(_elem232);
+                  _elem240 = new RunnerPace();
+                  _elem240.read(iprot);
+                  struct.paces.add(_elem240);
                 }
                 iprot.readListEnd();
               }
@@ -1568,6 +1823,41 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 14: // HELD_SLOTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list242 = iprot.readListBegin();
+                struct.heldSlots = new java.util.ArrayList<CapSlot>(_list242.size);
+                @org.apache.thrift.annotation.Nullable CapSlot _elem243;
+                for (int _i244 = 0; _i244 < _list242.size; ++_i244)
+                {
+                  _elem243 = new CapSlot();
+                  _elem243.read(iprot);
+                  struct.heldSlots.add(_elem243);
+                }
+                iprot.readListEnd();
+              }
+              struct.setHeldSlotsIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 15: // CAP_TABLE_TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.capTableTerm = iprot.readI64();
+              struct.setCapTableTermIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 16: // CAP_TABLE_NUMBER
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.capTableNumber = iprot.readI64();
+              struct.setCapTableNumberIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1617,9 +1907,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (RunnerUse _iter234 : struct.uses)
+          for (RunnerUse _iter245 : struct.uses)
           {
-            _iter234.write(oprot);
+            _iter245.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1629,9 +1919,9 @@
         oprot.writeFieldBegin(NEEDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.needs.size()));
-          for (ModelNeed _iter235 : struct.needs)
+          for (ModelNeed _iter246 : struct.needs)
           {
-            _iter235.write(oprot);
+            _iter246.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1641,9 +1931,9 @@
         oprot.writeFieldBegin(UNREACHABLE_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.unreachable.size()));
-          for (java.lang.String _iter236 : struct.unreachable)
+          for (java.lang.String _iter247 : struct.unreachable)
           {
-            oprot.writeString(_iter236);
+            oprot.writeString(_iter247);
           }
           oprot.writeListEnd();
         }
@@ -1660,9 +1950,9 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (RunnerProcess _iter237 : struct.leaving)
+            for (RunnerProcess _iter248 : struct.leaving)
             {
-              _iter237.write(oprot);
+              _iter248.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1679,9 +1969,9 @@
           oprot.writeFieldBegin(RELEASED_SLOTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.releasedSlots.size()));
-            for (int _iter238 : struct.releasedSlots)
+            for (int _iter249 : struct.releasedSlots)
             {
-              oprot.writeI32(_iter238);
+              oprot.writeI32(_iter249);
             }
             oprot.writeListEnd();
           }
@@ -1693,15 +1983,39 @@
           oprot.writeFieldBegin(PACES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.paces.size()));
-            for (RunnerPace _iter239 : struct.paces)
+            for (RunnerPace _iter250 : struct.paces)
             {
-              _iter239.write(oprot);
+              _iter250.write(oprot);
             }
             oprot.writeListEnd();
           }
           oprot.writeFieldEnd();
         }
       }
+      if (struct.heldSlots != null) {
+        if (struct.isSetHeldSlots()) {
+          oprot.writeFieldBegin(HELD_SLOTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.heldSlots.size()));
+            for (CapSlot _iter251 : struct.heldSlots)
+            {
+              _iter251.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.isSetCapTableTerm()) {
+        oprot.writeFieldBegin(CAP_TABLE_TERM_FIELD_DESC);
+        oprot.writeI64(struct.capTableTerm);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetCapTableNumber()) {
+        oprot.writeFieldBegin(CAP_TABLE_NUMBER_FIELD_DESC);
+        oprot.writeI64(struct.capTableNumber);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1726,23 +2040,23 @@
       oprot.writeI64(struct.runnersRevision);
       {
         oprot.writeI32(struct.uses.size());
-        for (RunnerUse _iter240 : struct.uses)
+        for (RunnerUse _iter252 : struct.uses)
         {
-          _iter240.write(oprot);
+          _iter252.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.needs.size());
-        for (ModelNeed _iter241 : struct.needs)
+        for (ModelNeed _iter253 : struct.needs)
         {
-          _iter241.write(oprot);
+          _iter253.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.unreachable.size());
-        for (java.lang.String _iter242 : struct.unreachable)
+        for (java.lang.String _iter254 : struct.unreachable)
         {
-          oprot.writeString(_iter242);
+          oprot.writeString(_iter254);
         }
       }
       oprot.writeI64(struct.answerTerm);
@@ -1760,13 +2074,22 @@
       if (struct.isSetPaces()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetHeldSlots()) {
+        optionals.set(4);
+      }
+      if (struct.isSetCapTableTerm()) {
+        optionals.set(5);
+      }
+      if (struct.isSetCapTableNumber()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (RunnerProcess _iter243 : struct.leaving)
+          for (RunnerProcess _iter255 : struct.leaving)
           {
-            _iter243.write(oprot);
+            _iter255.write(oprot);
           }
         }
       }
@@ -1776,21 +2099,36 @@
       if (struct.isSetReleasedSlots()) {
         {
           oprot.writeI32(struct.releasedSlots.size());
-          for (int _iter244 : struct.releasedSlots)
+          for (int _iter256 : struct.releasedSlots)
           {
-            oprot.writeI32(_iter244);
+            oprot.writeI32(_iter256);
           }
         }
       }
       if (struct.isSetPaces()) {
         {
           oprot.writeI32(struct.paces.size());
-          for (RunnerPace _iter245 : struct.paces)
+          for (RunnerPace _iter257 : struct.paces)
           {
-            _iter245.write(oprot);
+            _iter257.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetHeldSlots()) {
+        {
+          oprot.writeI32(struct.heldSlots.size());
+          for (CapSlot _iter258 : struct.heldSlots)
+          {
+            _iter258.write(oprot);
           }
         }
       }
+      if (struct.isSetCapTableTerm()) {
+        oprot.writeI64(struct.capTableTerm);
+      }
+      if (struct.isSetCapTableNumber()) {
+        oprot.writeI64(struct.capTableNumber);
+      }
     }
 
     @Override
@@ -1805,37 +2143,37 @@
       struct.runnersRevision = iprot.readI64();
       struct.setRunnersRevisionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list246 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.uses = new java.util.ArrayList<RunnerUse>(_list246.size);
-        @org.apache.thrift.annotation.Nullable RunnerUse _elem247;
-        for (int _i248 = 0; _i248 < _list246.size; ++_i248)
+        org.apache.thrift.protocol.TList _list259 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.uses = new java.util.ArrayList<RunnerUse>(_list259.size);
+        @org.apache.thrift.annotation.Nullable RunnerUse _elem260;
+        for (int _i261 = 0; _i261 < _list259.size; ++_i261)
         {
-          _elem247 = new RunnerUse();
-          _elem247.read(iprot);
-          struct.uses.add(_elem247);
+          _elem260 = new RunnerUse();
+          _elem260.read(iprot);
+          struct.uses.add(_elem260);
         }
       }
       struct.setUsesIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list249 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.needs = new java.util.ArrayList<ModelNeed>(_list249.size);
-        @org.apache.thrift.annotation.Nullable ModelNeed _elem250;
-        for (int _i251 = 0; _i251 < _list249.size; ++_i251)
+        org.apache.thrift.protocol.TList _list262 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.needs = new java.util.ArrayList<ModelNeed>(_list262.size);
+        @org.apache.thrift.annotation.Nullable ModelNeed _elem263;
+        for (int _i264 = 0; _i264 < _list262.size; ++_i264)
         {
-          _elem250 = new ModelNeed();
-          _elem250.read(iprot);
-          struct.needs.add(_elem250);
+          _elem263 = new ModelNeed();
+          _elem263.read(iprot);
+          struct.needs.add(_elem263);
         }
       }
       struct.setNeedsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list252 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.unreachable = new java.util.ArrayList<java.lang.String>(_list252.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem253;
-        for (int _i254 = 0; _i254 < _list252.size; ++_i254)
+        org.apache.thrift.protocol.TList _list265 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.unreachable = new java.util.ArrayList<java.lang.String>(_list265.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem266;
+        for (int _i267 = 0; _i267 < _list265.size; ++_i267)
         {
-          _elem253 = iprot.readString();
-          struct.unreachable.add(_elem253);
+          _elem266 = iprot.readString();
+          struct.unreachable.add(_elem266);
         }
       }
       struct.setUnreachableIsSet(true);
@@ -1843,17 +2181,17 @@
       struct.setAnswerTermIsSet(true);
       struct.answerNumber = iprot.readI64();
       struct.setAnswerNumberIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list255 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list255.size);
-          @org.apache.thrift.annotation.Nullable RunnerProcess _elem256;
-          for (int _i257 = 0; _i257 < _list255.size; ++_i257)
+          org.apache.thrift.protocol.TList _list268 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<RunnerProcess>(_list268.size);
+          @org.apache.thrift.annotation.Nullable RunnerProcess _elem269;
+          for (int _i270 = 0; _i270 < _list268.size; ++_i270)
           {
-            _elem256 = new RunnerProcess();
-            _elem256.read(iprot);
-            struct.leaving.add(_elem256);
+            _elem269 = new RunnerProcess();
+            _elem269.read(iprot);
+            struct.leaving.add(_elem269);
           }
         }
         struct.setLeavingIsSet(true);
@@ -1864,31 +2202,53 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list258 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
-          struct.releasedSlots = new java.util.ArrayList<java.lang.Integer>(_list258.size);
-          int _elem259;
-          for (int _i260 = 0; _i260 < _list258.size; ++_i260)
+          org.apache.thrift.protocol.TList _list271 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.releasedSlots = new java.util.ArrayList<java.lang.Integer>(_list271.size);
+          int _elem272;
+          for (int _i273 = 0; _i273 < _list271.size; ++_i273)
           {
-            _elem259 = iprot.readI32();
-            struct.releasedSlots.add(_elem259);
+            _elem272 = iprot.readI32();
+            struct.releasedSlots.add(_elem272);
           }
         }
         struct.setReleasedSlotsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list261 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.paces = new java.util.ArrayList<RunnerPace>(_list261.size);
-          @org.apache.thrift.annotation.Nullable RunnerPace _elem262;
-          for (int _i263 = 0; _i263 < _list261.size; ++_i263)
+          org.apache.thrift.protocol.TList _list274 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.paces = new java.util.ArrayList<RunnerPace>(_list274.size);
+          @org.apache.thrift.annotation.Nullable RunnerPace _elem275;
+          for (int _i276 = 0; _i276 < _list274.size; ++_i276)
           {
-            _elem262 = new RunnerPace();
-            _elem262.read(iprot);
-            struct.paces.add(_elem262);
+            _elem275 = new RunnerPace();
+            _elem275.read(iprot);
+            struct.paces.add(_elem275);
           }
         }
         struct.setPacesIsSet(true);
       }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list277 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.heldSlots = new java.util.ArrayList<CapSlot>(_list277.size);
+          @org.apache.thrift.annotation.Nullable CapSlot _elem278;
+          for (int _i279 = 0; _i279 < _list277.size; ++_i279)
+          {
+            _elem278 = new CapSlot();
+            _elem278.read(iprot);
+            struct.heldSlots.add(_elem278);
+          }
+        }
+        struct.setHeldSlotsIsSet(true);
+      }
+      if (incoming.get(5)) {
+        struct.capTableTerm = iprot.readI64();
+        struct.setCapTableTermIsSet(true);
+      }
+      if (incoming.get(6)) {
+        struct.capTableNumber = iprot.readI64();
+        struct.setCapTableNumberIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeStreamsRecord.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeStreamsRecord.java
@@ -342,14 +342,14 @@
           case 1: // VERSIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list336 = iprot.readListBegin();
-                struct.versions = new java.util.ArrayList<VersionStreamsRecord>(_list336.size);
-                @org.apache.thrift.annotation.Nullable VersionStreamsRecord _elem337;
-                for (int _i338 = 0; _i338 < _list336.size; ++_i338)
+                org.apache.thrift.protocol.TList _list344 = iprot.readListBegin();
+                struct.versions = new java.util.ArrayList<VersionStreamsRecord>(_list344.size);
+                @org.apache.thrift.annotation.Nullable VersionStreamsRecord _elem345;
+                for (int _i346 = 0; _i346 < _list344.size; ++_i346)
                 {
-                  _elem337 = new VersionStreamsRecord();
-                  _elem337.read(iprot);
-                  struct.versions.add(_elem337);
+                  _elem345 = new VersionStreamsRecord();
+                  _elem345.read(iprot);
+                  struct.versions.add(_elem345);
                 }
                 iprot.readListEnd();
               }
@@ -378,9 +378,9 @@
         oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.versions.size()));
-          for (VersionStreamsRecord _iter339 : struct.versions)
+          for (VersionStreamsRecord _iter347 : struct.versions)
           {
-            _iter339.write(oprot);
+            _iter347.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -406,9 +406,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.versions.size());
-        for (VersionStreamsRecord _iter340 : struct.versions)
+        for (VersionStreamsRecord _iter348 : struct.versions)
         {
-          _iter340.write(oprot);
+          _iter348.write(oprot);
         }
       }
     }
@@ -417,14 +417,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, NodeStreamsRecord struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list341 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.versions = new java.util.ArrayList<VersionStreamsRecord>(_list341.size);
-        @org.apache.thrift.annotation.Nullable VersionStreamsRecord _elem342;
-        for (int _i343 = 0; _i343 < _list341.size; ++_i343)
+        org.apache.thrift.protocol.TList _list349 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.versions = new java.util.ArrayList<VersionStreamsRecord>(_list349.size);
+        @org.apache.thrift.annotation.Nullable VersionStreamsRecord _elem350;
+        for (int _i351 = 0; _i351 < _list349.size; ++_i351)
         {
-          _elem342 = new VersionStreamsRecord();
-          _elem342.read(iprot);
-          struct.versions.add(_elem342);
+          _elem350 = new VersionStreamsRecord();
+          _elem350.read(iprot);
+          struct.versions.add(_elem350);
         }
       }
       struct.setVersionsIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RouterPeer.java
@@ -1109,15 +1109,15 @@
             case 3: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map370 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map370.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key371;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val372;
-                  for (int _i373 = 0; _i373 < _map370.size; ++_i373)
+                  org.apache.thrift.protocol.TMap _map378 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map378.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key379;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val380;
+                  for (int _i381 = 0; _i381 < _map378.size; ++_i381)
                   {
-                    _key371 = iprot.readString();
-                    _val372 = iprot.readString();
-                    struct.trace.put(_key371, _val372);
+                    _key379 = iprot.readString();
+                    _val380 = iprot.readString();
+                    struct.trace.put(_key379, _val380);
                   }
                   iprot.readMapEnd();
                 }
@@ -1154,10 +1154,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter374 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter382 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter374.getKey());
-              oprot.writeString(_iter374.getValue());
+              oprot.writeString(_iter382.getKey());
+              oprot.writeString(_iter382.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -1201,10 +1201,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter375 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter383 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter375.getKey());
-              oprot.writeString(_iter375.getValue());
+              oprot.writeString(_iter383.getKey());
+              oprot.writeString(_iter383.getValue());
             }
           }
         }
@@ -1225,15 +1225,15 @@
         }
         if (incoming.get(2)) {
           {
-            org.apache.thrift.protocol.TMap _map376 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map376.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key377;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val378;
-            for (int _i379 = 0; _i379 < _map376.size; ++_i379)
+            org.apache.thrift.protocol.TMap _map384 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map384.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key385;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val386;
+            for (int _i387 = 0; _i387 < _map384.size; ++_i387)
             {
-              _key377 = iprot.readString();
-              _val378 = iprot.readString();
-              struct.trace.put(_key377, _val378);
+              _key385 = iprot.readString();
+              _val386 = iprot.readString();
+              struct.trace.put(_key385, _val386);
             }
           }
           struct.setTraceIsSet(true);
@@ -2153,15 +2153,15 @@
             case 2: // TRACE
               if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
                 {
-                  org.apache.thrift.protocol.TMap _map380 = iprot.readMapBegin();
-                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map380.size);
-                  @org.apache.thrift.annotation.Nullable java.lang.String _key381;
-                  @org.apache.thrift.annotation.Nullable java.lang.String _val382;
-                  for (int _i383 = 0; _i383 < _map380.size; ++_i383)
+                  org.apache.thrift.protocol.TMap _map388 = iprot.readMapBegin();
+                  struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map388.size);
+                  @org.apache.thrift.annotation.Nullable java.lang.String _key389;
+                  @org.apache.thrift.annotation.Nullable java.lang.String _val390;
+                  for (int _i391 = 0; _i391 < _map388.size; ++_i391)
                   {
-                    _key381 = iprot.readString();
-                    _val382 = iprot.readString();
-                    struct.trace.put(_key381, _val382);
+                    _key389 = iprot.readString();
+                    _val390 = iprot.readString();
+                    struct.trace.put(_key389, _val390);
                   }
                   iprot.readMapEnd();
                 }
@@ -2195,10 +2195,10 @@
           oprot.writeFieldBegin(TRACE_FIELD_DESC);
           {
             oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.trace.size()));
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter384 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter392 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter384.getKey());
-              oprot.writeString(_iter384.getValue());
+              oprot.writeString(_iter392.getKey());
+              oprot.writeString(_iter392.getValue());
             }
             oprot.writeMapEnd();
           }
@@ -2236,10 +2236,10 @@
         if (struct.isSetTrace()) {
           {
             oprot.writeI32(struct.trace.size());
-            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter385 : struct.trace.entrySet())
+            for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter393 : struct.trace.entrySet())
             {
-              oprot.writeString(_iter385.getKey());
-              oprot.writeString(_iter385.getValue());
+              oprot.writeString(_iter393.getKey());
+              oprot.writeString(_iter393.getValue());
             }
           }
         }
@@ -2256,15 +2256,15 @@
         }
         if (incoming.get(1)) {
           {
-            org.apache.thrift.protocol.TMap _map386 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
-            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map386.size);
-            @org.apache.thrift.annotation.Nullable java.lang.String _key387;
-            @org.apache.thrift.annotation.Nullable java.lang.String _val388;
-            for (int _i389 = 0; _i389 < _map386.size; ++_i389)
+            org.apache.thrift.protocol.TMap _map394 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING);
+            struct.trace = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map394.size);
+            @org.apache.thrift.annotation.Nullable java.lang.String _key395;
+            @org.apache.thrift.annotation.Nullable java.lang.String _val396;
+            for (int _i397 = 0; _i397 < _map394.size; ++_i397)
             {
-              _key387 = iprot.readString();
-              _val388 = iprot.readString();
-              struct.trace.put(_key387, _val388);
+              _key395 = iprot.readString();
+              _val396 = iprot.readString();
+              struct.trace.put(_key395, _val396);
             }
           }
           struct.setTraceIsSet(true);
@@ -2987,14 +2987,14 @@
             case 1: // REPORTS
               if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
                 {
-                  org.apache.thrift.protocol.TList _list390 = iprot.readListBegin();
-                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list390.size);
-                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem391;
-                  for (int _i392 = 0; _i392 < _list390.size; ++_i392)
+                  org.apache.thrift.protocol.TList _list398 = iprot.readListBegin();
+                  struct.reports = new java.util.ArrayList<CrashReportRecord>(_list398.size);
+                  @org.apache.thrift.annotation.Nullable CrashReportRecord _elem399;
+                  for (int _i400 = 0; _i400 < _list398.size; ++_i400)
                   {
-                    _elem391 = new CrashReportRecord();
-                    _elem391.read(iprot);
-                    struct.reports.add(_elem391);
+                    _elem399 = new CrashReportRecord();
+                    _elem399.read(iprot);
+                    struct.reports.add(_elem399);
                   }
                   iprot.readListEnd();
                 }
@@ -3023,9 +3023,9 @@
           oprot.writeFieldBegin(REPORTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-            for (CrashReportRecord _iter393 : struct.reports)
+            for (CrashReportRecord _iter401 : struct.reports)
             {
-              _iter393.write(oprot);
+              _iter401.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -3057,9 +3057,9 @@
         if (struct.isSetReports()) {
           {
             oprot.writeI32(struct.reports.size());
-            for (CrashReportRecord _iter394 : struct.reports)
+            for (CrashReportRecord _iter402 : struct.reports)
             {
-              _iter394.write(oprot);
+              _iter402.write(oprot);
             }
           }
         }
@@ -3071,14 +3071,14 @@
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
           {
-            org.apache.thrift.protocol.TList _list395 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list395.size);
-            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem396;
-            for (int _i397 = 0; _i397 < _list395.size; ++_i397)
+            org.apache.thrift.protocol.TList _list403 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.reports = new java.util.ArrayList<CrashReportRecord>(_list403.size);
+            @org.apache.thrift.annotation.Nullable CrashReportRecord _elem404;
+            for (int _i405 = 0; _i405 < _list403.size; ++_i405)
             {
-              _elem396 = new CrashReportRecord();
-              _elem396.read(iprot);
-              struct.reports.add(_elem396);
+              _elem404 = new CrashReportRecord();
+              _elem404.read(iprot);
+              struct.reports.add(_elem404);
             }
           }
           struct.setReportsIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/RunnerHolding.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/RunnerHolding.java
@@ -673,14 +673,14 @@
           case 3: // MODELS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list272 = iprot.readListBegin();
-                struct.models = new java.util.ArrayList<HeldModel>(_list272.size);
-                @org.apache.thrift.annotation.Nullable HeldModel _elem273;
-                for (int _i274 = 0; _i274 < _list272.size; ++_i274)
+                org.apache.thrift.protocol.TList _list288 = iprot.readListBegin();
+                struct.models = new java.util.ArrayList<HeldModel>(_list288.size);
+                @org.apache.thrift.annotation.Nullable HeldModel _elem289;
+                for (int _i290 = 0; _i290 < _list288.size; ++_i290)
                 {
-                  _elem273 = new HeldModel();
-                  _elem273.read(iprot);
-                  struct.models.add(_elem273);
+                  _elem289 = new HeldModel();
+                  _elem289.read(iprot);
+                  struct.models.add(_elem289);
                 }
                 iprot.readListEnd();
               }
@@ -743,9 +743,9 @@
           oprot.writeFieldBegin(MODELS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.models.size()));
-            for (HeldModel _iter275 : struct.models)
+            for (HeldModel _iter291 : struct.models)
             {
-              _iter275.write(oprot);
+              _iter291.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -788,9 +788,9 @@
       if (struct.isSetModels()) {
         {
           oprot.writeI32(struct.models.size());
-          for (HeldModel _iter276 : struct.models)
+          for (HeldModel _iter292 : struct.models)
           {
-            _iter276.write(oprot);
+            _iter292.write(oprot);
           }
         }
       }
@@ -810,14 +810,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list277 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.models = new java.util.ArrayList<HeldModel>(_list277.size);
-          @org.apache.thrift.annotation.Nullable HeldModel _elem278;
-          for (int _i279 = 0; _i279 < _list277.size; ++_i279)
+          org.apache.thrift.protocol.TList _list293 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.models = new java.util.ArrayList<HeldModel>(_list293.size);
+          @org.apache.thrift.annotation.Nullable HeldModel _elem294;
+          for (int _i295 = 0; _i295 < _list293.size; ++_i295)
           {
-            _elem278 = new HeldModel();
-            _elem278.read(iprot);
-            struct.models.add(_elem278);
+            _elem294 = new HeldModel();
+            _elem294.read(iprot);
+            struct.models.add(_elem294);
           }
         }
         struct.setModelsIsSet(true);
--- a/wire/src/main/java/io/persimmonstack/wire/gen/TokenGrant.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/TokenGrant.java
@@ -16,6 +16,8 @@
   private static final org.apache.thrift.protocol.TField GRANTED_FIELD_DESC = new org.apache.thrift.protocol.TField("granted", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField VALID_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("validMs", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField RETRY_AFTER_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("retryAfterMs", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField SLOT_FIELD_DESC = new org.apache.thrift.protocol.TField("slot", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField STAMP_FIELD_DESC = new org.apache.thrift.protocol.TField("stamp", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TokenGrantStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TokenGrantTupleSchemeFactory();
@@ -23,12 +25,16 @@
   private long granted; // required
   private long validMs; // required
   private long retryAfterMs; // required
+  private int slot; // optional
+  private long stamp; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     GRANTED((short)1, "granted"),
     VALID_MS((short)2, "validMs"),
-    RETRY_AFTER_MS((short)3, "retryAfterMs");
+    RETRY_AFTER_MS((short)3, "retryAfterMs"),
+    SLOT((short)4, "slot"),
+    STAMP((short)5, "stamp");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,6 +56,10 @@
           return VALID_MS;
         case 3: // RETRY_AFTER_MS
           return RETRY_AFTER_MS;
+        case 4: // SLOT
+          return SLOT;
+        case 5: // STAMP
+          return STAMP;
         default:
           return null;
       }
@@ -96,7 +106,10 @@
   private static final int __GRANTED_ISSET_ID = 0;
   private static final int __VALIDMS_ISSET_ID = 1;
   private static final int __RETRYAFTERMS_ISSET_ID = 2;
+  private static final int __SLOT_ISSET_ID = 3;
+  private static final int __STAMP_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SLOT,_Fields.STAMP};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -106,6 +119,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.RETRY_AFTER_MS, new org.apache.thrift.meta_data.FieldMetaData("retryAfterMs", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SLOT, new org.apache.thrift.meta_data.FieldMetaData("slot", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.STAMP, new org.apache.thrift.meta_data.FieldMetaData("stamp", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TokenGrant.class, metaDataMap);
   }
@@ -135,6 +152,8 @@
     this.granted = other.granted;
     this.validMs = other.validMs;
     this.retryAfterMs = other.retryAfterMs;
+    this.slot = other.slot;
+    this.stamp = other.stamp;
   }
 
   @Override
@@ -150,6 +169,10 @@
     this.validMs = 0;
     setRetryAfterMsIsSet(false);
     this.retryAfterMs = 0;
+    setSlotIsSet(false);
+    this.slot = 0;
+    setStampIsSet(false);
+    this.stamp = 0;
   }
 
   public long getGranted() {
@@ -221,6 +244,52 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RETRYAFTERMS_ISSET_ID, value);
   }
 
+  public int getSlot() {
+    return this.slot;
+  }
+
+  public TokenGrant setSlot(int slot) {
+    this.slot = slot;
+    setSlotIsSet(true);
+    return this;
+  }
+
+  public void unsetSlot() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SLOT_ISSET_ID);
+  }
+
+  /** Returns true if field slot is set (has been assigned a value) and false otherwise */
+  public boolean isSetSlot() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SLOT_ISSET_ID);
+  }
+
+  public void setSlotIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SLOT_ISSET_ID, value);
+  }
+
+  public long getStamp() {
+    return this.stamp;
+  }
+
+  public TokenGrant setStamp(long stamp) {
+    this.stamp = stamp;
+    setStampIsSet(true);
+    return this;
+  }
+
+  public void unsetStamp() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STAMP_ISSET_ID);
+  }
+
+  /** Returns true if field stamp is set (has been assigned a value) and false otherwise */
+  public boolean isSetStamp() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STAMP_ISSET_ID);
+  }
+
+  public void setStampIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STAMP_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -248,6 +317,22 @@
       }
       break;
 
+    case SLOT:
+      if (value == null) {
+        unsetSlot();
+      } else {
+        setSlot((java.lang.Integer)value);
+      }
+      break;
+
+    case STAMP:
+      if (value == null) {
+        unsetStamp();
+      } else {
+        setStamp((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -264,6 +349,12 @@
     case RETRY_AFTER_MS:
       return getRetryAfterMs();
 
+    case SLOT:
+      return getSlot();
+
+    case STAMP:
+      return getStamp();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -282,6 +373,10 @@
       return isSetValidMs();
     case RETRY_AFTER_MS:
       return isSetRetryAfterMs();
+    case SLOT:
+      return isSetSlot();
+    case STAMP:
+      return isSetStamp();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -326,6 +421,24 @@
         return false;
     }
 
+    boolean this_present_slot = true && this.isSetSlot();
+    boolean that_present_slot = true && that.isSetSlot();
+    if (this_present_slot || that_present_slot) {
+      if (!(this_present_slot && that_present_slot))
+        return false;
+      if (this.slot != that.slot)
+        return false;
+    }
+
+    boolean this_present_stamp = true && this.isSetStamp();
+    boolean that_present_stamp = true && that.isSetStamp();
+    if (this_present_stamp || that_present_stamp) {
+      if (!(this_present_stamp && that_present_stamp))
+        return false;
+      if (this.stamp != that.stamp)
+        return false;
+    }
+
     return true;
   }
 
@@ -339,6 +452,14 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(retryAfterMs);
 
+    hashCode = hashCode * 8191 + ((isSetSlot()) ? 131071 : 524287);
+    if (isSetSlot())
+      hashCode = hashCode * 8191 + slot;
+
+    hashCode = hashCode * 8191 + ((isSetStamp()) ? 131071 : 524287);
+    if (isSetStamp())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(stamp);
+
     return hashCode;
   }
 
@@ -380,6 +501,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSlot(), other.isSetSlot());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSlot()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.slot, other.slot);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetStamp(), other.isSetStamp());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStamp()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.stamp, other.stamp);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -415,6 +556,18 @@
     sb.append("retryAfterMs:");
     sb.append(this.retryAfterMs);
     first = false;
+    if (isSetSlot()) {
+      if (!first) sb.append(", ");
+      sb.append("slot:");
+      sb.append(this.slot);
+      first = false;
+    }
+    if (isSetStamp()) {
+      if (!first) sb.append(", ");
+      sb.append("stamp:");
+      sb.append(this.stamp);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -489,6 +642,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // SLOT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.slot = iprot.readI32();
+              struct.setSlotIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // STAMP
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.stamp = iprot.readI64();
+              struct.setStampIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -523,6 +692,16 @@
       oprot.writeFieldBegin(RETRY_AFTER_MS_FIELD_DESC);
       oprot.writeI64(struct.retryAfterMs);
       oprot.writeFieldEnd();
+      if (struct.isSetSlot()) {
+        oprot.writeFieldBegin(SLOT_FIELD_DESC);
+        oprot.writeI32(struct.slot);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetStamp()) {
+        oprot.writeFieldBegin(STAMP_FIELD_DESC);
+        oprot.writeI64(struct.stamp);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -544,6 +723,20 @@
       oprot.writeI64(struct.granted);
       oprot.writeI64(struct.validMs);
       oprot.writeI64(struct.retryAfterMs);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetSlot()) {
+        optionals.set(0);
+      }
+      if (struct.isSetStamp()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetSlot()) {
+        oprot.writeI32(struct.slot);
+      }
+      if (struct.isSetStamp()) {
+        oprot.writeI64(struct.stamp);
+      }
     }
 
     @Override
@@ -555,6 +748,15 @@
       struct.setValidMsIsSet(true);
       struct.retryAfterMs = iprot.readI64();
       struct.setRetryAfterMsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(2);
+      if (incoming.get(0)) {
+        struct.slot = iprot.readI32();
+        struct.setSlotIsSet(true);
+      }
+      if (incoming.get(1)) {
+        struct.stamp = iprot.readI64();
+        struct.setStampIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/java/io/persimmonstack/wire/gen/TokenRequest.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/TokenRequest.java
@@ -17,6 +17,8 @@
   private static final org.apache.thrift.protocol.TField NEEDED_FIELD_DESC = new org.apache.thrift.protocol.TField("needed", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField AHEAD_FIELD_DESC = new org.apache.thrift.protocol.TField("ahead", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField CONFIGURATION_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationVersion", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField HOLDER_STARTED_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("holderStartedMs", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField RETURNS_FIELD_DESC = new org.apache.thrift.protocol.TField("returns", org.apache.thrift.protocol.TType.LIST, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TokenRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TokenRequestTupleSchemeFactory();
@@ -25,13 +27,17 @@
   private long needed; // required
   private long ahead; // required
   private long configurationVersion; // required
+  private long holderStartedMs; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<TokenReturn> returns; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     WORKSPACE((short)1, "workspace"),
     NEEDED((short)2, "needed"),
     AHEAD((short)3, "ahead"),
-    CONFIGURATION_VERSION((short)4, "configurationVersion");
+    CONFIGURATION_VERSION((short)4, "configurationVersion"),
+    HOLDER_STARTED_MS((short)5, "holderStartedMs"),
+    RETURNS((short)6, "returns");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,6 +61,10 @@
           return AHEAD;
         case 4: // CONFIGURATION_VERSION
           return CONFIGURATION_VERSION;
+        case 5: // HOLDER_STARTED_MS
+          return HOLDER_STARTED_MS;
+        case 6: // RETURNS
+          return RETURNS;
         default:
           return null;
       }
@@ -101,7 +111,9 @@
   private static final int __NEEDED_ISSET_ID = 0;
   private static final int __AHEAD_ISSET_ID = 1;
   private static final int __CONFIGURATIONVERSION_ISSET_ID = 2;
+  private static final int __HOLDERSTARTEDMS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.HOLDER_STARTED_MS,_Fields.RETURNS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -113,6 +125,11 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.CONFIGURATION_VERSION, new org.apache.thrift.meta_data.FieldMetaData("configurationVersion", org.apache.thrift.TFieldRequirementType.REQUIRED,
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.HOLDER_STARTED_MS, new org.apache.thrift.meta_data.FieldMetaData("holderStartedMs", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RETURNS, new org.apache.thrift.meta_data.FieldMetaData("returns", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TokenReturn.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TokenRequest.class, metaDataMap);
   }
@@ -147,6 +164,14 @@
     this.needed = other.needed;
     this.ahead = other.ahead;
     this.configurationVersion = other.configurationVersion;
+    this.holderStartedMs = other.holderStartedMs;
+    if (other.isSetReturns()) {
+      java.util.List<TokenReturn> __this__returns = new java.util.ArrayList<TokenReturn>(other.returns.size());
+      for (TokenReturn other_element : other.returns) {
+        __this__returns.add(new TokenReturn(other_element));
+      }
+      this.returns = __this__returns;
+    }
   }
 
   @Override
@@ -163,6 +188,9 @@
     this.ahead = 0;
     setConfigurationVersionIsSet(false);
     this.configurationVersion = 0;
+    setHolderStartedMsIsSet(false);
+    this.holderStartedMs = 0;
+    this.returns = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -259,6 +287,70 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CONFIGURATIONVERSION_ISSET_ID, value);
   }
 
+  public long getHolderStartedMs() {
+    return this.holderStartedMs;
+  }
+
+  public TokenRequest setHolderStartedMs(long holderStartedMs) {
+    this.holderStartedMs = holderStartedMs;
+    setHolderStartedMsIsSet(true);
+    return this;
+  }
+
+  public void unsetHolderStartedMs() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __HOLDERSTARTEDMS_ISSET_ID);
+  }
+
+  /** Returns true if field holderStartedMs is set (has been assigned a value) and false otherwise */
+  public boolean isSetHolderStartedMs() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __HOLDERSTARTEDMS_ISSET_ID);
+  }
+
+  public void setHolderStartedMsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __HOLDERSTARTEDMS_ISSET_ID, value);
+  }
+
+  public int getReturnsSize() {
+    return (this.returns == null) ? 0 : this.returns.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TokenReturn> getReturnsIterator() {
+    return (this.returns == null) ? null : this.returns.iterator();
+  }
+
+  public void addToReturns(TokenReturn elem) {
+    if (this.returns == null) {
+      this.returns = new java.util.ArrayList<TokenReturn>();
+    }
+    this.returns.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TokenReturn> getReturns() {
+    return this.returns;
+  }
+
+  public TokenRequest setReturns(@org.apache.thrift.annotation.Nullable java.util.List<TokenReturn> returns) {
+    this.returns = returns;
+    return this;
+  }
+
+  public void unsetReturns() {
+    this.returns = null;
+  }
+
+  /** Returns true if field returns is set (has been assigned a value) and false otherwise */
+  public boolean isSetReturns() {
+    return this.returns != null;
+  }
+
+  public void setReturnsIsSet(boolean value) {
+    if (!value) {
+      this.returns = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -294,6 +386,22 @@
       }
       break;
 
+    case HOLDER_STARTED_MS:
+      if (value == null) {
+        unsetHolderStartedMs();
+      } else {
+        setHolderStartedMs((java.lang.Long)value);
+      }
+      break;
+
+    case RETURNS:
+      if (value == null) {
+        unsetReturns();
+      } else {
+        setReturns((java.util.List<TokenReturn>)value);
+      }
+      break;
+
     }
   }
 
@@ -313,6 +421,12 @@
     case CONFIGURATION_VERSION:
       return getConfigurationVersion();
 
+    case HOLDER_STARTED_MS:
+      return getHolderStartedMs();
+
+    case RETURNS:
+      return getReturns();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -333,6 +447,10 @@
       return isSetAhead();
     case CONFIGURATION_VERSION:
       return isSetConfigurationVersion();
+    case HOLDER_STARTED_MS:
+      return isSetHolderStartedMs();
+    case RETURNS:
+      return isSetReturns();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -386,6 +504,24 @@
         return false;
     }
 
+    boolean this_present_holderStartedMs = true && this.isSetHolderStartedMs();
+    boolean that_present_holderStartedMs = true && that.isSetHolderStartedMs();
+    if (this_present_holderStartedMs || that_present_holderStartedMs) {
+      if (!(this_present_holderStartedMs && that_present_holderStartedMs))
+        return false;
+      if (this.holderStartedMs != that.holderStartedMs)
+        return false;
+    }
+
+    boolean this_present_returns = true && this.isSetReturns();
+    boolean that_present_returns = true && that.isSetReturns();
+    if (this_present_returns || that_present_returns) {
+      if (!(this_present_returns && that_present_returns))
+        return false;
+      if (!this.returns.equals(that.returns))
+        return false;
+    }
+
     return true;
   }
 
@@ -403,6 +539,14 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(configurationVersion);
 
+    hashCode = hashCode * 8191 + ((isSetHolderStartedMs()) ? 131071 : 524287);
+    if (isSetHolderStartedMs())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(holderStartedMs);
+
+    hashCode = hashCode * 8191 + ((isSetReturns()) ? 131071 : 524287);
+    if (isSetReturns())
+      hashCode = hashCode * 8191 + returns.hashCode();
+
     return hashCode;
   }
 
@@ -454,6 +598,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetHolderStartedMs(), other.isSetHolderStartedMs());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHolderStartedMs()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.holderStartedMs, other.holderStartedMs);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetReturns(), other.isSetReturns());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetReturns()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.returns, other.returns);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -497,6 +661,22 @@
     sb.append("configurationVersion:");
     sb.append(this.configurationVersion);
     first = false;
+    if (isSetHolderStartedMs()) {
+      if (!first) sb.append(", ");
+      sb.append("holderStartedMs:");
+      sb.append(this.holderStartedMs);
+      first = false;
+    }
+    if (isSetReturns()) {
+      if (!first) sb.append(", ");
+      sb.append("returns:");
+      if (this.returns == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.returns);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -582,6 +762,33 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // HOLDER_STARTED_MS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.holderStartedMs = iprot.readI64();
+              struct.setHolderStartedMsIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 6: // RETURNS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list216 = iprot.readListBegin();
+                struct.returns = new java.util.ArrayList<TokenReturn>(_list216.size);
+                @org.apache.thrift.annotation.Nullable TokenReturn _elem217;
+                for (int _i218 = 0; _i218 < _list216.size; ++_i218)
+                {
+                  _elem217 = new TokenReturn();
+                  _elem217.read(iprot);
+                  struct.returns.add(_elem217);
+                }
+                iprot.readListEnd();
+              }
+              struct.setReturnsIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -621,6 +828,25 @@
       oprot.writeFieldBegin(CONFIGURATION_VERSION_FIELD_DESC);
       oprot.writeI64(struct.configurationVersion);
       oprot.writeFieldEnd();
+      if (struct.isSetHolderStartedMs()) {
+        oprot.writeFieldBegin(HOLDER_STARTED_MS_FIELD_DESC);
+        oprot.writeI64(struct.holderStartedMs);
+        oprot.writeFieldEnd();
+      }
+      if (struct.returns != null) {
+        if (struct.isSetReturns()) {
+          oprot.writeFieldBegin(RETURNS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.returns.size()));
+            for (TokenReturn _iter219 : struct.returns)
+            {
+              _iter219.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -643,6 +869,26 @@
       oprot.writeI64(struct.needed);
       oprot.writeI64(struct.ahead);
       oprot.writeI64(struct.configurationVersion);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetHolderStartedMs()) {
+        optionals.set(0);
+      }
+      if (struct.isSetReturns()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetHolderStartedMs()) {
+        oprot.writeI64(struct.holderStartedMs);
+      }
+      if (struct.isSetReturns()) {
+        {
+          oprot.writeI32(struct.returns.size());
+          for (TokenReturn _iter220 : struct.returns)
+          {
+            _iter220.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
@@ -656,6 +902,25 @@
       struct.setAheadIsSet(true);
       struct.configurationVersion = iprot.readI64();
       struct.setConfigurationVersionIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(2);
+      if (incoming.get(0)) {
+        struct.holderStartedMs = iprot.readI64();
+        struct.setHolderStartedMsIsSet(true);
+      }
+      if (incoming.get(1)) {
+        {
+          org.apache.thrift.protocol.TList _list221 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.returns = new java.util.ArrayList<TokenReturn>(_list221.size);
+          @org.apache.thrift.annotation.Nullable TokenReturn _elem222;
+          for (int _i223 = 0; _i223 < _list221.size; ++_i223)
+          {
+            _elem222 = new TokenReturn();
+            _elem222.read(iprot);
+            struct.returns.add(_elem222);
+          }
+        }
+        struct.setReturnsIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -364,12 +364,22 @@
   1: required i32 slot
   2: required string node                   // empty if nobody holds it
   3: required i64 startedMs                 // start of the holder's process, by its own clock
+  4: required i64 assignedTerm              // of the leader that gave it the slot
+  5: required i64 assignedNumber            // of the table in which that leader did so first
 }
 
 /** Value of the key of the slots of usage caps in the key-value service. */
 struct CapSlotTable {
   1: required i64 term                      // of the leader that wrote it
   2: required list<CapSlot> slots
+  3: required i64 number                    // rises with each table of one term
+}
+
+/** Tokens that were taken from a slot and not used. */
+struct TokenReturn {
+  1: required i32 slot
+  2: required i64 stamp                     // of the grant
+  3: required i64 tokens
 }
 
 /** Request of a node for a part of a workspace's usage cap. */
@@ -378,6 +388,8 @@
   2: required i64 needed                    // granted completely or not at all
   3: required i64 ahead                     // granted as far as possible
   4: required i64 configurationVersion      // by which the node knows the cap
+  5: optional i64 holderStartedMs           // process that gave the tokens that are returned
+  6: optional list<TokenReturn> returns
 }
 
 /** Answer of the holder of a slot. */
@@ -385,6 +397,8 @@
   1: required i64 granted                   // 0 for none
   2: required i64 validMs                   // for how long the node may use them, from when it sent its request
   3: required i64 retryAfterMs              // without a grant: when there is room for the need again; negative if not known
+  4: optional i32 slot                      // that the tokens were taken from
+  5: optional i64 stamp                     // names the grant when tokens are returned
 }
 
 /** Report of a node to the leader. */
@@ -402,6 +416,9 @@
   11: optional i64 startedMs                // start of the reporting process, by its own clock
   12: optional list<i32> releasedSlots      // slots of usage caps that the process held and will not use any more
   13: optional list<RunnerPace> paces       // of runners that the node has had answers from since its last report
+  14: optional list<CapSlot> heldSlots      // slots of usage caps that the process may use now
+  15: optional i64 capTableTerm             // term and number of the table of slots that the node has
+  16: optional i64 capTableNumber
 }
 
 /** Model that a runner holds, with the adapters loaded for it. */
@@ -439,7 +456,7 @@
   7: required i64 number                    // rises with each answer to a node
   8: optional list<RunnerProcess> leaving   // processes that have said, to any node, that they are shutting down
   9: optional list<ModelArrival> versionArrivals // of models that the rest of streams waits for; nodes without this field ignore them
-  10: optional list<CapSlot> capSlots       // holders of the parts of usage caps
+  10: optional CapSlotTable capSlots        // holders of the parts of usage caps; absent if the node has this table
   11: optional i64 capSlotsValidMs          // for how long the node may use those that it holds, from when it sent its report
   12: optional list<RunnerPace> paces       // of all runners whose pace is known
 }
