node, platform: usage caps are kept by slots that nodes hold

Requests of a workspace with a cap are counted before they are placed. Tokens of a request that never runs go back with the next call to their holder. Without caps there are no calls, fields or keys.

A leader now also goes by the wall clock: the monotonic clock stops while its machine is frozen, and by it alone a leader that wakes after its lease could let holders go on.

No workspace reaches the node yet (CapSource.none): the configuration of workspaces is built elsewhere.

--- a/coordination/src/main/java/io/persimmonstack/coordination/cap/GrantedTokens.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/GrantedTokens.java
@@ -118,10 +118,14 @@
         }
     }
 
-    /** Remembers tokens that were not used, until they can be given back to their holder. */
+    /**
+     * Remembers tokens that were not used, until they can be given back to their holder, which may then have room
+     * again.
+     */
     public void giveBack(TokenBatch batch) {
         if (batch.tokens() > 0) {
             returns.addLast(batch);
+            exhausted.remove(Process.of(batch.holder()));
         }
         if (returns.size() > MAX_RETURNS) {
             returns.removeFirst();
--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -7,6 +7,8 @@
 import io.persimmonstack.node.callers.RequestReceiver;
 import io.persimmonstack.node.callers.RequestServer;
 import io.persimmonstack.node.callers.WorkspaceCheck;
+import io.persimmonstack.node.caps.CapSource;
+import io.persimmonstack.node.caps.UsageCaps;
 import io.persimmonstack.node.fleet.Fleet;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Peer;
@@ -83,6 +85,7 @@
     private final StoreSession session;
     private final DrainState drainState;
     private final Placer placer;
+    private final UsageCaps caps;
     private final StoredStreams streams;
     private final SharedOrigins origins;
     private final PromptGuard prompts;
@@ -104,22 +107,9 @@
         this.prompts = PromptGuard.create(options.name(), startedMs, fleet);
         prompts.onBlocked(() -> placer.refuseQueuedIf(
                 request -> prompts.refusal(request.callerRequest()).map(RefusedException::new)));
-        Dispatcher dispatcher = Dispatcher.of(
-                fleet,
-                placer,
-                RetryBudget.of(options.retryBudget()),
-                ports.connector(),
-                ports.protocol(),
-                origins,
-                ports.processCheck(),
-                prompts);
-        StoredVersions currentVersions =
-                StoredVersions.of(ports.store(), options.runnersPrefix(), ports.runnerDecoder());
-        ResumptionResolver resumptions = ResumptionResolver.of(origins, streams.versions(), currentVersions);
-        WorkspaceCheck workspaces = WorkspaceCheck.of(fleet, ports.protocol(), options.applyMs(), options.revokeMs());
-        RequestServer server = RequestServer.of(
-                fleet, ports.protocol(), dispatcher, metrics, drainState, resumptions, workspaces, options.applyMs());
-        this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
+        this.caps = closer.add(
+                UsageCaps.create(options.name(), startedMs, options.capBounds(), CapSource.none(), fleet, registry));
+        this.receiver = closer.add(RequestReceiver.of(requestServer(ports, metrics), executor, drainState::isDraining));
         AtomicReference<Optional<byte[]>> lastReport = new AtomicReference<>(Optional.empty());
         StoredValue crashReport = closer.add(StoredValue.start(
                 ports.store(), NodeKeys.crashReport(options.name()), () -> CRASH_REPORT_INTERVAL_MS, lastReport::get));
@@ -160,6 +150,32 @@
         return new Node(options, ports, registry, Closer.create());
     }
 
+    private RequestServer requestServer(NodePorts ports, NodeMetrics metrics) {
+        Dispatcher dispatcher = Dispatcher.of(
+                fleet,
+                placer,
+                RetryBudget.of(options.retryBudget()),
+                ports.connector(),
+                ports.protocol(),
+                origins,
+                ports.processCheck(),
+                prompts);
+        StoredVersions currentVersions =
+                StoredVersions.of(ports.store(), options.runnersPrefix(), ports.runnerDecoder());
+        ResumptionResolver resumptions = ResumptionResolver.of(origins, streams.versions(), currentVersions);
+        WorkspaceCheck workspaces = WorkspaceCheck.of(fleet, ports.protocol(), options.applyMs(), options.revokeMs());
+        return RequestServer.of(
+                fleet,
+                ports.protocol(),
+                dispatcher,
+                metrics,
+                drainState,
+                resumptions,
+                workspaces,
+                caps.admission(),
+                options.applyMs());
+    }
+
     private Map<String, PeerAddress> linkAddresses() {
         return fleet.current().peers().values().stream().collect(Collectors.toMap(Peer::node, Peer::linkAddress));
     }
@@ -206,16 +222,17 @@
         NodeReports reports = NodeReports.create();
         Planner planner = closer.add(Planner.start(
                 fleet, reports, leadTerm, options, ports.runnerControl(), executor, metrics, session::stepDown));
-        LeaderHandler leader = LeaderHandler.of(fleet, reports, planner, leadTerm);
+        LeaderHandler leader = LeaderHandler.of(fleet, reports, planner, leadTerm, caps);
         try {
-            LinkHandler handler = LinkHandler.of(leader, origins.handler(), crashReports::receive);
+            LinkHandler handler = LinkHandler.of(leader, origins.handler(), crashReports::receive, caps::takeTokens);
             closer.add(ThriftServer.start(options.linkAddress(), new NodeLink.Processor<>(handler)));
         } catch (WireException e) {
             throw new ProgramException("link " + options.linkAddress() + ": cannot be bound: " + e.getMessage(), e);
         }
         ThriftPeers<NodeLink.Client> links =
                 closer.add(ThriftPeers.of(new NodeLink.Client.Factory(), LINK_CONNECT_TIMEOUT_MS));
-        closer.add(LoadReporter.start(options.name(), fleet, placer, leader, links));
+        caps.startLeading(ports.store(), leadTerm);
+        closer.add(LoadReporter.start(options.name(), fleet, placer, leader, links, caps));
     }
 
     private void registerGauges(MetricRegistry registry) {
@@ -271,6 +288,7 @@
         LOG.write(NodeEvent.LEAVING, options.name(), receiver.openRequests());
         long stopStartedNanos = System.nanoTime();
         drainState.start(stopStartedNanos);
+        caps.release();
         session.close();
         long maxDrainMs = options.graceMs() - EXIT_MARGIN_MS;
         while (elapsedMs(stopStartedNanos) < maxDrainMs - LAST_ANSWERS_MS
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -63,6 +63,10 @@
     VERSIONS_NOT_READ(6027, Level.WARN, "versions-not-read cause={}"),
     /** The watch of the store ended; all keys are read again. */
     STORE_WATCH_ENDED(6028, Level.WARN, "store-watch-ended cause={} unconfirmed-ms={}"),
+    /** The leader has assigned the slots of usage caps. */
+    CAP_SLOTS_ASSIGNED(6029, Level.INFO, "cap-slots-assigned term={} number={} slots={} holders={}"),
+    /** A holder of slots of usage caps did not answer a request for tokens; another one is asked. */
+    CAP_HOLDER_SILENT(6030, Level.WARN, "cap-holder-silent holder={} workspace={} cause={}"),
     /** The configuration that was applied has workspaces, so that requests need keys. */
     WORKSPACES(6040, Level.INFO, "workspaces version={} workspaces={} keys={}"),
     /** A request was answered by a runner. */
--- a/node/src/main/java/io/persimmonstack/node/NodeOptions.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeOptions.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node;
 
+import io.persimmonstack.coordination.cap.CapBounds;
 import io.persimmonstack.node.placing.RetryBudgetOptions;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.OptionalLong;
@@ -21,6 +22,7 @@
  *     empty if it is not known
  * @param revokeMs age of the last confirmation of the configuration beyond which no key of a workspace is accepted, in
  *     milliseconds; empty if keys are accepted at any age
+ * @param capBounds bound on the usage of a workspace that has a cap
  * @param graceMs grace period from the stop signal until the process is killed, in milliseconds
  */
 public record NodeOptions(
@@ -35,4 +37,5 @@
         int applyMs,
         OptionalLong leavingServesMs,
         OptionalLong revokeMs,
+        CapBounds capBounds,
         long graceMs) {}
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -3,6 +3,8 @@
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.node.NodeMetrics;
 import io.persimmonstack.node.RateLimitedLog;
+import io.persimmonstack.node.caps.AdmittedTokens;
+import io.persimmonstack.node.caps.CapAdmission;
 import io.persimmonstack.node.config.Route;
 import io.persimmonstack.node.config.RoutingTable;
 import io.persimmonstack.node.config.Service;
@@ -47,6 +49,7 @@
     private final ResumptionResolver resumptions;
     private final WorkspaceCheck workspaces;
     private final int applyMs;
+    private final CapAdmission caps;
 
     private RequestServer(
             FleetView fleet,
@@ -56,7 +59,9 @@
             DrainState drainState,
             ResumptionResolver resumptions,
             WorkspaceCheck workspaces,
+            CapAdmission caps,
             int applyMs) {
+        this.caps = caps;
         this.drainState = drainState;
         this.resumptions = resumptions;
         this.workspaces = workspaces;
@@ -77,6 +82,7 @@
      * @param drainState decides which requests a stopping node still accepts
      * @param resumptions finds out where a stream began that a caller resumes
      * @param workspaces checks the keys of requests
+     * @param caps admits requests of workspaces within their usage caps
      * @param applyMs time limit within which a new configuration must take effect, in milliseconds
      */
     public static RequestServer of(
@@ -87,8 +93,10 @@
             DrainState drainState,
             ResumptionResolver resumptions,
             WorkspaceCheck workspaces,
+            CapAdmission caps,
             int applyMs) {
-        return new RequestServer(fleet, protocol, dispatcher, metrics, drainState, resumptions, workspaces, applyMs);
+        return new RequestServer(
+                fleet, protocol, dispatcher, metrics, drainState, resumptions, workspaces, caps, applyMs);
     }
 
     /**
@@ -104,7 +112,7 @@
             CallerRequest callerRequest = protocol.decode(rawRequest);
             summary.callerRequest = callerRequest;
             ActiveRequest request = resolve(callerRequest, receivedNanos, summary);
-            Delivery delivery = dispatcher.serve(request, reply, summary.sends);
+            Delivery delivery = dispatch(request, reply, summary.sends);
             logServed(summary, delivery);
         } catch (RefusedException e) {
             refuse(summary, e.refusal(), reply);
@@ -130,6 +138,25 @@
         }
     }
 
+    /** Counts a request for its workspace and forwards it; one that did not run is not counted. */
+    private Delivery dispatch(ActiveRequest request, Reply reply, SendTracker sends)
+            throws RefusedException, CallerGoneException {
+        AdmittedTokens tokens = caps.admit(request.workspace(), request.callerRequest());
+        try {
+            return dispatcher.serve(request, reply, sends);
+        } catch (RefusedException e) {
+            if (e.refusal().neverRuns()) {
+                tokens.giveBack();
+            }
+            throw e;
+        } catch (CallerGoneException | RuntimeException e) {
+            if (sends.count() == 0) {
+                tokens.giveBack();
+            }
+            throw e;
+        }
+    }
+
     /** Answers a request that was interrupted since the process ends. */
     private void refuseAtEnd(RequestSummary summary, Reply reply) {
         // An interrupted thread could not write the answer.
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/caps/CapAdmission.java
@@ -0,0 +1,58 @@
+package io.persimmonstack.node.caps;
+
+import io.persimmonstack.coordination.cap.TokenTaker;
+import io.persimmonstack.node.config.UsageCap;
+import io.persimmonstack.node.config.Workspace;
+import io.persimmonstack.node.request.CallerRequest;
+import io.persimmonstack.node.request.Refusal;
+import io.persimmonstack.node.request.RefusedException;
+import java.util.Optional;
+
+/** Admits requests of workspaces within their caps. Thread-safe; blocks while it asks another node for tokens. */
+public final class CapAdmission {
+    /** Retry-After while no holder of a slot answers. */
+    private static final long UNKNOWN_RETRY_MS = 300;
+
+    private final CapShares shares;
+    private final TokenTaker taker;
+
+    CapAdmission(CapShares shares, TokenTaker taker) {
+        this.shares = shares;
+        this.taker = taker;
+    }
+
+    /**
+     * Counts a request of a workspace.
+     *
+     * @param workspace workspace, empty for a request without a key
+     * @param request the request
+     * @return what it was counted for
+     * @throws RefusedException if the workspace is over its cap, or if no node answers that knows its usage
+     */
+    public AdmittedTokens admit(Optional<Workspace> workspace, CallerRequest request) throws RefusedException {
+        Optional<UsageCap> cap = workspace.flatMap(Workspace::cap).filter(CapShares::limits);
+        if (cap.isEmpty()) {
+            return AdmittedTokens.none();
+        }
+        String name = workspace.get().name();
+        long need = count(cap.get(), request);
+        return switch (taker.take(name, shares.shareOf(name, cap.get()), need)) {
+            case TokenTaker.Decision.Admitted admitted -> AdmittedTokens.of(taker, name, admitted.batches());
+            case TokenTaker.Decision.OverCap over ->
+                throw new RefusedException(
+                        Refusal.overCap("workspace " + name + ", request counts " + need, over.retryMs()));
+            case TokenTaker.Decision.Unknown unknown ->
+                throw new RefusedException(
+                        Refusal.notRun("cap-unknown", "no holder of tokens of " + name, UNKNOWN_RETRY_MS));
+        };
+    }
+
+    /** Returns what a request counts. Without a readable token count it counts as the cap says for such requests. */
+    private static long count(UsageCap cap, CallerRequest request) {
+        long stated = (long) request.tokens().prompt() + request.tokens().maxOutput();
+        return switch (cap.unit()) {
+            case REQUESTS -> 1;
+            case TOKENS -> stated == 0 ? cap.plainTokens() : stated;
+        };
+    }
+}
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/caps/CapSource.java
@@ -0,0 +1,28 @@
+package io.persimmonstack.node.caps;
+
+import io.persimmonstack.node.config.UsageCap;
+import java.util.Optional;
+
+/** Caps of the configuration that this node knows. */
+public interface CapSource {
+    /** Returns whether any workspace has a cap; otherwise caps cause no calls, messages or keys. */
+    boolean hasCaps();
+
+    /** Returns the cap of a workspace, empty if it has none or is not known. */
+    Optional<UsageCap> capOf(String workspace);
+
+    /** Returns the caps of a configuration without any. */
+    static CapSource none() {
+        return new CapSource() {
+            @Override
+            public boolean hasCaps() {
+                return false;
+            }
+
+            @Override
+            public Optional<UsageCap> capOf(String workspace) {
+                return Optional.empty();
+            }
+        };
+    }
+}
--- a/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
@@ -16,9 +16,16 @@
     private final NodeReports reports;
     private final Planner planner;
     private final Supplier<OptionalLong> leadTerm;
+    private final LoadExtension extension;
     private final SnapshotDeltas snapshotDeltas = new SnapshotDeltas();
 
-    private LeaderHandler(FleetView fleet, NodeReports reports, Planner planner, Supplier<OptionalLong> leadTerm) {
+    private LeaderHandler(
+            FleetView fleet,
+            NodeReports reports,
+            Planner planner,
+            Supplier<OptionalLong> leadTerm,
+            LoadExtension extension) {
+        this.extension = extension;
         this.fleet = fleet;
         this.reports = reports;
         this.planner = planner;
@@ -32,10 +39,15 @@
      * @param reports receives the reports
      * @param planner source of the runner states
      * @param leadTerm returns the term of this node's leadership, empty while it is not the leader
+     * @param extension adds to the answers
      */
     public static LeaderHandler of(
-            FleetView fleet, NodeReports reports, Planner planner, Supplier<OptionalLong> leadTerm) {
-        return new LeaderHandler(fleet, reports, planner, leadTerm);
+            FleetView fleet,
+            NodeReports reports,
+            Planner planner,
+            Supplier<OptionalLong> leadTerm,
+            LoadExtension extension) {
+        return new LeaderHandler(fleet, reports, planner, leadTerm, extension);
     }
 
     /**
@@ -57,6 +69,8 @@
                 term.getAsLong(),
                 LoadMessages.acknowledgedAnswer(load),
                 planner.snapshotsFor(load.getNode()));
-        return LoadMessages.toFleetLoad(fleet, delta, reports.silentNodes(nowNanos), planner.arrivals());
+        FleetLoad answer = LoadMessages.toFleetLoad(fleet, delta, reports.silentNodes(nowNanos), planner.arrivals());
+        extension.exchange(term.getAsLong(), load, answer);
+        return answer;
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/peers/LinkHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LinkHandler.java
@@ -11,17 +11,24 @@
 import io.persimmonstack.wire.gen.WireRefusal;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** Passes the calls of other nodes on to the part of this node that answers them. */
 public final class LinkHandler implements NodeLink.Iface {
     private final LeaderHandler leader;
     private final OriginHandler origins;
     private final Consumer<List<CrashReportRecord>> crashReports;
+    private final Function<TokenRequest, TokenGrant> tokens;
 
-    private LinkHandler(LeaderHandler leader, OriginHandler origins, Consumer<List<CrashReportRecord>> crashReports) {
+    private LinkHandler(
+            LeaderHandler leader,
+            OriginHandler origins,
+            Consumer<List<CrashReportRecord>> crashReports,
+            Function<TokenRequest, TokenGrant> tokens) {
         this.leader = leader;
         this.origins = origins;
         this.crashReports = crashReports;
+        this.tokens = tokens;
     }
 
     /**
@@ -30,10 +37,14 @@
      * @param leader answers load reports
      * @param origins keeps and finds origins of streams
      * @param crashReports takes reports about runners that ended
+     * @param tokens grants tokens of usage caps
      */
     public static LinkHandler of(
-            LeaderHandler leader, OriginHandler origins, Consumer<List<CrashReportRecord>> crashReports) {
-        return new LinkHandler(leader, origins, crashReports);
+            LeaderHandler leader,
+            OriginHandler origins,
+            Consumer<List<CrashReportRecord>> crashReports,
+            Function<TokenRequest, TokenGrant> tokens) {
+        return new LinkHandler(leader, origins, crashReports, tokens);
     }
 
     @Override
@@ -58,6 +69,6 @@
 
     @Override
     public TokenGrant takeTokens(TokenRequest request) {
-        return new TokenGrant(0, 0, -1);
+        return tokens.apply(request);
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node.peers;
 
+import io.persimmonstack.coordination.cap.ClockReading;
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Leader;
@@ -37,6 +38,7 @@
     private final Placer placer;
     private final LeaderHandler localLeader;
     private final ThriftPeers<NodeLink.Client> peers;
+    private final LoadExtension extension;
     private final WakeableThread thread = WakeableThread.of("load-reporter", this::intervalMs, this::run);
     private SnapshotDeltas.AnswerId acknowledged = SnapshotDeltas.AnswerId.NONE;
     private long sequence;
@@ -48,7 +50,9 @@
             FleetView fleet,
             Placer placer,
             LeaderHandler localLeader,
-            ThriftPeers<NodeLink.Client> peers) {
+            ThriftPeers<NodeLink.Client> peers,
+            LoadExtension extension) {
+        this.extension = extension;
         this.node = node;
         this.fleet = fleet;
         this.placer = placer;
@@ -64,14 +68,16 @@
      * @param placer source of this node's load and receiver of the runner states
      * @param localLeader receives the reports while this node is the leader
      * @param peers connections to other nodes
+     * @param extension adds to the reports and takes its part of the answers
      */
     public static LoadReporter start(
             String node,
             FleetView fleet,
             Placer placer,
             LeaderHandler localLeader,
-            ThriftPeers<NodeLink.Client> peers) {
-        LoadReporter reporter = new LoadReporter(node, fleet, placer, localLeader, peers);
+            ThriftPeers<NodeLink.Client> peers,
+            LoadExtension extension) {
+        LoadReporter reporter = new LoadReporter(node, fleet, placer, localLeader, peers, extension);
         placer.onQueued(reporter.thread::wake);
         reporter.thread.start();
         return reporter;
@@ -94,8 +100,12 @@
             return;
         }
         NodeLoad load = LoadMessages.toNodeLoad(node, ++sequence, fleet, acknowledged, placer.drainLoad());
+        ClockReading sent = ClockReading.now();
+        extension.prepareReport(load, sent);
         try {
-            apply(exchange(leader.get(), load));
+            FleetLoad answer = exchange(leader.get(), load);
+            extension.applyAnswer(answer, sent);
+            apply(answer);
         } catch (WireException | WireRefusal e) {
             checkSilence(leader.get().node(), e.toString());
         }
--- a/node/src/main/java/io/persimmonstack/node/request/Refusal.java
+++ b/node/src/main/java/io/persimmonstack/node/request/Refusal.java
@@ -44,6 +44,11 @@
         return new Refusal(SERVICE_UNAVAILABLE, reason, detail, OptionalLong.of(retryAfterMs));
     }
 
+    /** Returns whether no runner has run the request and none will. */
+    public boolean neverRuns() {
+        return status == SERVICE_UNAVAILABLE || status == TOO_MANY_REQUESTS;
+    }
+
     /** Returns the answer to a request that may have run but whose answer was lost. */
     public static Refusal outcomeUnknown(String detail) {
         return new Refusal(BAD_GATEWAY, "outcome-unknown", detail, OptionalLong.empty());
--- a/node/src/main/java/io/persimmonstack/node/store/NodeKeys.java
+++ b/node/src/main/java/io/persimmonstack/node/store/NodeKeys.java
@@ -13,6 +13,9 @@
     /** Prefix of what the nodes leave about their streams. */
     public static final String STREAMS = "persimmon-streams/";
 
+    /** Key of the table of slots of usage caps; under no lease, since it tells a new leader who may hold a slot. */
+    public static final String CAP_SLOTS = "persimmon-caps/slots";
+
     private NodeKeys() {}
 
     /** Returns the key under which the named node registers. */
--- a/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
+++ b/node/src/main/java/io/persimmonstack/node/store/StoreSession.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node.store;
 
+import io.persimmonstack.coordination.cap.ClockReading;
 import io.persimmonstack.coordination.kv.Expectation;
 import io.persimmonstack.coordination.kv.KvCorruptException;
 import io.persimmonstack.coordination.kv.KvEntry;
@@ -45,6 +46,7 @@
     private final Thread thread = Thread.ofVirtual().name("store-session").unstarted(this::run);
     private volatile boolean registered;
     private volatile long leaseValidUntilNanos;
+    private volatile long leaseValidUntilWallMs;
     private volatile OptionalLong term = OptionalLong.empty();
     private volatile boolean closing;
     private volatile Optional<Lease> lease = Optional.empty();
@@ -76,7 +78,9 @@
 
     /** Returns the term in which this node leads, empty if it does not lead or its lease may have expired. */
     public OptionalLong leadTerm() {
-        boolean valid = leaseValidUntilNanos - System.nanoTime() > 0;
+        // The monotonic clock stops while the machine is frozen, and the lease ends nevertheless.
+        boolean valid =
+                leaseValidUntilNanos - System.nanoTime() > 0 && leaseValidUntilWallMs > System.currentTimeMillis();
         boolean current = lease.filter(store::isCurrent).isPresent();
         return valid && current && !closing ? term : OptionalLong.empty();
     }
@@ -165,24 +169,26 @@
     }
 
     private void acquireLease() throws KvException {
-        long sentNanos = System.nanoTime();
+        ClockReading sent = ClockReading.now();
         Lease granted = store.grant(LEASE_TTL_MS);
         lease = Optional.of(granted);
-        recordRenewal(granted, sentNanos);
+        recordRenewal(granted, sent);
     }
 
     private void renewLease(Lease activeLease) throws KvException {
-        long sentNanos = System.nanoTime();
+        ClockReading sent = ClockReading.now();
         if (store.keepAlive(activeLease)) {
-            recordRenewal(activeLease, sentNanos);
+            recordRenewal(activeLease, sent);
             return;
         }
         leaseEnded("lease ended");
     }
 
-    private void recordRenewal(Lease activeLease, long sentNanos) {
-        lastRenewalNanos = sentNanos;
-        leaseValidUntilNanos = sentNanos + TimeUnit.MILLISECONDS.toNanos(activeLease.ttlMs() - LEASE_SAFETY_MARGIN_MS);
+    private void recordRenewal(Lease activeLease, ClockReading sent) {
+        long validMs = activeLease.ttlMs() - LEASE_SAFETY_MARGIN_MS;
+        lastRenewalNanos = sent.monotonicNanos();
+        leaseValidUntilWallMs = sent.wallMs() + validMs;
+        leaseValidUntilNanos = sent.monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(validMs);
     }
 
     private void register(Lease activeLease) throws KvException {
--- a/node/src/test/java/io/persimmonstack/node/planning/PlannerFixture.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/PlannerFixture.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.node.planning;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.coordination.cap.CapBounds;
 import io.persimmonstack.node.NodeMetrics;
 import io.persimmonstack.node.NodeOptions;
 import io.persimmonstack.node.config.Engine;
@@ -65,6 +66,7 @@
                 2_000,
                 OptionalLong.empty(),
                 OptionalLong.empty(),
+                new CapBounds(8_000, 0.1, 7_500),
                 1_000);
         NodeMetrics metrics = NodeMetrics.in(new MetricRegistry());
         return Planner.start(fleet, reports, leadTerm, options, control, threads, metrics, cause -> {});
--- a/node/src/test/java/io/persimmonstack/node/streams/LinkedNode.java
+++ b/node/src/test/java/io/persimmonstack/node/streams/LinkedNode.java
@@ -6,12 +6,14 @@
 import io.persimmonstack.node.fleet.Peer;
 import io.persimmonstack.node.peers.LeaderHandler;
 import io.persimmonstack.node.peers.LinkHandler;
+import io.persimmonstack.node.peers.LoadExtension;
 import io.persimmonstack.node.planning.NodeReports;
 import io.persimmonstack.wire.PeerAddress;
 import io.persimmonstack.wire.ThriftPeers;
 import io.persimmonstack.wire.ThriftServer;
 import io.persimmonstack.wire.WireException;
 import io.persimmonstack.wire.gen.NodeLink;
+import io.persimmonstack.wire.gen.TokenGrant;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -27,8 +29,10 @@
 
     private LinkedNode(String name, long startedMs, long maxLookupMs) throws WireException {
         this.origins = SharedOrigins.start(name, fleet, StreamArchive.none(), NodeMetrics.in(registry), maxLookupMs);
-        LeaderHandler leader = LeaderHandler.of(fleet, NodeReports.create(), null, OptionalLong::empty);
-        LinkHandler handler = LinkHandler.of(leader, origins.handler(), reports -> {});
+        LeaderHandler leader =
+                LeaderHandler.of(fleet, NodeReports.create(), null, OptionalLong::empty, LoadExtension.NONE);
+        LinkHandler handler =
+                LinkHandler.of(leader, origins.handler(), reports -> {}, request -> new TokenGrant(0, 0, -1));
         this.server = ThriftServer.start(new PeerAddress("127.0.0.1", 0), new NodeLink.Processor<>(handler));
         this.peer = Peers.peer(name, startedMs, server.port());
     }
