coordination, node: surplus slots are released, and a silent holder is asked again

The first nodes that report to a new leader get all slots. A process that has held more than its part for 5 s releases the rest, which the leader gives to others in one write. Releases name assignments, so that a repeated report does not free a slot that came back.

A holder that was silent is asked again if no other one has answered: a small workspace has a single slot, and one late answer refused its requests for 0.3 s.

--- a/coordination/src/main/java/io/persimmonstack/coordination/cap/GrantedTokens.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/GrantedTokens.java
@@ -18,7 +18,7 @@
 public final class GrantedTokens {
     /** Time over which the use of this node is averaged, for the tokens that it asks for ahead of need. */
     private static final double USE_AVERAGE_MS = 2_000;
-    /** Time for which a holder is passed over that did not answer, or that held no slot. */
+    /** Time for which a holder that did not answer, or that held no slot, is asked after all others. */
     private static final long SILENT_MS = 300;
     /** Batches that are remembered until they can be given back. */
     private static final int MAX_RETURNS = 64;
@@ -153,12 +153,8 @@
         silent.put(Process.of(holder), now);
     }
 
-    /** Returns whether a holder is worth asking for a need now. */
-    public boolean mayHave(SlotHolder holder, long need, CapShare share, ClockReading now) {
-        return !isSilent(holder, now) && waitMs(holder, need, share, now).isEmpty();
-    }
-
-    private boolean isSilent(SlotHolder holder, ClockReading now) {
+    /** Returns whether a holder has not answered, or held no slot, a moment ago. */
+    public boolean isSilent(SlotHolder holder, ClockReading now) {
         ClockReading since = silent.get(Process.of(holder));
         return since != null && now.msSince(since) < SILENT_MS;
     }
--- a/coordination/src/main/java/io/persimmonstack/coordination/cap/HeldSlots.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/HeldSlots.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -26,7 +25,8 @@
     private long rightMs;
     private long answeredTerm;
     private long lastStamp;
-    private boolean released;
+    private final Map<Integer, SlotHolder> released = new HashMap<>();
+    private boolean leaving;
 
     /** Slot with its buckets by workspace. */
     private static final class Slot {
@@ -82,16 +82,20 @@
      * @param now present moment
      */
     public void update(SlotTable table, ClockReading sent, OptionalLong validMs, ClockReading now) {
-        if (released || table.term() < answeredTerm) {
+        if (table.term() < answeredTerm) {
             return;
         }
         answeredTerm = table.term();
+        released.entrySet()
+                .removeIf(entry -> !entry.getValue().equals(table.holders().get(entry.getKey())));
         slots.values().removeIf(slot -> !table.holders().containsValue(slot.holder));
         table.holders().forEach((slot, holder) -> {
             boolean isNew = !slots.containsKey(slot) || !slots.get(slot).holder.equals(holder);
             if (!holder.isProcess(node, startedMs)) {
                 slots.remove(slot);
-            } else if (isNew) {
+            } else if (leaving) {
+                released.put(slot, holder);
+            } else if (isNew && !holder.equals(released.get(slot))) {
                 slots.put(slot, new Slot(holder, now.monotonicNanos(), lastStamp + 1));
             }
         });
@@ -115,12 +119,44 @@
         return held;
     }
 
-    /** Stops granting for good, and returns the slots that were held. */
-    public Set<Integer> release() {
-        Set<Integer> given = Set.copyOf(slots.keySet());
-        released = true;
-        slots.clear();
-        return given;
+    /** Stops granting for good, since the process is about to end. */
+    public void releaseAll() {
+        leaving = true;
+        releaseDownTo(0);
+    }
+
+    /**
+     * Releases the slots beyond a number, if all have been held for some time. The first nodes that report to a new
+     * leader get all slots; this spreads them over those that report later.
+     *
+     * @param count number of slots to keep
+     * @param heldMs time for which the slots must have been held, in milliseconds
+     * @param now present moment
+     * @return whether any were released
+     */
+    public boolean releaseSurplus(int count, long heldMs, ClockReading now) {
+        long sinceNanos = now.monotonicNanos() - TimeUnit.MILLISECONDS.toNanos(heldMs);
+        boolean settled = slots.values().stream().allMatch(slot -> slot.startNanos - sinceNanos <= 0);
+        if (!settled || slots.size() <= count) {
+            return false;
+        }
+        releaseDownTo(count);
+        return true;
+    }
+
+    private void releaseDownTo(int count) {
+        List<Integer> surplus = slots.keySet().stream().skip(count).toList();
+        surplus.forEach(slot -> released.put(slot, slots.remove(slot).holder));
+    }
+
+    /** Returns the assignments that were released and that the leader's table still has. */
+    public Map<Integer, SlotHolder> released() {
+        return Map.copyOf(released);
+    }
+
+    /** Returns whether the process is about to end and takes no slots. */
+    public boolean isLeaving() {
+        return leaving;
     }
 
     /**
--- a/coordination/src/main/java/io/persimmonstack/coordination/cap/SlotAssigner.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/SlotAssigner.java
@@ -50,11 +50,15 @@
      * @param node name of the node
      * @param startedMs start of the process, by its own clock
      * @param held assignments by which it may use slots now
-     * @param released slots that it held and does not use any more
+     * @param released assignments of slots that it does not use any more
      * @param leaving whether it is about to end and takes no slots
      */
     public record Report(
-            String node, long startedMs, Map<Integer, SlotHolder> held, Set<Integer> released, boolean leaving) {}
+            String node,
+            long startedMs,
+            Map<Integer, SlotHolder> held,
+            Map<Integer, SlotHolder> released,
+            boolean leaving) {}
 
     /**
      * Starts with the table that the store has.
@@ -97,8 +101,7 @@
                 adopt(slot, report, nowNanos);
             } else if (holder.node().equals(report.node())) {
                 boolean ended = holder.startedMs() < report.startedMs();
-                boolean released = holder.startedMs() == report.startedMs()
-                        && report.released().contains(slot);
+                boolean released = holder.equals(report.released().get(slot));
                 if (ended || released) {
                     free(slot, nowNanos);
                 }
@@ -138,7 +141,7 @@
                     .filter(slot -> !proposed.containsKey(slot) && nowNanos - freeFromNanos.get(slot) >= 0)
                     .forEach(slot -> proposed.put(slot, choose(slot, candidates, proposed.values())));
         }
-        boolean complete = gathered || proposed.size() == CapShare.SLOTS;
+        boolean complete = gathered || proposed.size() == CapShare.SLOTS && allReported(proposed.values());
         boolean due = acknowledged ? !proposed.equals(table.holders()) : complete;
         return due ? Optional.of(new SlotTable(term, number + 1, proposed)) : Optional.empty();
     }
@@ -153,6 +156,13 @@
         return candidates;
     }
 
+    /** Returns whether the holders are known to be alive; those that ended are replaced in the same write. */
+    private boolean allReported(Collection<SlotHolder> assigned) {
+        return assigned.stream()
+                .allMatch(holder -> processes.containsKey(holder.node())
+                        && processes.get(holder.node()).startedMs == holder.startedMs());
+    }
+
     /** Chooses one of the candidates that hold the fewest slots. */
     private SlotHolder choose(int slot, Set<String> candidates, Collection<SlotHolder> assigned) {
         Map<String, Integer> counts = new HashMap<>();
--- a/coordination/src/main/java/io/persimmonstack/coordination/cap/TokenTaker.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/TokenTaker.java
@@ -114,16 +114,40 @@
             }
             candidates = holdersOf(share);
         }
+        return take(workspace, share, need, candidates);
+    }
+
+    /** Asks one holder after the other; one that was silent before only if no other one has answered. */
+    private Decision take(String workspace, CapShare share, long need, List<SlotHolder> candidates) {
+        List<SlotHolder> silent = new ArrayList<>();
         for (SlotHolder holder : candidates) {
+            if (isSilent(workspace, holder)) {
+                silent.add(holder);
+                continue;
+            }
             List<TokenBatch> taken = ask(holder, workspace, share, need);
             if (!taken.isEmpty()) {
                 return new Decision.Admitted(taken);
             }
         }
-        synchronized (this) {
-            OptionalLong retryMs = tokens(workspace).retryMs(candidates, need, share, clock.get());
-            return retryMs.isPresent() ? new Decision.OverCap(retryMs.getAsLong()) : new Decision.Unknown();
+        OptionalLong retryMs = retryMs(workspace, share, need, candidates);
+        for (SlotHolder holder : retryMs.isPresent() ? List.<SlotHolder>of() : silent) {
+            List<TokenBatch> taken = ask(holder, workspace, share, need);
+            if (!taken.isEmpty()) {
+                return new Decision.Admitted(taken);
+            }
         }
+        retryMs = retryMs(workspace, share, need, candidates);
+        return retryMs.isPresent() ? new Decision.OverCap(retryMs.getAsLong()) : new Decision.Unknown();
+    }
+
+    private synchronized boolean isSilent(String workspace, SlotHolder holder) {
+        return tokens(workspace).isSilent(holder, clock.get());
+    }
+
+    private synchronized OptionalLong retryMs(
+            String workspace, CapShare share, long need, List<SlotHolder> candidates) {
+        return tokens(workspace).retryMs(candidates, need, share, clock.get());
     }
 
     /** Returns the processes that hold slots of the workspace, this one first and the others in random order. */
@@ -148,7 +172,7 @@
         synchronized (this) {
             GrantedTokens tokens = tokens(workspace);
             asked = clock.get();
-            if (!tokens.mayHave(holder, need, share, asked)) {
+            if (tokens.retryMs(List.of(holder), need, share, asked).isPresent()) {
                 return List.of();
             }
             question = new Question(workspace, share, need, tokens.ahead(asked), tokens.drainReturns(holder));
--- a/coordination/src/test/java/io/persimmonstack/coordination/cap/CapRulesTest.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/cap/CapRulesTest.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** The rules that keep usage within its bound, each with the failure that breaks it. */
@@ -79,7 +78,7 @@
     }
 
     private static SlotAssigner.Report report(String node, long startedMs, Map<Integer, SlotHolder> held) {
-        return new SlotAssigner.Report(node, startedMs, held, Set.of(), false);
+        return new SlotAssigner.Report(node, startedMs, held, Map.of(), false);
     }
 
     private static SlotTable tableOf(SlotHolder holder, long term) {
@@ -160,7 +159,7 @@
         SlotAssigner assigner = new SlotAssigner(9, tableOf(HOLDER, 5), false, 0, BOUNDS);
         write(assigner, SECOND);
         assigner.report(report("b", 1, Map.of()), SECOND);
-        assigner.report(new SlotAssigner.Report("a", 1, Map.of(), Set.of(0, 1), true), SECOND);
+        assigner.report(new SlotAssigner.Report("a", 1, Map.of(), Map.of(0, HOLDER, 1, HOLDER), true), SECOND);
         SlotTable table = assigner.proposal(SECOND).orElseThrow();
         assertEquals("b", table.holders().get(0).node());
         assertEquals("b", table.holders().get(1).node());
--- a/coordination/src/test/java/io/persimmonstack/coordination/cap/SimulatedFleet.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/cap/SimulatedFleet.java
@@ -77,6 +77,10 @@
         }
     }
 
+    int size() {
+        return nodes.size();
+    }
+
     SimulatedNode node(String name) {
         return nodes.get(Integer.parseInt(name.substring(1)));
     }
--- a/coordination/src/test/java/io/persimmonstack/coordination/cap/SimulatedNode.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/cap/SimulatedNode.java
@@ -1,11 +1,9 @@
 package io.persimmonstack.coordination.cap;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
 
 /** Node of a simulated fleet: holder, client and, while elected, leader. Times are in milliseconds of true time. */
 final class SimulatedNode {
@@ -34,8 +32,6 @@
     private ClockReading leaseFrom;
     private SlotAssigner assigner;
     private long readRevision;
-    private Set<Integer> released = Set.of();
-    private boolean leaving;
 
     /** Answer of a leader on its way. */
     private record Answer(SlotTable table, OptionalLong validMs, ClockReading sent, long arrivesMs) {}
@@ -62,8 +58,6 @@
         assigner = null;
         answer = Optional.empty();
         knownLeader = -1;
-        released = Set.of();
-        leaving = false;
         nextReportMs = nowMs + random.nextInt(250);
         if (nextShare != null) {
             share = nextShare;
@@ -110,12 +104,11 @@
 
     /** Ends the process in order: it gives its slots up and goes on serving requests for a while. */
     void leave() {
-        released = held.release();
-        leaving = true;
+        held.releaseAll();
     }
 
     boolean isLeaving() {
-        return leaving;
+        return held.isLeaving();
     }
 
     void learnShare(CapShare newShare, long atMs) {
@@ -177,7 +170,7 @@
                 term = OptionalLong.empty();
                 assigner = null;
             }
-        } else if (knownLeader < 0 && random.nextInt(4) == 0 && !leaving) {
+        } else if (knownLeader < 0 && random.nextInt(4) == 0 && !held.isLeaving()) {
             ClockReading sent = clock();
             term = fleet.store.elect(index, fleet.nowMs);
             if (term.isPresent()) {
@@ -224,8 +217,9 @@
             return;
         }
         ClockReading sent = clock();
-        Map<Integer, SlotHolder> holding = held.held(sent);
-        SlotAssigner.Report report = new SlotAssigner.Report("n" + index, startedMs, holding, released, leaving);
+        held.releaseSurplus((CapShare.SLOTS + fleet.size() - 1) / fleet.size(), 3_000, sent);
+        SlotAssigner.Report report =
+                new SlotAssigner.Report("n" + index, startedMs, held.held(sent), held.released(), held.isLeaving());
         long leaderNanos = leader.clock().monotonicNanos();
         leader.assigner.report(report, leaderNanos);
         boolean extended = leader.assigner.extend("n" + index, startedMs, leaderNanos);
--- a/node/src/main/java/io/persimmonstack/node/caps/CapMessages.java
+++ b/node/src/main/java/io/persimmonstack/node/caps/CapMessages.java
@@ -15,11 +15,9 @@
 import io.persimmonstack.wire.gen.TokenRequest;
 import io.persimmonstack.wire.gen.TokenReturn;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 
 /** Converts between the types of usage caps and the Thrift messages. */
 final class CapMessages {
@@ -67,13 +65,12 @@
 
     /** Returns the part of a load report that is about slots. */
     static SlotAssigner.Report report(NodeLoad load) {
-        Set<Integer> released = load.isSetReleasedSlots() ? new HashSet<>(load.getReleasedSlots()) : Set.of();
         return new SlotAssigner.Report(
                 load.getNode(),
                 load.getStartedMs(),
                 fromMessages(load.getHeldSlots()),
-                released,
-                load.isSetReleasedSlots());
+                fromMessages(load.getReleasedSlots()),
+                load.isTakesNoSlots());
     }
 
     static TokenRequest toMessage(SlotHolder holder, TokenTaker.Question question, long configurationVersion) {
--- a/node/src/main/java/io/persimmonstack/node/caps/UsageCaps.java
+++ b/node/src/main/java/io/persimmonstack/node/caps/UsageCaps.java
@@ -23,11 +23,9 @@
 import io.persimmonstack.wire.gen.NodeLoad;
 import io.persimmonstack.wire.gen.TokenGrant;
 import io.persimmonstack.wire.gen.TokenRequest;
-import java.util.ArrayList;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
 import java.util.function.Supplier;
 
 /**
@@ -45,6 +43,9 @@
     /** Timeout of a request for tokens, and of the connection for it: the caller waits meanwhile. */
     private static final int CALL_TIMEOUT_MS = 150;
 
+    /** Time after which a node releases slots beyond its part, so that others that have started meanwhile get them. */
+    private static final long SURPLUS_HELD_MS = 5_000;
+
     private final String node;
     private final long startedMs;
     private final CapBounds bounds;
@@ -56,7 +57,6 @@
     private final TokenTaker taker;
     private final ThriftPeers<NodeLink.Client> links = ThriftPeers.of(new NodeLink.Client.Factory(), CALL_TIMEOUT_MS);
     private volatile SlotTable table = SlotTable.NONE;
-    private volatile Optional<Set<Integer>> released = Optional.empty();
     private volatile Optional<SlotLeader> leader = Optional.empty();
 
     private UsageCaps(
@@ -114,7 +114,7 @@
     /** Gives up all slots for good, since this node stops; the leader hears of it with the next report. */
     public void release() {
         synchronized (held) {
-            released = Optional.of(held.release());
+            held.releaseAll();
         }
     }
 
@@ -126,8 +126,11 @@
         load.setStartedMs(startedMs);
         load.setCapTableTerm(table.term());
         load.setCapTableNumber(table.number());
-        released.ifPresent(slots -> load.setReleasedSlots(new ArrayList<>(slots)));
+        int nodes = Math.max(1, fleet.current().peers().size());
         synchronized (held) {
+            held.releaseSurplus((CapShare.SLOTS + nodes - 1) / nodes, SURPLUS_HELD_MS, sent);
+            load.setReleasedSlots(CapMessages.toMessages(held.released()));
+            load.setTakesNoSlots(held.isLeaving());
             load.setHeldSlots(CapMessages.toMessages(held.held(sent)));
         }
     }
--- a/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
+++ b/wire/src/main/java/io/persimmonstack/wire/gen/NodeLoad.java
@@ -29,6 +29,7 @@
   private static final org.apache.thrift.protocol.TField HELD_SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("heldSlots", org.apache.thrift.protocol.TType.LIST, (short)14);
   private static final org.apache.thrift.protocol.TField CAP_TABLE_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("capTableTerm", org.apache.thrift.protocol.TType.I64, (short)15);
   private static final org.apache.thrift.protocol.TField CAP_TABLE_NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("capTableNumber", org.apache.thrift.protocol.TType.I64, (short)16);
+  private static final org.apache.thrift.protocol.TField TAKES_NO_SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("takesNoSlots", org.apache.thrift.protocol.TType.BOOL, (short)17);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new NodeLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new NodeLoadTupleSchemeFactory();
@@ -44,11 +45,12 @@
   private long answerNumber; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerProcess> leaving; // optional
   private long startedMs; // optional
-  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> releasedSlots; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<CapSlot> releasedSlots; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<RunnerPace> paces; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<CapSlot> heldSlots; // optional
   private long capTableTerm; // optional
   private long capTableNumber; // optional
+  private boolean takesNoSlots; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -67,7 +69,8 @@
     PACES((short)13, "paces"),
     HELD_SLOTS((short)14, "heldSlots"),
     CAP_TABLE_TERM((short)15, "capTableTerm"),
-    CAP_TABLE_NUMBER((short)16, "capTableNumber");
+    CAP_TABLE_NUMBER((short)16, "capTableNumber"),
+    TAKES_NO_SLOTS((short)17, "takesNoSlots");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -115,6 +118,8 @@
           return CAP_TABLE_TERM;
         case 16: // CAP_TABLE_NUMBER
           return CAP_TABLE_NUMBER;
+        case 17: // TAKES_NO_SLOTS
+          return TAKES_NO_SLOTS;
         default:
           return null;
       }
@@ -166,8 +171,9 @@
   private static final int __STARTEDMS_ISSET_ID = 5;
   private static final int __CAPTABLETERM_ISSET_ID = 6;
   private static final int __CAPTABLENUMBER_ISSET_ID = 7;
-  private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.LEAVING,_Fields.STARTED_MS,_Fields.RELEASED_SLOTS,_Fields.PACES,_Fields.HELD_SLOTS,_Fields.CAP_TABLE_TERM,_Fields.CAP_TABLE_NUMBER};
+  private static final int __TAKESNOSLOTS_ISSET_ID = 8;
+  private short __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.LEAVING,_Fields.STARTED_MS,_Fields.RELEASED_SLOTS,_Fields.PACES,_Fields.HELD_SLOTS,_Fields.CAP_TABLE_TERM,_Fields.CAP_TABLE_NUMBER,_Fields.TAKES_NO_SLOTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -199,7 +205,7 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.RELEASED_SLOTS, new org.apache.thrift.meta_data.FieldMetaData("releasedSlots", org.apache.thrift.TFieldRequirementType.OPTIONAL,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
-            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CapSlot.class))));
     tmpMap.put(_Fields.PACES, new org.apache.thrift.meta_data.FieldMetaData("paces", org.apache.thrift.TFieldRequirementType.OPTIONAL,
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RunnerPace.class))));
@@ -210,6 +216,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.CAP_TABLE_NUMBER, new org.apache.thrift.meta_data.FieldMetaData("capTableNumber", org.apache.thrift.TFieldRequirementType.OPTIONAL,
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TAKES_NO_SLOTS, new org.apache.thrift.meta_data.FieldMetaData("takesNoSlots", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(NodeLoad.class, metaDataMap);
   }
@@ -285,7 +293,10 @@
     }
     this.startedMs = other.startedMs;
     if (other.isSetReleasedSlots()) {
-      java.util.List<java.lang.Integer> __this__releasedSlots = new java.util.ArrayList<java.lang.Integer>(other.releasedSlots);
+      java.util.List<CapSlot> __this__releasedSlots = new java.util.ArrayList<CapSlot>(other.releasedSlots.size());
+      for (CapSlot other_element : other.releasedSlots) {
+        __this__releasedSlots.add(new CapSlot(other_element));
+      }
       this.releasedSlots = __this__releasedSlots;
     }
     if (other.isSetPaces()) {
@@ -304,6 +315,7 @@
     }
     this.capTableTerm = other.capTableTerm;
     this.capTableNumber = other.capTableNumber;
+    this.takesNoSlots = other.takesNoSlots;
   }
 
   @Override
@@ -337,6 +349,8 @@
     this.capTableTerm = 0;
     setCapTableNumberIsSet(false);
     this.capTableNumber = 0;
+    setTakesNoSlotsIsSet(false);
+    this.takesNoSlots = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -671,23 +685,23 @@
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<java.lang.Integer> getReleasedSlotsIterator() {
+  public java.util.Iterator<CapSlot> getReleasedSlotsIterator() {
     return (this.releasedSlots == null) ? null : this.releasedSlots.iterator();
   }
 
-  public void addToReleasedSlots(int elem) {
+  public void addToReleasedSlots(CapSlot elem) {
     if (this.releasedSlots == null) {
-      this.releasedSlots = new java.util.ArrayList<java.lang.Integer>();
+      this.releasedSlots = new java.util.ArrayList<CapSlot>();
     }
     this.releasedSlots.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<java.lang.Integer> getReleasedSlots() {
+  public java.util.List<CapSlot> getReleasedSlots() {
     return this.releasedSlots;
   }
 
-  public NodeLoad setReleasedSlots(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> releasedSlots) {
+  public NodeLoad setReleasedSlots(@org.apache.thrift.annotation.Nullable java.util.List<CapSlot> releasedSlots) {
     this.releasedSlots = releasedSlots;
     return this;
   }
@@ -835,6 +849,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CAPTABLENUMBER_ISSET_ID, value);
   }
 
+  public boolean isTakesNoSlots() {
+    return this.takesNoSlots;
+  }
+
+  public NodeLoad setTakesNoSlots(boolean takesNoSlots) {
+    this.takesNoSlots = takesNoSlots;
+    setTakesNoSlotsIsSet(true);
+    return this;
+  }
+
+  public void unsetTakesNoSlots() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TAKESNOSLOTS_ISSET_ID);
+  }
+
+  /** Returns true if field takesNoSlots is set (has been assigned a value) and false otherwise */
+  public boolean isSetTakesNoSlots() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TAKESNOSLOTS_ISSET_ID);
+  }
+
+  public void setTakesNoSlotsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TAKESNOSLOTS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -930,7 +967,7 @@
       if (value == null) {
         unsetReleasedSlots();
       } else {
-        setReleasedSlots((java.util.List<java.lang.Integer>)value);
+        setReleasedSlots((java.util.List<CapSlot>)value);
       }
       break;
 
@@ -966,6 +1003,14 @@
       }
       break;
 
+    case TAKES_NO_SLOTS:
+      if (value == null) {
+        unsetTakesNoSlots();
+      } else {
+        setTakesNoSlots((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -1021,6 +1066,9 @@
     case CAP_TABLE_NUMBER:
       return getCapTableNumber();
 
+    case TAKES_NO_SLOTS:
+      return isTakesNoSlots();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1065,6 +1113,8 @@
       return isSetCapTableTerm();
     case CAP_TABLE_NUMBER:
       return isSetCapTableNumber();
+    case TAKES_NO_SLOTS:
+      return isSetTakesNoSlots();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1226,6 +1276,15 @@
         return false;
     }
 
+    boolean this_present_takesNoSlots = true && this.isSetTakesNoSlots();
+    boolean that_present_takesNoSlots = true && that.isSetTakesNoSlots();
+    if (this_present_takesNoSlots || that_present_takesNoSlots) {
+      if (!(this_present_takesNoSlots && that_present_takesNoSlots))
+        return false;
+      if (this.takesNoSlots != that.takesNoSlots)
+        return false;
+    }
+
     return true;
   }
 
@@ -1287,6 +1346,10 @@
     if (isSetCapTableNumber())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(capTableNumber);
 
+    hashCode = hashCode * 8191 + ((isSetTakesNoSlots()) ? 131071 : 524287);
+    if (isSetTakesNoSlots())
+      hashCode = hashCode * 8191 + ((takesNoSlots) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -1458,6 +1521,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetTakesNoSlots(), other.isSetTakesNoSlots());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTakesNoSlots()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.takesNoSlots, other.takesNoSlots);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1591,6 +1664,12 @@
       sb.append(this.capTableNumber);
       first = false;
     }
+    if (isSetTakesNoSlots()) {
+      if (!first) sb.append(", ");
+      sb.append("takesNoSlots:");
+      sb.append(this.takesNoSlots);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1790,11 +1869,12 @@
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list236 = iprot.readListBegin();
-                struct.releasedSlots = new java.util.ArrayList<java.lang.Integer>(_list236.size);
-                int _elem237;
+                struct.releasedSlots = new java.util.ArrayList<CapSlot>(_list236.size);
+                @org.apache.thrift.annotation.Nullable CapSlot _elem237;
                 for (int _i238 = 0; _i238 < _list236.size; ++_i238)
                 {
-                  _elem237 = iprot.readI32();
+                  _elem237 = new CapSlot();
+                  _elem237.read(iprot);
                   struct.releasedSlots.add(_elem237);
                 }
                 iprot.readListEnd();
@@ -1858,6 +1938,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 17: // TAKES_NO_SLOTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.takesNoSlots = iprot.readBool();
+              struct.setTakesNoSlotsIsSet(true);
+            } else {
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1968,10 +2056,10 @@
         if (struct.isSetReleasedSlots()) {
           oprot.writeFieldBegin(RELEASED_SLOTS_FIELD_DESC);
           {
-            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.releasedSlots.size()));
-            for (int _iter249 : struct.releasedSlots)
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.releasedSlots.size()));
+            for (CapSlot _iter249 : struct.releasedSlots)
             {
-              oprot.writeI32(_iter249);
+              _iter249.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2016,6 +2104,11 @@
         oprot.writeI64(struct.capTableNumber);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetTakesNoSlots()) {
+        oprot.writeFieldBegin(TAKES_NO_SLOTS_FIELD_DESC);
+        oprot.writeBool(struct.takesNoSlots);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2083,7 +2176,10 @@
       if (struct.isSetCapTableNumber()) {
         optionals.set(6);
       }
-      oprot.writeBitSet(optionals, 7);
+      if (struct.isSetTakesNoSlots()) {
+        optionals.set(7);
+      }
+      oprot.writeBitSet(optionals, 8);
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
@@ -2099,9 +2195,9 @@
       if (struct.isSetReleasedSlots()) {
         {
           oprot.writeI32(struct.releasedSlots.size());
-          for (int _iter256 : struct.releasedSlots)
+          for (CapSlot _iter256 : struct.releasedSlots)
           {
-            oprot.writeI32(_iter256);
+            _iter256.write(oprot);
           }
         }
       }
@@ -2129,6 +2225,9 @@
       if (struct.isSetCapTableNumber()) {
         oprot.writeI64(struct.capTableNumber);
       }
+      if (struct.isSetTakesNoSlots()) {
+        oprot.writeBool(struct.takesNoSlots);
+      }
     }
 
     @Override
@@ -2181,7 +2280,7 @@
       struct.setAnswerTermIsSet(true);
       struct.answerNumber = iprot.readI64();
       struct.setAnswerNumberIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(7);
+      java.util.BitSet incoming = iprot.readBitSet(8);
       if (incoming.get(0)) {
         {
           org.apache.thrift.protocol.TList _list268 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
@@ -2202,12 +2301,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list271 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
-          struct.releasedSlots = new java.util.ArrayList<java.lang.Integer>(_list271.size);
-          int _elem272;
+          org.apache.thrift.protocol.TList _list271 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.releasedSlots = new java.util.ArrayList<CapSlot>(_list271.size);
+          @org.apache.thrift.annotation.Nullable CapSlot _elem272;
           for (int _i273 = 0; _i273 < _list271.size; ++_i273)
           {
-            _elem272 = iprot.readI32();
+            _elem272 = new CapSlot();
+            _elem272.read(iprot);
             struct.releasedSlots.add(_elem272);
           }
         }
@@ -2249,6 +2349,10 @@
         struct.capTableNumber = iprot.readI64();
         struct.setCapTableNumberIsSet(true);
       }
+      if (incoming.get(7)) {
+        struct.takesNoSlots = iprot.readBool();
+        struct.setTakesNoSlotsIsSet(true);
+      }
     }
   }
 
--- a/wire/src/main/thrift/persimmon.thrift
+++ b/wire/src/main/thrift/persimmon.thrift
@@ -414,11 +414,12 @@
   9: required i64 answerNumber
   10: optional list<RunnerProcess> leaving  // processes that have said that they are shutting down
   11: optional i64 startedMs                // start of the reporting process, by its own clock
-  12: optional list<i32> releasedSlots      // slots of usage caps that the process held and will not use any more
+  12: optional list<CapSlot> releasedSlots  // slots of usage caps that the process held and will not use any more
   13: optional list<RunnerPace> paces       // of runners that the node has had answers from since its last report
   14: optional list<CapSlot> heldSlots      // slots of usage caps that the process may use now
   15: optional i64 capTableTerm             // term and number of the table of slots that the node has
   16: optional i64 capTableNumber
+  17: optional bool takesNoSlots            // the process is about to end
 }
 
 /** Model that a runner holds, with the adapters loaded for it. */
