node, platform: caps of the configuration are in force

A node that has just started, or whose configuration has its first cap, lets requests wait up to 1 s for the table of slots; a request that lacks tokens for at most 50 ms waits instead of being refused. A leader gathers reports of listed nodes only, so that a single node assigns its slots at once.

--- a/coordination/src/main/java/io/persimmonstack/coordination/cap/SlotAssigner.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/SlotAssigner.java
@@ -126,8 +126,13 @@
         freeFromNanos.put(slot, nowNanos);
     }
 
-    /** Returns the table that is to be written now, empty if the one in the store is right. */
-    public Optional<SlotTable> proposal(long nowNanos) {
+    /**
+     * Returns the table that is to be written now, empty if the one in the store is right.
+     *
+     * @param listedNodes number of nodes that may report; the leader need not wait for more
+     * @param nowNanos monotonic time
+     */
+    public Optional<SlotTable> proposal(int listedNodes, long nowNanos) {
         for (int slot : List.copyOf(holders.keySet())) {
             if (nowNanos - extendedNanos.get(slot) > rightNanos) {
                 free(slot, nowNanos);
@@ -135,7 +140,8 @@
         }
         Map<Integer, SlotHolder> proposed = new HashMap<>(holders);
         Set<String> candidates = candidates(nowNanos);
-        boolean gathered = nowNanos - electedNanos >= GATHER_NANOS || candidates.size() >= CapShare.SLOTS;
+        boolean gathered =
+                nowNanos - electedNanos >= GATHER_NANOS || candidates.size() >= Math.min(CapShare.SLOTS, listedNodes);
         if (gathered && !candidates.isEmpty()) {
             IntStream.range(0, CapShare.SLOTS)
                     .filter(slot -> !proposed.containsKey(slot) && nowNanos - freeFromNanos.get(slot) >= 0)
--- a/coordination/src/test/java/io/persimmonstack/coordination/cap/CapRulesTest.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/cap/CapRulesTest.java
@@ -90,7 +90,7 @@
     }
 
     private static void write(SlotAssigner assigner, long nowNanos) {
-        assigner.written(assigner.proposal(nowNanos).orElseThrow(), nowNanos);
+        assigner.written(assigner.proposal(CapShare.SLOTS, nowNanos).orElseThrow(), nowNanos);
     }
 
     /** After all processes were killed requests come within a second, so their slots must not wait for 8 s. */
@@ -98,9 +98,9 @@
     void slotsOfRestartedProcessesAreAssignedAtOnce() {
         SlotAssigner assigner = new SlotAssigner(9, tableOf(HOLDER, 5), false, 0, BOUNDS);
         assigner.report(report("a", 2, Map.of()), SECOND / 4);
-        assertTrue(assigner.proposal(SECOND / 4).isEmpty());
+        assertTrue(assigner.proposal(CapShare.SLOTS, SECOND / 4).isEmpty());
         assigner.report(report("b", 2, Map.of()), SECOND / 2);
-        SlotTable table = assigner.proposal(SECOND).orElseThrow();
+        SlotTable table = assigner.proposal(CapShare.SLOTS, SECOND).orElseThrow();
         assertEquals(CapShare.SLOTS, table.holders().size());
         assertEquals(
                 4,
@@ -119,9 +119,9 @@
         assigner.report(report("b", 1, Map.of()), SECOND);
         write(assigner, SECOND);
         assigner.report(report("b", 1, Map.of()), 8 * SECOND);
-        assertTrue(assigner.proposal(8 * SECOND).isEmpty());
+        assertTrue(assigner.proposal(CapShare.SLOTS, 8 * SECOND).isEmpty());
         assigner.report(report("b", 1, Map.of()), 9 * SECOND);
-        SlotTable table = assigner.proposal(9 * SECOND).orElseThrow();
+        SlotTable table = assigner.proposal(CapShare.SLOTS, 9 * SECOND).orElseThrow();
         assertEquals("b", table.holders().get(0).node());
     }
 
@@ -131,7 +131,7 @@
         SlotAssigner assigner = new SlotAssigner(9, tableOf(HOLDER, 5), false, 0, BOUNDS);
         write(assigner, SECOND);
         assigner.report(report("b", 1, Map.of()), 9 * SECOND);
-        assertTrue(assigner.proposal(9 * SECOND).isPresent());
+        assertTrue(assigner.proposal(CapShare.SLOTS, 9 * SECOND).isPresent());
         assigner.report(report("a", 1, Map.of()), 9 * SECOND);
         assertFalse(assigner.extend("a", 1, 9 * SECOND));
     }
@@ -143,14 +143,19 @@
         SlotAssigner assigner = new SlotAssigner(9, tableOf(HOLDER, 5), true, 0, BOUNDS);
         assigner.report(report("a", 2, Map.of()), SECOND);
         assigner.report(report("b", 1, Map.of(3, other)), SECOND);
-        assertEquals(Map.of(3, other), assigner.proposal(SECOND).orElseThrow().holders());
+        assertEquals(
+                Map.of(3, other),
+                assigner.proposal(CapShare.SLOTS, SECOND).orElseThrow().holders());
         write(assigner, SECOND);
         assigner.report(report("a", 2, Map.of()), 9 * SECOND);
         assigner.report(report("b", 1, Map.of(3, other)), 9 * SECOND);
         assertTrue(assigner.extend("b", 1, 9 * SECOND));
         assertEquals(
                 CapShare.SLOTS,
-                assigner.proposal(9 * SECOND).orElseThrow().holders().size());
+                assigner.proposal(CapShare.SLOTS, 9 * SECOND)
+                        .orElseThrow()
+                        .holders()
+                        .size());
     }
 
     /** A process that stops must not leave its slots unused for 8 s. */
@@ -160,7 +165,7 @@
         write(assigner, SECOND);
         assigner.report(report("b", 1, Map.of()), SECOND);
         assigner.report(new SlotAssigner.Report("a", 1, Map.of(), Map.of(0, HOLDER, 1, HOLDER), true), SECOND);
-        SlotTable table = assigner.proposal(SECOND).orElseThrow();
+        SlotTable table = assigner.proposal(CapShare.SLOTS, SECOND).orElseThrow();
         assertEquals("b", table.holders().get(0).node());
         assertEquals("b", table.holders().get(1).node());
         assertEquals("a", table.holders().get(2).node());
--- a/coordination/src/test/java/io/persimmonstack/coordination/cap/SimulatedNode.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/cap/SimulatedNode.java
@@ -146,8 +146,8 @@
         if (reachesStore()) {
             followStore();
         }
-        if (leads() && assigner != null) {
-            assigner.proposal(clock().monotonicNanos()).ifPresent(this::write);
+        if (fleet.nowMs % 100 == 0 && leads() && assigner != null) {
+            assigner.proposal(fleet.size(), clock().monotonicNanos()).ifPresent(this::write);
         }
         answer.filter(given -> fleet.nowMs >= given.arrivesMs).ifPresent(this::apply);
         if (fleet.nowMs >= nextReportMs) {
--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -7,7 +7,7 @@
 import io.persimmonstack.node.callers.RequestReceiver;
 import io.persimmonstack.node.callers.RequestServer;
 import io.persimmonstack.node.callers.WorkspaceCheck;
-import io.persimmonstack.node.caps.CapSource;
+import io.persimmonstack.node.caps.FleetCaps;
 import io.persimmonstack.node.caps.UsageCaps;
 import io.persimmonstack.node.fleet.Fleet;
 import io.persimmonstack.node.fleet.FleetView;
@@ -108,7 +108,7 @@
         prompts.onBlocked(() -> placer.refuseQueuedIf(
                 request -> prompts.refusal(request.callerRequest()).map(RefusedException::new)));
         this.caps = closer.add(
-                UsageCaps.create(options.name(), startedMs, options.capBounds(), CapSource.none(), fleet, registry));
+                UsageCaps.create(options.name(), startedMs, options.capBounds(), FleetCaps.of(fleet), fleet, registry));
         this.receiver = closer.add(RequestReceiver.of(requestServer(ports, metrics), executor, drainState::isDraining));
         AtomicReference<Optional<byte[]>> lastReport = new AtomicReference<>(Optional.empty());
         StoredValue crashReport = closer.add(StoredValue.start(
--- a/node/src/main/java/io/persimmonstack/node/caps/CapAdmission.java
+++ b/node/src/main/java/io/persimmonstack/node/caps/CapAdmission.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node.caps;
 
+import io.persimmonstack.coordination.cap.CapShare;
 import io.persimmonstack.coordination.cap.TokenTaker;
 import io.persimmonstack.node.config.UsageCap;
 import io.persimmonstack.node.config.Workspace;
@@ -7,18 +8,27 @@
 import io.persimmonstack.node.request.Refusal;
 import io.persimmonstack.node.request.RefusedException;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** Admits requests of workspaces within their caps. Thread-safe; blocks while it asks another node for tokens. */
 public final class CapAdmission {
     /** Retry-After while no holder of a slot answers. */
     private static final long UNKNOWN_RETRY_MS = 300;
 
+    /** Time for which a request waits at most until a node that has just started knows the holders. */
+    private static final long START_WAIT_MS = 1_000;
+    /** Longest time for which a request waits for tokens; one that had to wait for longer is refused at once. */
+    private static final long TOKEN_WAIT_MS = 50;
+
     private final CapShares shares;
     private final TokenTaker taker;
+    private final CountDownLatch tableKnown;
 
-    CapAdmission(CapShares shares, TokenTaker taker) {
+    CapAdmission(CapShares shares, TokenTaker taker, CountDownLatch tableKnown) {
         this.shares = shares;
         this.taker = taker;
+        this.tableKnown = tableKnown;
     }
 
     /**
@@ -36,7 +46,7 @@
         }
         String name = workspace.get().name();
         long need = count(cap.get(), request);
-        return switch (taker.take(name, shares.shareOf(name, cap.get()), need)) {
+        return switch (take(name, shares.shareOf(name, cap.get()), need)) {
             case TokenTaker.Decision.Admitted admitted -> AdmittedTokens.of(taker, name, admitted.batches());
             case TokenTaker.Decision.OverCap over ->
                 throw new RefusedException(
@@ -47,6 +57,22 @@
         };
     }
 
+    /** Takes tokens, after a short wait if that is all that is missing. An interrupt ends the wait. */
+    private TokenTaker.Decision take(String name, CapShare share, long need) {
+        try {
+            tableKnown.await(START_WAIT_MS, TimeUnit.MILLISECONDS);
+            TokenTaker.Decision decision = taker.take(name, share, need);
+            if (decision instanceof TokenTaker.Decision.OverCap over && over.retryMs() <= TOKEN_WAIT_MS) {
+                TimeUnit.MILLISECONDS.sleep(over.retryMs());
+                return taker.take(name, share, need);
+            }
+            return decision;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new TokenTaker.Decision.Unknown();
+        }
+    }
+
     /** Returns what a request counts. Without a readable token count it counts as the cap says for such requests. */
     private static long count(UsageCap cap, CallerRequest request) {
         long stated = (long) request.tokens().prompt() + request.tokens().maxOutput();
--- a/node/src/main/java/io/persimmonstack/node/caps/CapSource.java
+++ b/node/src/main/java/io/persimmonstack/node/caps/CapSource.java
@@ -10,19 +10,4 @@
 
     /** Returns the cap of a workspace, empty if it has none or is not known. */
     Optional<UsageCap> capOf(String workspace);
-
-    /** Returns the caps of a configuration without any. */
-    static CapSource none() {
-        return new CapSource() {
-            @Override
-            public boolean hasCaps() {
-                return false;
-            }
-
-            @Override
-            public Optional<UsageCap> capOf(String workspace) {
-                return Optional.empty();
-            }
-        };
-    }
 }
--- a/node/src/main/java/io/persimmonstack/node/caps/SlotLeader.java
+++ b/node/src/main/java/io/persimmonstack/node/caps/SlotLeader.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -38,13 +39,16 @@
     private final Supplier<OptionalLong> leadTerm;
     private final CapSource caps;
     private final CapBounds bounds;
+    private final IntSupplier listedNodes;
     private final WakeableThread thread = WakeableThread.of("cap-slots", this::intervalMs, this::run);
     private Optional<Leadership> leadership = Optional.empty();
 
     /** Assignment of slots in one term, and what the key in the store is expected to be. */
     private record Leadership(long term, SlotAssigner assigner, Expectation expectation) {}
 
-    private SlotLeader(KvStore store, Supplier<OptionalLong> leadTerm, CapSource caps, CapBounds bounds) {
+    private SlotLeader(
+            KvStore store, Supplier<OptionalLong> leadTerm, CapSource caps, CapBounds bounds, IntSupplier listedNodes) {
+        this.listedNodes = listedNodes;
         this.store = store;
         this.leadTerm = leadTerm;
         this.caps = caps;
@@ -58,9 +62,11 @@
      * @param leadTerm returns the term of this node's leadership, empty while it is not the leader
      * @param caps tells whether slots are needed
      * @param bounds tell for how long a holder may go on without an answer
+     * @param listedNodes returns the number of nodes that may report
      */
-    static SlotLeader start(KvStore store, Supplier<OptionalLong> leadTerm, CapSource caps, CapBounds bounds) {
-        SlotLeader leader = new SlotLeader(store, leadTerm, caps, bounds);
+    static SlotLeader start(
+            KvStore store, Supplier<OptionalLong> leadTerm, CapSource caps, CapBounds bounds, IntSupplier listedNodes) {
+        SlotLeader leader = new SlotLeader(store, leadTerm, caps, bounds, listedNodes);
         leader.thread.start();
         return leader;
     }
@@ -97,6 +103,7 @@
         }
         if (current.isEmpty()) {
             read(term.getAsLong());
+            thread.wake();
             return;
         }
         Optional<SlotTable> proposal = propose(current.get());
@@ -131,7 +138,7 @@
     }
 
     private synchronized Optional<SlotTable> propose(Leadership current) {
-        return current.assigner.proposal(System.nanoTime());
+        return current.assigner.proposal(Math.max(1, listedNodes.getAsInt()), System.nanoTime());
     }
 
     private void write(Leadership current, SlotTable proposal) throws KvException {
--- a/node/src/main/java/io/persimmonstack/node/caps/UsageCaps.java
+++ b/node/src/main/java/io/persimmonstack/node/caps/UsageCaps.java
@@ -26,6 +26,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.Supplier;
 
 /**
@@ -56,6 +57,7 @@
     private final HeldSlots held;
     private final TokenTaker taker;
     private final ThriftPeers<NodeLink.Client> links = ThriftPeers.of(new NodeLink.Client.Factory(), CALL_TIMEOUT_MS);
+    private final CountDownLatch tableKnown = new CountDownLatch(1);
     private volatile SlotTable table = SlotTable.NONE;
     private volatile Optional<SlotLeader> leader = Optional.empty();
 
@@ -96,12 +98,13 @@
      * @param leadTerm returns the term of this node's leadership, empty while it is not the leader
      */
     public void startLeading(KvStore store, Supplier<OptionalLong> leadTerm) {
-        leader = Optional.of(SlotLeader.start(store, leadTerm, source, bounds));
+        leader = Optional.of(SlotLeader.start(
+                store, leadTerm, source, bounds, () -> fleet.current().peers().size()));
     }
 
     /** Returns what admits requests. */
     public CapAdmission admission() {
-        return new CapAdmission(shares, taker);
+        return new CapAdmission(shares, taker, tableKnown);
     }
 
     /** Returns the number of slots by which this node may grant tokens now. */
@@ -149,6 +152,7 @@
             held.update(table, sent, validMs, ClockReading.now());
         }
         taker.updateTable(table);
+        tableKnown.countDown();
     }
 
     @Override
--- a/node/src/test/java/io/persimmonstack/node/callers/RefusalAnswerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/callers/RefusalAnswerTest.java
@@ -99,6 +99,7 @@
                 DrainState.withGracePeriod(1_000),
                 null,
                 null,
+                null,
                 1_000);
         RecordingReply reply = new RecordingReply();
         server.serve(new RawRequest("GET", "/", "/", List.of(), new byte[0]), System.nanoTime(), reply);
