node, platform, backends: limits of the configuration, and bounds on what clients send

Cause: bodies were read into arrays that nothing bounded in sum, so that a crowd of clients exhausted the heap; the limits of the configuration were not read; and connections were not bounded.

- limits of op/config are decoded (InputLimits) and applied to open connections too; the constants remain the defaults.
- ReceiveMemory: one budget, a quarter of the heap, for heads, bodies and the requests that are served.
The length of a body is reserved before it is read; a body in chunks reserves block by block.
A quarter of the budget is kept for reservations up to 64 KB.
What does not fit is refused with 503 before it is read further, and was not run.
- BodyReader in place of receiveFullBytes.
While memory is short, a body that has grown by less than 16 KB in a header timeout is refused with 408; without a byte for the idle timeout it always is.
- ConnectionGuard and GuardedListener: a client's bytes are read 16 KB a turn, its head (with empty lines before it) is bounded in bytes and time, chunk sizes, extensions and trailers are bounded in sum.
At the bound on connections (half of limits.max_fds for callers) the one that has waited longest without a request is closed.
- RefusalAnswer sends the refusal without waiting for the rest of the body.
- A connection has one close listener however many requests it carries (ConnectionEnd); each request added one before.
- An out-of-memory error on any thread that serves requests ends the process.

--- a/backends/src/main/java/io/persimmonstack/backends/http/ChunkedFraming.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ChunkedFraming.java
@@ -12,6 +12,15 @@
 
     private static final int BITS_PER_DIGIT = 4;
     private static final int HEX = 16;
+    /**
+     * Bytes of sizes, extensions and trailers that a request may have beyond those of its data. A body of up to 10,000
+     * chunks of one byte stays below.
+     */
+    private static final int MAX_REQUEST_OVERHEAD_BYTES = 64 * 1024;
+
+    private final long maxOverheadBytes;
+    private long overheadBytes;
+    private long dataBytes;
     private State state = State.SIZE;
     private int sizeDigits;
     private long remaining;
@@ -32,11 +41,18 @@
         COMPLETE
     }
 
-    private ChunkedFraming() {}
+    private ChunkedFraming(long maxOverheadBytes) {
+        this.maxOverheadBytes = maxOverheadBytes;
+    }
 
     /** Returns the framing of a body of which nothing has been received. */
     static ChunkedFraming begin() {
-        return new ChunkedFraming();
+        return new ChunkedFraming(Long.MAX_VALUE);
+    }
+
+    /** Returns the framing of a body from a client, whose sizes, extensions and trailers are bounded in sum. */
+    static ChunkedFraming beginBounded() {
+        return new ChunkedFraming(MAX_REQUEST_OVERHEAD_BYTES);
     }
 
     /** Returns whether the body has ended with its last chunk and its trailers. */
@@ -53,14 +69,24 @@
             } else {
                 state = next(bytes.get(bytes.position()) & 0xff);
                 bytes.get();
+                countOverhead();
             }
         }
     }
 
+    private void countOverhead() throws FramingException {
+        overheadBytes++;
+        if (overheadBytes > maxOverheadBytes && overheadBytes - maxOverheadBytes > dataBytes) {
+            throw new FramingException(
+                    "chunks: " + overheadBytes + " bytes of framing for " + dataBytes + " bytes of data");
+        }
+    }
+
     private void skipData(ByteBuffer bytes) {
         int count = (int) Math.min(remaining, bytes.remaining());
         bytes.position(bytes.position() + count);
         remaining -= count;
+        dataBytes += count;
         if (remaining == 0) {
             state = State.DATA_CR;
         }
--- /dev/null
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ConnectionGuard.java
@@ -0,0 +1,210 @@
+package io.persimmonstack.backends.http;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.ConduitReadableByteChannel;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Bounds what one client connection may send before its request begins, and how long one client occupies the I/O
+ * thread. Bytes before a request, such as empty lines, count as its head. Reads take place on the I/O thread; a request
+ * may end on another one.
+ */
+final class ConnectionGuard extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    /** Bytes after which other connections get their turn. */
+    private static final int BYTES_PER_TURN = 16 * 1024;
+
+    /** Request line, and bytes after the head that are read with it. */
+    private static final int HEAD_EXTRA_BYTES = 12 * 1024;
+
+    /** Bytes of a head that need no reserved memory; they are part of the cost of a connection. */
+    private static final int SMALL_HEAD_BYTES = 4 * 1024;
+
+    /** Memory that a parsed head takes for each of its bytes. */
+    private static final int MEMORY_PER_HEAD_BYTE = 3;
+
+    private final StreamConnection connection;
+    private final Supplier<InputLimits> limits;
+    private final ReceiveMemory memory;
+    private Optional<ReceiveMemory.Reservation> headMemory = Optional.empty();
+    private volatile State state = State.IDLE;
+    private volatile long stateNanos = System.nanoTime();
+    private volatile int headBytes;
+    private int turnBytes = BYTES_PER_TURN;
+
+    /** What a connection is used for. */
+    private enum State {
+        /** Nothing of a request has been received. */
+        IDLE,
+        /** A part of a head has been received. */
+        HEAD,
+        /** A request is received or served. */
+        REQUEST
+    }
+
+    private ConnectionGuard(StreamConnection connection, Supplier<InputLimits> limits, ReceiveMemory memory) {
+        super(connection.getSourceChannel().getConduit());
+        this.connection = connection;
+        this.limits = limits;
+        this.memory = memory;
+    }
+
+    /** Puts a guard before a connection that was accepted. */
+    static ConnectionGuard attach(StreamConnection connection, Supplier<InputLimits> limits, ReceiveMemory memory) {
+        ConnectionGuard guard = new ConnectionGuard(connection, limits, memory);
+        connection.getSourceChannel().setConduit(guard);
+        return guard;
+    }
+
+    /** Returns the guard of an exchange's connection. */
+    static Optional<ConnectionGuard> of(HttpServerExchange exchange) {
+        return exchange.getConnection() instanceof AbstractServerConnection connection
+                        && connection.getOriginalSourceConduit() instanceof ConnectionGuard guard
+                ? Optional.of(guard)
+                : Optional.empty();
+    }
+
+    /** Records that a head is complete, and returns the size of its headers, in bytes. */
+    int beginRequest(HttpServerExchange exchange) {
+        AbstractServerConnection server = (AbstractServerConnection) exchange.getConnection();
+        PooledByteBuffer later = server.getExtraBytes();
+        int lineBytes = exchange.getRequestMethod().length()
+                + exchange.getRequestURI().length()
+                + exchange.getQueryString().length();
+        int size = headBytes - (later == null ? 0 : later.getBuffer().remaining()) - lineBytes;
+        releaseHead();
+        enter(State.REQUEST);
+        return Math.max(size, 0);
+    }
+
+    /** Records that the request has ended, so that another one may begin. */
+    void endRequest() {
+        enter(State.IDLE);
+    }
+
+    private void enter(State newState) {
+        state = newState;
+        stateNanos = System.nanoTime();
+        headBytes = 0;
+    }
+
+    boolean isOpen() {
+        return connection.isOpen();
+    }
+
+    boolean hasRequest() {
+        return state == State.REQUEST;
+    }
+
+    /** Returns whether a part of a head has been received. */
+    boolean hasPartOfHead() {
+        return state == State.HEAD;
+    }
+
+    /** Returns when the present state began. */
+    long stateNanos() {
+        return stateNanos;
+    }
+
+    /** Returns whether the connection has waited for a head for longer than allowed. */
+    boolean isOverdue(long nowNanos) {
+        long waitedMs = (nowNanos - stateNanos) / 1_000_000;
+        return switch (state) {
+            case IDLE -> waitedMs >= limits.get().idleTimeoutMs();
+            case HEAD -> waitedMs >= limits.get().headerTimeoutMs();
+            case REQUEST -> false;
+        };
+    }
+
+    /** Closes the connection. */
+    void close() {
+        IoUtils.safeClose(connection);
+        releaseHead();
+    }
+
+    /** Returns the memory of a head that will not be completed. */
+    void releaseHead() {
+        headMemory.ifPresent(ReceiveMemory.Reservation::close);
+        headMemory = Optional.empty();
+    }
+
+    @Override
+    public int read(ByteBuffer target) throws IOException {
+        if (!target.hasRemaining()) {
+            return 0;
+        }
+        if (turnBytes <= 0) {
+            // The reader waits for readability then, which comes after that of other connections.
+            turnBytes = BYTES_PER_TURN;
+            return 0;
+        }
+        checkHead();
+        int limit = target.limit();
+        target.limit(target.position() + Math.min(target.remaining(), turnBytes));
+        try {
+            int count = next.read(target);
+            turnBytes = count > 0 ? turnBytes - count : BYTES_PER_TURN;
+            record(count);
+            return count;
+        } finally {
+            target.limit(limit);
+        }
+    }
+
+    private void record(int count) {
+        if (count > 0 && state != State.REQUEST) {
+            if (state == State.IDLE) {
+                enter(State.HEAD);
+            }
+            headBytes = headBytes + count;
+        }
+    }
+
+    /** Fails if the head has no end within its limit, or if there is no memory for more of it. */
+    private void checkHead() throws FramingException {
+        if (state != State.HEAD || headBytes <= SMALL_HEAD_BYTES) {
+            return;
+        }
+        int maxBytes = limits.get().maxHeaderBytes() + HEAD_EXTRA_BYTES;
+        if (headBytes > maxBytes) {
+            throw new FramingException("head: more than " + maxBytes + " bytes without an end");
+        }
+        if (headMemory.isEmpty()) {
+            ReceiveMemory.Reservation reservation = memory.open();
+            if (!reservation.tryAdd((long) MEMORY_PER_HEAD_BYTE * Math.min(maxBytes, ReceiveMemory.SMALL_BYTES / 4))) {
+                throw new FramingException("head: no memory for more than " + headBytes + " bytes");
+            }
+            headMemory = Optional.of(reservation);
+        }
+    }
+
+    @Override
+    public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
+        for (int i = offset; i < offset + length; i++) {
+            if (targets[i].hasRemaining()) {
+                return read(targets[i]);
+            }
+        }
+        return 0;
+    }
+
+    @Override
+    public long transferTo(long position, long count, FileChannel target) throws IOException {
+        return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
+    }
+
+    @Override
+    public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target) throws IOException {
+        return IoUtils.transfer(new ConduitReadableByteChannel(this), count, throughBuffer, target);
+    }
+}
--- a/backends/src/main/java/io/persimmonstack/backends/http/RequestFraming.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/RequestFraming.java
@@ -34,7 +34,8 @@
             return;
         }
         AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
-        FramingConduit checked = FramingConduit.of(connection.getOriginalSourceConduit(), ChunkedFraming.begin());
+        FramingConduit checked =
+                FramingConduit.of(connection.getOriginalSourceConduit(), ChunkedFraming.beginBounded());
         PooledByteBuffer received = connection.getExtraBytes();
         if (received != null) {
             checked.checkEarlier(received.getBuffer());
--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -1,11 +1,15 @@
 package io.persimmonstack.node;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.backends.http.InputLimits;
+import io.persimmonstack.backends.http.ReceiveMemory;
 import io.persimmonstack.coordination.kv.WatchTimes;
 import io.persimmonstack.node.callers.Directory;
 import io.persimmonstack.node.callers.DrainState;
+import io.persimmonstack.node.callers.ListenerOptions;
 import io.persimmonstack.node.callers.RequestReceiver;
 import io.persimmonstack.node.callers.RequestServer;
+import io.persimmonstack.node.config.RoutingTable;
 import io.persimmonstack.node.fleet.Fleet;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Peer;
@@ -86,6 +90,7 @@
     private final SharedOrigins origins;
     private final PromptGuard prompts;
     private final CrashReportSender crashReports;
+    private final ReceiveMemory receiveMemory = ReceiveMemory.ofHeap();
     private volatile boolean readyLogged;
 
     private Node(NodeOptions options, NodePorts ports, MetricRegistry registry, Closer closer) throws ProgramException {
@@ -117,7 +122,8 @@
         ResumptionResolver resumptions = ResumptionResolver.of(origins, streams.versions(), currentVersions);
         RequestServer server = RequestServer.of(
                 fleet, ports.protocol(), dispatcher, metrics, drainState, resumptions, options.applyMs());
-        this.receiver = closer.add(RequestReceiver.of(server, executor, drainState::isDraining));
+        this.receiver = closer.add(
+                RequestReceiver.of(server, executor, drainState::isDraining, receiveMemory, this::inputLimits));
         AtomicReference<Optional<byte[]>> lastReport = new AtomicReference<>(Optional.empty());
         StoredValue crashReport = closer.add(StoredValue.start(
                 ports.store(), NodeKeys.crashReport(options.name()), () -> CRASH_REPORT_INTERVAL_MS, lastReport::get));
@@ -218,6 +224,7 @@
 
     private void registerGauges(MetricRegistry registry) {
         registry.gauge("requests.open", () -> receiver::openRequests);
+        registry.gauge("input.memory.used", () -> receiveMemory::usedBytes);
         registry.gauge("requests.waiting", () -> placer::queuedCount);
         registry.gauge("fleet.runners", () -> () -> fleet.current().runners().size());
         registry.gauge("fleet.nodes", () -> () -> fleet.current().peers().size());
@@ -236,6 +243,20 @@
         return receiver;
     }
 
+    private InputLimits inputLimits() {
+        return fleet.current().routing().map(RoutingTable::inputLimits).orElse(InputLimits.defaults());
+    }
+
+    /**
+     * Returns the bounds for the listeners of this node.
+     *
+     * @param maxDescriptors descriptors that the process may have open
+     */
+    public ListenerOptions listenerOptions(int maxDescriptors) {
+        return new ListenerOptions(
+                options.callerAddress(), this::inputLimits, receiveMemory, receiver::inputRefused, maxDescriptors);
+    }
+
     /** Returns the directory that tells callers which nodes to use. */
     public Directory directory() {
         return Directory.of(fleet);
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -110,6 +110,8 @@
     PART_TRIED(6118, Level.INFO, "part-tried part={}"),
     /** A node did not take reports about ended runners; it may hear of them from others or from the store. */
     CRASH_REPORT_NOT_SENT(6119, Level.INFO, "crash-report-not-sent node={} reports={} cause={}"),
+    /** Input of a client was refused before it was a whole request; without a status, its connection was closed. */
+    INPUT_REFUSED(6140, Level.INFO, "input-refused reason={} status={}"),
     /** A load or unload order was sent to a runner. */
     ORDER(6201, Level.INFO, "order runner={} order={} term={} sequence={} outcome={} reason={} source={}"),
     /** An order was completed. */
--- a/node/src/main/java/io/persimmonstack/node/NodeMetrics.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeMetrics.java
@@ -35,6 +35,11 @@
         registry.counter("requests.refused." + reason).inc();
     }
 
+    /** Counts input that was refused before it was a whole request, by the reason. */
+    public void recordInputRefused(String reason) {
+        registry.counter("input.refused." + reason).inc();
+    }
+
     /** Counts a request whose caller disconnected before the answer was complete. */
     public void recordCallerLeft() {
         registry.counter("requests.caller-left").inc();
--- a/node/src/main/java/io/persimmonstack/node/callers/HttpListeners.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/HttpListeners.java
@@ -1,80 +1,170 @@
 package io.persimmonstack.node.callers;
 
+import io.persimmonstack.backends.http.BodyReader;
+import io.persimmonstack.backends.http.GuardedListener;
+import io.persimmonstack.backends.http.InputRefusal;
+import io.persimmonstack.runtime.FatalErrors;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.wire.PeerAddress;
 import io.undertow.Handlers;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
-import java.util.HashMap;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 /** HTTP server with one I/O thread that listens on several addresses, each of which has its own handler. */
 public final class HttpListeners implements AutoCloseable {
-    private static final int MAX_HEADER_BYTES = 64 * 1024;
-    private static final long MAX_BODY_BYTES = 8L << 20;
     private static final int MAX_HEADERS = 200;
-    private static final int REQUEST_PARSE_TIMEOUT_MS = 15_000;
-    private static final int IDLE_TIMEOUT_MS = 60_000;
     private static final int BUFFER_BYTES = 4 * 1024;
-    private static final int NOT_FOUND = 404;
-    private final Undertow server;
+    private static final int BACKLOG = 1_000;
+    /** Connections over the bound that may be accepted before the guard closes others; each takes a descriptor. */
+    private static final int ACCEPTED_AT_ONCE = 8;
 
-    private HttpListeners(Undertow server) {
-        this.server = server;
+    /** Interval at which connections are checked for being overdue; small against the timeouts. */
+    private static final int CHECK_INTERVAL_MS = 250;
+
+    private static final long STOP_TIMEOUT_MS = 5_000;
+
+    /** Limits of Undertow itself, above those that the configuration may have; the guards apply the latter. */
+    private static final OptionMap HTTP_OPTIONS = OptionMap.builder()
+            .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+            .set(UndertowOptions.MAX_ENTITY_SIZE, (long) Integer.MAX_VALUE)
+            .set(UndertowOptions.MAX_HEADER_SIZE, 1 << 20)
+            .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+            .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+            .set(UndertowOptions.DECODE_URL, false)
+            .getMap();
+
+    private final XnioWorker worker;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
+    private final ListenerOptions options;
+    private final List<GuardedListener> guards = new ArrayList<>();
+    private final List<AcceptingChannel<StreamConnection>> channels = new ArrayList<>();
+    private XnioExecutor.Key check;
+
+    private HttpListeners(XnioWorker worker, ListenerOptions options) {
+        this.worker = worker;
+        this.options = options;
     }
 
     /**
      * Starts the server.
      *
      * @param handlers handler of each address; ports must be distinct
+     * @param options bounds on what clients send
      * @return the running server
      * @throws ProgramException if an address cannot be bound
      */
-    public static HttpListeners start(Map<PeerAddress, HttpHandler> handlers) throws ProgramException {
-        Map<Integer, HttpHandler> handlersByPort = new HashMap<>();
-        Undertow.Builder builder = Undertow.builder()
-                .setIoThreads(1)
-                .setWorkerThreads(1)
-                .setBufferSize(BUFFER_BYTES)
-                .setDirectBuffers(false)
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MS)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MS)
-                .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .setServerOption(UndertowOptions.DECODE_URL, false);
-        handlers.forEach((address, handler) -> {
-            handlersByPort.put(address.port(), handler);
-            builder.addHttpListener(address.port(), address.ip());
-        });
-        Undertow server = builder.setHandler(Handlers.httpContinueRead(routeByPort(handlersByPort)))
-                .build();
+    public static HttpListeners start(Map<PeerAddress, HttpHandler> handlers, ListenerOptions options)
+            throws ProgramException {
+        HttpListeners listeners = new HttpListeners(createWorker(), options);
         try {
-            server.start();
-        } catch (RuntimeException e) {
+            for (Map.Entry<PeerAddress, HttpHandler> entry : handlers.entrySet()) {
+                listeners.listen(entry.getKey(), entry.getValue());
+            }
+        } catch (IOException e) {
+            listeners.close();
             throw new ProgramException("listen " + handlers.keySet() + ": cannot be bound: " + e.getMessage(), e);
         }
-        return new HttpListeners(server);
+        listeners.accept();
+        return listeners;
+    }
+
+    private static XnioWorker createWorker() throws ProgramException {
+        OptionMap workerOptions = OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .getMap();
+        try {
+            return Xnio.getInstance(Undertow.class.getClassLoader()).createWorker(workerOptions);
+        } catch (IOException e) {
+            throw new ProgramException("HTTP server: cannot be started: " + e.getMessage(), e);
+        }
     }
 
-    private static HttpHandler routeByPort(Map<Integer, HttpHandler> handlersByPort) {
+    private void listen(PeerAddress address, HttpHandler handler) throws IOException {
+        HttpOpenListener http = new HttpOpenListener(buffers, HTTP_OPTIONS);
+        int maxConnections = options.maxConnections(address);
+        GuardedListener guard =
+                GuardedListener.of(http, maxConnections, options.limits(), options.memory(), options.onRefusal());
+        HttpHandler served = address.equals(options.callers()) ? handler : withoutBodies(handler);
+        http.setRootHandler(endingOnFatalErrors(guard.checkingHeads(Handlers.httpContinueRead(served))));
+        guards.add(guard);
+        channels.add(worker.createStreamConnectionServer(
+                new InetSocketAddress(address.ip(), address.port()),
+                ChannelListeners.openListenerAdapter(guard),
+                OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.BACKLOG, BACKLOG)
+                        .set(Options.CONNECTION_HIGH_WATER, maxConnections + ACCEPTED_AT_ONCE)
+                        .set(Options.CONNECTION_LOW_WATER, maxConnections)
+                        .getMap()));
+    }
+
+    private void accept() {
+        channels.forEach(AcceptingChannel::resumeAccepts);
+        check = worker.getIoThread()
+                .executeAtInterval(
+                        () -> guards.forEach(GuardedListener::closeOverdue), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Refuses requests with a body, which would otherwise be read to its end before the answer is sent. */
+    private static HttpHandler withoutBodies(HttpHandler handler) {
         return exchange -> {
-            HttpHandler handler =
-                    handlersByPort.get(exchange.getDestinationAddress().getPort());
-            if (handler == null) {
-                exchange.setStatusCode(NOT_FOUND);
-                exchange.endExchange();
+            if (exchange.isRequestComplete()) {
+                handler.handleRequest(exchange);
             } else {
+                BodyReader.refuse(exchange, InputRefusal.BODY_TOO_LARGE);
+            }
+        };
+    }
+
+    /** Undertow and XNIO catch every error of a handler, so that a process without memory would go on half-dead. */
+    private static HttpHandler endingOnFatalErrors(HttpHandler handler) {
+        return exchange -> {
+            try {
                 handler.handleRequest(exchange);
+            } catch (VirtualMachineError e) {
+                throw FatalErrors.end(e);
             }
         };
     }
 
     @Override
     public void close() {
-        server.stop();
+        if (check != null) {
+            check.remove();
+        }
+        channels.forEach(IoUtils::safeClose);
+        worker.shutdown();
+        try {
+            if (!worker.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+                worker.shutdownNow();
+            }
+        } catch (InterruptedException e) {
+            worker.shutdownNow();
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
@@ -1,38 +1,53 @@
 package io.persimmonstack.node.callers;
 
+import io.persimmonstack.backends.http.BodyReader;
+import io.persimmonstack.backends.http.ConnectionEnd;
 import io.persimmonstack.backends.http.HttpHeader;
+import io.persimmonstack.backends.http.InputLimits;
+import io.persimmonstack.backends.http.InputRefusal;
+import io.persimmonstack.backends.http.ReceiveMemory;
 import io.persimmonstack.backends.http.RequestFraming;
 import io.persimmonstack.node.request.RawRequest;
 import io.persimmonstack.router.callers.CallerWatch;
 import io.persimmonstack.router.callers.UndertowReply;
+import io.persimmonstack.runtime.FatalErrors;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderValues;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
-import org.xnio.IoUtils;
+import java.util.function.Supplier;
 
 /** Reads each request completely on the I/O thread, then serves it on its own virtual thread. */
 public final class RequestReceiver implements HttpHandler, AutoCloseable {
     /** Longest time that a caller may take to read a part of its answer. */
     private static final long CALLER_WRITE_TIMEOUT_MS = 10_000;
 
-    private static final int BAD_REQUEST = 400;
+    /** Memory of a request without its body: head, exchange, and the stack of its virtual thread. */
+    private static final long REQUEST_BYTES = 8 * 1024;
+
     private final RequestServer server;
     private final ExecutorService executor;
     private final BooleanSupplier draining;
     private final CallerWatch callerWatch = CallerWatch.start();
     private final AtomicInteger openRequests = new AtomicInteger();
+    private final ReceiveMemory memory;
+    private final Supplier<InputLimits> limits;
     private final Map<Thread, UndertowReply> serving = new ConcurrentHashMap<>();
 
-    private RequestReceiver(RequestServer server, ExecutorService executor, BooleanSupplier draining) {
+    private RequestReceiver(
+            RequestServer server,
+            ExecutorService executor,
+            BooleanSupplier draining,
+            ReceiveMemory memory,
+            Supplier<InputLimits> limits) {
+        this.memory = memory;
+        this.limits = limits;
         this.server = server;
         this.executor = executor;
         this.draining = draining;
@@ -44,9 +59,21 @@
      * @param server serves each request
      * @param executor runs each request on its own virtual thread
      * @param draining returns whether each connection is to be closed after its answer
+     * @param memory memory for requests that are received or served
+     * @param limits the limits in force
      */
-    public static RequestReceiver of(RequestServer server, ExecutorService executor, BooleanSupplier draining) {
-        return new RequestReceiver(server, executor, draining);
+    public static RequestReceiver of(
+            RequestServer server,
+            ExecutorService executor,
+            BooleanSupplier draining,
+            ReceiveMemory memory,
+            Supplier<InputLimits> limits) {
+        return new RequestReceiver(server, executor, draining, memory, limits);
+    }
+
+    /** Records input that was refused by a listener. */
+    public void inputRefused(InputRefusal refusal) {
+        server.refusedInput(refusal);
     }
 
     /** Returns the number of requests that are being received or served. */
@@ -66,35 +93,41 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         openRequests.incrementAndGet();
-        AtomicBoolean counted = new AtomicBoolean(true);
-        Runnable onFinished = () -> {
-            if (counted.compareAndSet(true, false)) {
-                openRequests.decrementAndGet();
-            }
-        };
-        exchange.addExchangeCompleteListener((done, next) -> {
-            onFinished.run();
-            next.proceed();
+        ReceiveMemory.Reservation reservation = memory.open();
+        RequestEnd end = new RequestEnd(reservation::close);
+        ConnectionEnd.whenEnded(exchange, () -> {
+            openRequests.decrementAndGet();
+            end.exchangeEnded();
         });
-        exchange.getConnection().addCloseListener(closed -> onFinished.run());
         if (RequestFraming.isAmbiguous(exchange)) {
-            exchange.setPersistent(false);
-            exchange.setStatusCode(BAD_REQUEST);
-            exchange.endExchange();
+            refuse(exchange, InputRefusal.AMBIGUOUS_LENGTH);
+            return;
+        }
+        if (!reservation.tryAdd(REQUEST_BYTES)) {
+            refuse(exchange, InputRefusal.MEMORY);
             return;
         }
         RequestFraming.checkChunks(exchange);
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (received, body) -> received.dispatch(executor, () -> serve(received, body)),
-                        RequestReceiver::closeConnection);
+        BodyReader.read(exchange, limits.get(), memory, reservation, new BodyReader.Listener() {
+            @Override
+            public void received(HttpServerExchange received, byte[] body) {
+                end.servingBegins();
+                received.dispatch(executor, () -> serve(received, body, end));
+            }
+
+            @Override
+            public void refused(InputRefusal refusal) {
+                server.refusedInput(refusal);
+            }
+        });
     }
 
-    private static void closeConnection(HttpServerExchange exchange, IOException e) {
-        IoUtils.safeClose(exchange.getConnection());
+    private void refuse(HttpServerExchange exchange, InputRefusal refusal) {
+        server.refusedInput(refusal);
+        BodyReader.refuse(exchange, refusal);
     }
 
-    private void serve(HttpServerExchange exchange, byte[] body) {
+    private void serve(HttpServerExchange exchange, byte[] body, RequestEnd end) {
         long receivedNanos = System.nanoTime();
         String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
         UndertowReply reply = UndertowReply.to(exchange, id == null ? "" : id, CALLER_WRITE_TIMEOUT_MS, callerWatch);
@@ -106,8 +139,11 @@
         serving.put(thread, reply);
         try {
             server.serve(toRawRequest(exchange, body), receivedNanos, reply);
+        } catch (VirtualMachineError e) {
+            throw FatalErrors.end(e);
         } finally {
             serving.remove(thread);
+            end.servingEnded();
         }
     }
 
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node.callers;
 
+import io.persimmonstack.backends.http.InputRefusal;
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.node.NodeMetrics;
 import io.persimmonstack.node.RateLimitedLog;
@@ -124,6 +125,12 @@
         }
     }
 
+    /** Records input that was refused before it was a whole request. */
+    void refusedInput(InputRefusal refusal) {
+        metrics.recordInputRefused(refusal.reason());
+        LOG.write(NodeEvent.INPUT_REFUSED, refusal.reason(), refusal.status());
+    }
+
     /** Answers a request that was interrupted since the process ends. */
     private void refuseAtEnd(RequestSummary summary, Reply reply) {
         // An interrupted thread could not write the answer.
--- a/node/src/main/java/io/persimmonstack/node/config/RoutingTable.java
+++ b/node/src/main/java/io/persimmonstack/node/config/RoutingTable.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node.config;
 
+import io.persimmonstack.backends.http.InputLimits;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -12,11 +13,13 @@
     private static final Comparator<Route> LONGEST_PREFIX_FIRST =
             Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
     private final long version;
+    private final InputLimits inputLimits;
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
 
-    private RoutingTable(long version) {
+    private RoutingTable(long version, InputLimits inputLimits) {
         this.version = version;
+        this.inputLimits = inputLimits;
     }
 
     /**
@@ -27,7 +30,19 @@
      * @param services all services
      */
     public static RoutingTable of(long version, List<Route> routes, List<Service> services) {
-        RoutingTable table = new RoutingTable(version);
+        return of(version, routes, services, InputLimits.defaults());
+    }
+
+    /**
+     * Returns a table.
+     *
+     * @param version version of the configuration; newer versions are higher
+     * @param routes all routes
+     * @param services all services
+     * @param inputLimits limits of the requests of callers
+     */
+    public static RoutingTable of(long version, List<Route> routes, List<Service> services, InputLimits inputLimits) {
+        RoutingTable table = new RoutingTable(version, inputLimits);
         for (Route route : routes) {
             table.routesByHost
                     .computeIfAbsent(route.host(), host -> new ArrayList<>())
@@ -43,6 +58,11 @@
         return version;
     }
 
+    /** Returns the limits of the requests of callers. */
+    public InputLimits inputLimits() {
+        return inputLimits;
+    }
+
     /**
      * Returns the route of a host whose prefix is the longest that matches a path.
      *
--- a/runtime/src/main/java/io/persimmonstack/runtime/ProgramMain.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/ProgramMain.java
@@ -105,10 +105,14 @@
         }
     }
 
-    /** Logs every exception that ends a thread, as {@link FrameEvent#UNCAUGHT}. */
+    /** Logs every exception that ends a thread, as {@link FrameEvent#UNCAUGHT}; an exhausted heap ends the process. */
     public static void logUncaughtExceptions() {
-        Thread.setDefaultUncaughtExceptionHandler(
-                (thread, error) -> LOG.write(FrameEvent.UNCAUGHT, thread.getName(), error.toString(), error));
+        Thread.setDefaultUncaughtExceptionHandler((thread, error) -> {
+            if (error instanceof VirtualMachineError fatal) {
+                throw FatalErrors.end(fatal);
+            }
+            LOG.write(FrameEvent.UNCAUGHT, thread.getName(), error.toString(), error);
+        });
     }
 
     /**
