backends, router, node: the router's bodies and the answers of slow readers are bounded, too

Cause: the router read bodies into arrays that nothing bounded in sum, with a close listener more for each request; what slow readers had not taken of their answers was bounded for each of them, not in sum.

Not run: a crowd against a router.

--- a/backends/src/main/java/io/persimmonstack/backends/http/BodyReader.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/BodyReader.java
@@ -39,8 +39,12 @@
         /** Called with the whole body. */
         void received(HttpServerExchange exchange, byte[] body);
 
-        /** Called before the client gets the refusal. */
-        void refused(InputRefusal refusal);
+        /**
+         * Called before the client gets a refusal.
+         *
+         * @return what the client is told; empty if its connection is to be closed without an answer
+         */
+        Optional<RefusalText> refused(InputRefusal refusal);
     }
 
     private BodyReader(
@@ -75,7 +79,7 @@
     }
 
     /** Refuses a request in its handler, without reading its body. */
-    public static void refuse(HttpServerExchange exchange, InputRefusal refusal) {
+    public static void refuse(HttpServerExchange exchange, RefusalText refusal) {
         RefusalAnswer.send(exchange, refusal, openUnlessAwaited(exchange));
     }
 
@@ -181,8 +185,12 @@
         end();
         buffer = null;
         reservation.close();
-        listener.refused(refusal);
-        RefusalAnswer.send(exchange, refusal, channel == null ? openUnlessAwaited(exchange) : Optional.of(channel));
+        Optional<RefusalText> text = listener.refused(refusal);
+        if (text.isEmpty()) {
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        RefusalAnswer.send(exchange, text.get(), channel == null ? openUnlessAwaited(exchange) : Optional.of(channel));
     }
 
     private void end() {
--- a/backends/src/main/java/io/persimmonstack/backends/http/GuardedListener.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/GuardedListener.java
@@ -63,7 +63,8 @@
             if (guard.isPresent()
                     && guard.get().beginRequest(exchange) > limits.get().maxHeaderBytes()) {
                 onRefusal.accept(InputRefusal.HEAD_TOO_LARGE);
-                BodyReader.refuse(exchange, InputRefusal.HEAD_TOO_LARGE);
+                BodyReader.refuse(
+                        exchange, RefusalText.plain(InputRefusal.HEAD_TOO_LARGE).orElseThrow());
                 return;
             }
             guard.ifPresent(present -> endWith(exchange, present));
--- a/backends/src/main/java/io/persimmonstack/backends/http/RefusalAnswer.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/RefusalAnswer.java
@@ -7,7 +7,6 @@
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
@@ -19,9 +18,6 @@
  */
 final class RefusalAnswer {
     private static final HttpString REQUEST_ID = HttpString.tryFromString("X-Request-Id");
-    /** Time after which memory is likely to be free: reservations without progress end after a few seconds. */
-    private static final String RETRY_AFTER_SECONDS = "1.00";
-
     /**
      * Time for which the rest of the body is read and dropped. A connection that is closed with unread bytes is reset,
      * so that the client may not see the answer.
@@ -36,25 +32,22 @@
      * Sends the answer.
      *
      * @param exchange exchange whose answer has not begun
-     * @param refusal status and reason
+     * @param refusal what the client is told
      * @param body source of the body; empty if it was not opened, since the client may wait for "100 Continue"
      */
-    static void send(HttpServerExchange exchange, InputRefusal refusal, Optional<StreamSourceChannel> body) {
+    static void send(HttpServerExchange exchange, RefusalText refusal, Optional<StreamSourceChannel> body) {
         exchange.setPersistent(false);
         exchange.setStatusCode(refusal.status());
         String id = exchange.getRequestHeaders().getFirst(REQUEST_ID);
         if (id != null) {
             exchange.getResponseHeaders().put(REQUEST_ID, id);
         }
-        if (refusal == InputRefusal.MEMORY) {
-            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, RETRY_AFTER_SECONDS);
-        }
-        byte[] text = (refusal.reason() + "\n").getBytes(StandardCharsets.UTF_8);
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
-        exchange.setResponseContentLength(text.length);
+        refusal.retryAfter().ifPresent(after -> exchange.getResponseHeaders().put(Headers.RETRY_AFTER, after));
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, refusal.contentType());
+        exchange.setResponseContentLength(refusal.body().length);
         exchange.getIoThread()
                 .executeAfter(() -> IoUtils.safeClose(exchange.getConnection()), LINGER_MS, TimeUnit.MILLISECONDS);
-        exchange.getResponseSender().send(ByteBuffer.wrap(text), new IoCallback() {
+        exchange.getResponseSender().send(ByteBuffer.wrap(refusal.body()), new IoCallback() {
             @Override
             public void onComplete(HttpServerExchange done, Sender sender) {
                 dropRest(done, body);
--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -225,6 +225,7 @@
     private void registerGauges(MetricRegistry registry) {
         registry.gauge("requests.open", () -> receiver::openRequests);
         registry.gauge("input.memory.used", () -> receiveMemory::usedBytes);
+        registry.gauge("answers.memory.used", () -> receiver::untakenBytes);
         registry.gauge("requests.waiting", () -> placer::queuedCount);
         registry.gauge("fleet.runners", () -> () -> fleet.current().runners().size());
         registry.gauge("fleet.nodes", () -> () -> fleet.current().peers().size());
--- a/node/src/main/java/io/persimmonstack/node/callers/HttpListeners.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/HttpListeners.java
@@ -3,6 +3,7 @@
 import io.persimmonstack.backends.http.BodyReader;
 import io.persimmonstack.backends.http.GuardedListener;
 import io.persimmonstack.backends.http.InputRefusal;
+import io.persimmonstack.backends.http.RefusalText;
 import io.persimmonstack.runtime.FatalErrors;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.wire.PeerAddress;
@@ -130,12 +131,14 @@
     }
 
     /** Refuses requests with a body, which would otherwise be read to its end before the answer is sent. */
-    private static HttpHandler withoutBodies(HttpHandler handler) {
+    private HttpHandler withoutBodies(HttpHandler handler) {
         return exchange -> {
             if (exchange.isRequestComplete()) {
                 handler.handleRequest(exchange);
             } else {
-                BodyReader.refuse(exchange, InputRefusal.BODY_TOO_LARGE);
+                options.onRefusal().accept(InputRefusal.BODY_TOO_LARGE);
+                BodyReader.refuse(
+                        exchange, RefusalText.plain(InputRefusal.BODY_TOO_LARGE).orElseThrow());
             }
         };
     }
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
@@ -6,8 +6,11 @@
 import io.persimmonstack.backends.http.InputLimits;
 import io.persimmonstack.backends.http.InputRefusal;
 import io.persimmonstack.backends.http.ReceiveMemory;
+import io.persimmonstack.backends.http.ReceivedRequest;
+import io.persimmonstack.backends.http.RefusalText;
 import io.persimmonstack.backends.http.RequestFraming;
 import io.persimmonstack.node.request.RawRequest;
+import io.persimmonstack.router.callers.AnswerMemory;
 import io.persimmonstack.router.callers.CallerWatch;
 import io.persimmonstack.router.callers.UndertowReply;
 import io.persimmonstack.runtime.FatalErrors;
@@ -17,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -38,6 +42,7 @@
     private final AtomicInteger openRequests = new AtomicInteger();
     private final ReceiveMemory memory;
     private final Supplier<InputLimits> limits;
+    private final AnswerMemory answers = AnswerMemory.ofHeap();
     private final Map<Thread, UndertowReply> serving = new ConcurrentHashMap<>();
 
     private RequestReceiver(
@@ -76,6 +81,11 @@
         server.refusedInput(refusal);
     }
 
+    /** Returns the bytes of answers that slow callers have not taken. */
+    public long untakenBytes() {
+        return answers.usedBytes();
+    }
+
     /** Returns the number of requests that are being received or served. */
     public int openRequests() {
         return openRequests.get();
@@ -94,7 +104,7 @@
     public void handleRequest(HttpServerExchange exchange) {
         openRequests.incrementAndGet();
         ReceiveMemory.Reservation reservation = memory.open();
-        RequestEnd end = new RequestEnd(reservation::close);
+        ReceivedRequest end = new ReceivedRequest(reservation::close);
         ConnectionEnd.whenEnded(exchange, () -> {
             openRequests.decrementAndGet();
             end.exchangeEnded();
@@ -116,21 +126,23 @@
             }
 
             @Override
-            public void refused(InputRefusal refusal) {
+            public Optional<RefusalText> refused(InputRefusal refusal) {
                 server.refusedInput(refusal);
+                return RefusalText.plain(refusal);
             }
         });
     }
 
     private void refuse(HttpServerExchange exchange, InputRefusal refusal) {
         server.refusedInput(refusal);
-        BodyReader.refuse(exchange, refusal);
+        BodyReader.refuse(exchange, RefusalText.plain(refusal).orElseThrow());
     }
 
-    private void serve(HttpServerExchange exchange, byte[] body, RequestEnd end) {
+    private void serve(HttpServerExchange exchange, byte[] body, ReceivedRequest end) {
         long receivedNanos = System.nanoTime();
         String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
-        UndertowReply reply = UndertowReply.to(exchange, id == null ? "" : id, CALLER_WRITE_TIMEOUT_MS, callerWatch);
+        UndertowReply reply =
+                UndertowReply.to(exchange, id == null ? "" : id, CALLER_WRITE_TIMEOUT_MS, callerWatch, answers);
         if (draining.getAsBoolean()) {
             reply.closeConnectionAfterAnswer();
         }
--- a/router/src/main/java/io/persimmonstack/router/Router.java
+++ b/router/src/main/java/io/persimmonstack/router/Router.java
@@ -193,6 +193,8 @@
         RequestHandler requests = RequestHandler.of(chain, context.tracing(), refusals);
         callersHandler = closer.add(CallersHandler.of(settings.callers(), requests, views, self, requestThreads));
         metrics.gauge("requests.open", callersHandler::openRequests);
+        metrics.gauge("input.memory.used", () -> (int) callersHandler.receivedBytes());
+        metrics.gauge("answers.memory.used", () -> (int) callersHandler.untakenBytes());
         callersServer = closer.add(
                 CallersServer.start(PeerAddress.parse(settings.callersAddress()), settings.callers(), callersHandler));
         SelfDescription selfWithBoundAddress = new SelfDescription(
--- a/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
@@ -1,10 +1,18 @@
 package io.persimmonstack.router.callers;
 
+import io.persimmonstack.backends.http.BodyReader;
+import io.persimmonstack.backends.http.ConnectionEnd;
+import io.persimmonstack.backends.http.InputLimits;
+import io.persimmonstack.backends.http.InputRefusal;
+import io.persimmonstack.backends.http.ReceiveMemory;
+import io.persimmonstack.backends.http.ReceivedRequest;
+import io.persimmonstack.backends.http.RefusalText;
 import io.persimmonstack.backends.http.RequestFraming;
 import io.persimmonstack.router.CallersSettings;
 import io.persimmonstack.router.filter.IdentifyFilter;
 import io.persimmonstack.router.request.CallerGoneException;
 import io.persimmonstack.router.request.CallerMessage;
+import io.persimmonstack.router.request.ProblemDocument;
 import io.persimmonstack.router.request.Refusal;
 import io.persimmonstack.router.request.RefusalCode;
 import io.persimmonstack.router.request.RefusalException;
@@ -13,17 +21,15 @@
 import io.persimmonstack.router.snapshot.FleetViews;
 import io.persimmonstack.router.snapshot.SelfDescription;
 import io.persimmonstack.wire.gen.RouterState;
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderValues;
-import java.io.IOException;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.xnio.IoUtils;
@@ -36,6 +42,18 @@
 public final class CallersHandler implements HttpHandler, AutoCloseable {
     private static final int MAX_REQUEST_ID_CHARACTERS = 128;
     private static final int INCARNATION_RADIX = 36;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    /** Time after which memory is likely to be free: a body must arrive within a few seconds. */
+    private static final String RETRY_AFTER_SECONDS = "1";
+
+    /** Memory of a request without its body: head, exchange, and the stack of its virtual thread. */
+    private static final long REQUEST_BYTES = 8 * 1024;
+
+    private static final Refusal AMBIGUOUS_LENGTH = Refusal.notRun(
+            RefusalCode.MALFORMED,
+            "body: ambiguous length; expected Content-Length or Transfer-Encoding: chunked, once");
+    private static final Refusal MEMORY_IN_USE =
+            Refusal.notRun(RefusalCode.OVERLOADED, "memory for received requests is in use");
     private final CallersSettings settings;
     private final RequestHandler requestHandler;
     private final FleetViews views;
@@ -44,6 +62,9 @@
     private final CallerWatch callerWatch = CallerWatch.start();
     private final AtomicLong requestCounter = new AtomicLong();
     private final AtomicInteger openRequests = new AtomicInteger();
+    private final ReceiveMemory memory = ReceiveMemory.ofHeap();
+    private final AnswerMemory answers = AnswerMemory.ofHeap();
+    private final InputLimits limits;
 
     private CallersHandler(
             CallersSettings settings,
@@ -52,6 +73,8 @@
             SelfDescription self,
             ExecutorService executor) {
         this.settings = settings;
+        this.limits = new InputLimits(
+                settings.maxHeaderBytes(), settings.maxBodyBytes(), settings.receiveTimeoutMs(), settings.idleMs());
         this.requestHandler = requestHandler;
         this.views = views;
         this.self = self;
@@ -77,6 +100,16 @@
         return new CallersHandler(settings, requestHandler, views, self, executor);
     }
 
+    /** Returns the bytes that are reserved for received requests. */
+    public long receivedBytes() {
+        return memory.usedBytes();
+    }
+
+    /** Returns the bytes of answers that slow callers have not taken. */
+    public long untakenBytes() {
+        return answers.usedBytes();
+    }
+
     /** Returns the number of requests that are being received or handled. */
     public int openRequests() {
         return openRequests.get();
@@ -85,14 +118,18 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         openRequests.incrementAndGet();
-        Runnable release = runOnce(openRequests::decrementAndGet);
-        exchange.addExchangeCompleteListener((done, next) -> {
-            release.run();
-            next.proceed();
+        ReceiveMemory.Reservation reservation = memory.open();
+        ReceivedRequest received = new ReceivedRequest(reservation::close);
+        ConnectionEnd.whenEnded(exchange, () -> {
+            openRequests.decrementAndGet();
+            received.exchangeEnded();
         });
-        exchange.getConnection().addCloseListener(closed -> release.run());
         if (RequestFraming.isAmbiguous(exchange)) {
-            exchange.dispatch(executor, () -> refuseAmbiguousLength(exchange));
+            BodyReader.refuse(exchange, refusalText(AMBIGUOUS_LENGTH));
+            return;
+        }
+        if (!reservation.tryAdd(REQUEST_BYTES)) {
+            BodyReader.refuse(exchange, refusalText(MEMORY_IN_USE));
             return;
         }
         RequestFraming.checkChunks(exchange);
@@ -101,17 +138,45 @@
                         () -> IoUtils.safeClose(exchange.getConnection()),
                         settings.receiveTimeoutMs(),
                         java.util.concurrent.TimeUnit.MILLISECONDS);
-        Receiver receiver = exchange.getRequestReceiver();
-        receiver.setMaxBufferSize(settings.maxBodyBytes());
-        receiver.receiveFullBytes(
-                (received, body) -> {
-                    receiveTimeout.remove();
-                    received.dispatch(executor, () -> handle(received, body));
-                },
-                (failed, e) -> {
-                    receiveTimeout.remove();
-                    failed.dispatch(executor, () -> handleReceiveFailure(failed, e));
+        BodyReader.read(exchange, limits, memory, reservation, new BodyReader.Listener() {
+            @Override
+            public void received(HttpServerExchange whole, byte[] body) {
+                receiveTimeout.remove();
+                received.servingBegins();
+                whole.dispatch(executor, () -> {
+                    try {
+                        handle(whole, body);
+                    } finally {
+                        received.servingEnded();
+                    }
                 });
+            }
+
+            @Override
+            public Optional<RefusalText> refused(InputRefusal refusal) {
+                receiveTimeout.remove();
+                return textOf(refusal);
+            }
+        });
+    }
+
+    /** Returns the answer to refused input; a body that arrives too slowly gets none. */
+    private Optional<RefusalText> textOf(InputRefusal refusal) {
+        return switch (refusal) {
+            case BODY_TOO_LARGE -> {
+                String detail = "body: more than " + settings.maxBodyBytes() + " bytes; expected at most that";
+                yield Optional.of(refusalText(Refusal.notRun(RefusalCode.BODY_TOO_LARGE, detail)));
+            }
+            case MEMORY -> Optional.of(refusalText(MEMORY_IN_USE));
+            default -> Optional.empty();
+        };
+    }
+
+    private static RefusalText refusalText(Refusal refusal) {
+        Optional<String> retryAfter =
+                refusal.code().status() == SERVICE_UNAVAILABLE ? Optional.of(RETRY_AFTER_SECONDS) : Optional.empty();
+        return new RefusalText(
+                refusal.code().status(), ProblemDocument.MEDIA_TYPE, retryAfter, ProblemDocument.encode(refusal));
     }
 
     private void handle(HttpServerExchange exchange, byte[] body) {
@@ -126,7 +191,8 @@
                 exchange,
                 callerRequestId.isEmpty() ? routerRequestId : callerRequestId,
                 settings.slowCallerMs(),
-                callerWatch);
+                callerWatch,
+                answers);
         if (self.state().get() != RouterState.SERVING) {
             reply.closeConnectionAfterAnswer();
         }
@@ -150,16 +216,6 @@
         }
     }
 
-    /** Wraps an action so that it runs once: a request ends with its exchange or its connection, whichever is first. */
-    private static Runnable runOnce(Runnable action) {
-        AtomicBoolean ran = new AtomicBoolean();
-        return () -> {
-            if (ran.compareAndSet(false, true)) {
-                action.run();
-            }
-        };
-    }
-
     private static Refusal requestIdTooLong(String id) {
         return Refusal.notRun(
                 RefusalCode.MALFORMED,
@@ -196,35 +252,6 @@
         reply.whole(200, List.of(new Reply.Header("Content-Type", "application/json")), document);
     }
 
-    private void refuseAmbiguousLength(HttpServerExchange exchange) {
-        exchange.setPersistent(false);
-        UndertowReply reply = UndertowReply.to(exchange, "", settings.slowCallerMs(), callerWatch);
-        String detail = "body: ambiguous length; expected Content-Length or Transfer-Encoding: chunked, once";
-        sendRefusal(reply, Refusal.notRun(RefusalCode.MALFORMED, detail));
-    }
-
-    /** Refuses a body that is too large; any other failure to receive the request closes the connection. */
-    private void handleReceiveFailure(HttpServerExchange exchange, IOException e) {
-        UndertowReply reply = UndertowReply.to(exchange, "", settings.slowCallerMs(), callerWatch);
-        boolean tooLarge =
-                e instanceof Receiver.RequestToLargeException || e instanceof io.undertow.server.RequestTooBigException;
-        if (!tooLarge) {
-            reply.abort();
-            return;
-        }
-        exchange.setPersistent(false);
-        String detail = "body: more than " + settings.maxBodyBytes() + " bytes; expected at most that";
-        sendRefusal(reply, Refusal.notRun(RefusalCode.BODY_TOO_LARGE, detail));
-    }
-
-    private static void sendRefusal(UndertowReply reply, Refusal refusal) {
-        try {
-            RequestHandler.sendRefusal(reply, refusal);
-        } catch (CallerGoneException e) {
-            reply.abort();
-        }
-    }
-
     /** Returns the headers by lower-case name; repeated ones are joined with commas. */
     private static Map<String, String> lowerCaseHeaders(HttpServerExchange exchange) {
         Map<String, String> headers = new HashMap<>();
--- a/router/src/main/java/io/persimmonstack/router/callers/UndertowReply.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/UndertowReply.java
@@ -25,14 +25,28 @@
     private static final HttpString REQUEST_ID = HttpString.tryFromString("X-Request-Id");
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
+    /** Time after which a part of an answer counts as not taken. A caller that reads takes it at once. */
+    private static final long SLOW_AFTER_MS = 50;
+
+    /** Bytes of a stream that may wait behind the part that is being written. */
+    private static final long BUFFERED_BYTES = 64 * 1024;
+
     private final HttpServerExchange exchange;
     private final String requestId;
     private final long slowCallerMs;
     private final AtomicReference<Runnable> callerGoneAction = new AtomicReference<>(() -> {});
     private final CallerWatch.WatchedCaller watchedCaller;
+    private final AnswerMemory answers;
+    private volatile boolean streaming;
     private volatile boolean begun;
 
-    private UndertowReply(HttpServerExchange exchange, String requestId, long slowCallerMs, CallerWatch callerWatch) {
+    private UndertowReply(
+            HttpServerExchange exchange,
+            String requestId,
+            long slowCallerMs,
+            CallerWatch callerWatch,
+            AnswerMemory answers) {
+        this.answers = answers;
         this.exchange = exchange;
         this.requestId = requestId;
         this.slowCallerMs = slowCallerMs;
@@ -47,11 +61,16 @@
      * @param requestId value of the X-Request-Id header of the reply
      * @param slowCallerMs longest time in milliseconds that one write may take
      * @param callerWatch detects a caller that disconnects while it waits for the answer or for more of a stream
+     * @param answers memory of what slow callers have not taken
      * @return the reply
      */
     public static UndertowReply to(
-            HttpServerExchange exchange, String requestId, long slowCallerMs, CallerWatch callerWatch) {
-        return new UndertowReply(exchange, requestId, slowCallerMs, callerWatch);
+            HttpServerExchange exchange,
+            String requestId,
+            long slowCallerMs,
+            CallerWatch callerWatch,
+            AnswerMemory answers) {
+        return new UndertowReply(exchange, requestId, slowCallerMs, callerWatch, answers);
     }
 
     @Override
@@ -70,6 +89,7 @@
 
     @Override
     public void begin(int status, List<Header> headers) {
+        streaming = true;
         setHead(status, headers);
         if (exchange.isHttp11()) {
             // Without chunked encoding an answer with "Connection: close" ends where the connection ends, so that the
@@ -103,12 +123,14 @@
                 written.completeExceptionally(e);
             }
         });
-        awaitWrite(written);
+        awaitWrite(written, part.length + (streaming ? BUFFERED_BYTES : 0));
     }
 
-    private void awaitWrite(CompletableFuture<Void> written) throws CallerGoneException {
+    private void awaitWrite(CompletableFuture<Void> written, long heldBytes) throws CallerGoneException {
         try {
-            written.get(slowCallerMs, TimeUnit.MILLISECONDS);
+            if (!isDoneWithin(written, Math.min(SLOW_AFTER_MS, slowCallerMs))) {
+                awaitSlowCaller(written, heldBytes);
+            }
         } catch (TimeoutException e) {
             abort();
             throw new CallerGoneException("the caller accepted no data for " + slowCallerMs + " ms", e);
@@ -121,6 +143,25 @@
         }
     }
 
+    private static boolean isDoneWithin(CompletableFuture<Void> written, long ms)
+            throws InterruptedException, ExecutionException {
+        try {
+            written.get(ms, TimeUnit.MILLISECONDS);
+            return true;
+        } catch (TimeoutException e) {
+            return false;
+        }
+    }
+
+    private void awaitSlowCaller(CompletableFuture<Void> written, long heldBytes)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        Runnable disconnect =
+                () -> written.completeExceptionally(new IOException("memory for answers exhausted by slow callers"));
+        try (AnswerMemory.Held ignored = answers.hold(heldBytes, disconnect)) {
+            written.get(Math.max(slowCallerMs - SLOW_AFTER_MS, 1), TimeUnit.MILLISECONDS);
+        }
+    }
+
     @Override
     public void end() throws CallerGoneException {
         watchedCaller.close();
