backends, node, router: the memory of a body is counted until its reader has ended

Cause: if the process itself closed a connection, its reservation was returned while the reader's timer still kept the received bytes; the timer of a refusal kept its exchange for a second, so that many refusals a second would add up.

ReceivedRequest counts exchange, reader and serving thread; timers are removed when what they guard has ended.

--- a/backends/src/main/java/io/persimmonstack/backends/http/BodyReader.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/BodyReader.java
@@ -25,6 +25,7 @@
     private final InputLimits limits;
     private final ReceiveMemory memory;
     private final ReceiveMemory.Reservation reservation;
+    private final ReceivedRequest request;
     private final Listener listener;
     private StreamSourceChannel channel;
     private BodyBuffer buffer;
@@ -52,11 +53,13 @@
             InputLimits limits,
             ReceiveMemory memory,
             ReceiveMemory.Reservation reservation,
+            ReceivedRequest request,
             Listener listener) {
         this.exchange = exchange;
         this.limits = limits;
         this.memory = memory;
         this.reservation = reservation;
+        this.request = request;
         this.listener = listener;
     }
 
@@ -66,7 +69,8 @@
      * @param exchange exchange whose body has not been opened
      * @param limits limits on size and time
      * @param memory memory that the reservation is a part of
-     * @param reservation grows by the body; the caller closes it when the body is no longer needed
+     * @param reservation grows by the body
+     * @param request used while the body is read
      * @param listener takes the body or the refusal; neither is called if the connection fails
      */
     public static void read(
@@ -74,8 +78,9 @@
             InputLimits limits,
             ReceiveMemory memory,
             ReceiveMemory.Reservation reservation,
+            ReceivedRequest request,
             Listener listener) {
-        new BodyReader(exchange, limits, memory, reservation, listener).start();
+        new BodyReader(exchange, limits, memory, reservation, request, listener).start();
     }
 
     /** Refuses a request in its handler, without reading its body. */
@@ -95,6 +100,7 @@
             listener.received(exchange, new byte[0]);
             return;
         }
+        request.use();
         long length = exchange.getRequestContentLength();
         if (length > limits.maxBodyBytes()) {
             refuse(InputRefusal.BODY_TOO_LARGE);
@@ -108,6 +114,7 @@
         buffer = length >= 0 ? BodyBuffer.ofLength((int) length) : BodyBuffer.growing();
         channel = exchange.getRequestChannel();
         if (channel == null) {
+            end();
             IoUtils.safeClose(exchange.getConnection());
             return;
         }
@@ -177,13 +184,15 @@
     }
 
     private void finish() {
+        byte[] body = buffer.toBytes(reservation);
+        listener.received(exchange, body);
         end();
-        listener.received(exchange, buffer.toBytes(reservation));
     }
 
     private void refuse(InputRefusal refusal) {
         end();
         buffer = null;
+        // A refused request needs no memory any more, though its answer may take a while.
         reservation.close();
         Optional<RefusalText> text = listener.refused(refusal);
         if (text.isEmpty()) {
@@ -194,7 +203,11 @@
     }
 
     private void end() {
+        if (ended) {
+            return;
+        }
         ended = true;
+        request.release();
         if (check != null) {
             check.remove();
         }
--- a/backends/src/main/java/io/persimmonstack/backends/http/ReceivedRequest.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ReceivedRequest.java
@@ -1,38 +1,31 @@
 package io.persimmonstack.backends.http;
 
 /**
- * Runs an action once both the exchange of a request and the thread that serves it have ended. The exchange may end
- * first, if the caller leaves, or last, if the caller is slow to take the answer. Thread-safe.
+ * Runs an action once nothing uses the memory of a request any more: neither its exchange, nor the reader of its body,
+ * nor the thread that serves it. They end in any order, as the caller may leave or be slow to take the answer.
+ * Thread-safe.
  */
 public final class ReceivedRequest {
     private final Runnable action;
-    private int open = 1;
+    /** The exchange is the first user. */
+    private int users = 1;
 
-    /** Creates a request that is being received; the action runs once it has ended. */
+    /** Creates a request that is used by its exchange; the action runs after its last use. */
     public ReceivedRequest(Runnable action) {
         this.action = action;
     }
 
-    /** Records that the request is handed to a thread. */
-    public synchronized void servingBegins() {
-        open++;
+    /** Records a further user, which calls {@link #release} once. */
+    public synchronized void use() {
+        users++;
     }
 
-    /** Records that the thread has ended. */
-    public void servingEnded() {
-        oneEnded();
-    }
-
-    /** Records that the answer was sent or the connection was closed; called once. */
-    public void exchangeEnded() {
-        oneEnded();
-    }
-
-    private void oneEnded() {
+    /** Records that a user has ended. */
+    public void release() {
         boolean last;
         synchronized (this) {
-            open--;
-            last = open == 0;
+            users--;
+            last = users == 0;
         }
         if (last) {
             action.run();
--- a/backends/src/main/java/io/persimmonstack/backends/http/RefusalAnswer.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/RefusalAnswer.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -26,7 +27,13 @@
 
     private static final int DROPPED_BYTES = 4 * 1024;
 
-    private RefusalAnswer() {}
+    private final HttpServerExchange exchange;
+    private final XnioExecutor.Key timeout;
+
+    private RefusalAnswer(HttpServerExchange exchange, XnioExecutor.Key timeout) {
+        this.exchange = exchange;
+        this.timeout = timeout;
+    }
 
     /**
      * Sends the answer.
@@ -45,43 +52,53 @@
         refusal.retryAfter().ifPresent(after -> exchange.getResponseHeaders().put(Headers.RETRY_AFTER, after));
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, refusal.contentType());
         exchange.setResponseContentLength(refusal.body().length);
-        exchange.getIoThread()
+        // Removed at the end, since a pending timer keeps the memory of the exchange.
+        XnioExecutor.Key timeout = exchange.getIoThread()
                 .executeAfter(() -> IoUtils.safeClose(exchange.getConnection()), LINGER_MS, TimeUnit.MILLISECONDS);
-        exchange.getResponseSender().send(ByteBuffer.wrap(refusal.body()), new IoCallback() {
+        new RefusalAnswer(exchange, timeout).send(refusal.body(), body);
+    }
+
+    private void send(byte[] text, Optional<StreamSourceChannel> body) {
+        exchange.getResponseSender().send(ByteBuffer.wrap(text), new IoCallback() {
             @Override
             public void onComplete(HttpServerExchange done, Sender sender) {
-                dropRest(done, body);
+                dropRest(body);
             }
 
             @Override
             public void onException(HttpServerExchange failed, Sender sender, IOException e) {
-                IoUtils.safeClose(failed.getConnection());
+                close();
             }
         });
     }
 
-    private static void dropRest(HttpServerExchange exchange, Optional<StreamSourceChannel> body) {
+    private void dropRest(Optional<StreamSourceChannel> body) {
         if (body.isEmpty()) {
-            IoUtils.safeClose(exchange.getConnection());
+            close();
             return;
         }
-        body.get().getReadSetter().set(channel -> drop(exchange, channel));
+        body.get().getReadSetter().set(this::drop);
         body.get().resumeReads();
     }
 
-    private static void drop(HttpServerExchange exchange, StreamSourceChannel channel) {
+    private void drop(StreamSourceChannel body) {
         try {
             ByteBuffer dropped = ByteBuffer.allocate(DROPPED_BYTES);
-            int count = channel.read(dropped);
+            int count = body.read(dropped);
             while (count > 0) {
                 dropped.clear();
-                count = channel.read(dropped);
+                count = body.read(dropped);
             }
             if (count < 0) {
-                IoUtils.safeClose(exchange.getConnection());
+                close();
             }
         } catch (IOException e) {
-            IoUtils.safeClose(exchange.getConnection());
+            close();
         }
     }
+
+    private void close() {
+        timeout.remove();
+        IoUtils.safeClose(exchange.getConnection());
+    }
 }
--- a/backends/src/test/java/io/persimmonstack/backends/http/ReceiveMemoryTest.java
+++ b/backends/src/test/java/io/persimmonstack/backends/http/ReceiveMemoryTest.java
@@ -6,7 +6,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Guards against received data beyond its memory, and against small requests that are refused because of large ones. */
+/** Guards against received data beyond its memory, and against large requests that keep small ones out. */
 class ReceiveMemoryTest {
     private static final long CAPACITY = 4 << 20;
     private final ReceiveMemory memory = ReceiveMemory.ofBytes(CAPACITY);
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
@@ -104,10 +104,10 @@
     public void handleRequest(HttpServerExchange exchange) {
         openRequests.incrementAndGet();
         ReceiveMemory.Reservation reservation = memory.open();
-        ReceivedRequest end = new ReceivedRequest(reservation::close);
+        ReceivedRequest request = new ReceivedRequest(reservation::close);
         ConnectionEnd.whenEnded(exchange, () -> {
             openRequests.decrementAndGet();
-            end.exchangeEnded();
+            request.release();
         });
         if (RequestFraming.isAmbiguous(exchange)) {
             refuse(exchange, InputRefusal.AMBIGUOUS_LENGTH);
@@ -118,11 +118,11 @@
             return;
         }
         RequestFraming.checkChunks(exchange);
-        BodyReader.read(exchange, limits.get(), memory, reservation, new BodyReader.Listener() {
+        BodyReader.read(exchange, limits.get(), memory, reservation, request, new BodyReader.Listener() {
             @Override
             public void received(HttpServerExchange received, byte[] body) {
-                end.servingBegins();
-                received.dispatch(executor, () -> serve(received, body, end));
+                request.use();
+                received.dispatch(executor, () -> serve(received, body, request));
             }
 
             @Override
@@ -138,7 +138,7 @@
         BodyReader.refuse(exchange, RefusalText.plain(refusal).orElseThrow());
     }
 
-    private void serve(HttpServerExchange exchange, byte[] body, ReceivedRequest end) {
+    private void serve(HttpServerExchange exchange, byte[] body, ReceivedRequest request) {
         long receivedNanos = System.nanoTime();
         String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
         UndertowReply reply =
@@ -155,7 +155,7 @@
             throw FatalErrors.end(e);
         } finally {
             serving.remove(thread);
-            end.servingEnded();
+            request.release();
         }
     }
 
--- a/router/src/main/java/io/persimmonstack/router/callers/AnswerMemory.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/AnswerMemory.java
@@ -36,7 +36,8 @@
     }
 
     /**
-     * Counts a part of an answer that its reader has not taken yet, and disconnects other readers if there is no memory.
+     * Counts a part of an answer that its reader has not taken yet. Other readers are disconnected if there is no
+     * memory.
      *
      * @param bytes size of the part and of what waits behind it
      * @param disconnect closes the connection of this reader if another one needs the memory later; must not block
--- a/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
@@ -119,10 +119,10 @@
     public void handleRequest(HttpServerExchange exchange) {
         openRequests.incrementAndGet();
         ReceiveMemory.Reservation reservation = memory.open();
-        ReceivedRequest received = new ReceivedRequest(reservation::close);
+        ReceivedRequest request = new ReceivedRequest(reservation::close);
         ConnectionEnd.whenEnded(exchange, () -> {
             openRequests.decrementAndGet();
-            received.exchangeEnded();
+            request.release();
         });
         if (RequestFraming.isAmbiguous(exchange)) {
             BodyReader.refuse(exchange, refusalText(AMBIGUOUS_LENGTH));
@@ -138,16 +138,16 @@
                         () -> IoUtils.safeClose(exchange.getConnection()),
                         settings.receiveTimeoutMs(),
                         java.util.concurrent.TimeUnit.MILLISECONDS);
-        BodyReader.read(exchange, limits, memory, reservation, new BodyReader.Listener() {
+        BodyReader.read(exchange, limits, memory, reservation, request, new BodyReader.Listener() {
             @Override
             public void received(HttpServerExchange whole, byte[] body) {
                 receiveTimeout.remove();
-                received.servingBegins();
+                request.use();
                 whole.dispatch(executor, () -> {
                     try {
                         handle(whole, body);
                     } finally {
-                        received.servingEnded();
+                        request.release();
                     }
                 });
             }
