--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -1,14 +1,18 @@
 package io.persimmonstack.node;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.backends.http.InputLimits;
+import io.persimmonstack.backends.http.ReceiveMemory;
 import io.persimmonstack.coordination.kv.WatchTimes;
 import io.persimmonstack.node.callers.Directory;
 import io.persimmonstack.node.callers.DrainState;
+import io.persimmonstack.node.callers.ListenerOptions;
 import io.persimmonstack.node.callers.RequestReceiver;
 import io.persimmonstack.node.callers.RequestServer;
 import io.persimmonstack.node.callers.WorkspaceCheck;
 import io.persimmonstack.node.caps.FleetCaps;
 import io.persimmonstack.node.caps.UsageCaps;
+import io.persimmonstack.node.config.RoutingTable;
 import io.persimmonstack.node.fleet.Fleet;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Peer;
@@ -90,6 +94,7 @@
     private final SharedOrigins origins;
     private final PromptGuard prompts;
     private final CrashReportSender crashReports;
+    private final ReceiveMemory receiveMemory = ReceiveMemory.ofHeap();
     private volatile boolean readyLogged;
 
     private Node(NodeOptions options, NodePorts ports, MetricRegistry registry, Closer closer) throws ProgramException {
@@ -109,7 +114,8 @@
                 request -> prompts.refusal(request.callerRequest()).map(RefusedException::new)));
         this.caps = closer.add(
                 UsageCaps.create(options.name(), startedMs, options.capBounds(), FleetCaps.of(fleet), fleet, registry));
-        this.receiver = closer.add(RequestReceiver.of(requestServer(ports, metrics), executor, drainState::isDraining));
+        this.receiver = closer.add(RequestReceiver.of(
+                requestServer(ports, metrics), executor, drainState::isDraining, receiveMemory, this::inputLimits));
         AtomicReference<Optional<byte[]>> lastReport = new AtomicReference<>(Optional.empty());
         StoredValue crashReport = closer.add(StoredValue.start(
                 ports.store(), NodeKeys.crashReport(options.name()), () -> CRASH_REPORT_INTERVAL_MS, lastReport::get));
@@ -237,6 +243,8 @@
 
     private void registerGauges(MetricRegistry registry) {
         registry.gauge("requests.open", () -> receiver::openRequests);
+        registry.gauge("input.memory.used", () -> receiveMemory::usedBytes);
+        registry.gauge("answers.memory.used", () -> receiver::untakenBytes);
         registry.gauge("requests.waiting", () -> placer::queuedCount);
         registry.gauge("requests.waiting.late", () -> () -> placer.waiting().late());
         registry.gauge(
@@ -259,6 +267,20 @@
         return receiver;
     }
 
+    private InputLimits inputLimits() {
+        return fleet.current().routing().map(RoutingTable::inputLimits).orElse(InputLimits.defaults());
+    }
+
+    /**
+     * Returns the bounds for the listeners of this node.
+     *
+     * @param maxDescriptors descriptors that the process may have open
+     */
+    public ListenerOptions listenerOptions(int maxDescriptors) {
+        return new ListenerOptions(
+                options.callerAddress(), this::inputLimits, receiveMemory, receiver::inputRefused, maxDescriptors);
+    }
+
     /** Returns the directory that tells callers which nodes to use. */
     public Directory directory() {
         return Directory.of(fleet);
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -118,6 +118,8 @@
     CRASH_REPORT_NOT_SENT(6119, Level.INFO, "crash-report-not-sent node={} reports={} cause={}"),
     /** A request got a runner only after a wait, in the order of the queue. */
     WAITED(6130, Level.INFO, "request-waited id={} workspace={} priority={} runner={} ms={} late={}"),
+    /** Input of a client was refused before it was a whole request; without a status, its connection was closed. */
+    INPUT_REFUSED(6140, Level.INFO, "input-refused reason={} status={}"),
     /** A load or unload order was sent to a runner. */
     ORDER(6201, Level.INFO, "order runner={} order={} term={} sequence={} outcome={} reason={} source={}"),
     /** An order was completed. */
--- a/node/src/main/java/io/persimmonstack/node/config/RoutingTable.java
+++ b/node/src/main/java/io/persimmonstack/node/config/RoutingTable.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node.config;
 
+import io.persimmonstack.backends.http.InputLimits;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -12,20 +13,23 @@
     private static final Comparator<Route> LONGEST_PREFIX_FIRST =
             Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
     private final long version;
+    private final InputLimits inputLimits;
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
     private final Optional<WorkspaceKeys> workspaceKeys;
     private final PriorityScale priorities;
 
-    private RoutingTable(long version, Optional<WorkspaceKeys> workspaceKeys, PriorityScale priorities) {
+    private RoutingTable(
+            long version, InputLimits inputLimits, Optional<WorkspaceKeys> workspaceKeys, PriorityScale priorities) {
         this.version = version;
+        this.inputLimits = inputLimits;
         this.workspaceKeys = workspaceKeys;
         this.priorities = priorities;
     }
 
-    /** Returns a table without workspaces. */
+    /** Returns a table without workspaces, with the default limits of requests. */
     public static RoutingTable of(long version, List<Route> routes, List<Service> services) {
-        return of(version, routes, services, Optional.empty());
+        return of(version, routes, services, Optional.empty(), InputLimits.defaults());
     }
 
     /**
@@ -35,12 +39,17 @@
      * @param routes all routes
      * @param services all services
      * @param workspaceKeys all workspaces and their keys, empty if no keys are required
+     * @param inputLimits limits of the requests of callers
      */
     public static RoutingTable of(
-            long version, List<Route> routes, List<Service> services, Optional<WorkspaceKeys> workspaceKeys) {
+            long version,
+            List<Route> routes,
+            List<Service> services,
+            Optional<WorkspaceKeys> workspaceKeys,
+            InputLimits inputLimits) {
         PriorityScale priorities =
                 PriorityScale.of(workspaceKeys.map(WorkspaceKeys::workspaces).orElse(List.of()), routes);
-        RoutingTable table = new RoutingTable(version, workspaceKeys, priorities);
+        RoutingTable table = new RoutingTable(version, inputLimits, workspaceKeys, priorities);
         for (Route route : routes) {
             table.routesByHost
                     .computeIfAbsent(route.host(), host -> new ArrayList<>())
@@ -56,6 +65,11 @@
         return version;
     }
 
+    /** Returns the limits of the requests of callers. */
+    public InputLimits inputLimits() {
+        return inputLimits;
+    }
+
     /**
      * Returns the route of a host whose prefix is the longest that matches a path.
      *
