--- a/node/src/main/java/io/persimmonstack/node/planning/EvictionRules.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/EvictionRules.java
@@ -114,7 +114,7 @@
                     demands.containsKey(victim) && demands.get(victim).waiting() > 0;
             return !hasWaitingRequests
                     && (!inUse
-                            || isUrgent(demand)
+                            || need.mayDrain()
                                     && (isSpareReplica(runner, victim) || demandRate(victim) < need.urgency()));
         }
         if (demand.waiting() == 0 && demand.perSecond() < MIN_REPLICA_RATE_PER_SECOND) {
@@ -129,7 +129,7 @@
      * Returns whether models in use may be evicted for a model: it has a high request rate, or its requests would miss
      * their latency target if they waited longer for a victim without requests.
      */
-    private boolean isUrgent(FleetDemand demand) {
+    boolean isUrgent(FleetDemand demand) {
         long diskLoadMs = engine.models().get(demand.model().model()).diskLoadMs();
         long slackMs = demand.targetLatencyMs() - diskLoadMs - DRAIN_MS;
         long evictAfterMs = Math.clamp(slackMs, MIN_EVICT_IN_USE_AFTER_MS, MAX_EVICT_IN_USE_AFTER_MS);
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -95,12 +95,12 @@
         List<RunnerState> holders = index.holders(demand);
         if (holders.isEmpty()) {
             return demand.waiting() > 0
-                    ? Optional.of(new ReplicaNeed(demand, true, coldUrgency(demand)))
+                    ? Optional.of(new ReplicaNeed(demand, true, rules.isUrgent(demand), coldUrgency(demand)))
                     : Optional.empty();
         }
         boolean crowded = holders.stream().allMatch(runner -> runner.utilisation() > RunnerState.CROWDED_UTILISATION);
         double urgency = demand.waiting() + demand.perSecond();
-        return crowded ? Optional.of(new ReplicaNeed(demand, false, urgency)) : Optional.empty();
+        return crowded ? Optional.of(new ReplicaNeed(demand, false, false, urgency)) : Optional.empty();
     }
 
     /**
--- a/node/src/main/java/io/persimmonstack/node/planning/ReplicaNeed.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ReplicaNeed.java
@@ -5,9 +5,10 @@
  *
  * @param demand demand for the model
  * @param cold whether no runner holds it that may serve the demand
+ * @param mayDrain whether models in use may be evicted for it
  * @param urgency rank among the needs; the highest is planned first
  */
-record ReplicaNeed(FleetDemand demand, boolean cold, double urgency) {
+record ReplicaNeed(FleetDemand demand, boolean cold, boolean mayDrain, double urgency) {
     /** Returns whether the replica may be at any runner; a need that few runners can meet is planned first. */
     boolean anyRunner() {
         return demand.softwareVersion().isEmpty();
