node: runners are chosen by their expected time, and scarce memory is claimed first

Cause: a runner counted only by its utilisation, so slow ones got as many requests as fast ones until they were full; and nodes that learn of each other's requests 250 ms late could together exceed the cache of one runner, which ends it. An idle runner took a request of any size.

Change: nodes measure first events, gaps and whole answers against what is usual for their kind, report medians, and the leader keeps a lasting and a passing pace for each runner process and tells the changes (NodeLoad.paces, FleetLoad.paces). RunnerCost is the expected time. Where unknown requests of other nodes may not fit beside it, a node claims the room through the leader before it sends (MemoryClaim).

idleRunnerTakesANewRequestOfAnySize asserted that 5,000 tokens go to a cache of 1,000, which is what ends runners. Replaced by one that allows the whole cache and not one token more.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -141,7 +141,7 @@
         Peer self = new Peer(options.name(), startedMs, options.zone(), options.callerAddress(), options.linkAddress());
         this.session = StoreSession.start(ports.store(), fleet, self, this::canServe);
         closer.add(session);
-        startPlanning(ports, executor, metrics);
+        startPlanning(ports, executor, metrics, registry);
         registerGauges(registry);
     }
 
@@ -199,12 +199,14 @@
         }
     }
 
-    private void startPlanning(NodePorts ports, ExecutorService executor, NodeMetrics metrics) throws ProgramException {
+    private void startPlanning(NodePorts ports, ExecutorService executor, NodeMetrics metrics, MetricRegistry registry)
+            throws ProgramException {
         Supplier<OptionalLong> leadTerm = session::leadTerm;
         NodeReports reports = NodeReports.create();
         Planner planner = closer.add(Planner.start(
                 fleet, reports, leadTerm, options, ports.runnerControl(), executor, metrics, session::stepDown));
         LeaderHandler leader = LeaderHandler.of(fleet, reports, planner, leadTerm);
+        registry.gauge("runners.unusual-pace", () -> leader::unusualPaces);
         try {
             LinkHandler handler = LinkHandler.of(leader, origins.handler(), crashReports::receive);
             closer.add(ThriftServer.start(options.linkAddress(), new NodeLink.Processor<>(handler)));
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -122,6 +122,8 @@
             Level.INFO,
             "directive runner={} orders={} sequence={} used-mb={} memory-mb={} adapters={} loading={} adapter-slots={}"
                     + " requests={} reason={}"),
+    /** The pace of a runner, by its answers to all nodes, is no longer the usual one, or is again (1). */
+    RUNNER_PACE(6251, Level.INFO, "runner-pace runner={} started={} pace={}"),
     /** Lines of one event were suppressed by its rate limit. */
     SUPPRESSED(6900, Level.INFO, "lines-left-out event={} count={}");
 
--- a/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
@@ -1,8 +1,12 @@
 package io.persimmonstack.node.peers;
 
+import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.RateLimitedLog;
 import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.pace.FleetPaces;
 import io.persimmonstack.node.planning.NodeReports;
 import io.persimmonstack.node.planning.Planner;
+import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.gen.FleetLoad;
 import io.persimmonstack.wire.gen.NodeLoad;
 import io.persimmonstack.wire.gen.WireRefusal;
@@ -11,12 +15,14 @@
 
 /** Receives the load reports of all nodes while this node is the leader, and answers with the state of the runners. */
 public final class LeaderHandler {
+    private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(LeaderHandler.class));
     private static final String NOT_LEADING = "not-leading";
     private final FleetView fleet;
     private final NodeReports reports;
     private final Planner planner;
     private final Supplier<OptionalLong> leadTerm;
     private final SnapshotDeltas snapshotDeltas = new SnapshotDeltas();
+    private final FleetPaces paces = FleetPaces.create();
 
     private LeaderHandler(FleetView fleet, NodeReports reports, Planner planner, Supplier<OptionalLong> leadTerm) {
         this.fleet = fleet;
@@ -57,6 +63,18 @@
                 term.getAsLong(),
                 LoadMessages.acknowledgedAnswer(load),
                 planner.snapshotsFor(load.getNode()));
-        return LoadMessages.toFleetLoad(fleet, delta, reports.silentNodes(nowNanos), planner.arrivals());
+        FleetLoad answer = LoadMessages.toFleetLoad(fleet, delta, reports.silentNodes(nowNanos), planner.arrivals());
+        paces.update(PaceMessages.paces(load), nowNanos);
+        PaceMessages.addTo(
+                answer,
+                paces.changesFor(load.getNode(), LoadMessages.acknowledgedAnswer(load), delta.answerId(), nowNanos));
+        paces.drainTransitions()
+                .forEach(pace -> LOG.write(NodeEvent.RUNNER_PACE, pace.runner(), pace.startedMs(), pace.ratio()));
+        return answer;
+    }
+
+    /** Returns the number of runner processes whose pace is not the usual one. */
+    public int unusualPaces() {
+        return paces.unusualCount();
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -94,6 +94,7 @@
             return;
         }
         NodeLoad load = LoadMessages.toNodeLoad(node, ++sequence, fleet, acknowledged, placer.drainLoad());
+        PaceMessages.addTo(load, placer.paces().drain(System.nanoTime()));
         try {
             apply(exchange(leader.get(), load));
         } catch (WireException | WireRefusal e) {
@@ -114,6 +115,7 @@
         fleet.updateSilentNodes(new HashSet<>(answer.getSilentNodes()));
         fleet.recordLeaving(LoadMessages.leaving(answer), "leader");
         boolean allApplied = placer.applySnapshots(LoadMessages.snapshots(answer));
+        placer.applyPaces(PaceMessages.paces(answer), answer.getTerm() != acknowledged.term());
         acknowledged = allApplied ? LoadMessages.answerId(answer) : SnapshotDeltas.AnswerId.NONE;
         placer.applyModelArrivals(LoadMessages.arrivals(answer));
     }
--- a/node/src/main/java/io/persimmonstack/node/placing/LocalLoadCollector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/LocalLoadCollector.java
@@ -10,15 +10,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * Collects the load of this node for its report to the leader: requests in progress at runners, demand for models, and
  * unreachable runners. Not thread-safe; guarded by the lock of {@link Placer}.
  */
 final class LocalLoadCollector {
+    private static final ModelRef NO_MODEL = new ModelRef("", "");
     /** Requests that arrived since the last report. */
     private final Map<DemandKey, Integer> arrivalCounts = new HashMap<>();
 
+    private final ArrivalRates arrivalRates = new ArrivalRates();
     private final ModelArrivalTracker modelArrivals;
 
     /** Model or adapter of a service, and the only software version that may serve the requests for it, if any. */
@@ -41,13 +44,19 @@
     }
 
     /** Counts a request that has arrived at this node; one without a model is no demand. */
-    void countArrival(ActiveRequest request) {
+    void countArrival(ActiveRequest request, long nowNanos) {
+        arrivalRates.count(request.service().name(), nowNanos);
         request.callerRequest()
                 .model()
                 .ifPresent(model -> arrivalCounts.merge(
                         new DemandKey(request.service().name(), model, Optional.empty()), 1, Integer::sum));
     }
 
+    /** Returns how many requests a second for a service arrive at this node. */
+    double arrivalsPerSecond(String service, long nowNanos) {
+        return arrivalRates.perSecond(service, nowNanos);
+    }
+
     /**
      * Returns the load of this node and resets the counts of arrived requests.
      *
@@ -56,8 +65,9 @@
      * @param nowNanos current monotonic time
      */
     LocalLoad drain(Collection<RunnerLoadTracker> trackers, Collection<QueuedRequest> queue, long nowNanos) {
-        List<RunnerUsage> usages =
-                trackers.stream().flatMap(tracker -> tracker.usages().stream()).toList();
+        List<RunnerUsage> usages = trackers.stream()
+                .flatMap(tracker -> Stream.concat(tracker.usages().stream(), claimed(tracker, nowNanos)))
+                .toList();
         List<String> unreachableRunners = trackers.stream()
                 .filter(tracker -> tracker.isUnreachable(nowNanos))
                 .map(tracker -> tracker.runner().id())
@@ -65,6 +75,14 @@
         return new LocalLoad(usages, drainDemand(trackers, queue, nowNanos), unreachableRunners);
     }
 
+    /** Returns the memory that this node claims at a runner, as the usage of no request. */
+    private static Stream<RunnerUsage> claimed(RunnerLoadTracker tracker, long nowNanos) {
+        long tokens = tracker.memoryClaim().report(nowNanos);
+        return tokens == 0
+                ? Stream.empty()
+                : Stream.of(new RunnerUsage(tracker.runner().id(), NO_MODEL, 0, tokens));
+    }
+
     private List<ModelDemand> drainDemand(
             Collection<RunnerLoadTracker> trackers, Collection<QueuedRequest> queue, long nowNanos) {
         Map<DemandKey, List<ActiveRequest>> requestsByKey = new HashMap<>();
--- a/node/src/main/java/io/persimmonstack/node/placing/Placement.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placement.java
@@ -6,11 +6,13 @@
 /** Slot that one request occupies at a runner; {@link #close} releases it. */
 public final class Placement implements AutoCloseable {
     private final Runner runner;
+    private final long tokensToRead;
     private final Runnable release;
     private final AtomicBoolean closed = new AtomicBoolean();
 
-    Placement(Runner runner, Runnable release) {
+    Placement(Runner runner, long tokensToRead, Runnable release) {
         this.runner = runner;
+        this.tokensToRead = tokensToRead;
         this.release = release;
     }
 
@@ -19,6 +21,11 @@
         return runner;
     }
 
+    /** Returns how much of the prompt the runner probably has to read, in tokens. */
+    public long tokensToRead() {
+        return tokensToRead;
+    }
+
     @Override
     public void close() {
         if (closed.compareAndSet(false, true)) {
--- a/node/src/main/java/io/persimmonstack/node/placing/PlacementRefusals.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/PlacementRefusals.java
@@ -5,12 +5,16 @@
 import io.persimmonstack.node.request.Refusal;
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.router.request.Jitter;
+import java.util.concurrent.TimeUnit;
 
 /** Refusals of requests that were not placed, with the time after which their callers may retry. */
 final class PlacementRefusals {
     /** Base of the randomised retry time advised to a caller whose request timed out. */
     private static final long RETRY_AFTER_MS = 500;
 
+    /** Time after which a larger cache may have been configured. */
+    private static final long TOO_LARGE_RETRY_AFTER_S = 60;
+
     /** Mean time over which callers return after a pause of the runners. */
     private static final long RETURN_SPREAD_MS = 200;
 
@@ -25,6 +29,14 @@
         return refusal("no-place", detail, Jitter.spread(RETRY_AFTER_MS));
     }
 
+    /** Returns the refusal of a request that exceeds the whole cache of each runner. */
+    static RefusedException tooLarge(long expectedTokens) {
+        return refusal(
+                "too-large",
+                expectedTokens + " tokens exceed the cache of a runner",
+                TimeUnit.SECONDS.toMillis(TOO_LARGE_RETRY_AFTER_S));
+    }
+
     /** Returns the refusal of the rest of a stream of which no runner has the software version that began it. */
     static RefusedException versionGone(String softwareVersion) {
         return refusal(
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -2,8 +2,9 @@
 
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.pace.PaceRecorder;
+import io.persimmonstack.node.pace.RunnerPace;
 import io.persimmonstack.node.request.ActiveRequest;
-import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.router.request.Jitter;
@@ -31,13 +32,14 @@
     private final LocalLoadCollector loadCollector = new LocalLoadCollector(modelArrivals);
     private final FleetView fleet;
     private final RunnerLoadTrackers trackers;
-    private final String zone;
+    private final PaceRecorder paces = PaceRecorder.create();
+    private final ZoneCost zones;
     private volatile Runnable onQueued = () -> {};
 
     private Placer(FleetView fleet, String zone) {
         this.fleet = fleet;
         this.trackers = RunnerLoadTrackers.of(fleet);
-        this.zone = zone;
+        this.zones = ZoneCost.preferring(zone);
     }
 
     /** Returns a placer for a node in the given availability zone that follows the runners of a fleet view. */
@@ -56,7 +58,7 @@
     public void recordArrival(ActiveRequest request) {
         lock.lock();
         try {
-            loadCollector.countArrival(request);
+            loadCollector.countArrival(request, System.nanoTime());
         } finally {
             lock.unlock();
         }
@@ -75,6 +77,7 @@
     public Placement place(ActiveRequest request, RunnerFilter runnerFilter, long deadlineNanos)
             throws RefusedException, InterruptedException {
         QueuedRequest queued = new QueuedRequest(request, runnerFilter, deadlineNanos);
+        RequestRequirements.refuseIfTooLarge(request);
         lock.lock();
         try {
             Optional<Placement> placed = tryPlace(queued);
@@ -159,29 +162,31 @@
         RunnerSelector.Requirements requirements = requirements(queued);
         return selector(request)
                 .choose(trackers.ofService(request.service().name()), requirements)
-                .map(tracker -> occupySlot(tracker, request, requirements.expectedTokens()));
+                .map(tracker -> occupySlot(tracker, request, requirements));
     }
 
     private RunnerSelector selector(ActiveRequest request) {
+        long nowNanos = System.nanoTime();
+        double perSecond = loadCollector.arrivalsPerSecond(request.service().name(), nowNanos);
         int nodes = fleet.current().peers().size();
-        return RunnerSelector.of(request.service(), zone, nodes, ThreadLocalRandom.current(), System.nanoTime());
+        return RunnerSelector.of(request.service(), zones, nodes, perSecond, ThreadLocalRandom.current(), nowNanos);
     }
 
     private RunnerSelector.Requirements requirements(QueuedRequest queued) {
-        CallerRequest callerRequest = queued.request().callerRequest();
-        return new RunnerSelector.Requirements(
-                callerRequest.model(),
-                callerRequest.tokens().likelyTotal(),
-                queued.runnerFilter(),
-                promptAffinity.preferredRunner(callerRequest));
+        return RequestRequirements.of(queued.request(), queued.runnerFilter(), promptAffinity);
     }
 
     /** Occupies a slot of a runner; closing the placement releases it and places queued requests. */
-    private Placement occupySlot(RunnerLoadTracker tracker, ActiveRequest request, long expectedTokens) {
+    private Placement occupySlot(
+            RunnerLoadTracker tracker, ActiveRequest request, RunnerSelector.Requirements requirements) {
+        long expectedTokens = requirements.expectedTokens();
         ModelRef model = request.callerRequest().model().orElse(NO_MODEL);
         tracker.requestStarted(model, expectedTokens);
         promptAffinity.recordRunner(request.callerRequest(), tracker.runner().id());
-        return new Placement(tracker.runner(), () -> releaseSlot(tracker, model, expectedTokens));
+        return new Placement(
+                tracker.runner(),
+                requirements.tokensToRead(tracker.runner()),
+                () -> releaseSlot(tracker, model, expectedTokens));
     }
 
     private void releaseSlot(RunnerLoadTracker tracker, ModelRef model, long expectedTokens) {
@@ -224,7 +229,7 @@
     public boolean applySnapshots(List<RunnerSnapshot> snapshots) {
         lock.lock();
         try {
-            boolean allApplied = trackers.applySnapshots(snapshots);
+            boolean allApplied = trackers.applySnapshots(snapshots, System.nanoTime());
             placeQueuedRequests();
             return allApplied;
         } finally {
@@ -232,6 +237,21 @@
         }
     }
 
+    /** Returns where the durations of answers are recorded, for the paces of the runners. */
+    public PaceRecorder paces() {
+        return paces;
+    }
+
+    /** Applies the leader's paces of runner processes; {@code all} if the other ones have a pace of 1. */
+    public void applyPaces(List<RunnerPace> changed, boolean all) {
+        lock.lock();
+        try {
+            trackers.applyPaces(changed, all);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Replaces the estimates of when models become available; refuses requests whose model comes too late. */
     public void applyModelArrivals(List<ModelArrival> expected) {
         lock.lock();
--- a/node/src/main/java/io/persimmonstack/node/placing/PromptAffinityCache.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/PromptAffinityCache.java
@@ -22,12 +22,16 @@
         }
     }
 
-    /** Returns the identifier of the runner that last processed the longest known prefix of the prompt. */
-    Optional<String> preferredRunner(CallerRequest request) {
-        for (PromptPart part : sharedParts(request.prompt()).reversed()) {
-            String runner = runnerByPart.get(key(request, part));
+    /** Returns the runner that last processed the longest known prefix of the prompt, with the length of the prefix. */
+    Optional<CachedPrompt> cachedPrompt(CallerRequest request) {
+        List<PromptPart> shared = sharedParts(request.prompt());
+        for (int parts = shared.size(); parts > 0; parts--) {
+            String runner = runnerByPart.get(key(request, shared.get(parts - 1)));
             if (runner != null) {
-                return Optional.of(runner);
+                long tokens = shared.subList(0, parts).stream()
+                        .mapToLong(PromptPart::tokens)
+                        .sum();
+                return Optional.of(new CachedPrompt(runner, tokens));
             }
         }
         return Optional.empty();
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
@@ -37,14 +37,16 @@
     private Optional<List<HeldModel>> reportedModels = Optional.empty();
     private int localRequests;
     private long localTokens;
-    private int requestsElsewhere;
-    private long tokensElsewhere;
+    private RequestsElsewhere elsewhere = new RequestsElsewhere();
     private long avoidUntilNanos = Long.MIN_VALUE;
     private long unreachableUntilNanos = Long.MIN_VALUE;
     private OptionalLong quietUntilNanos = OptionalLong.empty();
     private OptionalLong servesRestsUntilNanos = OptionalLong.empty();
     private boolean replaced;
     private OptionalLong outgoingUntilNanos = OptionalLong.empty();
+    private double pace = 1;
+    private MemoryShare memoryShare = new MemoryShare();
+    private final MemoryClaim memoryClaim = new MemoryClaim();
 
     RunnerLoadTracker(Runner runner) {
         this.runner = runner;
@@ -55,8 +57,8 @@
     }
 
     /**
-     * Replaces the runner's entry; for a new process, discards failures, backoffs and the leader's snapshot of the
-     * earlier one.
+     * Replaces the runner's entry; for a new process, discards failures, backoffs, pace and the leader's snapshot of
+     * the earlier one.
      */
     void updateRunner(Runner newer) {
         if (!runner.isSameProcess(newer)) {
@@ -67,6 +69,9 @@
             unreachableUntilNanos = Long.MIN_VALUE;
             quietUntilNanos = OptionalLong.empty();
             replaced = false;
+            memoryShare = new MemoryShare();
+            memoryClaim.withdraw();
+            elsewhere = new RequestsElsewhere();
         }
         runner = newer;
     }
@@ -74,8 +79,7 @@
     /** Applies a snapshot of the leader; one without models leaves the models as they are. */
     void applySnapshot(RunnerSnapshot snapshot) {
         reportedModels = snapshot.models().or(() -> reportedModels);
-        requestsElsewhere = snapshot.requestsElsewhere();
-        tokensElsewhere = snapshot.tokensElsewhere();
+        elsewhere.update(snapshot.requestsElsewhere(), snapshot.tokensElsewhere());
     }
 
     /**
@@ -89,8 +93,8 @@
     /** Discards the leader's snapshot, so that only the runner's own entry in the store counts. */
     void discardSnapshot() {
         reportedModels = Optional.empty();
-        requestsElsewhere = 0;
-        tokensElsewhere = 0;
+        elsewhere.update(0, 0);
+        pace = 1;
     }
 
     /**
@@ -108,6 +112,7 @@
     }
 
     void requestStarted(ModelRef model, long requestTokens) {
+        memoryClaim.withdraw();
         adjustUsage(model, 1, requestTokens);
     }
 
@@ -230,11 +235,36 @@
 
     /** Returns the number of requests in progress at the runner, from this node and others. */
     int totalRequests() {
-        return localRequests + requestsElsewhere;
+        return localRequests + elsewhere.requests();
     }
 
     /** Returns the estimated number of tokens of all requests in progress at the runner. */
     long totalTokens() {
-        return localTokens + tokensElsewhere;
+        return localTokens + elsewhere.tokens();
+    }
+
+    /** Returns the requests of other nodes at the runner. */
+    RequestsElsewhere elsewhere() {
+        return elsewhere;
+    }
+
+    /** Returns the share of this node in the free memory of the runner. */
+    MemoryShare memoryShare() {
+        return memoryShare;
+    }
+
+    /** Returns the claim of this node to memory of the runner. */
+    MemoryClaim memoryClaim() {
+        return memoryClaim;
+    }
+
+    /** Sets how long the runner takes for a request, compared with the other runners of its service. */
+    void updatePace(double ratio) {
+        pace = ratio > 0 ? ratio : 1;
+    }
+
+    /** Returns how long the runner takes for a request, compared with the other runners of its service: 1 as long. */
+    double pace() {
+        return pace;
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTrackers.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTrackers.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.pace.RunnerPace;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -60,12 +61,14 @@
     }
 
     /** Applies the leader's snapshots of changed runners; returns whether this node knows all these processes. */
-    boolean applySnapshots(List<RunnerSnapshot> snapshots) {
+    boolean applySnapshots(List<RunnerSnapshot> snapshots, long nowNanos) {
         boolean allApplied = true;
+        trackers.values().forEach(tracker -> tracker.memoryClaim().answered());
         for (RunnerSnapshot snapshot : snapshots) {
             RunnerLoadTracker tracker = trackers.get(snapshot.runner());
             if (tracker != null && tracker.runner().startedMs() == snapshot.startedMs()) {
                 tracker.applySnapshot(snapshot);
+                tracker.elsewhere().observe(nowNanos);
             } else {
                 allApplied = false;
                 markReplaced(tracker, snapshot);
@@ -85,4 +88,22 @@
     void discardSnapshots() {
         trackers.values().forEach(RunnerLoadTracker::discardSnapshot);
     }
+
+    /**
+     * Applies the leader's paces of runner processes.
+     *
+     * @param paces paces that have changed, or all that are not 1
+     * @param all whether all other runners have a pace of 1
+     */
+    void applyPaces(List<RunnerPace> paces, boolean all) {
+        if (all) {
+            trackers.values().forEach(tracker -> tracker.updatePace(1));
+        }
+        for (RunnerPace pace : paces) {
+            RunnerLoadTracker tracker = trackers.get(pace.runner());
+            if (tracker != null && tracker.runner().startedMs() == pace.startedMs()) {
+                tracker.updatePace(pace.ratio());
+            }
+        }
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
@@ -1,7 +1,7 @@
 package io.persimmonstack.node.placing;
 
-import io.persimmonstack.node.config.Engine;
 import io.persimmonstack.node.config.Service;
+import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.request.ModelRef;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -12,22 +12,11 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Selects the runner for one request: the eligible runner with the lowest cost. The cost is the utilisation of its
- * slots or its memory, whichever is higher, raised by recent failures and a different availability zone, and lowered if
- * the runner probably still caches the start of the prompt.
+ * Selects the runner for one request: the eligible runner at which it is expected to take the least time, by
+ * {@link RunnerCost}.
  */
 final class RunnerSelector {
-    /** Cost that each recent failure adds to a runner. */
-    private static final double FAILURE_PENALTY = 0.5;
-    /** Cost of a runner in another availability zone. */
-    private static final double OTHER_ZONE_PENALTY = 0.02;
-
-    /** Reduction of the cost of the runner that probably caches the start of the prompt. */
-    private static final double PROMPT_AFFINITY_BONUS = 0.15;
-    /** Share of the token cache that the requests at a runner may fill. */
-    private static final double USABLE_MEMORY_SHARE = 0.92;
-
-    /** Share of the slots and the token cache that new requests leave where the version is on its way out. */
+    /** Share of the slots that new requests leave where the version is on its way out. */
     private static final double KEPT_SHARE = 0.1;
     /** Slots from which a runner keeps at least one. */
     private static final int MIN_SLOTS_TO_KEEP_ONE = 4;
@@ -38,15 +27,23 @@
     private static final int MIN_SAMPLE = 2;
 
     private final Service service;
-    private final String zone;
+    private final ZoneCost zones;
     private final int nodes;
+    private final double arrivalsPerSecond;
     private final RandomGenerator random;
     private final long nowNanos;
 
-    private RunnerSelector(Service service, String zone, int nodes, RandomGenerator random, long nowNanos) {
+    private RunnerSelector(
+            Service service,
+            ZoneCost zones,
+            int nodes,
+            double arrivalsPerSecond,
+            RandomGenerator random,
+            long nowNanos) {
         this.service = service;
-        this.zone = zone;
+        this.zones = zones;
         this.nodes = nodes;
+        this.arrivalsPerSecond = arrivalsPerSecond;
         this.random = random;
         this.nowNanos = nowNanos;
     }
@@ -61,7 +58,27 @@
      * @param nowNanos monotonic time
      */
     static RunnerSelector of(Service service, String zone, int nodes, RandomGenerator random, long nowNanos) {
-        return new RunnerSelector(service, zone, nodes, random, nowNanos);
+        return of(service, ZoneCost.preferring(zone), nodes, 0, random, nowNanos);
+    }
+
+    /**
+     * Returns a selector.
+     *
+     * @param service service of the request
+     * @param zones cost of runners in other zones
+     * @param nodes number of nodes that send requests to the same runners
+     * @param arrivalsPerSecond requests a second for the service that arrive at this node
+     * @param random source of the random choices
+     * @param nowNanos monotonic time
+     */
+    static RunnerSelector of(
+            Service service,
+            ZoneCost zones,
+            int nodes,
+            double arrivalsPerSecond,
+            RandomGenerator random,
+            long nowNanos) {
+        return new RunnerSelector(service, zones, nodes, arrivalsPerSecond, random, nowNanos);
     }
 
     /**
@@ -83,13 +100,15 @@
             Collection<RunnerLoadTracker> trackers,
             Requirements requirements,
             Class<? extends Availability> availability) {
+        MemoryRoom memory = MemoryRoom.of(service, trackers, nodes, arrivalsPerSecond, random, nowNanos);
+        RunnerCost cost = RunnerCost.of(service, zones, nowNanos);
         List<RunnerLoadTracker> eligible = trackers.stream()
                 .filter(tracker -> availability.isInstance(tracker.availability(nowNanos)))
                 .filter(tracker -> suits(tracker, requirements))
-                .filter(tracker -> hasCapacity(tracker, requirements))
+                .filter(tracker -> hasCapacity(tracker, requirements, memory))
                 .toList();
         return sample(eligible, requirements).stream()
-                .min(Comparator.comparingDouble(tracker -> cost(tracker, requirements)));
+                .min(Comparator.comparingDouble(tracker -> cost.of(tracker, requirements)));
     }
 
     /**
@@ -104,17 +123,28 @@
         }
         List<RunnerLoadTracker> sample = new ArrayList<>();
         for (int i = 0; i < size; i++) {
-            sample.add(eligible.get(random.nextInt(eligible.size())));
+            sample.add(draw(eligible));
         }
-        eligible.stream().filter(tracker -> isPreferred(tracker, requirements)).forEach(sample::add);
+        eligible.stream()
+                .filter(tracker -> requirements.isPreferred(tracker.runner()))
+                .forEach(sample::add);
         return sample;
     }
 
-    private static boolean isPreferred(RunnerLoadTracker tracker, Requirements requirements) {
-        return requirements
-                .preferredRunner()
-                .filter(tracker.runner().id()::equals)
-                .isPresent();
+    /** Draws a runner at random, a faster one more often, since it answers more requests in the same time. */
+    private RunnerLoadTracker draw(List<RunnerLoadTracker> eligible) {
+        double total = 0;
+        for (RunnerLoadTracker tracker : eligible) {
+            total += 1 / tracker.pace();
+        }
+        double remaining = random.nextDouble() * total;
+        for (RunnerLoadTracker tracker : eligible) {
+            remaining -= 1 / tracker.pace();
+            if (remaining < 0) {
+                return tracker;
+            }
+        }
+        return eligible.getLast();
     }
 
     /**
@@ -160,16 +190,39 @@
      * @param expectedTokens estimated number of prompt and output tokens
      * @param runnerFilter runners that may take the request
      * @param preferredRunner identifier of the runner that probably caches the start of the prompt
+     * @param promptTokens length of the prompt, 0 if it is not known
+     * @param cachedTokens length of the start of the prompt that the preferred runner probably caches
      */
     record Requirements(
             Optional<ModelRef> model,
             long expectedTokens,
             RunnerFilter runnerFilter,
-            Optional<String> preferredRunner) {
+            Optional<String> preferredRunner,
+            long promptTokens,
+            long cachedTokens) {
+        /** Creates the requirements of a request whose prompt has an unknown length. */
+        Requirements(
+                Optional<ModelRef> model,
+                long expectedTokens,
+                RunnerFilter runnerFilter,
+                Optional<String> preferredRunner) {
+            this(model, expectedTokens, runnerFilter, preferredRunner, 0, 0);
+        }
+
         /** Returns whether the request is not the rest of a stream. */
         boolean isNew() {
             return runnerFilter.softwareVersion().isEmpty();
         }
+
+        /** Returns whether a runner probably caches the start of the prompt. */
+        boolean isPreferred(Runner runner) {
+            return preferredRunner.filter(runner.id()::equals).isPresent();
+        }
+
+        /** Returns how much of the prompt a runner has to read, in tokens. */
+        long tokensToRead(Runner runner) {
+            return Math.max(0, isPreferred(runner) ? promptTokens - cachedTokens : promptTokens);
+        }
     }
 
     /** Returns whether a runner, if it is available, can run the request. */
@@ -182,40 +235,23 @@
     }
 
     /**
-     * Returns whether a runner has a free slot and enough memory; an idle one takes a request of any size. Of a runner
-     * whose version is on its way out, new requests leave a share to the rest of streams, which has to go there.
+     * Returns whether a runner has a free slot and enough memory. Of a runner whose version is on its way out, new
+     * requests leave a share to the rest of streams, which has to go there, unless it is idle.
      */
-    private boolean hasCapacity(RunnerLoadTracker tracker, Requirements requirements) {
-        if (tracker.totalRequests() == 0) {
-            return true;
-        }
+    private boolean hasCapacity(RunnerLoadTracker tracker, Requirements requirements, MemoryRoom memory) {
         boolean keepsShare = requirements.isNew() && tracker.isOutgoing(nowNanos);
-        int slots = tracker.slotLimit(nowNanos);
-        int usableSlots = keepsShare ? slots - keptSlots(tracker.runner().slots()) : slots;
-        if (tracker.totalRequests() >= usableSlots) {
-            return false;
+        if (tracker.totalRequests() > 0) {
+            int slots = tracker.slotLimit(nowNanos);
+            int usableSlots = keepsShare ? slots - keptSlots(tracker.runner().slots()) : slots;
+            if (tracker.totalRequests() >= usableSlots) {
+                return false;
+            }
         }
-        long capacityTokens = service.engine().map(Engine::cacheTokens).orElse(Long.MAX_VALUE);
-        double usableShare = keepsShare ? USABLE_MEMORY_SHARE * (1 - KEPT_SHARE) : USABLE_MEMORY_SHARE;
-        return tracker.totalTokens() + requirements.expectedTokens() <= capacityTokens * usableShare;
+        return memory.fits(tracker, requirements.expectedTokens(), keepsShare);
     }
 
     /** Returns the number of slots that new requests leave to the rest of streams: at least one, but not of a few. */
     private static int keptSlots(int slots) {
         return slots < MIN_SLOTS_TO_KEEP_ONE ? 0 : Math.max(1, (int) (slots * KEPT_SHARE));
     }
-
-    private double cost(RunnerLoadTracker tracker, Requirements requirements) {
-        double slotUtilisation =
-                (double) tracker.totalRequests() / Math.max(1, tracker.runner().slots());
-        double memoryUtilisation = service.engine()
-                .map(engine -> (double) tracker.totalTokens() / engine.cacheTokens())
-                .orElse(0.0);
-        double zonePenalty = tracker.runner().zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY;
-        double affinityBonus = isPreferred(tracker, requirements) ? PROMPT_AFFINITY_BONUS : 0;
-        return Math.max(slotUtilisation, memoryUtilisation)
-                + FAILURE_PENALTY * tracker.recentFailures(nowNanos)
-                + zonePenalty
-                - affinityBonus;
-    }
 }
--- a/node/src/main/java/io/persimmonstack/node/planning/RunnerLoads.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/RunnerLoads.java
@@ -33,6 +33,10 @@
 
         private void add(RunnerUsage usage, int sign) {
             total = new Load(total.requests() + sign * usage.requests(), total.tokens() + sign * usage.tokens());
+            if (usage.requests() == 0) {
+                // Memory that a node claims for a request that it has not sent yet.
+                return;
+            }
             requestsByModel.merge(usage.model(), sign * usage.requests(), Sum::sumOrAbsent);
         }
 
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -8,6 +8,7 @@
 import io.persimmonstack.backends.http.SilenceWatcher;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.fleet.RunnerProcess;
+import io.persimmonstack.node.pace.PaceRecorder;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.router.request.CallerGoneException;
 import io.persimmonstack.router.request.Reply;
@@ -47,6 +48,7 @@
     private final AnswerHeadReader heads;
     private final SendCheck sendCheck;
     private final SuccessorFinder successors;
+    private final AnswerPace pace;
     /** Process that gets the request, empty if it is not known. */
     private Optional<RunnerProcess> process;
 
@@ -65,7 +67,8 @@
             ReservedRunner reserved,
             AnswerHeadReader heads,
             SendCheck sendCheck,
-            SuccessorFinder successors) {
+            SuccessorFinder successors,
+            AnswerPace pace) {
         this.connector = connector;
         this.protocol = protocol;
         this.request = request;
@@ -76,6 +79,7 @@
         this.heads = heads;
         this.sendCheck = sendCheck;
         this.successors = successors;
+        this.pace = pace;
         this.process = reserved.process();
     }
 
@@ -89,9 +93,11 @@
             ReservedRunner reserved,
             AnswerHeadReader heads,
             SendCheck sendCheck,
-            SuccessorFinder successors) {
+            SuccessorFinder successors,
+            PaceRecorder paces) {
+        AnswerPace pace = AnswerPace.of(paces, request, reserved.placement().tokensToRead());
         return new Attempt(
-                connector, protocol, request, progress, origin, reply, reserved, heads, sendCheck, successors);
+                connector, protocol, request, progress, origin, reply, reserved, heads, sendCheck, successors, pace);
     }
 
     /**
@@ -113,6 +119,8 @@
             return outcomeOfAnswer(call);
         } catch (HttpFailure e) {
             return outcomeOfFailure(e);
+        } finally {
+            pace.end();
         }
     }
 
@@ -122,6 +130,9 @@
             reserved.call().get().watch(this);
             return reserved.call().get();
         }
+        if (progress.lastEventId().isEmpty()) {
+            pace.requestSent(process(), System.nanoTime());
+        }
         int waitMs = (int) Math.min(Integer.MAX_VALUE, remainingMs);
         HttpTimeouts timeouts = HttpTimeouts.of(Math.min(CONNECT_TIMEOUT_MS, waitMs), waitMs, waitMs);
         return reserved.connection().isPresent()
@@ -200,6 +211,7 @@
 
     /** Returns the outcome of an attempt whose answer is incomplete: it broke, or a successor replaces the runner. */
     private Outcome broken(String detail) {
+        pace.givenUp(System.nanoTime());
         return successor.isPresent() ? new Outcome.Replaced(successor.get(), detail) : unknown(detail);
     }
 
@@ -232,6 +244,9 @@
     private Outcome deliverWhole(HttpCall call) throws HttpFailure, CallerGoneException {
         int waitMs = (int) Math.clamp(request.remainingMs(System.nanoTime()), 1, Integer.MAX_VALUE);
         byte[] body = call.readAll(MAX_ANSWER_BYTES, waitMs);
+        if (call.isSuccess()) {
+            pace.wholeArrived(System.nanoTime());
+        }
         WholeAnswer answer = new WholeAnswer(call.status(), HopByHopHeaders.toReplyHeaders(call.headers()), body);
         if (call.status() >= MIN_SERVER_ERROR_STATUS) {
             return new Outcome.RanWithError(answer);
@@ -255,6 +270,7 @@
         try {
             for (Optional<EventReader.StreamEvent> event = events.next(); event.isPresent(); event = events.next()) {
                 lastReceivedNanos = System.nanoTime();
+                pace.eventArrived(process(), lastReceivedNanos);
                 reserved.prompt().answerBegun();
                 if (continues && event.get().id().isEmpty()) {
                     return unknown(runner().id() + ": text that is no event in place of the rest of the stream");
@@ -272,6 +288,7 @@
                 origin.beforeEvent(process);
                 reply.write(event.get().bytes());
                 progress.recordDelivered(event.get());
+                pace.eventWritten(System.nanoTime());
                 limitSilence(call);
                 call.beginUnit();
             }
--- a/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Dispatcher.java
@@ -122,7 +122,17 @@
                 retryState.recordSend(runner);
             }
             Attempt attempt = Attempt.of(
-                    connector, protocol, request, progress, origin, reply, next, heads, sendCheck, successors);
+                    connector,
+                    protocol,
+                    request,
+                    progress,
+                    origin,
+                    reply,
+                    next,
+                    heads,
+                    sendCheck,
+                    successors,
+                    placer.paces());
             Outcome outcome;
             try (ReservedRunner reserved = next) {
                 outcome = attempt.run();
--- a/node/src/test/java/io/persimmonstack/node/placing/OutgoingVersionsTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/OutgoingVersionsTest.java
@@ -139,14 +139,18 @@
         assertTrue(selector.choose(List.of(tracker), tokens(220, OLD_ONLY)).isPresent());
     }
 
+    /** A share that is kept for others must not lock out a large request; one beyond the cache ends the runner. */
     @Test
-    void idleRunnerTakesANewRequestOfAnySize() {
+    void idleRunnerTakesANewRequestUpToItsWholeCacheAndNoLargerOne() {
         Service service = new Service("s", "/health", 10, Optional.of(new Engine(40, 1_000, 100, 0, 3, Map.of())));
         RunnerLoadTracker tracker = new RunnerLoadTracker(runner("b", 1, "old"));
         tracker.updateOutgoing(OptionalLong.of(1));
         RunnerSelector selector = RunnerSelector.of(service, "z", 1, new Random(1), 0);
-        assertTrue(selector.choose(List.of(tracker), tokens(5_000, RunnerFilter.any()))
+        assertTrue(selector.choose(List.of(tracker), tokens(1_000, RunnerFilter.any()))
                 .isPresent());
+        assertTrue(selector.choose(List.of(tracker), tokens(1_001, RunnerFilter.any()))
+                .isEmpty());
+        assertTrue(selector.choose(List.of(tracker), tokens(1_001, OLD_ONLY)).isEmpty());
     }
 
     private static RunnerSelector.Requirements tokens(long expectedTokens, RunnerFilter runnerFilter) {
