--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -134,6 +134,8 @@
                     + " requests={} reason={}"),
     /** The number of loads that the weight store serves concurrently at full speed has been learned anew. */
     STORE_LIMITS(6205, Level.INFO, "store-limits loads={} urgent-loads={}"),
+    /** The pace of a runner, by its answers to all nodes, is no longer the usual one, or is again (1). */
+    RUNNER_PACE(6251, Level.INFO, "runner-pace runner={} started={} pace={}"),
     /** Lines of one event were suppressed by its rate limit. */
     SUPPRESSED(6900, Level.INFO, "lines-left-out event={} count={}");
 
--- a/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
@@ -1,8 +1,12 @@
 package io.persimmonstack.node.peers;
 
+import io.persimmonstack.node.NodeEvent;
+import io.persimmonstack.node.RateLimitedLog;
 import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.pace.FleetPaces;
 import io.persimmonstack.node.planning.NodeReports;
 import io.persimmonstack.node.planning.Planner;
+import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.gen.FleetLoad;
 import io.persimmonstack.wire.gen.NodeLoad;
 import io.persimmonstack.wire.gen.WireRefusal;
@@ -11,6 +15,7 @@
 
 /** Receives the load reports of all nodes while this node is the leader, and answers with the state of the runners. */
 public final class LeaderHandler {
+    private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(LeaderHandler.class));
     private static final String NOT_LEADING = "not-leading";
     private final FleetView fleet;
     private final NodeReports reports;
@@ -18,6 +23,7 @@
     private final Supplier<OptionalLong> leadTerm;
     private final LoadExtension extension;
     private final SnapshotDeltas snapshotDeltas = new SnapshotDeltas();
+    private final FleetPaces paces = FleetPaces.create();
 
     private LeaderHandler(
             FleetView fleet,
@@ -70,7 +76,18 @@
                 LoadMessages.acknowledgedAnswer(load),
                 planner.snapshotsFor(load.getNode()));
         FleetLoad answer = LoadMessages.toFleetLoad(fleet, delta, reports.silentNodes(nowNanos), planner.arrivals());
+        paces.update(PaceMessages.paces(load), nowNanos);
+        PaceMessages.addTo(
+                answer,
+                paces.changesFor(load.getNode(), LoadMessages.acknowledgedAnswer(load), delta.answerId(), nowNanos));
+        paces.drainTransitions()
+                .forEach(pace -> LOG.write(NodeEvent.RUNNER_PACE, pace.runner(), pace.startedMs(), pace.ratio()));
         extension.exchange(term.getAsLong(), load, answer);
         return answer;
     }
+
+    /** Returns the number of runner processes whose pace is not the usual one. */
+    public int unusualPaces() {
+        return paces.unusualCount();
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -100,6 +100,7 @@
             return;
         }
         NodeLoad load = LoadMessages.toNodeLoad(node, ++sequence, fleet, acknowledged, placer.drainLoad());
+        PaceMessages.addTo(load, placer.paces().drain(System.nanoTime()));
         ClockReading sent = ClockReading.now();
         extension.prepareReport(load, sent);
         try {
@@ -124,6 +125,7 @@
         fleet.updateSilentNodes(new HashSet<>(answer.getSilentNodes()));
         fleet.recordLeaving(LoadMessages.leaving(answer), "leader");
         boolean allApplied = placer.applySnapshots(LoadMessages.snapshots(answer));
+        placer.applyPaces(PaceMessages.paces(answer), answer.getTerm() != acknowledged.term());
         acknowledged = allApplied ? LoadMessages.answerId(answer) : SnapshotDeltas.AnswerId.NONE;
         placer.applyModelArrivals(LoadMessages.arrivals(answer));
     }
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -2,8 +2,9 @@
 
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.pace.PaceRecorder;
+import io.persimmonstack.node.pace.RunnerPace;
 import io.persimmonstack.node.request.ActiveRequest;
-import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.RefusedException;
 import io.persimmonstack.router.request.Jitter;
@@ -30,13 +31,14 @@
     private final LocalLoadCollector loadCollector = new LocalLoadCollector(modelArrivals);
     private final FleetView fleet;
     private final RunnerLoadTrackers trackers;
-    private final String zone;
+    private final PaceRecorder paces = PaceRecorder.create();
+    private final ZoneCost zones;
     private volatile Runnable onQueued = () -> {};
 
     private Placer(FleetView fleet, String zone) {
         this.fleet = fleet;
         this.trackers = RunnerLoadTrackers.of(fleet);
-        this.zone = zone;
+        this.zones = ZoneCost.preferring(zone);
     }
 
     /** Returns a placer for a node in the given availability zone that follows the runners of a fleet view. */
@@ -55,7 +57,7 @@
     public void recordArrival(ActiveRequest request) {
         lock.lock();
         try {
-            loadCollector.countArrival(request);
+            loadCollector.countArrival(request, System.nanoTime());
         } finally {
             lock.unlock();
         }
@@ -74,6 +76,7 @@
     public Placement place(ActiveRequest request, RunnerFilter runnerFilter, long deadlineNanos)
             throws RefusedException, InterruptedException {
         QueuedRequest queued = new QueuedRequest(request, runnerFilter, deadlineNanos);
+        RequestRequirements.refuseIfTooLarge(request);
         submit(queued);
         if (!queued.result().isDone()) {
             onQueued.run();
@@ -165,30 +168,32 @@
         RunnerSelector.Requirements requirements = requirements(queued);
         return selector(request)
                 .choose(candidates, requirements)
-                .map(tracker -> occupySlot(tracker, request, requirements.expectedTokens()));
+                .map(tracker -> occupySlot(tracker, request, requirements));
     }
 
     private RunnerSelector selector(ActiveRequest request) {
+        long nowNanos = System.nanoTime();
+        double perSecond = loadCollector.arrivalsPerSecond(request.service().name(), nowNanos);
         int nodes = fleet.current().peers().size();
-        return RunnerSelector.of(request.service(), zone, nodes, ThreadLocalRandom.current(), System.nanoTime());
+        return RunnerSelector.of(request.service(), zones, nodes, perSecond, ThreadLocalRandom.current(), nowNanos);
     }
 
     private RunnerSelector.Requirements requirements(QueuedRequest queued) {
-        CallerRequest callerRequest = queued.request().callerRequest();
-        return new RunnerSelector.Requirements(
-                callerRequest.model(),
-                callerRequest.tokens().likelyTotal(),
-                queued.runnerFilter(),
-                promptAffinity.preferredRunner(callerRequest));
+        return RequestRequirements.of(queued.request(), queued.runnerFilter(), promptAffinity);
     }
 
     /** Occupies a slot of a runner; closing the placement releases it and places queued requests. */
-    private Placement occupySlot(RunnerLoadTracker tracker, ActiveRequest request, long expectedTokens) {
+    private Placement occupySlot(
+            RunnerLoadTracker tracker, ActiveRequest request, RunnerSelector.Requirements requirements) {
+        long expectedTokens = requirements.expectedTokens();
         ModelRef model = request.callerRequest().model().orElse(NO_MODEL);
         tracker.requestStarted(model, expectedTokens);
         promptAffinity.recordRunner(request.callerRequest(), tracker.runner().id());
         queue.recordPlaced(request);
-        return new Placement(tracker.runner(), () -> releaseSlot(tracker, model, expectedTokens));
+        return new Placement(
+                tracker.runner(),
+                requirements.tokensToRead(tracker.runner()),
+                () -> releaseSlot(tracker, model, expectedTokens));
     }
 
     private void releaseSlot(RunnerLoadTracker tracker, ModelRef model, long expectedTokens) {
@@ -234,7 +239,7 @@
     public boolean applySnapshots(List<RunnerSnapshot> snapshots) {
         lock.lock();
         try {
-            boolean allApplied = trackers.applySnapshots(snapshots);
+            boolean allApplied = trackers.applySnapshots(snapshots, System.nanoTime());
             offerAllRunners(queue.allGroups());
             return allApplied;
         } finally {
@@ -242,6 +247,21 @@
         }
     }
 
+    /** Returns where the durations of answers are recorded, for the paces of the runners. */
+    public PaceRecorder paces() {
+        return paces;
+    }
+
+    /** Applies the leader's paces of runner processes; {@code all} if the other ones have a pace of 1. */
+    public void applyPaces(List<RunnerPace> changed, boolean all) {
+        lock.lock();
+        try {
+            trackers.applyPaces(changed, all);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Replaces the estimates of when models become available; refuses requests whose model comes too late. */
     public void applyModelArrivals(List<ModelArrival> expected) {
         lock.lock();
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTrackers.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTrackers.java
@@ -3,6 +3,7 @@
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.fleet.Runner;
+import io.persimmonstack.node.pace.RunnerPace;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -79,13 +80,15 @@
     }
 
     /** Applies the leader's snapshots of changed runners; returns whether this node knows all these processes. */
-    boolean applySnapshots(List<RunnerSnapshot> snapshots) {
+    boolean applySnapshots(List<RunnerSnapshot> snapshots, long nowNanos) {
         boolean allApplied = true;
+        trackers.values().forEach(tracker -> tracker.memoryClaim().answered());
         for (RunnerSnapshot snapshot : snapshots) {
             RunnerLoadTracker tracker = trackers.get(snapshot.runner());
             if (tracker != null && tracker.runner().startedMs() == snapshot.startedMs()) {
                 tracker.applySnapshot(snapshot);
                 snapshot.models().ifPresent(models -> reportedModels.put(snapshot.runner(), models));
+                tracker.elsewhere().observe(nowNanos);
             } else {
                 allApplied = false;
                 markReplaced(tracker, snapshot);
@@ -106,4 +109,22 @@
         reportedModels.clear();
         trackers.values().forEach(RunnerLoadTracker::discardSnapshot);
     }
+
+    /**
+     * Applies the leader's paces of runner processes.
+     *
+     * @param paces paces that have changed, or all that are not 1
+     * @param all whether all other runners have a pace of 1
+     */
+    void applyPaces(List<RunnerPace> paces, boolean all) {
+        if (all) {
+            trackers.values().forEach(tracker -> tracker.updatePace(1));
+        }
+        for (RunnerPace pace : paces) {
+            RunnerLoadTracker tracker = trackers.get(pace.runner());
+            if (tracker != null && tracker.runner().startedMs() == pace.startedMs()) {
+                tracker.updatePace(pace.ratio());
+            }
+        }
+    }
 }
