node: the age of the configuration counts times in which the machine was frozen

Cause: 401 and 404 are final for a caller and rest on a configuration that was confirmed within config_apply_ms by the monotonic clock. That clock stops while a machine is frozen, so that after a freeze an old version looks fresh: a key added meanwhile would get 401, and with revoke_strict a removed key would be accepted.

Change: ClockGaps compares the monotonic with the wall clock whenever the configuration is confirmed or its age is asked for. A wall clock that is set forward has the same effect until the next confirmation: 503 in place of 401 or 404.

Not played with a frozen machine.

--- a/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
@@ -24,6 +24,7 @@
     private volatile Set<String> silentNodes = Set.of();
 
     private volatile long routingCompleteUpToNanos;
+    private final ClockGaps clockGaps = new ClockGaps();
 
     private final RunnerNotices notices = RunnerNotices.create();
     private final LeavingRunners leavingRunners;
@@ -74,12 +75,18 @@
 
     /** Records that the configuration of the snapshot is the newest that the store accepted before a monotonic time. */
     public void recordRoutingCompleteUpTo(long nanos) {
+        clockGaps.sample();
         routingCompleteUpToNanos = nanos;
     }
 
-    /** Returns for how long newer configurations may have been in the store unnoticed, in milliseconds. */
+    /**
+     * Returns for how long newer configurations may have been in the store unnoticed, in milliseconds, including times
+     * in which this machine was frozen.
+     */
     public long routingUnconfirmedMs(long nowNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(nowNanos - routingCompleteUpToNanos);
+        clockGaps.sample();
+        long completeUpToNanos = routingCompleteUpToNanos;
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - completeUpToNanos) + clockGaps.missedMsSince(completeUpToNanos);
     }
 
     /** Records that the runners of the snapshot reflect all that the store accepted before a monotonic time. */
