node: a runner's pause costs one search for each kind of waiting request

Cause: each change of the listed runners and each pause that a runner asks for searched all runners for every waiting request, to refuse those whose runners all pause beyond their deadline.

Change: QuietCheck searches once for the requests of one service, model and runner filter, and compares each deadline with the result.

--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -10,7 +10,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -92,7 +91,7 @@
             }
             refuseIfVersionGone(queued);
             refuseIfModelTooLate(queued);
-            refuseIfQuietTooLong(queued);
+            quietCheck().refuseIfTooLong(queued);
             if (queued.result().isDone()) {
                 queue.remove(queued);
             }
@@ -224,7 +223,7 @@
             trackers.update(System.nanoTime());
             offerAllRunners(queue.allGroups());
             refuseQueued(this::refuseIfVersionGone);
-            refuseQueued(this::refuseIfQuietTooLong);
+            refuseQueued(quietCheck()::refuseIfTooLong);
         } finally {
             lock.unlock();
         }
@@ -274,16 +273,12 @@
         }
     }
 
-    /** Refuses a request if all runners that could take it want none until after its deadline. */
-    private void refuseIfQuietTooLong(QueuedRequest queued) {
-        ActiveRequest request = queued.request();
-        OptionalLong untilNanos = selector(request)
-                .quietUntilNanos(trackers.ofService(request.service().name()), requirements(queued));
-        if (untilNanos.isEmpty() || untilNanos.getAsLong() - queued.deadlineNanos() < 0) {
-            return;
-        }
-        long quietMs = TimeUnit.NANOSECONDS.toMillis(untilNanos.getAsLong() - System.nanoTime());
-        queued.refuse(PlacementRefusals.runnersQuiet(quietMs));
+    private QuietCheck quietCheck() {
+        return new QuietCheck(
+                queued -> selector(queued.request())
+                        .quietUntilNanos(
+                                trackers.ofService(queued.request().service().name()), requirements(queued)),
+                System.nanoTime());
     }
 
     /** Refuses a request whose model cannot be loaded before its deadline, with the time to retry after. */
