--- a/node/src/main/java/io/persimmonstack/node/caps/SlotLeader.java
+++ b/node/src/main/java/io/persimmonstack/node/caps/SlotLeader.java
@@ -72,7 +72,7 @@
     }
 
     private int intervalMs() {
-        return caps.hasCaps() && leadTerm.get().isPresent() ? ACTIVE_INTERVAL_MS : IDLE_INTERVAL_MS;
+        return caps.hasCaps() ? ACTIVE_INTERVAL_MS : IDLE_INTERVAL_MS;
     }
 
     private void run() throws InterruptedException {
@@ -180,6 +180,9 @@
             if (leadership.isPresent() && leadership.get().term == term) {
                 SlotAssigner assigner = leadership.get().assigner;
                 assigner.report(CapMessages.report(load), nowNanos);
+                if (assigner.table().isEmpty()) {
+                    thread.wake();
+                }
                 if (assigner.extend(load.getNode(), load.getStartedMs(), nowNanos)) {
                     answer.setCapSlotsValidMs(bounds.rightMs());
                 }
--- a/node/src/main/java/io/persimmonstack/node/caps/UsageCaps.java
+++ b/node/src/main/java/io/persimmonstack/node/caps/UsageCaps.java
@@ -121,6 +121,11 @@
         }
     }
 
+    @Override
+    public boolean needsAnswer() {
+        return tableKnown.getCount() > 0 && source.hasCaps();
+    }
+
     @Override
     public void prepareReport(NodeLoad load, ClockReading sent) {
         if (!source.hasCaps()) {
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadExtension.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadExtension.java
@@ -9,6 +9,11 @@
     /** Extension that sends nothing. */
     LoadExtension NONE = new LoadExtension() {};
 
+    /** Returns whether the node lacks something that the next answer may bring, so that it reports more often. */
+    default boolean needsAnswer() {
+        return false;
+    }
+
     /**
      * Adds to a report of this node.
      *
