--- a/backends/src/main/java/io/persimmonstack/backends/http/BodyReader.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/BodyReader.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.backends.http;
 
+import io.persimmonstack.runtime.FatalErrors;
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
@@ -180,6 +181,9 @@
         } catch (IOException e) {
             end();
             IoUtils.safeClose(exchange.getConnection());
+        } catch (VirtualMachineError e) {
+            // Undertow catches every error of a listener, so that a process without memory would go on half-dead.
+            throw FatalErrors.end(e);
         }
     }
 
