--- a/node/src/main/java/io/persimmonstack/node/planning/EvictionRules.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/EvictionRules.java
@@ -22,6 +22,8 @@
     private static final long DRAIN_MS = 1_000;
     /** Request rate from which a model without waiting requests may evict others for another replica. */
     private static final double MIN_REPLICA_RATE_PER_SECOND = 1;
+    /** Share of the slots of its holders from which the requests of a model count as the cause of their utilisation. */
+    private static final double OWN_REQUESTS_SHARE = 0.3;
     /** Factor of the cost of unloading the last replica of a model. */
     private static final double LAST_REPLICA_FACTOR = 4;
     /** Request rate below which a model may be evicted for a preload. */
@@ -114,10 +116,10 @@
                     demands.containsKey(victim) && demands.get(victim).waiting() > 0;
             return !hasWaitingRequests
                     && (!inUse
-                            || need.mayDrain()
-                                    && (isSpareReplica(runner, victim) || demandRate(victim) < need.urgency()));
+                            || need.pressing()
+                                    && (demandRate(victim) < need.urgency() || isSpareReplica(runner, victim)));
         }
-        if (demand.waiting() == 0 && demand.perSecond() < MIN_REPLICA_RATE_PER_SECOND) {
+        if (!need.pressing()) {
             return false;
         }
         int replicas = index.holders(demand).size();
@@ -125,6 +127,18 @@
         return !inUse && (isSpareReplica(runner, victim) || demandRate(victim) < ratePerReplica / 2);
     }
 
+    /**
+     * Returns whether others may be evicted for a further replica of a model whose holders are crowded: requests wait
+     * for it, it has a notable request rate, or its own requests crowd its holders.
+     */
+    boolean needsReplica(FleetDemand demand) {
+        String model = demand.model().model();
+        return demand.waiting() > 0
+                || demand.perSecond() >= MIN_REPLICA_RATE_PER_SECOND
+                || index.holders(demand).stream()
+                        .allMatch(holder -> holder.requestsOf(model) > OWN_REQUESTS_SHARE * holder.slots());
+    }
+
     /**
      * Returns whether models in use may be evicted for a model: it has a high request rate, or its requests would miss
      * their latency target if they waited longer for a victim without requests.
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -100,7 +100,9 @@
         }
         boolean crowded = holders.stream().allMatch(runner -> runner.utilisation() > RunnerState.CROWDED_UTILISATION);
         double urgency = demand.waiting() + demand.perSecond();
-        return crowded ? Optional.of(new ReplicaNeed(demand, false, false, urgency)) : Optional.empty();
+        return crowded
+                ? Optional.of(new ReplicaNeed(demand, false, rules.needsReplica(demand), urgency))
+                : Optional.empty();
     }
 
     /**
