node, platform: requests leave their zone by decision where the settings list several zones

Cause: a runner in another zone cost a fixed 0.02, so that with equal zones two thirds of all requests went to other zones, which is charged; the only alternative was to stay.

Prompts cached here or there, requests that only other zones can serve and zones whose connections fail (ZoneLinks) are considered. The rest of streams goes to any zone as before, and so does everything where one zone or none is listed. Metrics requests.sent.home and requests.sent.away.CAUSE, events 6252 and 6253.

--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -97,7 +97,7 @@
         LOG.write(NodeEvent.STARTED, options.name(), options.zone(), startedMs);
         ExecutorService executor = closer.add(Executors.newVirtualThreadPerTaskExecutor());
         this.drainState = DrainState.withGracePeriod(options.graceMs());
-        this.placer = Placer.create(fleet, options.zone());
+        this.placer = Placer.create(fleet, options.zone(), options.regions(), ZoneReporter.of(metrics));
         this.streams = closer.add(StoredStreams.start(options.name(), ports.store(), fleet));
         this.origins = closer.add(SharedOrigins.start(options.name(), fleet, streams, metrics));
         this.prompts = PromptGuard.create(options.name(), startedMs, fleet);
--- a/node/src/main/java/io/persimmonstack/node/NodeEvent.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeEvent.java
@@ -124,6 +124,10 @@
                     + " requests={} reason={}"),
     /** The pace of a runner, by its answers to all nodes, is no longer the usual one, or is again (1). */
     RUNNER_PACE(6251, Level.INFO, "runner-pace runner={} started={} pace={}"),
+    /** The share of the requests for a service that this node sends to other zones has begun, ended or changed much. */
+    ZONE_SHARE(6252, Level.INFO, "zone-share service={} share={} home={} away={}"),
+    /** Requests are no longer sent to another zone, since connections there fail, or are again. */
+    ZONE_LINK(6253, Level.INFO, "zone-link zone={} cut={}"),
     /** Lines of one event were suppressed by its rate limit. */
     SUPPRESSED(6900, Level.INFO, "lines-left-out event={} count={}");
 
--- a/node/src/main/java/io/persimmonstack/node/NodeMetrics.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeMetrics.java
@@ -59,4 +59,9 @@
     public void recordOriginLookup(String outcome) {
         registry.counter("origins.lookups." + outcome).inc();
     }
+
+    /** Counts a request that was assigned to a runner, by its zone and the cause, as the end of the metric's name. */
+    public void recordZone(String zoneAndCause) {
+        registry.counter("requests.sent." + zoneAndCause).inc();
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/NodeOptions.java
+++ b/node/src/main/java/io/persimmonstack/node/NodeOptions.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.node.placing.RetryBudgetOptions;
 import io.persimmonstack.wire.PeerAddress;
+import java.util.Map;
 import java.util.OptionalLong;
 
 /**
@@ -9,6 +10,7 @@
  *
  * @param name name of the node, unique in the fleet
  * @param zone availability zone
+ * @param regions regions by availability zone; with more than one zone, the node decides when requests leave its own
  * @param callerAddress address that callers send requests to
  * @param linkAddress address that other nodes report to
  * @param routingKey key of the configuration in the store
@@ -24,6 +26,7 @@
 public record NodeOptions(
         String name,
         String zone,
+        Map<String, String> regions,
         PeerAddress callerAddress,
         PeerAddress linkAddress,
         String routingKey,
@@ -32,4 +35,9 @@
         long orderPauseMs,
         int applyMs,
         OptionalLong leavingServesMs,
-        long graceMs) {}
+        long graceMs) {
+    /** Copies the regions. */
+    public NodeOptions {
+        regions = Map.copyOf(regions);
+    }
+}
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -10,11 +10,11 @@
 import io.persimmonstack.router.request.Jitter;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.ReentrantLock;
@@ -33,18 +33,23 @@
     private final FleetView fleet;
     private final RunnerLoadTrackers trackers;
     private final PaceRecorder paces = PaceRecorder.create();
-    private final ZoneCost zones;
+    private final RunnerChooser chooser;
     private volatile Runnable onQueued = () -> {};
 
-    private Placer(FleetView fleet, String zone) {
+    private Placer(FleetView fleet, String zone, Map<String, String> regions, ZoneListener listener) {
         this.fleet = fleet;
         this.trackers = RunnerLoadTrackers.of(fleet);
-        this.zones = ZoneCost.preferring(zone);
+        this.chooser = RunnerChooser.of(fleet, zone, regions, listener, loadCollector);
     }
 
     /** Returns a placer for a node in the given availability zone that follows the runners of a fleet view. */
     public static Placer create(FleetView fleet, String zone) {
-        Placer placer = new Placer(fleet, zone);
+        return create(fleet, zone, Map.of(), ZoneListener.none());
+    }
+
+    /** Returns a placer that decides about leaving the zone if {@code regions} lists the region of several zones. */
+    public static Placer create(FleetView fleet, String zone, Map<String, String> regions, ZoneListener listener) {
+        Placer placer = new Placer(fleet, zone, regions, listener);
         fleet.onChange(placer::updateRunners);
         return placer;
     }
@@ -160,18 +165,14 @@
     private Optional<Placement> tryPlace(QueuedRequest queued) {
         ActiveRequest request = queued.request();
         RunnerSelector.Requirements requirements = requirements(queued);
-        return selector(request)
-                .choose(trackers.ofService(request.service().name()), requirements)
+        return chooser.choose(
+                        request,
+                        requirements,
+                        trackers.ofService(request.service().name()),
+                        queue)
                 .map(tracker -> occupySlot(tracker, request, requirements));
     }
 
-    private RunnerSelector selector(ActiveRequest request) {
-        long nowNanos = System.nanoTime();
-        double perSecond = loadCollector.arrivalsPerSecond(request.service().name(), nowNanos);
-        int nodes = fleet.current().peers().size();
-        return RunnerSelector.of(request.service(), zones, nodes, perSecond, ThreadLocalRandom.current(), nowNanos);
-    }
-
     private RunnerSelector.Requirements requirements(QueuedRequest queued) {
         return RequestRequirements.of(queued.request(), queued.runnerFilter(), promptAffinity);
     }
@@ -286,7 +287,7 @@
     /** Refuses a request if all runners that could take it want none until after its deadline. */
     private void refuseIfQuietTooLong(QueuedRequest queued) {
         ActiveRequest request = queued.request();
-        OptionalLong untilNanos = selector(request)
+        OptionalLong untilNanos = chooser.selector(request)
                 .quietUntilNanos(trackers.ofService(request.service().name()), requirements(queued));
         if (untilNanos.isEmpty() || untilNanos.getAsLong() - queued.deadlineNanos() < 0) {
             return;
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerCost.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerCost.java
@@ -55,7 +55,12 @@
     }
 
     private static double savedTime(RunnerLoadTracker tracker, RunnerSelector.Requirements requirements) {
-        if (!requirements.isPreferred(tracker.runner())) {
+        return requirements.isPreferred(tracker.runner()) ? savedTime(requirements) : 0;
+    }
+
+    /** Returns the time that the runner which probably caches the start of the prompt saves; 0 if there is none. */
+    static double savedTime(RunnerSelector.Requirements requirements) {
+        if (requirements.preferredRunner().isEmpty()) {
             return 0;
         }
         return requirements.promptTokens() <= 0
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
@@ -226,7 +226,7 @@
     }
 
     /** Returns whether a runner, if it is available, can run the request. */
-    private boolean suits(RunnerLoadTracker tracker, Requirements requirements) {
+    boolean suits(RunnerLoadTracker tracker, Requirements requirements) {
         return requirements.runnerFilter().allows(tracker.runner())
                 && requirements
                         .model()
--- /dev/null
+++ b/node/src/main/java/io/persimmonstack/node/placing/ZoneLinks.java
@@ -0,0 +1,63 @@
+package io.persimmonstack.node.placing;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Whether the link to each other zone works, by the recent failures of this node at runners there. A zone counts as cut
+ * once several requests have failed at a third of its runners, and is tried again after a time that doubles with each
+ * time. Callers pass the time. Not thread-safe.
+ */
+final class ZoneLinks {
+    /** Failures below which a zone is not cut: one runner may fail by itself. */
+    private static final int MIN_FAILURES = 2;
+    /** Share of the runners with failures from which on the zone is cut: a link may lose only some connections. */
+    private static final double MIN_FAILING_SHARE = 1.0 / 3;
+    /** Time for which a zone is not used after it was found to be cut. */
+    private static final long FIRST_PAUSE_NANOS = 3_000_000_000L;
+
+    private static final long MAX_PAUSE_NANOS = 24_000_000_000L;
+
+    private final Map<String, Link> links = new HashMap<>();
+
+    private static final class Link {
+        private boolean cut;
+        private long untilNanos;
+        private long pauseNanos;
+    }
+
+    /**
+     * Returns whether the link to a zone is cut.
+     *
+     * @param zone other zone
+     * @param runners trackers of the runners there
+     * @param nowNanos monotonic time
+     */
+    boolean isCut(String zone, Collection<RunnerLoadTracker> runners, long nowNanos) {
+        Link link = links.computeIfAbsent(zone, ignored -> new Link());
+        if (link.cut && nowNanos - link.untilNanos < 0) {
+            return true;
+        }
+        if (isFailing(runners, nowNanos)) {
+            boolean again = link.pauseNanos > 0 && nowNanos - link.untilNanos < link.pauseNanos;
+            link.pauseNanos = again ? Math.min(MAX_PAUSE_NANOS, 2 * link.pauseNanos) : FIRST_PAUSE_NANOS;
+            link.untilNanos = nowNanos + link.pauseNanos;
+            link.cut = true;
+        } else {
+            link.cut = false;
+        }
+        return link.cut;
+    }
+
+    private static boolean isFailing(Collection<RunnerLoadTracker> runners, long nowNanos) {
+        int failures = 0;
+        int failing = 0;
+        for (RunnerLoadTracker tracker : runners) {
+            int recent = tracker.recentFailures(nowNanos);
+            failures += recent;
+            failing += recent > 0 ? 1 : 0;
+        }
+        return failures >= MIN_FAILURES && failing >= runners.size() * MIN_FAILING_SHARE;
+    }
+}
--- a/node/src/test/java/io/persimmonstack/node/planning/PlannerFixture.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/PlannerFixture.java
@@ -54,7 +54,18 @@
             ExecutorService threads) {
         RetryBudgetOptions budget = new RetryBudgetOptions(0.2, 50, 1);
         NodeOptions options = new NodeOptions(
-                "n1", "z", ADDRESS, ADDRESS, "c", "r/", budget, orderPauseMs, 2_000, OptionalLong.empty(), 1_000);
+                "n1",
+                "z",
+                Map.of(),
+                ADDRESS,
+                ADDRESS,
+                "c",
+                "r/",
+                budget,
+                orderPauseMs,
+                2_000,
+                OptionalLong.empty(),
+                1_000);
         NodeMetrics metrics = NodeMetrics.in(new MetricRegistry());
         return Planner.start(fleet, reports, leadTerm, options, control, threads, metrics, cause -> {});
     }
