--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -10,9 +10,9 @@
 import io.persimmonstack.router.request.Jitter;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.ReentrantLock;
@@ -31,18 +31,23 @@
     private final FleetView fleet;
     private final RunnerLoadTrackers trackers;
     private final PaceRecorder paces = PaceRecorder.create();
-    private final ZoneCost zones;
+    private final RunnerChooser chooser;
     private volatile Runnable onQueued = () -> {};
 
-    private Placer(FleetView fleet, String zone) {
+    private Placer(FleetView fleet, String zone, Map<String, String> regions, ZoneListener listener) {
         this.fleet = fleet;
         this.trackers = RunnerLoadTrackers.of(fleet);
-        this.zones = ZoneCost.preferring(zone);
+        this.chooser = RunnerChooser.of(fleet, zone, regions, listener, loadCollector);
     }
 
     /** Returns a placer for a node in the given availability zone that follows the runners of a fleet view. */
     public static Placer create(FleetView fleet, String zone) {
-        Placer placer = new Placer(fleet, zone);
+        return create(fleet, zone, Map.of(), ZoneListener.none());
+    }
+
+    /** Returns a placer that decides about leaving the zone if {@code regions} lists the region of several zones. */
+    public static Placer create(FleetView fleet, String zone, Map<String, String> regions, ZoneListener listener) {
+        Placer placer = new Placer(fleet, zone, regions, listener);
         fleet.onChange(placer::updateRunners);
         return placer;
     }
@@ -165,18 +170,11 @@
     private Optional<Placement> tryPlace(QueuedRequest queued, Collection<RunnerLoadTracker> candidates) {
         ActiveRequest request = queued.request();
         RunnerSelector.Requirements requirements = requirements(queued);
-        return selector(request)
-                .choose(candidates, requirements)
+        Collection<RunnerLoadTracker> all = trackers.ofService(request.service().name());
+        return chooser.choose(request, requirements, all, candidates, queue.all())
                 .map(tracker -> occupySlot(tracker, request, requirements));
     }
 
-    private RunnerSelector selector(ActiveRequest request) {
-        long nowNanos = System.nanoTime();
-        double perSecond = loadCollector.arrivalsPerSecond(request.service().name(), nowNanos);
-        int nodes = fleet.current().peers().size();
-        return RunnerSelector.of(request.service(), zones, nodes, perSecond, ThreadLocalRandom.current(), nowNanos);
-    }
-
     private RunnerSelector.Requirements requirements(QueuedRequest queued) {
         return RequestRequirements.of(queued.request(), queued.runnerFilter(), promptAffinity);
     }
@@ -295,7 +293,7 @@
 
     private QuietCheck quietCheck() {
         return new QuietCheck(
-                queued -> selector(queued.request())
+                queued -> chooser.selector(queued.request())
                         .quietUntilNanos(
                                 trackers.ofService(queued.request().service().name()), requirements(queued)),
                 System.nanoTime());
--- a/node/src/test/java/io/persimmonstack/node/planning/PlannerFixture.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/PlannerFixture.java
@@ -57,6 +57,7 @@
         NodeOptions options = new NodeOptions(
                 "n1",
                 "z",
+                Map.of(),
                 ADDRESS,
                 ADDRESS,
                 "c",
