planning: slow loads from the weight store lower the limits before they end

Cause: six concurrent loads from a store that serves one at full speed take 79 s, and the limit stayed at six until the first had ended.

Change: two or more loads in progress that already take 1.25 times longer than configured bound the number of loads at full speed by their mean number over their slowdown so far. A single one says nothing: its runner may hang.

--- a/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/OrderExecutor.java
@@ -81,7 +81,7 @@
 
     /** Returns the limits of concurrent loads from the weight store, learned from the loads of this executor. */
     StoreLimits storeLimits() {
-        return storeConcurrency.limits();
+        return storeConcurrency.limits(System.nanoTime());
     }
 
     /** Executes a directive and ends it at its runner's tracker. Blocks until all orders are done or one has failed. */
@@ -294,13 +294,13 @@
 
     private boolean awaitStoreLoad(RunnerStateTracker tracker, PlacementOrder.LoadModel load, long loadMs)
             throws InterruptedException {
-        StoreConcurrency.Load storeLoad = storeConcurrency.begin(System.nanoTime());
+        StoreConcurrency.Load storeLoad = storeConcurrency.begin(loadMs, System.nanoTime());
         boolean loaded = false;
         try {
             TimeUnit.MILLISECONDS.sleep(loadMs + LOAD_MARGIN_MS);
             loaded = awaitStatus(tracker, load, LOAD_TIMEOUT_NANOS);
         } finally {
-            if (storeConcurrency.end(storeLoad, loadMs, loaded, System.nanoTime())) {
+            if (storeConcurrency.end(storeLoad, loaded, System.nanoTime())) {
                 StoreLimits limits = storeLimits();
                 LOG.write(NodeEvent.STORE_LIMITS, limits.loads(), limits.urgentLoads());
             }
--- a/node/src/main/java/io/persimmonstack/node/planning/StoreConcurrency.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/StoreConcurrency.java
@@ -1,5 +1,9 @@
 package io.persimmonstack.node.planning;
 
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
 /**
  * Learns how many loads the weight store serves concurrently at full speed, from the durations of loads and the number
  * of loads in progress meanwhile. Loads beyond that number share its rate, so that each takes longer. Callers pass the
@@ -17,7 +21,10 @@
 
     private static final double NANOS_PER_MS = 1e6;
 
-    private int active;
+    /** Loads in progress that must take longer than configured until their durations so far lower the limits. */
+    private static final int MIN_OVERDUE_LOADS = 2;
+
+    private final Set<Load> active = new HashSet<>();
     /** Sum of the durations of all loads so far, in load nanoseconds. */
     private double loadNanos;
 
@@ -25,40 +32,59 @@
     /** Learned number of loads at full speed; 0 if not learned yet. */
     private double learnedLoads;
 
-    /** Load in progress: monotonic time of its start, and the sum of the durations of all loads up to then. */
-    record Load(long startNanos, double loadNanos) {}
+    /** Load in progress; each is equal to itself only. */
+    static final class Load {
+        private final long startNanos;
+        /** Sum of the durations of all loads up to the start. */
+        private final double loadNanosBefore;
+
+        private final long configuredMs;
+
+        private Load(long startNanos, double loadNanosBefore, long configuredMs) {
+            this.startNanos = startNanos;
+            this.loadNanosBefore = loadNanosBefore;
+            this.configuredMs = configuredMs;
+        }
+
+        /** Returns the duration up to the given time relative to that at full speed. */
+        private double slowdown(long nowNanos) {
+            return (nowNanos - startNanos) / NANOS_PER_MS / Math.max(1, configuredMs);
+        }
+    }
 
-    /** Records that a load has started. */
-    synchronized Load begin(long nowNanos) {
+    /**
+     * Records that a load has started.
+     *
+     * @param configuredMs its configured duration at full speed, in milliseconds
+     * @param nowNanos current monotonic time
+     */
+    synchronized Load begin(long configuredMs, long nowNanos) {
         advance(nowNanos);
-        active++;
-        return new Load(nowNanos, loadNanos);
+        Load load = new Load(nowNanos, loadNanos, configuredMs);
+        active.add(load);
+        return load;
     }
 
     /**
      * Records the end of a load.
      *
      * @param load the load
-     * @param configuredMs its configured duration at full speed, in milliseconds
      * @param completed whether the model has been loaded, so that the duration counts
      * @param nowNanos current monotonic time
      * @return whether this has changed the limits
      */
-    synchronized boolean end(Load load, long configuredMs, boolean completed, long nowNanos) {
+    synchronized boolean end(Load load, boolean completed, long nowNanos) {
+        StoreLimits before = learnedLimits();
         advance(nowNanos);
-        active--;
-        StoreLimits before = limits();
-        double elapsedNanos = nowNanos - load.startNanos();
-        if (completed && elapsedNanos > 0 && configuredMs > 0) {
-            learn((loadNanos - load.loadNanos()) / elapsedNanos, elapsedNanos / NANOS_PER_MS / configuredMs);
+        active.remove(load);
+        if (completed && nowNanos - load.startNanos > 0) {
+            learn(meanLoads(load, nowNanos), load.slowdown(nowNanos));
         }
-        return !before.equals(limits());
+        return !before.equals(learnedLimits());
     }
 
     private void advance(long nowNanos) {
-        if (active > 0) {
-            loadNanos += (double) active * (nowNanos - changedNanos);
-        }
+        loadNanos += (double) active.size() * (nowNanos - changedNanos);
         changedNanos = nowNanos;
     }
 
@@ -77,8 +103,33 @@
         }
     }
 
-    /** Returns the limits of concurrent loads. */
-    synchronized StoreLimits limits() {
+    /** Returns the mean number of loads in progress since the start of a load, itself included. */
+    private double meanLoads(Load load, long nowNanos) {
+        return (loadNanos - load.loadNanosBefore) / Math.max(1, nowNanos - load.startNanos);
+    }
+
+    /**
+     * Returns the limits of concurrent loads. Loads in progress that already take longer than configured lower them, so
+     * that it does not take the whole of the first slow loads to learn.
+     */
+    synchronized StoreLimits limits(long nowNanos) {
+        advance(nowNanos);
+        List<Load> overdue = active.stream()
+                .filter(load -> load.slowdown(nowNanos) > SLOW_FACTOR)
+                .toList();
+        StoreLimits learned = learnedLimits();
+        if (overdue.size() < MIN_OVERDUE_LOADS) {
+            return learned;
+        }
+        double bound = overdue.stream()
+                .mapToDouble(load -> meanLoads(load, nowNanos) / load.slowdown(nowNanos))
+                .min()
+                .orElse(MAX_LOADS);
+        int loads = (int) Math.max(1, Math.ceil(bound));
+        return loads >= learned.loads() ? learned : new StoreLimits(loads, loads + URGENT_LOADS);
+    }
+
+    private StoreLimits learnedLimits() {
         if (learnedLoads == 0) {
             return StoreLimits.UNLEARNED;
         }
--- a/node/src/test/java/io/persimmonstack/node/planning/LoadShortageModel.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/LoadShortageModel.java
@@ -243,7 +243,7 @@
                 continue;
             }
             if (!runner.loadStarted && runner.fromStore) {
-                runner.storeLoad = storeConcurrency.begin(TimeUnit.MILLISECONDS.toNanos(nowMs));
+                runner.storeLoad = storeConcurrency.begin(workload.storeLoadMs(), TimeUnit.MILLISECONDS.toNanos(nowMs));
             }
             runner.loadStarted = true;
             runner.loadLeftMs -= STEP_MS * (runner.fromStore ? storeSpeed : 1);
@@ -255,7 +255,7 @@
 
     private void endLoad(SimRunner runner, String model) {
         if (runner.fromStore) {
-            storeConcurrency.end(runner.storeLoad, workload.storeLoadMs(), true, TimeUnit.MILLISECONDS.toNanos(nowMs));
+            storeConcurrency.end(runner.storeLoad, true, TimeUnit.MILLISECONDS.toNanos(nowMs));
         }
         runner.loading = Optional.empty();
         runner.loadStarted = false;
@@ -360,7 +360,7 @@
                 Map.of(),
                 storeLoads,
                 true,
-                storeConcurrency.limits(),
+                storeConcurrency.limits(TimeUnit.MILLISECONDS.toNanos(nowMs)),
                 true);
         long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMs);
         unmetDemand.observe("s", observed, nowNanos);
@@ -417,7 +417,8 @@
     @Override
     public String toString() {
         return outcomes + ", loads " + loads + ", of which reloads within 5 s " + reloads + ", behind requests "
-                + drainingLoads + ", peak store loads " + peakStoreLoads + ", limits " + storeConcurrency.limits()
+                + drainingLoads + ", peak store loads " + peakStoreLoads + ", limits "
+                + storeConcurrency.limits(TimeUnit.MILLISECONDS.toNanos(nowMs))
                 + ", by cause " + loadsByCause
                 + ", replicas " + replicas();
     }
--- a/node/src/test/java/io/persimmonstack/node/planning/StoreConcurrencyTest.java
+++ b/node/src/test/java/io/persimmonstack/node/planning/StoreConcurrencyTest.java
@@ -24,45 +24,67 @@
     private void load(int loads, int atFullSpeed, boolean completed) {
         List<StoreConcurrency.Load> started = new ArrayList<>();
         for (int i = 0; i < loads; i++) {
-            started.add(concurrency.begin(nanos()));
+            started.add(concurrency.begin(LOAD_MS, nanos()));
         }
         nowMs += LOAD_MS * Math.max(loads, atFullSpeed) / atFullSpeed;
-        started.forEach(load -> concurrency.end(load, LOAD_MS, completed, nanos()));
+        started.forEach(load -> concurrency.end(load, completed, nanos()));
     }
 
     @Test
     void constantsApplyUntilLearned() {
-        assertEquals(StoreLimits.UNLEARNED, concurrency.limits());
+        assertEquals(StoreLimits.UNLEARNED, concurrency.limits(nanos()));
         load(1, 2, true);
         load(2, 2, true);
-        assertEquals(StoreLimits.UNLEARNED, concurrency.limits());
+        assertEquals(StoreLimits.UNLEARNED, concurrency.limits(nanos()));
     }
 
     @Test
     void slowLoadsShowHowManyRunAtFullSpeed() {
         load(6, 1, true);
-        assertEquals(new StoreLimits(1, 2), concurrency.limits());
+        assertEquals(new StoreLimits(1, 2), concurrency.limits(nanos()));
         StoreConcurrency other = new StoreConcurrency();
-        StoreConcurrency.Load one = other.begin(0);
-        StoreConcurrency.Load two = other.begin(0);
-        StoreConcurrency.Load three = other.begin(0);
+        StoreConcurrency.Load one = other.begin(LOAD_MS, 0);
+        StoreConcurrency.Load two = other.begin(LOAD_MS, 0);
+        StoreConcurrency.Load three = other.begin(LOAD_MS, 0);
         long endNanos = TimeUnit.MILLISECONDS.toNanos(LOAD_MS * 3 / 2);
-        List.of(one, two, three).forEach(load -> other.end(load, LOAD_MS, true, endNanos));
-        assertEquals(new StoreLimits(2, 3), other.limits());
+        List.of(one, two, three).forEach(load -> other.end(load, true, endNanos));
+        assertEquals(new StoreLimits(2, 3), other.limits(endNanos));
     }
 
     @Test
     void moreLoadsAtFullSpeedRaiseTheLimit() {
         load(4, 1, true);
         load(2, 8, true);
-        assertEquals(2, concurrency.limits().loads());
+        assertEquals(2, concurrency.limits(nanos()).loads());
         load(3, 8, true);
-        assertEquals(3, concurrency.limits().loads());
+        assertEquals(3, concurrency.limits(nanos()).loads());
     }
 
     @Test
     void loadThatFailedTeachesNothing() {
         load(6, 1, false);
-        assertEquals(StoreLimits.UNLEARNED, concurrency.limits());
+        assertEquals(StoreLimits.UNLEARNED, concurrency.limits(nanos()));
+    }
+
+    /** Six loads took 79 s, and for all that time the limit stayed at six. */
+    @Test
+    void loadsInProgressThatTakeTooLongLowerTheLimit() {
+        for (int i = 0; i < 6; i++) {
+            concurrency.begin(LOAD_MS, nanos());
+        }
+        nowMs += LOAD_MS;
+        assertEquals(StoreLimits.UNLEARNED, concurrency.limits(nanos()));
+        nowMs += LOAD_MS;
+        assertEquals(new StoreLimits(3, 4), concurrency.limits(nanos()));
+        nowMs += 4 * LOAD_MS;
+        assertEquals(new StoreLimits(1, 2), concurrency.limits(nanos()));
+    }
+
+    /** A single runner that hangs says nothing about the store. */
+    @Test
+    void singleLoadThatTakesTooLongLeavesTheLimit() {
+        concurrency.begin(LOAD_MS, nanos());
+        nowMs += 3 * LOAD_MS;
+        assertEquals(StoreLimits.UNLEARNED, concurrency.limits(nanos()));
     }
 }
