node: room of a runner is claimed only where no other runner has room, and at three at most

Cause: the check of each runner's memory claimed scarce room by itself, also where another runner could take the request at once, and at every scarce runner. Claimed room is lost to others for up to 0.6 s.

Change: the selector claims once it has found no runner, at the one with most room left, and a node holds at most three claims at the runners of a service.

Run: MemoryClaimTest (new), LateMemoryTest and the other tests of node/placing and node/pace.

--- a/node/src/main/java/io/persimmonstack/node/placing/MemoryClaim.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/MemoryClaim.java
@@ -33,13 +33,21 @@
 
     /** Returns the tokens to report to the leader, 0 for no claim. */
     long report(long nowNanos) {
-        if (state != State.NONE && nowNanos - madeNanos > MAX_AGE_NANOS) {
-            withdraw();
+        if (!isOpen(nowNanos)) {
+            return 0;
         }
         if (state == State.MADE) {
             state = State.REPORTED;
         }
-        return state == State.NONE ? 0 : tokens;
+        return tokens;
+    }
+
+    /** Returns whether there is a claim; one that is too old is ended. */
+    boolean isOpen(long nowNanos) {
+        if (state != State.NONE && nowNanos - madeNanos > MAX_AGE_NANOS) {
+            withdraw();
+        }
+        return state != State.NONE;
     }
 
     /** Records that the leader has answered the last report. */
--- a/node/src/main/java/io/persimmonstack/node/placing/MemoryRoom.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/MemoryRoom.java
@@ -3,6 +3,7 @@
 import io.persimmonstack.node.config.Engine;
 import io.persimmonstack.node.config.Service;
 import java.util.Collection;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /**
@@ -26,14 +27,27 @@
     /** Largest probability of a claim, so that a room that two nodes have claimed at once is claimed again by one. */
     private static final double MAX_CLAIM_PROBABILITY = 0.5;
 
+    /** Claims of a node at the runners of a service at once: claimed room is lost to others until it is used. */
+    private static final int MAX_OPEN_CLAIMS = 3;
+
+    private final Collection<RunnerLoadTracker> trackers;
     private final long cacheTokens;
     private final int nodes;
     private final double usualStartsPerSecond;
     private final RandomGenerator random;
     private final long nowNanos;
 
+    private Optional<RunnerLoadTracker> claimable = Optional.empty();
+    private double claimableLeft = -1;
+
     private MemoryRoom(
-            long cacheTokens, int nodes, double usualStartsPerSecond, RandomGenerator random, long nowNanos) {
+            Collection<RunnerLoadTracker> trackers,
+            long cacheTokens,
+            int nodes,
+            double usualStartsPerSecond,
+            RandomGenerator random,
+            long nowNanos) {
+        this.trackers = trackers;
         this.cacheTokens = cacheTokens;
         this.nodes = nodes;
         this.usualStartsPerSecond = usualStartsPerSecond;
@@ -60,7 +74,7 @@
             long nowNanos) {
         double usualStartsPerSecond = arrivalsPerSecond * (nodes - 1) / Math.max(1, trackers.size());
         long cacheTokens = service.engine().map(Engine::cacheTokens).orElse(Long.MAX_VALUE);
-        return new MemoryRoom(cacheTokens, nodes, usualStartsPerSecond, random, nowNanos);
+        return new MemoryRoom(trackers, cacheTokens, nodes, usualStartsPerSecond, random, nowNanos);
     }
 
     /** Returns whether a request fits into the cache of an idle runner of a service. */
@@ -99,13 +113,24 @@
         if (probability >= 1) {
             return true;
         }
-        if (tracker.memoryShare().draw(probability, random, nowNanos)) {
-            tracker.memoryShare().use();
-            tracker.memoryClaim().make(expectedTokens, nowNanos);
+        if (tracker.memoryShare().draw(probability, random, nowNanos) && left > claimableLeft) {
+            claimable = Optional.of(tracker);
+            claimableLeft = left;
         }
         return false;
     }
 
+    /** Claims scarce room for a request that no runner has room for: at the runner that was found to have most left. */
+    void claim(long expectedTokens) {
+        long open = trackers.stream()
+                .filter(tracker -> tracker.memoryClaim().isOpen(nowNanos))
+                .count();
+        if (claimable.isPresent() && open < MAX_OPEN_CLAIMS) {
+            claimable.get().memoryShare().use();
+            claimable.get().memoryClaim().make(expectedTokens, nowNanos);
+        }
+    }
+
     /** Returns the probability with which a node may use or claim room: 1 if there is enough for unknown requests. */
     private double probability(RunnerLoadTracker tracker, long expectedTokens, double left) {
         int slots = Math.max(1, tracker.runner().slots());
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
@@ -107,6 +107,9 @@
                 .filter(tracker -> suits(tracker, requirements))
                 .filter(tracker -> hasCapacity(tracker, requirements, memory))
                 .toList();
+        if (eligible.isEmpty()) {
+            memory.claim(requirements.expectedTokens());
+        }
         return sample(eligible, requirements).stream()
                 .min(Comparator.comparingDouble(tracker -> cost.of(tracker, requirements)));
     }
