backends, node: one base of the conduits that see each byte; the placer is shorter

FramingConduit and ConnectionGuard had the same 20 lines that lead all reads through one method. No behaviour changes; the tests of both packages pass.

--- a/backends/src/main/java/io/persimmonstack/backends/http/ConnectionGuard.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ConnectionGuard.java
@@ -5,22 +5,17 @@
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.conduits.AbstractStreamSourceConduit;
-import org.xnio.conduits.ConduitReadableByteChannel;
-import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Bounds what one client connection may send before its request begins, and how long one client occupies the I/O
  * thread. Bytes before a request, such as empty lines, count as its head. Reads take place on the I/O thread; a request
  * may end on another one.
  */
-final class ConnectionGuard extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class ConnectionGuard extends BufferSourceConduit {
     /** Bytes after which other connections get their turn. */
     private static final int BYTES_PER_TURN = 16 * 1024;
 
@@ -187,24 +182,4 @@
             headMemory = Optional.of(reservation);
         }
     }
-
-    @Override
-    public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-        for (int i = offset; i < offset + length; i++) {
-            if (targets[i].hasRemaining()) {
-                return read(targets[i]);
-            }
-        }
-        return 0;
-    }
-
-    @Override
-    public long transferTo(long position, long count, FileChannel target) throws IOException {
-        return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
-    }
-
-    @Override
-    public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target) throws IOException {
-        return IoUtils.transfer(new ConduitReadableByteChannel(this), count, throughBuffer, target);
-    }
 }
--- a/backends/src/main/java/io/persimmonstack/backends/http/FramingConduit.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/FramingConduit.java
@@ -2,18 +2,13 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import org.xnio.IoUtils;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.conduits.AbstractStreamSourceConduit;
-import org.xnio.conduits.ConduitReadableByteChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Source of a connection's bytes whose framing is checked before a parser sees them. Passes on the bytes up to the
  * first one that does not fit; later reads fail. Used on the connection's I/O thread.
  */
-final class FramingConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class FramingConduit extends BufferSourceConduit {
     private final MessageFraming framing;
     private FramingException failure;
 
@@ -67,24 +62,4 @@
             return false;
         }
     }
-
-    @Override
-    public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-        for (int i = offset; i < offset + length; i++) {
-            if (targets[i].hasRemaining()) {
-                return read(targets[i]);
-            }
-        }
-        return 0;
-    }
-
-    @Override
-    public long transferTo(long position, long count, FileChannel target) throws IOException {
-        return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
-    }
-
-    @Override
-    public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target) throws IOException {
-        return IoUtils.transfer(new ConduitReadableByteChannel(this), count, throughBuffer, target);
-    }
 }
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -19,6 +19,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 /** Assigns requests to runners, or lets them wait in a {@link RequestQueue}. Thread-safe; only {@link #place} waits. */
 public final class Placer {
@@ -312,13 +313,10 @@
 
     /** Discards the snapshots of a silent leader, so that the runners' own entries in the store count. */
     public void discardSnapshots() {
-        lock.lock();
-        try {
+        runLocked(() -> {
             trackers.discardSnapshots();
             offerAllRunners(queue.allGroups());
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /** Refuses the queued requests that may not stay, for a node that is shutting down. */
@@ -328,12 +326,7 @@
 
     /** Refuses the queued requests for which there is a refusal. */
     public void refuseQueuedIf(Function<ActiveRequest, Optional<RefusedException>> refusal) {
-        lock.lock();
-        try {
-            refuseQueued(queued -> refusal.apply(queued.request()).ifPresent(queued::refuse));
-        } finally {
-            lock.unlock();
-        }
+        runLocked(() -> refuseQueued(queued -> refusal.apply(queued.request()).ifPresent(queued::refuse)));
     }
 
     /** Records that a runner lacks a model that it was reported to hold; it is briefly avoided for this model. */
@@ -357,12 +350,7 @@
     }
 
     private void updateTracker(Runner runner, Consumer<RunnerLoadTracker> update) {
-        lock.lock();
-        try {
-            trackers.ofProcess(runner).ifPresent(update);
-        } finally {
-            lock.unlock();
-        }
+        runLocked(() -> trackers.ofProcess(runner).ifPresent(update));
     }
 
     /**
@@ -370,42 +358,40 @@
      * that took the rest of streams may not be any more.
      */
     public void retryQueued() {
-        lock.lock();
-        try {
+        runLocked(() -> {
             offerAllRunners(queue.allGroups());
             refuseQueued(this::refuseIfVersionGone);
-        } finally {
-            lock.unlock();
-        }
+        });
     }
 
     /** Returns the number of queued requests. */
     public int queuedCount() {
-        lock.lock();
-        try {
-            return queue.all().size();
-        } finally {
-            lock.unlock();
-        }
+        return locked(() -> queue.all().size());
     }
 
     /** Returns what waits in the queue, and what placing queued requests has cost. */
     public WaitingCounts waiting() {
-        lock.lock();
-        try {
-            return queue.counts(System.nanoTime());
-        } finally {
-            lock.unlock();
-        }
+        return locked(() -> queue.counts(System.nanoTime()));
     }
 
     /** Returns this node's load for its report to the leader, and resets the counts of arrived requests. */
     public LocalLoad drainLoad() {
+        return locked(() -> loadCollector.drain(trackers.all(), queue.all(), System.nanoTime()));
+    }
+
+    private <T> T locked(Supplier<T> action) {
         lock.lock();
         try {
-            return loadCollector.drain(trackers.all(), queue.all(), System.nanoTime());
+            return action.get();
         } finally {
             lock.unlock();
         }
     }
+
+    private void runLocked(Runnable action) {
+        locked(() -> {
+            action.run();
+            return null;
+        });
+    }
 }
