planning: a busy holder does not make another replica spare

While the first holder carried out its directive it still counted as a replica that could take over the requests of the second one; since models in use may be evicted if they are spare, the model was gone from all runners, and 121 requests found no place. Change: replicas at runners that carry out orders do not count in EvictionRules.isSpareReplica.

--- a/node/src/main/java/io/persimmonstack/node/planning/EvictionRules.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/EvictionRules.java
@@ -82,14 +82,17 @@
         return demandRate(victim) * restartMs * lastReplicaFactor + inUseCost;
     }
 
-    /** Returns whether the other replicas of a model have enough free slots to take over its requests on a runner. */
+    /**
+     * Returns whether the other replicas of a model have enough free slots to take over its requests on a runner. One
+     * at a runner that carries out orders does not count: it may be the model that is unloaded there.
+     */
     private boolean isSpareReplica(RunnerState runner, String model) {
         boolean inUse = runner.requestsOf(model) > 0;
         double freeSlotCount = index.holders(model).stream()
                 .filter(other -> inUse
                         ? isOtherOfSameVersion(other, runner)
                         : !other.id().equals(runner.id()))
-                .filter(other -> !assignedRunners.contains(other.id()))
+                .filter(other -> other.idle() && !assignedRunners.contains(other.id()))
                 .mapToDouble(other -> RunnerState.CROWDED_UTILISATION * other.slots() - other.requests())
                 .filter(freeSlots -> freeSlots > 0)
                 .sum();
