node: the models of a runner are kept once, and its service's runners are looked up once a try

RunnerLoadTrackers kept a second copy of the models that RunnerLoadTracker has. Each try to place a request filtered all runners by service twice.

--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -165,17 +165,22 @@
     }
 
     private Optional<Placement> tryPlace(QueuedRequest queued) {
-        return tryPlace(queued, trackers.ofService(queued.request().service().name()));
+        Collection<RunnerLoadTracker> all = runnersFor(queued);
+        return tryPlace(queued, all, all);
     }
 
-    private Optional<Placement> tryPlace(QueuedRequest queued, Collection<RunnerLoadTracker> candidates) {
+    private Optional<Placement> tryPlace(
+            QueuedRequest queued, Collection<RunnerLoadTracker> all, Collection<RunnerLoadTracker> offered) {
         ActiveRequest request = queued.request();
         RunnerSelector.Requirements requirements = requirements(queued);
-        Collection<RunnerLoadTracker> all = trackers.ofService(request.service().name());
-        return chooser.choose(request, requirements, all, candidates, queue.all())
+        return chooser.choose(request, requirements, all, offered, queue.all())
                 .map(tracker -> occupySlot(tracker, request, requirements));
     }
 
+    private Collection<RunnerLoadTracker> runnersFor(QueuedRequest queued) {
+        return trackers.ofService(queued.request().service().name());
+    }
+
     private RunnerSelector.Requirements requirements(QueuedRequest queued) {
         return RequestRequirements.of(queued.request(), queued.runnerFilter(), promptAffinity);
     }
@@ -210,9 +215,9 @@
     private void offerRunner(RunnerLoadTracker tracker) {
         long nowNanos = System.nanoTime();
         queue.offer(
-                queue.groupsFor(tracker.runner(), trackers.models(tracker)),
+                queue.groupsFor(tracker.runner(), tracker.models()),
                 nowNanos,
-                queued -> queued.tryComplete(() -> tryPlace(queued, List.of(tracker))),
+                queued -> queued.tryComplete(() -> tryPlace(queued, runnersFor(queued), List.of(tracker))),
                 () -> tracker.totalRequests() >= tracker.slotLimit(nowNanos));
     }
 
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTracker.java
@@ -106,11 +106,16 @@
         if (untilNanos != null && untilNanos > nowNanos) {
             return false;
         }
-        return reportedModels.orElse(runner.models()).stream()
+        return models().stream()
                 .anyMatch(held -> held.name().equals(model.model())
                         && (!model.hasAdapter() || held.adapters().contains(model.adapter())));
     }
 
+    /** Returns the models of the runner, by the leader's snapshot or else by its own entry. */
+    List<HeldModel> models() {
+        return reportedModels.orElse(runner.models());
+    }
+
     void requestStarted(ModelRef model, long requestTokens) {
         memoryClaim.withdraw();
         adjustUsage(model, 1, requestTokens);
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTrackers.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerLoadTrackers.java
@@ -1,7 +1,6 @@
 package io.persimmonstack.node.placing;
 
 import io.persimmonstack.node.fleet.FleetView;
-import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.pace.RunnerPace;
 import java.util.Collection;
@@ -18,9 +17,6 @@
 final class RunnerLoadTrackers {
     private final Map<String, RunnerLoadTracker> trackers = new HashMap<>();
     private final OutgoingVersions outgoingVersions = new OutgoingVersions();
-    /** Models that the leader reports, by runner. */
-    private final Map<String, List<HeldModel>> reportedModels = new HashMap<>();
-
     private final FleetView fleet;
 
     private RunnerLoadTrackers(FleetView fleet) {
@@ -55,23 +51,13 @@
         return trackers.get(tracker.runner().id()) == tracker;
     }
 
-    /** Returns the models of a runner, by the leader's snapshot or else by its own entry. */
-    List<HeldModel> models(RunnerLoadTracker tracker) {
-        return reportedModels.getOrDefault(
-                tracker.runner().id(), tracker.runner().models());
-    }
-
     /** Follows the listed runners, their entries and the pauses that they ask for. */
     void update(long nowNanos) {
         Map<String, Runner> runners = fleet.current().runners();
         trackers.keySet().retainAll(runners.keySet());
-        reportedModels.keySet().retainAll(runners.keySet());
         outgoingVersions.update(runners, nowNanos);
         for (Runner runner : runners.values()) {
             RunnerLoadTracker tracker = trackers.computeIfAbsent(runner.id(), id -> new RunnerLoadTracker(runner));
-            if (!tracker.runner().isSameProcess(runner)) {
-                reportedModels.remove(runner.id());
-            }
             tracker.updateRunner(runner);
             tracker.updateOutgoing(outgoingVersions.outgoingUntilNanos(runner));
             tracker.updateServesRests(fleet.leavingServesUntilNanos(runner));
@@ -87,7 +73,6 @@
             RunnerLoadTracker tracker = trackers.get(snapshot.runner());
             if (tracker != null && tracker.runner().startedMs() == snapshot.startedMs()) {
                 tracker.applySnapshot(snapshot);
-                snapshot.models().ifPresent(models -> reportedModels.put(snapshot.runner(), models));
                 tracker.elsewhere().observe(nowNanos);
             } else {
                 allApplied = false;
@@ -106,7 +91,6 @@
 
     /** Discards the leader's snapshots of all runners. */
     void discardSnapshots() {
-        reportedModels.clear();
         trackers.values().forEach(RunnerLoadTracker::discardSnapshot);
     }
 
--- a/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
+++ b/node/src/main/java/io/persimmonstack/node/planning/ModelPolicy.java
@@ -19,7 +19,6 @@
  * state.
  */
 final class ModelPolicy {
-
     /** Shortest wait for a busy runner with a local copy before the model is loaded from the weight store elsewhere. */
     private static final long MIN_WAIT_FOR_COPY_MS = 5_000;
     /** Share of the duration of a load from the weight store for which a busy runner with a local copy is awaited. */
