node: one refusal for configurations that may be out of date; delivery of one event is a method of its own

The key check and the route lookup built the same 503 with two copies of its delay, and Attempt.deliverStream had grown long. No change of behaviour: the detail in the log now names the version in both cases.

--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -222,8 +222,7 @@
         long unconfirmedMs = fleet.routingUnconfirmedMs(System.nanoTime());
         return unconfirmedMs <= applyMs
                 ? Refusal.noRoute(detail)
-                : Refusal.notRun(
-                        "configuration-unconfirmed", detail + ", " + unconfirmedMs + " ms old", RETRY_AFTER_MS);
+                : Refusal.unconfirmed(detail, unconfirmedMs);
     }
 
     /** Returns where the stream began that a request resumes, empty if it starts anew. */
--- a/node/src/main/java/io/persimmonstack/node/callers/WorkspaceCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/WorkspaceCheck.java
@@ -15,9 +15,6 @@
 
 /** Finds the workspace of a request by its key, and refuses requests that need a key and have none that is known. */
 public final class WorkspaceCheck {
-    /** Retry-After while the configuration is not confirmed. */
-    private static final long RETRY_AFTER_MS = 500;
-
     private final FleetView fleet;
     private final RunnerProtocol protocol;
     private final int applyMs;
@@ -72,7 +69,8 @@
         if (!route.authExempt()) {
             long unconfirmedMs = fleet.routingUnconfirmedMs(nowNanos);
             if (revokeMs.isPresent() && unconfirmedMs > revokeMs.getAsLong()) {
-                throw new RefusedException(unconfirmed("keys may have been removed", routing, unconfirmedMs));
+                throw new RefusedException(Refusal.unconfirmed(
+                        "keys may have been removed from configuration " + routing.version(), unconfirmedMs));
             }
             if (workspace.isEmpty()) {
                 throw new RefusedException(noWorkspace(presented, routing, unconfirmedMs));
@@ -84,7 +82,7 @@
     /** A request is refused for good only if no newer configuration can be in force that allows it. */
     private Refusal noWorkspace(PresentedKey presented, RoutingTable routing, long unconfirmedMs) {
         if (unconfirmedMs > applyMs) {
-            return unconfirmed("no key of this version", routing, unconfirmedMs);
+            return Refusal.unconfirmed("no such key in configuration " + routing.version(), unconfirmedMs);
         }
         return switch (presented) {
             case PresentedKey.Absent absent -> Refusal.unauthorized("key-absent", "no Authorization header");
@@ -92,11 +90,4 @@
             case PresentedKey.Key key -> Refusal.unauthorized("key-unknown", "in configuration " + routing.version());
         };
     }
-
-    private static Refusal unconfirmed(String cause, RoutingTable routing, long unconfirmedMs) {
-        return Refusal.notRun(
-                "configuration-unconfirmed",
-                "configuration " + routing.version() + ", " + unconfirmedMs + " ms old: " + cause,
-                RETRY_AFTER_MS);
-    }
 }
--- a/node/src/main/java/io/persimmonstack/node/request/Refusal.java
+++ b/node/src/main/java/io/persimmonstack/node/request/Refusal.java
@@ -19,6 +19,9 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
+    /** Retry-After while the configuration is not confirmed, in milliseconds. */
+    private static final long UNCONFIRMED_RETRY_MS = 500;
+
     /** Returns the refusal of a request that cannot be decoded. */
     public static Refusal malformed(String detail) {
         return new Refusal(BAD_REQUEST, "malformed", detail, OptionalLong.empty());
@@ -44,6 +47,16 @@
         return new Refusal(SERVICE_UNAVAILABLE, reason, detail, OptionalLong.of(retryAfterMs));
     }
 
+    /**
+     * Returns the refusal of a request for which a newer configuration may hold than the one that this node has.
+     *
+     * @param detail what the node's version does not have
+     * @param unconfirmedMs time since the version was last confirmed, in milliseconds
+     */
+    public static Refusal unconfirmed(String detail, long unconfirmedMs) {
+        return notRun("configuration-unconfirmed", detail + ", " + unconfirmedMs + " ms old", UNCONFIRMED_RETRY_MS);
+    }
+
     /** Returns whether no runner has run the request and none will. */
     public boolean neverRuns() {
         return status == SERVICE_UNAVAILABLE || status == TOO_MANY_REQUESTS;
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -270,25 +270,11 @@
                 lastReceivedNanos = System.nanoTime();
                 pace.eventArrived(process(), lastReceivedNanos);
                 reserved.prompt().answerBegun();
-                if (continues && event.get().id().isEmpty()) {
-                    return unknown(runner().id() + ": text that is no event in place of the rest of the stream");
-                }
                 lastId = event.get().id();
-                if (!progress.isNew(event.get())) {
-                    continue;
-                }
-                if (progress.followsGap(event.get())) {
-                    return unknown(runner().id() + ": event " + event.get().id() + " after " + progress.lastEventId());
-                }
-                if (!reply.begun()) {
-                    reply.begin(call.status(), HopByHopHeaders.toReplyHeaders(call.headers()));
+                Optional<Outcome> end = deliverEvent(call, event.get(), continues);
+                if (end.isPresent()) {
+                    return end.get();
                 }
-                origin.beforeEvent(process);
-                reply.write(event.get().bytes());
-                progress.recordDelivered(event.get());
-                pace.eventWritten(System.nanoTime());
-                limitSilence(call);
-                call.beginUnit();
             }
         } catch (IOException e) {
             return broken(
@@ -297,11 +283,41 @@
         if (continues && lastId.isPresent() && !lastId.equals(progress.lastEventId())) {
             return unknown(runner().id() + ": ended at event " + lastId + " before " + progress.lastEventId());
         }
+        beginReply(call);
+        reply.end();
+        return new Outcome.Delivered();
+    }
+
+    /**
+     * Passes an event on, unless the caller has it already. Returns the outcome of the attempt if the event cannot
+     * follow what the caller has, empty otherwise.
+     */
+    private Optional<Outcome> deliverEvent(HttpCall call, EventReader.StreamEvent event, boolean continues)
+            throws CallerGoneException, IOException {
+        if (continues && event.id().isEmpty()) {
+            return Optional.of(unknown(runner().id() + ": text that is no event in place of the rest of the stream"));
+        }
+        if (!progress.isNew(event)) {
+            return Optional.empty();
+        }
+        if (progress.followsGap(event)) {
+            return Optional.of(
+                    unknown(runner().id() + ": event " + event.id() + " after " + progress.lastEventId()));
+        }
+        beginReply(call);
+        origin.beforeEvent(process);
+        reply.write(event.bytes());
+        progress.recordDelivered(event);
+        pace.eventWritten(System.nanoTime());
+        limitSilence(call);
+        call.beginUnit();
+        return Optional.empty();
+    }
+
+    private void beginReply(HttpCall call) throws CallerGoneException {
         if (!reply.begun()) {
             reply.begin(call.status(), HopByHopHeaders.toReplyHeaders(call.headers()));
         }
-        reply.end();
-        return new Outcome.Delivered();
     }
 
     /** Ends a stream that is silent when its deadline passes; one whose events still arrive is delivered to its end. */
