--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -220,9 +220,7 @@
     private Refusal noRoute(CallerRequest callerRequest, RoutingTable routing) {
         String detail = callerRequest.host() + callerRequest.path() + " in configuration " + routing.version();
         long unconfirmedMs = fleet.routingUnconfirmedMs(System.nanoTime());
-        return unconfirmedMs <= applyMs
-                ? Refusal.noRoute(detail)
-                : Refusal.unconfirmed(detail, unconfirmedMs);
+        return unconfirmedMs <= applyMs ? Refusal.noRoute(detail) : Refusal.unconfirmed(detail, unconfirmedMs);
     }
 
     /** Returns where the stream began that a request resumes, empty if it starts anew. */
--- a/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/Attempt.java
@@ -301,8 +301,7 @@
             return Optional.empty();
         }
         if (progress.followsGap(event)) {
-            return Optional.of(
-                    unknown(runner().id() + ": event " + event.id() + " after " + progress.lastEventId()));
+            return Optional.of(unknown(runner().id() + ": event " + event.id() + " after " + progress.lastEventId()));
         }
         beginReply(call);
         origin.beforeEvent(process);
