--- a/platform/src/test/java/io/persimmonstack/platform/Crowd.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/crowd/Crowd.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform;
+package io.persimmonstack.coordination.crowd;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Clients outside the limits of one listener, each with its own connection and thread. */
-final class Crowd implements AutoCloseable {
+public final class Crowd implements AutoCloseable {
     /** Pause before a client whose connection was closed connects again. */
     private static final long RECONNECT_PAUSE_MS = 20;
 
@@ -21,7 +21,7 @@
     private volatile boolean closed;
 
     /** What a client sends on a connection. */
-    interface Input {
+    public interface Input {
         /** Writes until the input is complete or the connection is closed. */
         void write(OutputStream out) throws IOException, InterruptedException;
     }
@@ -31,7 +31,7 @@
     }
 
     /** Starts clients that send endless input and connect again when their connection is closed. */
-    static Crowd startEndless(int clients, int port, byte[] start, byte[] repeated) {
+    public static Crowd startEndless(int clients, int port, byte[] start, byte[] repeated) {
         Crowd crowd = new Crowd(port);
         crowd.start(clients, () -> {
             while (!crowd.closed) {
@@ -48,7 +48,7 @@
     }
 
     /** Starts clients that send an input once and then keep their connection open in silence. */
-    static Crowd startOnce(int clients, int port, Input input) {
+    public static Crowd startOnce(int clients, int port, Input input) {
         Crowd crowd = new Crowd(port);
         crowd.start(clients, () -> crowd.send(input));
         return crowd;
@@ -94,7 +94,7 @@
     }
 
     /** Waits until each client has sent its input or is held up, but no longer than the given time. */
-    void awaitSent(long maxMs) throws InterruptedException {
+    public void awaitSent(long maxMs) throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxMs);
         for (Thread thread : threads) {
             long leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
--- a/platform/src/test/java/io/persimmonstack/platform/ProcessLoad.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/crowd/ProcessLoad.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.platform;
+package io.persimmonstack.coordination.crowd;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -6,13 +6,13 @@
 import java.util.stream.Stream;
 
 /** Memory and descriptors of a process, read from {@code /proc}. */
-final class ProcessLoad {
+public final class ProcessLoad {
     private static final long KB_PER_MB = 1024;
 
     private ProcessLoad() {}
 
     /** Returns the largest resident memory that a process has had, in megabytes. */
-    static long peakMb(long pid) throws IOException {
+    public static long peakMb(long pid) throws IOException {
         try (Stream<String> lines = Files.lines(Path.of("/proc/" + pid + "/status"))) {
             String line =
                     lines.filter(text -> text.startsWith("VmHWM:")).findFirst().orElseThrow();
@@ -21,7 +21,7 @@
     }
 
     /** Returns the number of descriptors that a process has open. */
-    static long descriptors(long pid) throws IOException {
+    public static long descriptors(long pid) throws IOException {
         try (Stream<Path> entries = Files.list(Path.of("/proc/" + pid + "/fd"))) {
             return entries.count();
         }
