wire: frames, answers and connections of links are bounded

Cause: a link allocated the bytes of a frame when it was announced, and the list of structs that its head named; the sum over connections, their number, answers that nobody reads and frames that stop had no bound.

Change: the array of a frame doubles as its bytes arrive. Frames, decoded objects and unsent answers share an eighth of the heap; a single frame fits whatever its size. A frame or answer ends after 5 s plus 1 s for each 64 KB, and from 100 ms on gives way to others while memory is short. Connections are one per 96 KB of heap; the one idle for longest is closed for a new one. A container has at most as many elements as its frame has bytes left. Refusals count in input.refused.link-* and are line 4011, once a second.

Callers: calls inside the limits are answered as before; a peer whose idle connection is closed for others sees one call unanswered.

--- a/backends/src/main/java/io/persimmonstack/backends/BackendEvent.java
+++ b/backends/src/main/java/io/persimmonstack/backends/BackendEvent.java
@@ -15,7 +15,9 @@
     /** An entry of the host list cannot be used; the others are. */
     HOST_UNREADABLE(4004, Level.WARN, "host list entry {} left out: {}"),
     /** A process without a valid certificate tried to connect to one of the system's own processes. */
-    PEER_REFUSED(4010, Level.WARN, "connection from {} refused, no valid certificate: {}");
+    PEER_REFUSED(4010, Level.WARN, "connection from {} refused, no valid certificate: {}"),
+    /** A listener refused input of clients outside the limits; at most one line a second. */
+    INPUT_REFUSED(4011, Level.INFO, "{} inputs of clients outside the limits refused, the last one for {}");
 
     private final EventDefinition definition;
 
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/CoordinatorNode.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/CoordinatorNode.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.coordinator;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.backends.RefusedInputs;
 import io.persimmonstack.backends.hosts.HostListException;
 import io.persimmonstack.backends.peer.PeerTrust;
 import io.persimmonstack.configuration.ConfigurationCodec;
@@ -116,7 +117,11 @@
         this.peers = context.closer()
                 .add(ThriftPeers.of(new Coordinator.Client.Factory(), settings.probeTimeoutMs(), security));
         DeferredProcessor processor = new DeferredProcessor();
-        this.server = ThriftServer.start(PeerAddress.parse(settings.address()), processor, security);
+        this.server = ThriftServer.start(
+                PeerAddress.parse(settings.address()),
+                processor,
+                security,
+                RefusedInputs.of(metrics).linkLimits());
         this.feed = ConfigurationFeed.of(
                 FleetConfiguration.empty(), CoordinatorNode::decodeConfiguration, this::applyConfiguration);
         ConfigurationStore store = ConfigurationStore.of(platform.kv(), ConfigurationHeadCodec.create(), time);
--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.node;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.backends.RefusedInputs;
 import io.persimmonstack.backends.http.InputLimits;
 import io.persimmonstack.backends.http.ReceiveMemory;
 import io.persimmonstack.coordination.kv.WatchTimes;
@@ -47,6 +48,7 @@
 import io.persimmonstack.runtime.RunningProgram;
 import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.PeerAddress;
+import io.persimmonstack.wire.PeerSecurity;
 import io.persimmonstack.wire.ThriftPeers;
 import io.persimmonstack.wire.ThriftServer;
 import io.persimmonstack.wire.WireException;
@@ -233,7 +235,11 @@
         registry.gauge("runners.unusual-pace", () -> leader::unusualPaces);
         try {
             LinkHandler handler = LinkHandler.of(leader, origins.handler(), crashReports::receive, caps::takeTokens);
-            closer.add(ThriftServer.start(options.linkAddress(), new NodeLink.Processor<>(handler)));
+            closer.add(ThriftServer.start(
+                    options.linkAddress(),
+                    new NodeLink.Processor<>(handler),
+                    PeerSecurity.plaintext(),
+                    RefusedInputs.of(registry).linkLimits()));
         } catch (WireException e) {
             throw new ProgramException("link " + options.linkAddress() + ": cannot be bound: " + e.getMessage(), e);
         }
--- a/router/src/main/java/io/persimmonstack/router/Router.java
+++ b/router/src/main/java/io/persimmonstack/router/Router.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.router;
 
+import io.persimmonstack.backends.RefusedInputs;
 import io.persimmonstack.backends.http.HttpConnector;
 import io.persimmonstack.backends.http.HttpConnectorOptions;
 import io.persimmonstack.backends.peer.PeerTrust;
@@ -69,6 +70,7 @@
     private final ProgramContext context;
     private final Closer closer = Closer.create();
     private final RouterMetrics metrics;
+    private final RefusedInputs refusedInputs;
     private final FleetViews views = FleetViews.create();
     private final Placer placer;
     private SnapshotFollower snapshotFollower;
@@ -79,6 +81,7 @@
         this.settings = settings;
         this.context = context;
         this.metrics = RouterMetrics.of(context.metrics());
+        this.refusedInputs = RefusedInputs.of(context.metrics());
         this.placer = Placer.of(settings.zone(), settings.region());
     }
 
@@ -134,7 +137,10 @@
         try {
             RouterPeer.Iface handler = PeerHandler.of(localClaims, prompts::receive, context.tracing());
             return ThriftServer.start(
-                    PeerAddress.parse(settings.peerAddress()), new RouterPeer.Processor<>(handler), security);
+                    PeerAddress.parse(settings.peerAddress()),
+                    new RouterPeer.Processor<>(handler),
+                    security,
+                    refusedInputs.linkLimits());
         } catch (WireException e) {
             throw new ProgramException("peerAddress " + e.getMessage(), e);
         }
--- a/wire/src/main/java/io/persimmonstack/wire/TlsServerConnection.java
+++ b/wire/src/main/java/io/persimmonstack/wire/TlsServerConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import java.net.Socket;
 import java.net.SocketException;
 import javax.net.ssl.SSLSocket;
 import org.apache.thrift.transport.TSocket;
@@ -14,15 +15,23 @@
 final class TlsServerConnection extends TSocket {
     private static final int HANDSHAKE_TIMEOUT_MS = 5_000;
     private final SSLSocket socket;
+    private final Socket rawSocket;
     private final PeerSecurity.MutualTls security;
     private boolean handshakeDone;
 
-    TlsServerConnection(SSLSocket socket, PeerSecurity.MutualTls security) throws TTransportException {
+    TlsServerConnection(SSLSocket socket, Socket rawSocket, PeerSecurity.MutualTls security)
+            throws TTransportException {
         super(socket);
+        this.rawSocket = rawSocket;
         this.socket = socket;
         this.security = security;
     }
 
+    /** Returns the TCP socket below TLS. */
+    Socket rawSocket() {
+        return rawSocket;
+    }
+
     @Override
     public int read(byte[] buffer, int offset, int length) throws TTransportException {
         if (!handshakeDone) {
--- a/wire/src/main/java/io/persimmonstack/wire/TlsServerSocket.java
+++ b/wire/src/main/java/io/persimmonstack/wire/TlsServerSocket.java
@@ -23,7 +23,7 @@
                     (SSLSocket) security.context().get().getSocketFactory().createSocket(plain.getSocket(), null, true);
             socket.setUseClientMode(false);
             socket.setNeedClientAuth(true);
-            return new TlsServerConnection(socket, security);
+            return new TlsServerConnection(socket, plain.getSocket(), security);
         } catch (IOException e) {
             plain.close();
             throw new TTransportException(e);
--- a/wire/src/test/java/io/persimmonstack/wire/LinkCrowdTest.java
+++ b/wire/src/test/java/io/persimmonstack/wire/LinkCrowdTest.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.wire;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.persimmonstack.coordination.crowd.Crowd;
@@ -11,6 +12,7 @@
 import java.io.DataOutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.Map;
@@ -52,6 +54,9 @@
     /** Time for which a crowd may send before the process is checked; one that is refused ends earlier. */
     private static final long SENDING_MS = 10_000;
 
+    /** Bounds a hang; shorter than the time after which an idle connection is closed. */
+    private static final int GIVE_UP_MS = 40_000;
+
     @TempDir
     Path directory;
 
@@ -150,6 +155,22 @@
         });
     }
 
+    /** The memory for frames is 5 MB; a single frame is served whatever its size. */
+    @Test
+    void singleLargeFrameIsServed() throws Exception {
+        ClaimRecord claim = new ClaimRecord("key", "router-1", "print", 1).setBody(new byte[8 * FRAME_BYTES]);
+        peers.call(address, 10_000, client -> client.claim(claim, 10, Map.of()));
+    }
+
+    @Test
+    void frameWithoutProgressIsEnded() throws Exception {
+        try (Socket socket = new Socket(address.ip(), address.port())) {
+            socket.setSoTimeout(GIVE_UP_MS);
+            socket.getOutputStream().write(announcement(FRAME_BYTES));
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
     /** Connections on which nothing is sent used to be accepted until the machine had no descriptor left. */
     @Test
     void silentConnections() throws Exception {
