node: bound the surge of a more urgent workspace

Change: UsualRates learns each workspace's rate for a service from the arrivals at the node. Requests beyond it wait at the least urgent priority that the service has had at this node. FairShares charges a workspace there for all that it gets, its usual requests included, so that the surge gets what the others do not need. Usual requests keep their priority; a less urgent workspace never goes before them. Deployments without workspaces, and those with one priority, keep their order.

Callers of a more urgent workspace that surges wait longer under contention; others see no change.

--- a/node/src/main/java/io/persimmonstack/node/placing/FairShares.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/FairShares.java
@@ -1,11 +1,14 @@
 package io.persimmonstack.node.placing;
 
+import io.persimmonstack.node.config.RequestPriority;
 import io.persimmonstack.node.config.UsageCap;
 import io.persimmonstack.node.config.Workspace;
 import io.persimmonstack.node.request.ActiveRequest;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BinaryOperator;
 
 /**
  * Divides the capacity of a service among the workspaces of one priority, by start-time fair queueing. A workspace's
@@ -21,14 +24,16 @@
     static final long DEFAULT_REQUEST_TOKENS = 1_000;
 
     private final Map<Level, Positions> positionsByLevel = new HashMap<>();
+    private final Map<String, RequestPriority> leastUrgentByService = new HashMap<>();
 
     /** Requests among which capacity is divided: priorities are strict, and services have runners of their own. */
     private record Level(String service, int workspacePriority, int routePriority) {
-        private static Level of(ActiveRequest request) {
-            return new Level(
-                    request.service().name(),
-                    request.priority().workspace(),
-                    request.priority().route());
+        private static Level of(QueuedRequest queued) {
+            return of(queued, queued.rank());
+        }
+
+        private static Level of(QueuedRequest queued, RequestPriority priority) {
+            return new Level(queued.request().service().name(), priority.workspace(), priority.route());
         }
     }
 
@@ -59,32 +64,53 @@
         return request.workspace().map(Workspace::name).orElse("");
     }
 
+    /** Returns the least urgent priority of all requests for a service so far, the given one included. */
+    RequestPriority leastUrgent(ActiveRequest request) {
+        return leastUrgentByService.merge(
+                request.service().name(), request.priority(), BinaryOperator.maxBy(Comparator.naturalOrder()));
+    }
+
     /** Returns the position of the workspace of a waiting request. */
-    double position(ActiveRequest request) {
-        return advanced(request).seconds;
+    double position(QueuedRequest queued) {
+        return advanced(Level.of(queued), queued.request()).seconds;
     }
 
     /** Records that a request begins to wait. */
-    void queued(ActiveRequest request) {
-        advanced(request).waiting++;
+    void queued(QueuedRequest queued) {
+        leastUrgent(queued.request());
+        advanced(Level.of(queued), queued.request()).waiting++;
     }
 
     /** Records that a request waits no longer; to be called after {@link #placed} if it was placed. */
-    void dequeued(ActiveRequest request) {
-        advanced(request).waiting--;
+    void dequeued(QueuedRequest queued) {
+        advanced(Level.of(queued), queued.request()).waiting--;
+    }
+
+    /**
+     * Charges the workspace of a request that is placed, whether the request had to wait or not. What a more urgent
+     * workspace gets counts at the least urgent level as well, where its requests beyond the usual rate compete: there,
+     * it gets no more than others get in all.
+     */
+    void placed(QueuedRequest queued) {
+        ActiveRequest request = queued.request();
+        Level own = Level.of(queued);
+        charge(own, request);
+        Level last = Level.of(queued, leastUrgent(request));
+        if (!last.equals(own)) {
+            charge(last, request);
+        }
     }
 
-    /** Charges the workspace of a request that is placed, whether the request had to wait or not. */
-    void placed(ActiveRequest request) {
-        Position position = advanced(request);
-        Positions level = positionsByLevel.get(Level.of(request));
+    private void charge(Level key, ActiveRequest request) {
+        Position position = advanced(key, request);
+        Positions level = positionsByLevel.get(key);
         level.reachedSeconds = Math.max(level.reachedSeconds, position.seconds);
         position.seconds += tokens(request) / weight(request.workspace());
     }
 
     /** Returns the position of a workspace; one that does not wait is moved to where it would start. */
-    private Position advanced(ActiveRequest request) {
-        Positions level = positionsByLevel.computeIfAbsent(Level.of(request), key -> new Positions());
+    private Position advanced(Level key, ActiveRequest request) {
+        Positions level = positionsByLevel.computeIfAbsent(key, added -> new Positions());
         Position position = level.byWorkspace.computeIfAbsent(shareName(request), name -> new Position());
         if (position.waiting == 0) {
             position.seconds = Math.max(position.seconds, level.startSeconds());
@@ -92,7 +118,8 @@
         return position;
     }
 
-    private static double tokens(ActiveRequest request) {
+    /** Returns the tokens that a request counts. */
+    static double tokens(ActiveRequest request) {
         long likely = request.callerRequest().tokens().likelyTotal();
         if (likely > 0) {
             return likely;
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -174,7 +174,7 @@
         ActiveRequest request = queued.request();
         RunnerSelector.Requirements requirements = requirements(queued);
         return chooser.choose(request, requirements, all, offered, queue.all())
-                .map(tracker -> occupySlot(tracker, request, requirements));
+                .map(tracker -> occupySlot(tracker, queued, requirements));
     }
 
     private Collection<RunnerLoadTracker> runnersFor(QueuedRequest queued) {
@@ -187,12 +187,13 @@
 
     /** Occupies a slot of a runner; closing the placement releases it and places queued requests. */
     private Placement occupySlot(
-            RunnerLoadTracker tracker, ActiveRequest request, RunnerSelector.Requirements requirements) {
+            RunnerLoadTracker tracker, QueuedRequest queued, RunnerSelector.Requirements requirements) {
+        ActiveRequest request = queued.request();
         long expectedTokens = requirements.expectedTokens();
         ModelRef model = request.callerRequest().model().orElse(NO_MODEL);
         tracker.requestStarted(model, expectedTokens);
         promptAffinity.recordRunner(request.callerRequest(), tracker.runner().id());
-        queue.recordPlaced(request);
+        queue.recordPlaced(queued);
         return new Placement(
                 tracker.runner(),
                 requirements.tokensToRead(tracker.runner()),
--- a/node/src/main/java/io/persimmonstack/node/placing/QueuedRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/QueuedRequest.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node.placing;
 
+import io.persimmonstack.node.config.RequestPriority;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.RefusedException;
 import java.util.Comparator;
@@ -12,8 +13,7 @@
 
 /** Request that waits for a runner; its result is a {@link Placement} or a refusal. */
 final class QueuedRequest implements Comparable<QueuedRequest> {
-    private static final Comparator<QueuedRequest> ORDER = Comparator.comparing(
-                    (QueuedRequest queued) -> queued.request.priority())
+    private static final Comparator<QueuedRequest> ORDER = Comparator.comparing((QueuedRequest queued) -> queued.rank)
             .thenComparing(QueuedRequest::isNew)
             .thenComparingLong(queued -> queued.request.receivedNanos());
 
@@ -21,12 +21,14 @@
     private final RunnerFilter runnerFilter;
     private final long deadlineNanos;
     private final CompletableFuture<Placement> result = new CompletableFuture<>();
+    private RequestPriority rank;
     private long sequence;
 
     QueuedRequest(ActiveRequest request, RunnerFilter runnerFilter, long deadlineNanos) {
         this.request = request;
         this.runnerFilter = runnerFilter;
         this.deadlineNanos = deadlineNanos;
+        this.rank = request.priority();
     }
 
     ActiveRequest request() {
@@ -42,6 +44,20 @@
         return deadlineNanos;
     }
 
+    /** Returns the priority over other waiting requests; usually that of the request. */
+    RequestPriority rank() {
+        return rank;
+    }
+
+    void setRank(RequestPriority priority) {
+        rank = priority;
+    }
+
+    /** Returns whether the request has not been sent to a runner before, as far as its filter tells. */
+    boolean isFirstTry() {
+        return runnerFilter.equals(RunnerFilter.any());
+    }
+
     /** Returns the number that orders requests of the same age. */
     long sequence() {
         return sequence;
--- a/node/src/main/java/io/persimmonstack/node/placing/RequestQueue.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RequestQueue.java
@@ -2,7 +2,6 @@
 
 import io.persimmonstack.node.fleet.HeldModel;
 import io.persimmonstack.node.fleet.Runner;
-import io.persimmonstack.node.request.ActiveRequest;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -32,6 +31,7 @@
     private final Map<WaitingGroup.Target, Map<RunnerFilter, WaitingGroup>> groups = new HashMap<>();
     private final Set<QueuedRequest> all = new LinkedHashSet<>();
     private final FairShares shares = new FairShares();
+    private final UsualRates usualRates = new UsualRates();
     private long nextSequence;
     private long operations;
 
@@ -57,7 +57,10 @@
     void add(QueuedRequest queued) {
         queued.setSequence(nextSequence++);
         all.add(queued);
-        shares.queued(queued.request());
+        if (queued.isFirstTry() && !usualRates.countArrival(queued.request())) {
+            queued.setRank(shares.leastUrgent(queued.request()));
+        }
+        shares.queued(queued);
         insert(queued);
     }
 
@@ -72,7 +75,7 @@
         if (!all.remove(queued)) {
             return;
         }
-        shares.dequeued(queued.request());
+        shares.dequeued(queued);
         WaitingGroup.Target target = WaitingGroup.Target.of(queued.request());
         Map<RunnerFilter, WaitingGroup> byFilter = groups.get(target);
         WaitingGroup group = byFilter.get(queued.runnerFilter());
@@ -91,8 +94,8 @@
     }
 
     /** Charges the workspace of a request that is placed, before the request is removed. */
-    void recordPlaced(ActiveRequest request) {
-        shares.placed(request);
+    void recordPlaced(QueuedRequest queued) {
+        shares.placed(queued);
     }
 
     /** Returns what waits; takes a time that grows with the length of the queue. */
--- a/node/src/main/java/io/persimmonstack/node/placing/WaitingGroup.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/WaitingGroup.java
@@ -43,7 +43,7 @@
     private record LaneKey(RequestPriority priority, boolean isNew, String workspace) {
         private static LaneKey of(QueuedRequest queued) {
             ActiveRequest request = queued.request();
-            return new LaneKey(request.priority(), queued.isNew(), FairShares.shareName(request));
+            return new LaneKey(queued.rank(), queued.isNew(), FairShares.shareName(request));
         }
     }
 
@@ -56,8 +56,7 @@
      * @param position position of its workspace in {@link FairShares}
      */
     record Head(QueuedRequest queued, boolean late, double position) implements Comparable<Head> {
-        private static final Comparator<Head> ORDER = Comparator.comparing(
-                        (Head head) -> head.queued.request().priority())
+        private static final Comparator<Head> ORDER = Comparator.comparing((Head head) -> head.queued.rank())
                 .thenComparing(head -> head.queued.isNew())
                 .thenComparing(Head::late)
                 .thenComparingDouble(Head::position)
@@ -98,7 +97,7 @@
     Optional<Head> head(FairShares shares, long nowNanos) {
         return lanes.values().stream()
                 .flatMap(lane -> lane.first(nowNanos).stream())
-                .map(queued -> new Head(queued, queued.isLate(nowNanos), shares.position(queued.request())))
+                .map(queued -> new Head(queued, queued.isLate(nowNanos), shares.position(queued)))
                 .min(Comparator.naturalOrder());
     }
 }
--- a/node/src/test/java/io/persimmonstack/node/placing/RequestQueuePropertiesTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/RequestQueuePropertiesTest.java
@@ -42,22 +42,22 @@
     }
 
     private Comparator<QueuedRequest> order(long nowNanos) {
-        return Comparator.comparing((QueuedRequest queued) -> queued.request().priority())
+        return Comparator.comparing(QueuedRequest::rank)
                 .thenComparing(QueuedRequest::isNew)
                 .thenComparing(queued -> queued.isLate(nowNanos))
-                .thenComparingDouble(queued -> shares.position(queued.request()))
+                .thenComparingDouble(queued -> shares.position(queued))
                 .thenComparingLong(queued -> queued.request().receivedNanos())
                 .thenComparingLong(QueuedRequest::sequence);
     }
 
     private void add(QueuedRequest queued) {
         queue.add(queued);
-        shares.queued(queued.request());
+        shares.queued(queued);
         waiting.add(queued);
     }
 
     private void removeFromModel(QueuedRequest queued) {
-        shares.dequeued(queued.request());
+        shares.dequeued(queued);
         waiting.remove(queued);
     }
 
@@ -72,8 +72,8 @@
                     QueuedRequest expected =
                             waiting.stream().min(order(nowNanos)).orElseThrow();
                     assertEquals(expected.sequence(), queued.sequence());
-                    queue.recordPlaced(queued.request());
-                    shares.placed(queued.request());
+                    queue.recordPlaced(queued);
+                    shares.placed(queued);
                     removeFromModel(queued);
                     left[0]--;
                     return true;
--- a/node/src/test/java/io/persimmonstack/node/placing/RequestQueueTest.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/RequestQueueTest.java
@@ -34,7 +34,7 @@
                     if (queued.request().callerRequest().tokens().likelyTotal() > maxTokens) {
                         return false;
                     }
-                    queue.recordPlaced(queued.request());
+                    queue.recordPlaced(queued);
                     return placed.add(queued);
                 },
                 () -> placed.size() == room);
@@ -157,4 +157,26 @@
         assertEquals(0, queue.all().size());
         assertEquals(0, queue.allGroups().size());
     }
+
+    /** Guards against a surge that is served before all less urgent workspaces, and against one that loses its rank. */
+    @Test
+    void onlyRequestsBeyondTheUsualRateCompeteWithLessUrgentWorkspaces() {
+        Workspace urgent = QueuedRequests.workspace("urgent", 0, 1_000);
+        Workspace other = QueuedRequests.workspace("other", 1, 1_000);
+        for (int ms = 0; ms < 60_000; ms += 1_000) {
+            add(QueuedRequests.received(ms).of(urgent));
+            add(QueuedRequests.received(ms).of(other));
+            assertEquals(2, offer(2, ms).size());
+        }
+        for (int i = 0; i < 20; i++) {
+            add(QueuedRequests.received(60_000).of(urgent));
+            add(QueuedRequests.received(60_000).of(other));
+        }
+        List<QueuedRequest> placed = offer(26, 60_000);
+        long usual = placed.stream()
+                .takeWhile(queued -> queued.request().workspace().orElseThrow().equals(urgent))
+                .count();
+        assertTrue(usual >= 5 && usual <= 9, "requests before others: " + usual);
+        assertTrue(tokens(placed, other) >= 11_000, "tokens of the other workspace: " + tokens(placed, other));
+    }
 }
--- a/node/src/test/java/io/persimmonstack/node/placing/SimulatedQueue.java
+++ b/node/src/test/java/io/persimmonstack/node/placing/SimulatedQueue.java
@@ -102,7 +102,7 @@
     }
 
     private boolean begin(QueuedRequest queued, SimulatedRunner runner, long nowMs) {
-        queue.recordPlaced(queued.request());
+        queue.recordPlaced(queued);
         runner.requests++;
         long tokens = queued.request().callerRequest().tokens().likelyTotal();
         runs.add(new Run(runner, nowMs + Math.round(tokens * MS_PER_TOKEN)));
