wire: a link accepts 1,152 connections with 72 MB of heap

A node has a connection of its own to the leader for load reports, for tokens of usage caps and for origins of streams. At 370 nodes, 768 connections were too few; an idle one would have been closed for each new one, and its next call failed. 640 connections with the 40 MB of LinkCrowdTest are what its bound of 700 descriptors was set for. Not run yet with this value.

--- a/wire/src/main/java/io/persimmonstack/wire/LinkLimits.java
+++ b/wire/src/main/java/io/persimmonstack/wire/LinkLimits.java
@@ -13,8 +13,8 @@
     /** Part of the heap; callers of the same process may fill three further eighths. */
     private static final int HEAP_DIVISOR = 8;
 
-    /** Heap per connection: 768 connections in 72 MB, for 370 nodes with up to two each. */
-    private static final int HEAP_BYTES_PER_CONNECTION = 96 * 1024;
+    /** Heap per connection: 1,152 connections in 72 MB, for 370 nodes with up to three each. */
+    private static final int HEAP_BYTES_PER_CONNECTION = 64 * 1024;
 
     private static final int MIN_CONNECTIONS = 64;
 
