node: a version that no entry has told keeps another one from being the only one

Cause: a runner came back with software v2 and served streams, and came back with v1 before an entry told v2. The origin of these streams is not kept, since their version is not known. 2.5 s after its start the node knows all listed versions for certain and takes the only one, v1, as that of each stream that nobody knows: they went on at v1.

Change: a stream that ends at a node without any entry having told the version of its process is recorded as one more version of its service, for 120 s as others are. It is published with the versions in the node's record in the store, so that no other node takes v1 for the only one either; nodes of an older version of the software read it as some version. No message is changed.

Callers saw: events of another software version in a resumed stream. Now they get 503 stream-unknown, as they did before the 2.5 s. The cost: for 120 s, streams of this service whose origin is lost can't go on by inference.

OriginRecorderTest, OriginPublisherTest have the two rules.

--- a/node/src/main/java/io/persimmonstack/node/sending/OriginRecorder.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/OriginRecorder.java
@@ -105,6 +105,9 @@
         if (firstProcess.isPresent()) {
             keepOnceKnown();
         }
+        if (begun && request.route().isIdempotent() && softwareVersion().isEmpty()) {
+            directory.recordUntold(request.service().name());
+        }
         kept.ifPresent(OriginDirectory.KeptOrigin::close);
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/streams/OriginDirectory.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/OriginDirectory.java
@@ -14,6 +14,12 @@
      */
     KeptOrigin keep(String request, StreamOrigin origin, long validMs);
 
+    /**
+     * Records that a stream began at a version of a service that no entry has told, so that its origin is not kept.
+     * Never blocks.
+     */
+    default void recordUntold(String service) {}
+
     /**
      * Returns the origin of a stream, asking other nodes for a moment if this one does not know it.
      *
--- a/node/src/main/java/io/persimmonstack/node/streams/RecentVersions.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/RecentVersions.java
@@ -16,6 +16,8 @@
  * began can go on only if there is a single one. The caller supplies the time. Thread-safe.
  */
 public final class RecentVersions {
+    /** Stands for a version that no entry has told. */
+    static final String UNTOLD = "(untold)";
     /** Time for which a version counts after its last runner has gone; no stream lasts longer. */
     static final long REMEMBERED_MS = 120_000;
 
@@ -46,6 +48,14 @@
         lastSeenNanos.values().removeIf(seenNanos -> nowNanos - seenNanos > rememberedNanos);
     }
 
+    /**
+     * Records that streams began at a version of a service that no entry has told. It counts as one more version, here
+     * and, since versions are published, at the other nodes: no other one is the only version of these streams.
+     */
+    public synchronized void recordUntold(String service, long nowNanos) {
+        lastSeenNanos.put(new StreamOrigin(service, UNTOLD), nowNanos);
+    }
+
     /** Takes the versions that were known before this process started; they count as seen now. */
     public synchronized void startWith(Collection<StreamOrigin> versions, long nowNanos) {
         historyKnown = true;
--- a/node/src/main/java/io/persimmonstack/node/streams/SharedOrigins.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/SharedOrigins.java
@@ -77,6 +77,11 @@
         return stream;
     }
 
+    @Override
+    public void recordUntold(String service) {
+        archive.recordUntold(service);
+    }
+
     @Override
     public Optional<StreamOrigin> find(String request) throws InterruptedException {
         return search(request).origin();
--- a/node/src/main/java/io/persimmonstack/node/streams/StoredStreams.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/StoredStreams.java
@@ -91,6 +91,12 @@
         publisher.add(stream, System.nanoTime());
     }
 
+    @Override
+    public void recordUntold(String service) {
+        versions.recordUntold(service, System.nanoTime());
+        forgetVersions();
+    }
+
     @Override
     public Optional<StreamOrigin> find(String request) {
         return origins.find(request, System.nanoTime());
--- a/node/src/main/java/io/persimmonstack/node/streams/StreamArchive.java
+++ b/node/src/main/java/io/persimmonstack/node/streams/StreamArchive.java
@@ -7,6 +7,9 @@
     /** Adds a stream whose delivery begins. */
     void add(DeliveredStream stream);
 
+    /** Records that a stream began at a version of a service that no entry has told. */
+    void recordUntold(String service);
+
     /** Returns where a stream began, empty if that was not left. */
     Optional<StreamOrigin> find(String request);
 
@@ -16,6 +19,9 @@
             @Override
             public void add(DeliveredStream stream) {}
 
+            @Override
+            public void recordUntold(String service) {}
+
             @Override
             public Optional<StreamOrigin> find(String request) {
                 return Optional.empty();
--- a/node/src/test/java/io/persimmonstack/node/sending/OriginRecorderTest.java
+++ b/node/src/test/java/io/persimmonstack/node/sending/OriginRecorderTest.java
@@ -21,6 +21,7 @@
     private static final int LIMIT_MS = 30_000;
     private final FleetView fleet = FleetView.create();
     private final List<StreamOrigin> kept = new ArrayList<>();
+    private final List<String> untold = new ArrayList<>();
     private final ActiveRequest request = Requests.resumableStream(System.nanoTime(), LIMIT_MS);
 
     private final OriginDirectory directory = new OriginDirectory() {
@@ -30,6 +31,11 @@
             return () -> {};
         }
 
+        @Override
+        public void recordUntold(String service) {
+            untold.add(service);
+        }
+
         @Override
         public Optional<StreamOrigin> find(String firstRequest) {
             return Optional.empty();
@@ -70,6 +76,19 @@
         assertEquals(List.of(new StreamOrigin("s", "v2")), kept);
     }
 
+    /** Failure: the version of the entries was taken for the only one, and the stream went on at it. */
+    @Test
+    void versionThatNoEntryTellsIsRecordedAtTheEnd() {
+        list(entry(1, "v1"));
+        try (OriginRecorder origin = OriginRecorder.of(directory, fleet, request)) {
+            origin.beforeEvent(Optional.of(entry(2, "v2").process()));
+            assertEquals(List.of(), untold);
+            list(entry(3, "v1"));
+        }
+        assertEquals(List.of("s"), untold);
+        assertEquals(List.of(), kept);
+    }
+
     @Test
     void streamOfAnUnknownProcessHasNoVersion() {
         list(entry(1, "v1"));
--- a/node/src/test/java/io/persimmonstack/node/streams/OriginPublisherTest.java
+++ b/node/src/test/java/io/persimmonstack/node/streams/OriginPublisherTest.java
@@ -170,4 +170,20 @@
         assertEquals(Optional.of("v1"), versions.certainVersion("s", settledNanos));
         assertEquals(Optional.empty(), versions.certainVersion("s", ms(RecentVersions.MAX_AGE_MS)));
     }
+
+    /** Failure: a stream of a version that no entry had told went on at the only version of the entries. */
+    @Test
+    void noVersionIsTheOnlyOneWhileAnotherWasNotTold() {
+        RecentVersions versions = RecentVersions.create();
+        versions.startWith(List.of(new StreamOrigin("s", "v1"), new StreamOrigin("t", "v1")), 0);
+        versions.recordCompleteUpTo(0);
+        versions.recordUntold("s", 1);
+        assertEquals(Optional.empty(), versions.certainVersion("s", 1));
+        assertEquals(Optional.of("v1"), versions.certainVersion("t", 1));
+        assertEquals(
+                2,
+                versions.known(1).stream()
+                        .filter(origin -> origin.service().equals("s"))
+                        .count());
+    }
 }
