caps: slots hold the slack, small workspaces have two, and two holders serve one request

With faults most were 503 cap-unknown of workspaces whose single holder was lost for 8 s; without, tokens granted ahead that expired at nodes were the largest cause, then requests larger than a slot has.

Change: slots hold burst and quota_slack instead of making debts, start empty, and a workspace has at least two. A request that no holder can serve alone takes parts from two. Tokens ahead are asked for only by a node that gets two requests within a grant. Grants are valid for 0.4 s instead of 0.8 s; waits take 0.2 s of the overshoot, and the rest raises the inflow to 1.023 of the rate. A request waits for tokens for a quarter of its target latency, 0.2 s at most. Retry-After is when two holders will have enough together, also for requests larger than a slot.

Callers saw 429 and 503 though their workspace was below its cap.

Two assertions changed. CapRulesTest: the rule about debts of a new holder is replaced by the one that a new bucket has only its inflow and never a debt. UsageCapsTest: slots hold more than one request of 4,000 tokens, so that the test empties them first; half of the rate flows into each slot, so that Retry-After is up to 4 s if one holder has both, and it is now bounded below.

--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -142,7 +142,8 @@
     /** Counts a request for its workspace and forwards it; one that did not run is not counted. */
     private Delivery dispatch(ActiveRequest request, Reply reply, SendTracker sends)
             throws RefusedException, CallerGoneException {
-        AdmittedTokens tokens = caps.admit(request.workspace(), request.callerRequest());
+        AdmittedTokens tokens = caps.admit(
+                request.workspace(), request.callerRequest(), request.route().targetLatencyMs());
         try {
             return dispatcher.serve(request, reply, sends);
         } catch (RefusedException e) {
--- a/node/src/main/java/io/persimmonstack/node/caps/CapShares.java
+++ b/node/src/main/java/io/persimmonstack/node/caps/CapShares.java
@@ -48,7 +48,7 @@
     private CapShare compute(String workspace, UsageCap cap) {
         return switch (cap.unit()) {
             case TOKENS -> CapShare.ofTokens(workspace, cap.ratePerSecond(), cap.burst(), bounds);
-            case REQUESTS -> CapShare.ofRequests(workspace, cap.ratePerSecond(), cap.burst());
+            case REQUESTS -> CapShare.ofRequests(workspace, cap.ratePerSecond(), cap.burst(), bounds);
         };
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/caps/UsageCaps.java
+++ b/node/src/main/java/io/persimmonstack/node/caps/UsageCaps.java
@@ -104,7 +104,7 @@
 
     /** Returns what admits requests. */
     public CapAdmission admission() {
-        return new CapAdmission(shares, taker, tableKnown);
+        return new CapAdmission(shares, taker, tableKnown, bounds.maxWaitMs());
     }
 
     /** Returns the number of slots by which this node may grant tokens now. */
