--- a/coordination/src/main/java/io/persimmonstack/coordination/cap/TokenTaker.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/TokenTaker.java
@@ -18,6 +18,9 @@
  * asks one holder after the other and remembers which have no room. Thread-safe; holders are asked without a lock.
  */
 public final class TokenTaker {
+    /** Holders without room that are asked for one request; more calls find little while the cap is used up. */
+    private static final int MAX_EXHAUSTED = 2;
+
     private final CapBounds bounds;
     private final Holders holders;
     private final Predicate<SlotHolder> isSelf;
@@ -122,34 +125,85 @@
     private Decision take(String workspace, CapShare share, long need, List<SlotHolder> candidates) {
         Map<Boolean, List<SlotHolder>> bySilence =
                 candidates.stream().collect(Collectors.partitioningBy(holder -> isSilent(workspace, holder)));
-        Decision decision = askEach(bySilence.get(false), workspace, share, need);
-        if (!(decision instanceof Decision.Unknown)) {
+        List<SlotHolder> answering = bySilence.get(false);
+        Decision decision = askEach(answering, workspace, share, need);
+        if (decision instanceof Decision.Admitted) {
             return decision;
         }
-        List<SlotHolder> silent = bySilence.get(true);
-        OptionalLong knownMs = retryMs(workspace, share, need, silent);
-        return knownMs.isPresent()
-                ? new Decision.OverCap(knownMs.getAsLong())
-                : askEach(silent, workspace, share, need);
+        List<TokenBatch> gathered = gather(workspace, share, need, answering);
+        if (!gathered.isEmpty()) {
+            return new Decision.Admitted(gathered);
+        }
+        if (decision instanceof Decision.Unknown) {
+            decision = askEach(bySilence.get(true), workspace, share, need);
+        }
+        return decision instanceof Decision.OverCap over
+                ? new Decision.OverCap(
+                        retryMs(workspace, share, need, candidates).orElse(over.retryMs()))
+                : decision;
+    }
+
+    private synchronized boolean knownExhausted(SlotHolder holder, String workspace, CapShare share, long need) {
+        return tokens(workspace).isExhausted(holder, need, share, clock.get());
     }
 
     /**
-     * Asks holders until one of them gives the tokens. Their answers count, not what is remembered of these: a wait of
-     * a few milliseconds may be over before it is read again.
+     * Asks holders that may have room until one gives the tokens, or until a few have told that they have none. Their
+     * answers count, not what is remembered of these: a wait of a few milliseconds may be over before it is read again.
      */
-    private Decision askEach(List<SlotHolder> candidates, String workspace, CapShare share, long need) {
-        OptionalLong retryMs = OptionalLong.empty();
-        for (SlotHolder holder : candidates) {
-            switch (ask(holder, workspace, share, need)) {
-                case Decision.Admitted admitted -> {
-                    return admitted;
+    private Decision askEach(List<SlotHolder> asked, String workspace, CapShare share, long need) {
+        int exhausted = 0;
+        Decision decision = new Decision.Unknown();
+        for (SlotHolder holder : asked) {
+            if (knownExhausted(holder, workspace, share, need)) {
+                decision = sooner(decision, known(holder, workspace, share, need));
+            } else if (exhausted < MAX_EXHAUSTED) {
+                Decision answer = ask(holder, workspace, share, need);
+                if (answer instanceof Decision.Admitted) {
+                    return answer;
                 }
-                case Decision.OverCap over ->
-                    retryMs = OptionalLong.of(Math.min(retryMs.orElse(over.retryMs()), over.retryMs()));
-                case Decision.Unknown unknown -> {}
+                exhausted += answer instanceof Decision.OverCap ? 1 : 0;
+                decision = sooner(decision, answer);
+            }
+        }
+        return decision;
+    }
+
+    /** Returns what is remembered of a holder that had no room a moment ago. */
+    private Decision known(SlotHolder holder, String workspace, CapShare share, long need) {
+        return new Decision.OverCap(
+                retryMs(workspace, share, need, List.of(holder)).orElse(0));
+    }
+
+    /** Returns the one of two refusals that ends sooner; unknown ones tell no end. */
+    private static Decision sooner(Decision one, Decision other) {
+        if (one instanceof Decision.OverCap first && other instanceof Decision.OverCap second) {
+            return first.retryMs() <= second.retryMs() ? first : second;
+        }
+        return one instanceof Decision.OverCap ? one : other;
+    }
+
+    /** Takes a need that no holder has alone from the few that have most of it, if these have enough together. */
+    private List<TokenBatch> gather(String workspace, CapShare share, long need, List<SlotHolder> answering) {
+        List<TokenBatch> taken = new ArrayList<>();
+        long missing = need;
+        for (GrantedTokens.Part part : parts(workspace, share, need, answering)) {
+            if (!(ask(part.holder(), workspace, share, part.tokens()) instanceof Decision.Admitted admitted)) {
+                break;
             }
+            taken.addAll(admitted.batches());
+            missing -= part.tokens();
+        }
+        if (missing > 0) {
+            giveBack(workspace, taken);
+            return List.of();
         }
-        return retryMs.isPresent() ? new Decision.OverCap(retryMs.getAsLong()) : new Decision.Unknown();
+        return taken;
+    }
+
+    private synchronized List<GrantedTokens.Part> parts(
+            String workspace, CapShare share, long need, List<SlotHolder> answering) {
+        return tokens(workspace).parts(answering, need, share, clock.get());
     }
 
     private synchronized boolean isSilent(String workspace, SlotHolder holder) {
@@ -176,27 +230,36 @@
         return ordered;
     }
 
-    /** Asks a holder, unless it is known to have no room; returns what it decides for the request. */
+    /** Asks a holder; returns what it decides for the request. */
     private Decision ask(SlotHolder holder, String workspace, CapShare share, long need) {
         Question question;
         ClockReading asked;
         synchronized (this) {
             GrantedTokens tokens = tokens(workspace);
             asked = clock.get();
-            OptionalLong retryMs = tokens.retryMs(List.of(holder), need, share, asked);
-            if (retryMs.isPresent()) {
-                return new Decision.OverCap(retryMs.getAsLong());
-            }
-            question = new Question(workspace, share, need, tokens.ahead(asked), tokens.drainReturns(holder));
+            question = new Question(workspace, share, need, tokens.ahead(need, asked), tokens.drainReturns(holder));
         }
         HeldSlots.Answer answer = holders.ask(holder, question);
         synchronized (this) {
-            return apply(tokens(workspace), holder, need, answer, asked);
+            return apply(tokens(workspace), holder, share, need, answer, asked);
         }
     }
 
+    private boolean hasSingleSlot(SlotHolder holder, CapShare share) {
+        return share.slots().stream()
+                        .map(table.holders()::get)
+                        .filter(other -> other != null && other.isProcess(holder.node(), holder.startedMs()))
+                        .count()
+                <= 1;
+    }
+
     private Decision apply(
-            GrantedTokens tokens, SlotHolder holder, long need, HeldSlots.Answer answer, ClockReading asked) {
+            GrantedTokens tokens,
+            SlotHolder holder,
+            CapShare share,
+            long need,
+            HeldSlots.Answer answer,
+            ClockReading asked) {
         ClockReading now = clock.get();
         switch (answer) {
             case HeldSlots.Answer.Granted granted -> {
@@ -205,13 +268,13 @@
                     tokens.giveBack(batch);
                     return new Decision.Unknown();
                 }
+                tokens.recordTaken(holder, batch.tokens(), share, hasSingleSlot(holder, share));
                 tokens.add(batch.withTokens(batch.tokens() - need), asked);
                 return new Decision.Admitted(List.of(batch.withTokens(need)));
             }
             case HeldSlots.Answer.Exhausted exhausted -> {
-                long retryMs = exhausted.retryMs().orElse(bounds.windowMs());
-                tokens.recordExhausted(holder, need, retryMs, now);
-                return new Decision.OverCap(retryMs);
+                tokens.recordExhausted(holder, need, exhausted.retryMs(), now);
+                return new Decision.OverCap(exhausted.retryMs());
             }
             case HeldSlots.Answer.NotHeld notHeld -> {
                 tokens.recordSilent(holder, now);
