router: heads and connections of callers are bounded

Cause: the callers' port had Undertow's bounds on heads, none on connections, and no count of what it refused.

Change: `GuardedServer` puts `GuardedListener`, as the node has it, behind the decryption of a port, one for each I/O thread. Connections are one per 64 KB of heap; the one that has waited longest without a request is closed for a new one. Heads over 4 KB take part in the memory for requests. Limits and times are the settings that exist. A head over the limit gets 431.

Callers inside the limits see no difference.

--- a/router/src/main/java/io/persimmonstack/router/Router.java
+++ b/router/src/main/java/io/persimmonstack/router/Router.java
@@ -201,8 +201,11 @@
         metrics.gauge("requests.open", callersHandler::openRequests);
         metrics.gauge("input.memory.used", () -> (int) callersHandler.receivedBytes());
         metrics.gauge("answers.memory.used", () -> (int) callersHandler.untakenBytes());
-        callersServer = closer.add(
-                CallersServer.start(PeerAddress.parse(settings.callersAddress()), settings.callers(), callersHandler));
+        callersServer = closer.add(CallersServer.start(
+                PeerAddress.parse(settings.callersAddress()),
+                settings.callers(),
+                callersHandler,
+                refusal -> refusedInputs.record(refusal.reason())));
         SelfDescription selfWithBoundAddress = new SelfDescription(
                 self.node(), self.incarnation(), callersServer.address().toString(), self.peerAddress(), self.state());
         self.state().set(RouterState.SERVING);
--- a/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
@@ -100,6 +100,16 @@
         return new CallersHandler(settings, requestHandler, views, self, executor);
     }
 
+    /** Returns the limits of requests. */
+    InputLimits limits() {
+        return limits;
+    }
+
+    /** Returns the memory for received requests. */
+    ReceiveMemory memory() {
+        return memory;
+    }
+
     /** Returns the bytes that are reserved for received requests. */
     public long receivedBytes() {
         return memory.usedBytes();
--- a/router/src/main/java/io/persimmonstack/router/callers/CallersServer.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallersServer.java
@@ -1,23 +1,27 @@
 package io.persimmonstack.router.callers;
 
+import io.persimmonstack.backends.http.GuardedServer;
+import io.persimmonstack.backends.http.GuardedServerOptions;
+import io.persimmonstack.backends.http.InputRefusal;
 import io.persimmonstack.router.CallersSettings;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.runtime.tls.TlsContexts;
 import io.persimmonstack.wire.PeerAddress;
-import io.undertow.Handlers;
-import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
-import io.undertow.server.HttpHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /** HTTP/1.1 server that callers connect to, with TLS where the settings name a key store. */
 public final class CallersServer implements AutoCloseable {
-    private final Undertow server;
+    /** Part of the heap per connection, of which an idle one needs about 8 KB. */
+    private static final int HEAP_BYTES_PER_CONNECTION = 64 * 1024;
+
+    private final GuardedServer server;
     private final Optional<TlsContexts.PortTls> portTls;
     private final PeerAddress address;
 
-    private CallersServer(Undertow server, Optional<TlsContexts.PortTls> portTls, PeerAddress address) {
+    private CallersServer(GuardedServer server, Optional<TlsContexts.PortTls> portTls, PeerAddress address) {
         this.server = server;
         this.portTls = portTls;
         this.address = address;
@@ -28,34 +32,33 @@
      *
      * @param address IP address and port to listen on; port 0 chooses a free port
      * @param settings limits and TLS settings
-     * @param handler handler of all requests
+     * @param handler handler of all requests, whose limits and memory also apply to heads
+     * @param onRefusal told of heads and connections that are refused
      * @return the running server
      * @throws ProgramException if the address cannot be bound
      */
-    public static CallersServer start(PeerAddress address, CallersSettings settings, HttpHandler handler)
+    public static CallersServer start(
+            PeerAddress address, CallersSettings settings, CallersHandler handler, Consumer<InputRefusal> onRefusal)
             throws ProgramException {
         Optional<TlsContexts.PortTls> portTls = TlsContexts.ofPort(settings.tls());
-        Undertow server = TlsContexts.listener(address.ip(), address.port(), portTls)
-                .setIoThreads(settings.ioThreads())
-                .setWorkerThreads(1)
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) settings.maxBodyBytes())
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, settings.maxHeaderBytes())
-                .setServerOption(UndertowOptions.MAX_HEADERS, settings.maxHeaders())
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.receiveTimeoutMs())
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, settings.idleMs())
-                .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-                .setServerOption(UndertowOptions.DECODE_URL, false)
-                .setHandler(Handlers.httpContinueRead(handler))
-                .build();
+        GuardedServerOptions options = new GuardedServerOptions(
+                settings.ioThreads(),
+                GuardedServerOptions.connectionsOfHeap(HEAP_BYTES_PER_CONNECTION),
+                settings.maxHeaders(),
+                handler::limits,
+                handler.memory(),
+                onRefusal);
         try {
-            server.start();
-        } catch (RuntimeException e) {
+            GuardedServer server = GuardedServer.start(
+                    new InetSocketAddress(address.ip(), address.port()),
+                    portTls.map(TlsContexts.PortTls::context),
+                    options,
+                    handler);
+            return new CallersServer(server, portTls, new PeerAddress(address.ip(), server.port()));
+        } catch (IOException e) {
+            portTls.ifPresent(TlsContexts.PortTls::close);
             throw new ProgramException("callersAddress " + address + ": cannot be bound: " + e.getMessage(), e);
         }
-        InetSocketAddress bound =
-                (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
-        return new CallersServer(server, portTls, new PeerAddress(address.ip(), bound.getPort()));
     }
 
     /** Returns the address that the server listens on, with the port that was bound. */
@@ -65,7 +68,7 @@
 
     @Override
     public void close() {
-        server.stop();
+        server.close();
         portTls.ifPresent(TlsContexts.PortTls::close);
     }
 }
