node, ctl: explain where a request would go now

Cause: operators could not see why a node sends a request to a runner, lets it wait or refuses it, without sending one.

Change: the metrics listener of a node answers /explain, and "persimmonctl explain-request" asks it and prints the answer: route, workspace and cap, the reason and cost of each runner, choice or refusal, expected load, and the age of what the node knows. Decisions that had effects are split, so that requests and explanations use the same code: RunnerSelector and MemoryRoom return why they exclude a runner, ZoneRouter has a preview, and refusals by route, key and cap are made in one place. An explanation takes no tokens and changes no state. Invalid input is answered 400 with argument, value and expectation. The listener has the same bounds as before.

Callers see no change.

The tests are new: there was no explanation before.

--- a/coordination/src/main/java/io/persimmonstack/coordination/cap/GrantedTokens.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/GrantedTokens.java
@@ -104,6 +104,14 @@
         return Optional.of(taken);
     }
 
+    /** Returns the tokens that may be used now, without discarding the others. */
+    long validTokens(ClockReading now) {
+        return grants.stream()
+                .filter(grant -> isValid(grant.asked, now))
+                .mapToLong(grant -> grant.batch.tokens())
+                .sum();
+    }
+
     private long available() {
         return grants.stream().mapToLong(grant -> grant.batch.tokens()).sum();
     }
--- a/coordination/src/main/java/io/persimmonstack/coordination/cap/TokenTaker.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/cap/TokenTaker.java
@@ -62,6 +62,29 @@
         record Unknown() implements Decision {}
     }
 
+    /** What would probably be decided about a request, as far as it is known without asking a holder. */
+    public sealed interface Outlook {
+        /** This node has the tokens. */
+        record Enough() implements Outlook {}
+
+        /**
+         * Holders would be asked that have not said to be exhausted.
+         *
+         * @param holders number of these holders
+         */
+        record Asked(int holders) implements Outlook {}
+
+        /**
+         * All holders that are known have too few.
+         *
+         * @param retryMs time until there is room for the request, in milliseconds
+         */
+        record Later(long retryMs) implements Outlook {}
+
+        /** No holder is known that answers. */
+        record NoHolder() implements Outlook {}
+    }
+
     /**
      * Creates a taker without tokens.
      *
@@ -150,6 +173,29 @@
         return tokens(workspace).retryMs(candidates, need, share, clock.get());
     }
 
+    /** Returns what would probably be decided about a request; takes no tokens and asks no holder. */
+    public synchronized Outlook outlook(String workspace, CapShare share, long need) {
+        if (!share.canServe(need)) {
+            return new Outlook.Later(bounds.windowMs());
+        }
+        GrantedTokens tokens = workspaces.getOrDefault(workspace, new GrantedTokens(bounds));
+        ClockReading now = clock.get();
+        if (tokens.validTokens(now) >= need) {
+            return new Outlook.Enough();
+        }
+        List<SlotHolder> candidates = holdersOf(share);
+        OptionalLong retryMs = tokens.retryMs(candidates, need, share, now);
+        int open = (int) candidates.stream()
+                .filter(holder ->
+                        tokens.retryMs(List.of(holder), need, share, now).isEmpty())
+                .filter(holder -> retryMs.isEmpty() || !tokens.isSilent(holder, now))
+                .count();
+        if (open > 0) {
+            return new Outlook.Asked(open);
+        }
+        return retryMs.isPresent() ? new Outlook.Later(retryMs.getAsLong()) : new Outlook.NoHolder();
+    }
+
     /** Returns the processes that hold slots of the workspace, this one first and the others in random order. */
     private List<SlotHolder> holdersOf(CapShare share) {
         Map<String, SlotHolder> byNode = new HashMap<>();
--- a/ctl/src/main/java/io/persimmonstack/ctl/PersimmonCtl.java
+++ b/ctl/src/main/java/io/persimmonstack/ctl/PersimmonCtl.java
@@ -7,6 +7,8 @@
 import io.persimmonstack.ctl.command.DeploymentsCommand;
 import io.persimmonstack.ctl.command.DrainCommand;
 import io.persimmonstack.ctl.command.ExplainCommand;
+import io.persimmonstack.ctl.command.ExplainRequestCommand;
+import io.persimmonstack.ctl.command.NodeCommand;
 import io.persimmonstack.ctl.command.ServiceSetCommand;
 import io.persimmonstack.ctl.command.SheetApplyCommand;
 import io.persimmonstack.ctl.command.SheetCheckCommand;
@@ -45,7 +47,8 @@
             new DrainCommand(),
             new CallerAddCommand(),
             new ServiceSetCommand(),
-            new TraceCommand());
+            new TraceCommand(),
+            new ExplainRequestCommand());
     private final Terminal terminal;
     private final KvConnector kvConnector;
 
@@ -132,12 +135,14 @@
     }
 
     private void runCommand(Command command, String... arguments) throws RuntimeFailure {
-        Options options = command.addOptions(Options.of(NAME + " " + command.name(), command.summary())
-                        .operands(command.operands()))
-                .section("Settings")
-                .value("settings", "file", "settings in JSON with comments; " + SETTINGS_VARIABLE + " when absent")
-                .section("Help")
-                .flag("help", "shows this text");
+        Options options = command.addOptions(
+                Options.of(NAME + " " + command.name(), command.summary()).operands(command.operands()));
+        boolean needsSettings = !(command instanceof NodeCommand);
+        if (needsSettings) {
+            options = options.section("Settings")
+                    .value("settings", "file", "settings in JSON with comments; " + SETTINGS_VARIABLE + " when absent");
+        }
+        options = options.section("Help").flag("help", "shows this text");
         ParsedOptions parsed = options.parse(arguments);
         if (parsed.has("help")) {
             terminal.out().print(options.usage());
@@ -146,6 +151,10 @@
         if (command.operands().isEmpty()) {
             parsed.rejectOperands();
         }
+        if (command instanceof NodeCommand nodeCommand) {
+            nodeCommand.run(parsed, terminal);
+            return;
+        }
         CtlSettings settings = SettingsReader.read(Path.of(settingsFile(parsed)), CtlSettings.class);
         try (FleetClient fleet = FleetClient.of(settings, kvConnector.open(settings))) {
             command.run(parsed, fleet, terminal);
--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -7,6 +7,7 @@
 import io.persimmonstack.node.callers.Directory;
 import io.persimmonstack.node.callers.DrainState;
 import io.persimmonstack.node.callers.ListenerOptions;
+import io.persimmonstack.node.callers.RequestExplainer;
 import io.persimmonstack.node.callers.RequestReceiver;
 import io.persimmonstack.node.callers.RequestServer;
 import io.persimmonstack.node.callers.WorkspaceCheck;
@@ -93,6 +94,8 @@
     private final StoredStreams streams;
     private final SharedOrigins origins;
     private final PromptGuard prompts;
+    private final WorkspaceCheck workspaces;
+    private volatile Optional<LoadReporter> loadReporter = Optional.empty();
     private final CrashReportSender crashReports;
     private final ReceiveMemory receiveMemory = ReceiveMemory.ofHeap();
     private volatile boolean readyLogged;
@@ -114,6 +117,7 @@
                 request -> prompts.refusal(request.callerRequest()).map(RefusedException::new)));
         this.caps = closer.add(
                 UsageCaps.create(options.name(), startedMs, options.capBounds(), FleetCaps.of(fleet), fleet, registry));
+        this.workspaces = WorkspaceCheck.of(fleet, ports.protocol(), options.applyMs(), options.revokeMs());
         this.receiver = closer.add(RequestReceiver.of(
                 requestServer(ports, metrics), executor, drainState::isDraining, receiveMemory, this::inputLimits));
         AtomicReference<Optional<byte[]>> lastReport = new AtomicReference<>(Optional.empty());
@@ -169,7 +173,6 @@
         StoredVersions currentVersions =
                 StoredVersions.of(ports.store(), options.runnersPrefix(), ports.runnerDecoder());
         ResumptionResolver resumptions = ResumptionResolver.of(origins, streams.versions(), currentVersions);
-        WorkspaceCheck workspaces = WorkspaceCheck.of(fleet, ports.protocol(), options.applyMs(), options.revokeMs());
         return RequestServer.of(
                 fleet,
                 ports.protocol(),
@@ -240,7 +243,7 @@
         ThriftPeers<NodeLink.Client> links =
                 closer.add(ThriftPeers.of(new NodeLink.Client.Factory(), LINK_CONNECT_TIMEOUT_MS));
         caps.startLeading(ports.store(), leadTerm);
-        closer.add(LoadReporter.start(options.name(), fleet, placer, leader, links, caps));
+        loadReporter = Optional.of(closer.add(LoadReporter.start(options.name(), fleet, placer, leader, links, caps)));
     }
 
     private void registerGauges(MetricRegistry registry) {
@@ -269,6 +272,21 @@
         return receiver;
     }
 
+    /** Returns what explains where requests would go. */
+    public RequestExplainer explainer() {
+        return new RequestExplainer(
+                options.name(),
+                options.zone(),
+                fleet,
+                placer,
+                caps.admission(),
+                prompts,
+                workspaces,
+                drainState,
+                options.applyMs(),
+                () -> loadReporter.map(LoadReporter::lastAnswerAgeMs).orElse(OptionalLong.empty()));
+    }
+
     private InputLimits inputLimits() {
         return fleet.current().routing().map(RoutingTable::inputLimits).orElse(InputLimits.defaults());
     }
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -36,7 +36,7 @@
 /** Serves requests: decodes each one, resolves its route, forwards it to a runner, or answers with a refusal. */
 public final class RequestServer {
     private static final RateLimitedLog LOG = RateLimitedLog.wrapping(EventLog.of(RequestServer.class));
-    /** Retry-After while the configuration or the runners are not known yet, and after an unexpected error. */
+    /** Retry-After after an unexpected error. */
     private static final long RETRY_AFTER_MS = 500;
 
     private static final double MS_PER_SHOWN_DIGIT = 10;
@@ -189,19 +189,17 @@
         Fleet current = fleet.current();
         RoutingTable routing = current.routing().orElse(null);
         if (routing == null || !current.isInitialised()) {
-            throw new RefusedException(
-                    Refusal.notRun("fleet-unknown", "no configuration or runners yet", RETRY_AFTER_MS));
+            throw new RefusedException(RouteRefusals.fleetUnknown());
         }
         Route route = routing.route(callerRequest.host(), callerRequest.path())
-                .orElseThrow(() -> new RefusedException(noRoute(callerRequest, routing)));
+                .orElseThrow(() -> new RefusedException(RouteRefusals.noRoute(
+                        callerRequest, routing, fleet.routingUnconfirmedMs(System.nanoTime()), applyMs)));
         summary.route = route;
         WorkspaceCheck.Checked checked = workspaces.check(callerRequest, route, routing, System.nanoTime());
         Optional<StreamOrigin> origin = origin(checked.callerRequest(), route);
         String name = origin.map(StreamOrigin::service)
                 .orElseGet(() -> route.pickService(ThreadLocalRandom.current().nextDouble()));
-        Service service = routing.service(name)
-                .orElseThrow(
-                        () -> new RefusedException(Refusal.notRun("no-service", "service " + name, RETRY_AFTER_MS)));
+        Service service = routing.service(name).orElseThrow(() -> new RefusedException(RouteRefusals.noService(name)));
         ActiveRequest request = new ActiveRequest(
                 checked.callerRequest(),
                 route,
@@ -211,21 +209,11 @@
                 checked.workspace(),
                 routing.priority(checked.workspace(), route));
         if (!drainState.accepts(request, System.nanoTime())) {
-            throw new RefusedException(Refusal.notRun("leaving", "this node is about to end", 0));
+            throw new RefusedException(RouteRefusals.leaving());
         }
         return request;
     }
 
-    /** That a route does not exist is claimed only if no newer configuration can be in force that has it. */
-    private Refusal noRoute(CallerRequest callerRequest, RoutingTable routing) {
-        String detail = callerRequest.host() + callerRequest.path() + " in configuration " + routing.version();
-        long unconfirmedMs = fleet.routingUnconfirmedMs(System.nanoTime());
-        return unconfirmedMs <= applyMs
-                ? Refusal.noRoute(detail)
-                : Refusal.notRun(
-                        "configuration-unconfirmed", detail + ", " + unconfirmedMs + " ms old", RETRY_AFTER_MS);
-    }
-
     /** Returns where the stream began that a request resumes, empty if it starts anew. */
     private Optional<StreamOrigin> origin(CallerRequest callerRequest, Route route)
             throws RefusedException, CallerGoneException {
--- a/node/src/main/java/io/persimmonstack/node/callers/WorkspaceCheck.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/WorkspaceCheck.java
@@ -70,17 +70,27 @@
         Optional<Workspace> workspace =
                 presented instanceof PresentedKey.Key key ? keys.find(key.value()) : Optional.empty();
         if (!route.authExempt()) {
-            long unconfirmedMs = fleet.routingUnconfirmedMs(nowNanos);
-            if (revokeMs.isPresent() && unconfirmedMs > revokeMs.getAsLong()) {
-                throw new RefusedException(unconfirmed("keys may have been removed", routing, unconfirmedMs));
-            }
-            if (workspace.isEmpty()) {
-                throw new RefusedException(noWorkspace(presented, routing, unconfirmedMs));
+            Optional<Refusal> refusal = refusal(presented, workspace, routing, fleet.routingUnconfirmedMs(nowNanos));
+            if (refusal.isPresent()) {
+                throw new RefusedException(refusal.get());
             }
         }
         return new Checked(protocol.withWorkspace(callerRequest, workspace.map(Workspace::name)), workspace);
     }
 
+    /** Returns the refusal of a request, on a route that needs a key, of a workspace or without a key. */
+    Optional<Refusal> refusal(Optional<Workspace> workspace, RoutingTable routing, long nowNanos) {
+        return refusal(new PresentedKey.Absent(), workspace, routing, fleet.routingUnconfirmedMs(nowNanos));
+    }
+
+    private Optional<Refusal> refusal(
+            PresentedKey presented, Optional<Workspace> workspace, RoutingTable routing, long unconfirmedMs) {
+        if (revokeMs.isPresent() && unconfirmedMs > revokeMs.getAsLong()) {
+            return Optional.of(unconfirmed("keys may have been removed", routing, unconfirmedMs));
+        }
+        return workspace.isEmpty() ? Optional.of(noWorkspace(presented, routing, unconfirmedMs)) : Optional.empty();
+    }
+
     /** A request is refused for good only if no newer configuration can be in force that allows it. */
     private Refusal noWorkspace(PresentedKey presented, RoutingTable routing, long unconfirmedMs) {
         if (unconfirmedMs > applyMs) {
--- a/node/src/main/java/io/persimmonstack/node/caps/CapAdmission.java
+++ b/node/src/main/java/io/persimmonstack/node/caps/CapAdmission.java
@@ -48,15 +48,35 @@
         long need = count(cap.get(), request);
         return switch (take(name, shares.shareOf(name, cap.get()), need)) {
             case TokenTaker.Decision.Admitted admitted -> AdmittedTokens.of(taker, name, admitted.batches());
-            case TokenTaker.Decision.OverCap over ->
-                throw new RefusedException(
-                        Refusal.overCap("workspace " + name + ", request counts " + need, over.retryMs()));
-            case TokenTaker.Decision.Unknown unknown ->
-                throw new RefusedException(
-                        Refusal.notRun("cap-unknown", "no holder of tokens of " + name, UNKNOWN_RETRY_MS));
+            case TokenTaker.Decision.OverCap over -> throw new RefusedException(overCap(name, need, over.retryMs()));
+            case TokenTaker.Decision.Unknown unknown -> throw new RefusedException(capUnknown(name));
         };
     }
 
+    /** Returns what is known of the tokens for a request; takes none and asks no node. Empty without a cap. */
+    public Optional<CapOutlook> outlook(Optional<Workspace> workspace, CallerRequest request) {
+        return workspace.flatMap(Workspace::cap).filter(CapShares::limits).map(cap -> {
+            String name = workspace.get().name();
+            long need = count(cap, request);
+            TokenTaker.Outlook outlook = taker.outlook(name, shares.shareOf(name, cap), need);
+            Optional<Refusal> refusal = switch (outlook) {
+                case TokenTaker.Outlook.Enough enough -> Optional.empty();
+                case TokenTaker.Outlook.Asked asked -> Optional.empty();
+                case TokenTaker.Outlook.Later later -> Optional.of(overCap(name, need, later.retryMs()));
+                case TokenTaker.Outlook.NoHolder noHolder -> Optional.of(capUnknown(name));
+            };
+            return new CapOutlook(need, outlook, refusal);
+        });
+    }
+
+    private static Refusal overCap(String workspace, long need, long retryMs) {
+        return Refusal.overCap("workspace " + workspace + ", request counts " + need, retryMs);
+    }
+
+    private static Refusal capUnknown(String workspace) {
+        return Refusal.notRun("cap-unknown", "no holder of tokens of " + workspace, UNKNOWN_RETRY_MS);
+    }
+
     /** Takes tokens, after a short wait if that is all that is missing. An interrupt ends the wait. */
     private TokenTaker.Decision take(String name, CapShare share, long need) {
         try {
--- a/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
+++ b/node/src/main/java/io/persimmonstack/node/fleet/FleetView.java
@@ -24,6 +24,7 @@
     private volatile Set<String> silentNodes = Set.of();
 
     private volatile long routingCompleteUpToNanos;
+    private volatile OptionalLong runnersCompleteUpToNanos = OptionalLong.empty();
     private final ClockGaps clockGaps = new ClockGaps();
 
     private final RunnerNotices notices = RunnerNotices.create();
@@ -85,12 +86,29 @@
      */
     public long routingUnconfirmedMs(long nowNanos) {
         clockGaps.sample();
-        long completeUpToNanos = routingCompleteUpToNanos;
+        return unconfirmedMs(routingCompleteUpToNanos, nowNanos);
+    }
+
+    /**
+     * Returns for how long the runners may have changed in the store unnoticed, in milliseconds, as
+     * {@link #routingUnconfirmedMs}; empty until they have been read.
+     */
+    public OptionalLong runnersUnconfirmedMs(long nowNanos) {
+        clockGaps.sample();
+        OptionalLong completeUpToNanos = runnersCompleteUpToNanos;
+        return completeUpToNanos.isPresent()
+                ? OptionalLong.of(unconfirmedMs(completeUpToNanos.getAsLong(), nowNanos))
+                : OptionalLong.empty();
+    }
+
+    private long unconfirmedMs(long completeUpToNanos, long nowNanos) {
         return TimeUnit.NANOSECONDS.toMillis(nowNanos - completeUpToNanos) + clockGaps.missedMsSince(completeUpToNanos);
     }
 
     /** Records that the runners of the snapshot reflect all that the store accepted before a monotonic time. */
     public void recordRunnersCompleteUpTo(long nanos) {
+        clockGaps.sample();
+        runnersCompleteUpToNanos = OptionalLong.of(nanos);
         leavingRunners.recordCompleteUpTo(nanos);
     }
 
--- a/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LoadReporter.java
@@ -15,6 +15,7 @@
 import io.persimmonstack.wire.gen.WireRefusal;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -42,7 +43,8 @@
     private final WakeableThread thread = WakeableThread.of("load-reporter", this::intervalMs, this::run);
     private SnapshotDeltas.AnswerId acknowledged = SnapshotDeltas.AnswerId.NONE;
     private long sequence;
-    private long lastAnswerNanos;
+    private volatile long lastAnswerNanos;
+    private volatile boolean answered;
     private boolean leaderSilent = true;
 
     private LoadReporter(
@@ -121,6 +123,7 @@
 
     private void apply(FleetLoad answer) {
         lastAnswerNanos = System.nanoTime();
+        answered = true;
         leaderSilent = false;
         fleet.updateSilentNodes(new HashSet<>(answer.getSilentNodes()));
         fleet.recordLeaving(LoadMessages.leaving(answer), "leader");
@@ -130,6 +133,13 @@
         placer.applyModelArrivals(LoadMessages.arrivals(answer));
     }
 
+    /** Returns the age of the last answer of a leader, in milliseconds; empty if none has answered. */
+    public OptionalLong lastAnswerAgeMs() {
+        return answered
+                ? OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastAnswerNanos))
+                : OptionalLong.empty();
+    }
+
     /** Discards the leader's snapshots once it has not answered for a while. */
     private void checkSilence(String leader, String cause) {
         if (!leaderSilent && System.nanoTime() - lastAnswerNanos > SILENT_AFTER_NANOS) {
--- a/node/src/main/java/io/persimmonstack/node/placing/Availability.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Availability.java
@@ -1,7 +1,20 @@
 package io.persimmonstack.node.placing;
 
+import java.util.Optional;
+
 /** Whether a runner may be sent new requests. */
 sealed interface Availability {
+    /** Returns why the runner is sent no new requests; empty if it may be. */
+    default Optional<RunnerExclusion> exclusion() {
+        return switch (this) {
+            case Open open -> Optional.empty();
+            case BackingOff backingOff -> Optional.of(RunnerExclusion.AVOIDED);
+            case Quiet quiet -> Optional.of(RunnerExclusion.PAUSED);
+            case RestsOnly restsOnly -> Optional.of(RunnerExclusion.LEAVING);
+            case Leaving leaving -> Optional.of(RunnerExclusion.LEAVING);
+        };
+    }
+
     /** It may be sent requests. */
     record Open() implements Availability {}
 
--- a/node/src/main/java/io/persimmonstack/node/placing/MemoryRoom.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/MemoryRoom.java
@@ -82,6 +82,44 @@
         return service.engine().map(Engine::cacheTokens).orElse(Long.MAX_VALUE) >= expectedTokens;
     }
 
+    /** Whether there is room for a request. */
+    private enum Room {
+        ENOUGH,
+        LACKING,
+        /** There is room, but other nodes may use it at the same time. */
+        SCARCE
+    }
+
+    /** Returns why a runner has no room for a request, empty if it has; changes nothing. */
+    Optional<RunnerExclusion> exclusion(RunnerLoadTracker tracker, long expectedTokens, boolean keepsShare) {
+        return switch (room(tracker, expectedTokens, keepsShare)) {
+            case ENOUGH -> Optional.empty();
+            case LACKING -> Optional.of(RunnerExclusion.MEMORY);
+            case SCARCE -> Optional.of(RunnerExclusion.MEMORY_TO_CLAIM);
+        };
+    }
+
+    private Room room(RunnerLoadTracker tracker, long expectedTokens, boolean keepsShare) {
+        if (cacheTokens == Long.MAX_VALUE) {
+            return Room.ENOUGH;
+        }
+        double left = left(tracker, expectedTokens, keepsShare);
+        if (left < 0) {
+            return Room.LACKING;
+        }
+        boolean safe = nodes <= 1
+                || tracker.memoryClaim().isConfirmed(expectedTokens)
+                || probability(tracker, expectedTokens, left) >= 1;
+        return safe ? Room.ENOUGH : Room.SCARCE;
+    }
+
+    /** Returns the tokens of the cache that stay free with a request. */
+    private double left(RunnerLoadTracker tracker, long expectedTokens, boolean keepsShare) {
+        double share = keepsShare ? USABLE_SHARE * (1 - KEPT_SHARE) : USABLE_SHARE;
+        double usable = tracker.totalRequests() == 0 ? cacheTokens : cacheTokens * share;
+        return usable - tracker.totalTokens() - expectedTokens;
+    }
+
     /**
      * Returns whether a runner has room for a request; an idle one has room for each that its cache can hold.
      *
@@ -90,34 +128,29 @@
      * @param keepsShare whether the request has to leave a share of the cache free
      */
     boolean fits(RunnerLoadTracker tracker, long expectedTokens, boolean keepsShare) {
-        if (cacheTokens == Long.MAX_VALUE) {
-            return true;
-        }
-        double share = keepsShare ? USABLE_SHARE * (1 - KEPT_SHARE) : USABLE_SHARE;
-        double usable = tracker.totalRequests() == 0 ? cacheTokens : cacheTokens * share;
-        double left = usable - tracker.totalTokens() - expectedTokens;
-        if (left < 0) {
-            tracker.memoryShare().markScarce(nowNanos);
-            if (tracker.memoryClaim().isConfirmed(expectedTokens)) {
-                tracker.memoryClaim().withdraw();
+        return switch (room(tracker, expectedTokens, keepsShare)) {
+            case ENOUGH -> true;
+            case LACKING -> {
+                tracker.memoryShare().markScarce(nowNanos);
+                if (tracker.memoryClaim().isConfirmed(expectedTokens)) {
+                    tracker.memoryClaim().withdraw();
+                }
+                yield false;
             }
-            return false;
-        }
-        if (nodes <= 1) {
-            return true;
-        }
-        if (tracker.memoryClaim().isConfirmed(expectedTokens)) {
-            return true;
-        }
+            case SCARCE -> {
+                drawClaim(tracker, expectedTokens, left(tracker, expectedTokens, keepsShare));
+                yield false;
+            }
+        };
+    }
+
+    /** Draws whether scarce room may be claimed, and remembers the runner that has most of it. */
+    private void drawClaim(RunnerLoadTracker tracker, long expectedTokens, double left) {
         double probability = probability(tracker, expectedTokens, left);
-        if (probability >= 1) {
-            return true;
-        }
         if (tracker.memoryShare().draw(probability, random, nowNanos) && left > claimableLeft) {
             claimable = Optional.of(tracker);
             claimableLeft = left;
         }
-        return false;
     }
 
     /** Claims scarce room for a request that no runner has room for: at the runner that was found to have most left. */
--- a/node/src/main/java/io/persimmonstack/node/placing/ModelArrivalTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/ModelArrivalTracker.java
@@ -55,6 +55,15 @@
      * @param nowNanos current monotonic time
      */
     OptionalLong unavailableForMs(QueuedRequest queued, long nowNanos) {
+        OptionalLong expectedMs = expectedMs(queued, nowNanos);
+        return expectedMs.isPresent()
+                        && nowNanos + TimeUnit.MILLISECONDS.toNanos(expectedMs.getAsLong()) - queued.deadlineNanos() > 0
+                ? expectedMs
+                : OptionalLong.empty();
+    }
+
+    /** Returns how long the model of a request stays unavailable, in milliseconds; empty without a valid estimate. */
+    OptionalLong expectedMs(QueuedRequest queued, long nowNanos) {
         Optional<ModelRef> model = queued.request().callerRequest().model();
         if (model.isEmpty() || nowNanos - updatedNanos > ESTIMATE_VALID_NANOS) {
             return OptionalLong.empty();
@@ -64,7 +73,7 @@
                 model.get().model(),
                 queued.runnerFilter().softwareVersion());
         Long availableNanos = earliestAvailableNanos.get(key);
-        return availableNanos == null || availableNanos - queued.deadlineNanos() <= 0
+        return availableNanos == null
                 ? OptionalLong.empty()
                 : OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(availableNanos - nowNanos));
     }
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -370,6 +370,16 @@
         });
     }
 
+    /** Returns where a new request would go now; changes nothing. */
+    public PlacementOutlook outlook(ActiveRequest request) {
+        return locked(() -> new PlacementExplainer(chooser, modelArrivals)
+                .outlook(
+                        request,
+                        RequestRequirements.of(request, RunnerFilter.any(), promptAffinity.copy()),
+                        trackers.ofService(request.service().name()),
+                        System.nanoTime()));
+    }
+
     /** Returns the number of queued requests. */
     public int queuedCount() {
         return locked(() -> queue.all().size());
--- a/node/src/main/java/io/persimmonstack/node/placing/PromptAffinityCache.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/PromptAffinityCache.java
@@ -3,6 +3,7 @@
 import io.persimmonstack.coordination.BoundedMap;
 import io.persimmonstack.node.request.CallerRequest;
 import io.persimmonstack.node.request.PromptPart;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,7 +14,20 @@
  */
 final class PromptAffinityCache {
     private static final int MAX_ENTRIES = 4_096;
-    private final Map<String, String> runnerByPart = BoundedMap.droppingLeastUsed(MAX_ENTRIES);
+    private final Map<String, String> runnerByPart;
+
+    PromptAffinityCache() {
+        this(BoundedMap.droppingLeastUsed(MAX_ENTRIES));
+    }
+
+    private PromptAffinityCache(Map<String, String> runnerByPart) {
+        this.runnerByPart = runnerByPart;
+    }
+
+    /** Returns a copy; looking up prefixes there does not count as their use. */
+    PromptAffinityCache copy() {
+        return new PromptAffinityCache(new HashMap<>(runnerByPart));
+    }
 
     /** Records that a runner processes the prompt of a request. */
     void recordRunner(CallerRequest request, String runner) {
--- a/node/src/main/java/io/persimmonstack/node/placing/RequestRequirements.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RequestRequirements.java
@@ -34,9 +34,17 @@
      * cache ends.
      */
     static void refuseIfTooLarge(ActiveRequest request) throws RefusedException {
-        long expectedTokens = request.callerRequest().tokens().likelyTotal();
-        if (!MemoryRoom.fitsService(request.service(), expectedTokens)) {
-            throw PlacementRefusals.tooLarge(expectedTokens);
+        Optional<RefusedException> refusal = tooLarge(request);
+        if (refusal.isPresent()) {
+            throw refusal.get();
         }
     }
+
+    /** Returns the refusal of a request that exceeds the whole cache, empty if it does not. */
+    static Optional<RefusedException> tooLarge(ActiveRequest request) {
+        long expectedTokens = request.callerRequest().tokens().likelyTotal();
+        return MemoryRoom.fitsService(request.service(), expectedTokens)
+                ? Optional.empty()
+                : Optional.of(PlacementRefusals.tooLarge(expectedTokens));
+    }
 }
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerChooser.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerChooser.java
@@ -1,12 +1,18 @@
 package io.persimmonstack.node.placing;
 
 import io.persimmonstack.node.fleet.FleetView;
+import io.persimmonstack.node.fleet.Runner;
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.CallerRequest;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -89,13 +95,87 @@
             Optional<RunnerLoadTracker> chosen =
                     selector.choose(common(group.trackers(), offered, trackers.size()), requirements);
             if (chosen.isPresent()) {
-                listener.placed(chosen.get().runner().zone().equals(zone) ? ZoneCause.HOME : group.cause());
+                listener.placed(cause(chosen.get().runner(), group));
                 return chosen;
             }
         }
         return Optional.empty();
     }
 
+    /** Returns the outlook of a new request by the decisions of {@link #choose}; changes nothing. */
+    PlacementOutlook outlook(
+            ActiveRequest request,
+            RunnerSelector.Requirements requirements,
+            Collection<RunnerLoadTracker> trackers,
+            long nowNanos) {
+        RunnerSelector selector = selector(request);
+        ZoneRouter.Request described = describe(request, requirements, nowNanos);
+        Map<RunnerLoadTracker, RunnerVerdict> verdicts = new LinkedHashMap<>();
+        for (RunnerLoadTracker tracker : trackers) {
+            verdicts.put(tracker, verdict(selector, tracker, trackers, requirements, described.bytes(), nowNanos));
+        }
+        List<ZoneRouter.Candidates> groups = router.map(decides -> decides.preview(
+                        described, trackers, tracker -> selector.suits(tracker, requirements), nowNanos))
+                .orElse(List.of(new ZoneRouter.Candidates(List.copyOf(trackers), ZoneCause.HOME)));
+        Optional<ZoneRouter.Candidates> used = groups.stream()
+                .filter(group -> group.trackers().stream()
+                        .anyMatch(tracker -> verdicts.get(tracker).exclusion().isEmpty()))
+                .findFirst();
+        Set<RunnerLoadTracker> considered =
+                new HashSet<>(used.or(() -> groups.stream().reduce((first, last) -> last))
+                        .map(ZoneRouter.Candidates::trackers)
+                        .orElse(List.of()));
+        verdicts.replaceAll((tracker, verdict) -> verdict.exclusion().isPresent() || considered.contains(tracker)
+                ? verdict
+                : verdict.excludedBy(RunnerExclusion.ZONE));
+        return outlook(verdicts.values(), used, selector);
+    }
+
+    private PlacementOutlook outlook(
+            Collection<RunnerVerdict> verdicts, Optional<ZoneRouter.Candidates> used, RunnerSelector selector) {
+        List<RunnerVerdict> ordered = verdicts.stream()
+                .sorted(Comparator.comparing(
+                                (RunnerVerdict verdict) -> verdict.exclusion().isPresent())
+                        .thenComparingDouble(RunnerVerdict::cost)
+                        .thenComparing(verdict -> verdict.runner().id()))
+                .toList();
+        List<RunnerVerdict> eligible = ordered.stream()
+                .filter(verdict -> verdict.exclusion().isEmpty())
+                .toList();
+        Optional<RunnerVerdict> choice = eligible.stream().findFirst();
+        Optional<ZoneCause> cause =
+                choice.filter(chosen -> router.isPresent()).map(chosen -> cause(chosen.runner(), used.orElseThrow()));
+        return new PlacementOutlook(
+                ordered, choice, cause, selector.sampleSize(eligible.size()), Optional.empty(), OptionalLong.empty());
+    }
+
+    private RunnerVerdict verdict(
+            RunnerSelector selector,
+            RunnerLoadTracker tracker,
+            Collection<RunnerLoadTracker> trackers,
+            RunnerSelector.Requirements requirements,
+            long bytes,
+            long nowNanos) {
+        OptionalLong pausedMs = tracker.availability(nowNanos) instanceof Availability.Quiet quiet
+                ? OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(quiet.untilNanos() - nowNanos))
+                : OptionalLong.empty();
+        return new RunnerVerdict(
+                tracker.runner(),
+                selector.exclusion(tracker, trackers, requirements),
+                pausedMs,
+                tracker.totalRequests(),
+                tracker.slotLimit(nowNanos),
+                tracker.totalTokens(),
+                tracker.pace(),
+                router.map(decides -> decides.price(tracker.runner().zone(), bytes))
+                        .orElse(0.0),
+                selector.cost(tracker, requirements));
+    }
+
+    private ZoneCause cause(Runner chosen, ZoneRouter.Candidates group) {
+        return chosen.zone().equals(zone) ? ZoneCause.HOME : group.cause();
+    }
+
     private static Collection<RunnerLoadTracker> common(
             List<RunnerLoadTracker> group, Collection<RunnerLoadTracker> offered, int total) {
         return offered.size() == total
--- a/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/RunnerSelector.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -90,22 +91,23 @@
      * @param requirements what the request requires of its runner
      */
     Optional<RunnerLoadTracker> choose(Collection<RunnerLoadTracker> trackers, Requirements requirements) {
-        Optional<RunnerLoadTracker> open = cheapest(trackers, requirements, Availability.Open.class);
+        Optional<RunnerLoadTracker> open =
+                cheapest(trackers, requirements, state -> state.exclusion().isEmpty());
         return open.isPresent() || requirements.isNew()
                 ? open
-                : cheapest(trackers, requirements, Availability.RestsOnly.class);
+                : cheapest(trackers, requirements, Availability.RestsOnly.class::isInstance);
     }
 
     private Optional<RunnerLoadTracker> cheapest(
-            Collection<RunnerLoadTracker> trackers,
-            Requirements requirements,
-            Class<? extends Availability> availability) {
-        MemoryRoom memory = MemoryRoom.of(service, trackers, nodes, arrivalsPerSecond, random, nowNanos);
-        RunnerCost cost = RunnerCost.of(service, zones, nowNanos);
+            Collection<RunnerLoadTracker> trackers, Requirements requirements, Predicate<Availability> available) {
+        MemoryRoom memory = memoryRoom(trackers);
+        RunnerCost cost = cost();
         List<RunnerLoadTracker> eligible = trackers.stream()
-                .filter(tracker -> availability.isInstance(tracker.availability(nowNanos)))
+                .filter(tracker -> available.test(tracker.availability(nowNanos)))
                 .filter(tracker -> suits(tracker, requirements))
-                .filter(tracker -> hasCapacity(tracker, requirements, memory))
+                .filter(tracker -> hasSlot(tracker, requirements))
+                .filter(tracker ->
+                        memory.fits(tracker, requirements.expectedTokens(), keepsShare(tracker, requirements)))
                 .toList();
         if (eligible.isEmpty()) {
             memory.claim(requirements.expectedTokens());
@@ -114,14 +116,51 @@
                 .min(Comparator.comparingDouble(tracker -> cost.of(tracker, requirements)));
     }
 
+    private MemoryRoom memoryRoom(Collection<RunnerLoadTracker> trackers) {
+        return MemoryRoom.of(service, trackers, nodes, arrivalsPerSecond, random, nowNanos);
+    }
+
+    private RunnerCost cost() {
+        return RunnerCost.of(service, zones, nowNanos);
+    }
+
+    /**
+     * Returns why a runner is not used for a new request, by the decisions of {@link #choose}; empty if it may be.
+     * Changes nothing.
+     *
+     * @param tracker tracker of the runner
+     * @param trackers trackers of all runners of the service
+     * @param requirements what the request requires of its runner
+     */
+    Optional<RunnerExclusion> exclusion(
+            RunnerLoadTracker tracker, Collection<RunnerLoadTracker> trackers, Requirements requirements) {
+        return tracker.availability(nowNanos)
+                .exclusion()
+                .or(() -> unsuitable(tracker, requirements))
+                .or(() -> hasSlot(tracker, requirements) ? Optional.empty() : Optional.of(RunnerExclusion.SLOTS))
+                .or(() -> memoryRoom(trackers)
+                        .exclusion(tracker, requirements.expectedTokens(), keepsShare(tracker, requirements)));
+    }
+
+    /** Returns the expected time of a request at a runner, by which runners are compared. */
+    double cost(RunnerLoadTracker tracker, Requirements requirements) {
+        return cost().of(tracker, requirements);
+    }
+
+    /** Returns the number of runners, of those that can take a request, among which the cheapest is chosen. */
+    int sampleSize(int eligible) {
+        int size = Math.max(MIN_SAMPLE, Math.ceilDiv(eligible * MAX_NODES_FOR_FREE_CHOICE, Math.max(1, nodes)));
+        return Math.min(size, eligible);
+    }
+
     /**
      * Returns the runners to choose among. Nodes learn of each other's requests with a delay: if all of many nodes
      * chose the cheapest runner meanwhile, they would overfill it. The runner that caches the prompt always belongs to
      * them.
      */
     private List<RunnerLoadTracker> sample(List<RunnerLoadTracker> eligible, Requirements requirements) {
-        int size = Math.max(MIN_SAMPLE, Math.ceilDiv(eligible.size() * MAX_NODES_FOR_FREE_CHOICE, Math.max(1, nodes)));
-        if (size >= eligible.size()) {
+        int size = sampleSize(eligible.size());
+        if (size == eligible.size()) {
             return eligible;
         }
         List<RunnerLoadTracker> sample = new ArrayList<>();
@@ -230,27 +269,40 @@
 
     /** Returns whether a runner, if it is available, can run the request. */
     boolean suits(RunnerLoadTracker tracker, Requirements requirements) {
-        return requirements.runnerFilter().allows(tracker.runner())
-                && requirements
-                        .model()
-                        .map(model -> tracker.holds(model, nowNanos))
-                        .orElse(true);
+        return unsuitable(tracker, requirements).isEmpty();
+    }
+
+    private Optional<RunnerExclusion> unsuitable(RunnerLoadTracker tracker, Requirements requirements) {
+        if (!requirements.runnerFilter().allowsVersionOf(tracker.runner())) {
+            return Optional.of(RunnerExclusion.VERSION);
+        }
+        if (!requirements.runnerFilter().allows(tracker.runner())) {
+            return Optional.of(RunnerExclusion.TRIED);
+        }
+        boolean holds = requirements
+                .model()
+                .map(model -> tracker.holds(model, nowNanos))
+                .orElse(true);
+        return holds ? Optional.empty() : Optional.of(RunnerExclusion.MODEL);
     }
 
     /**
-     * Returns whether a runner has a free slot and enough memory. Of a runner whose version is on its way out, new
-     * requests leave a share to the rest of streams, which has to go there, unless it is idle.
+     * Returns whether new requests leave a share of a runner to the rest of streams, which has to go there, since its
+     * version is on its way out.
      */
-    private boolean hasCapacity(RunnerLoadTracker tracker, Requirements requirements, MemoryRoom memory) {
-        boolean keepsShare = requirements.isNew() && tracker.isOutgoing(nowNanos);
-        if (tracker.totalRequests() > 0) {
-            int slots = tracker.slotLimit(nowNanos);
-            int usableSlots = keepsShare ? slots - keptSlots(tracker.runner().slots()) : slots;
-            if (tracker.totalRequests() >= usableSlots) {
-                return false;
-            }
+    private boolean keepsShare(RunnerLoadTracker tracker, Requirements requirements) {
+        return requirements.isNew() && tracker.isOutgoing(nowNanos);
+    }
+
+    /** Returns whether a runner has a free slot; an idle one always has. */
+    private boolean hasSlot(RunnerLoadTracker tracker, Requirements requirements) {
+        if (tracker.totalRequests() == 0) {
+            return true;
         }
-        return memory.fits(tracker, requirements.expectedTokens(), keepsShare);
+        int slots = tracker.slotLimit(nowNanos);
+        int kept =
+                keepsShare(tracker, requirements) ? keptSlots(tracker.runner().slots()) : 0;
+        return tracker.totalRequests() < slots - kept;
     }
 
     /** Returns the number of slots that new requests leave to the rest of streams: at least one, but not of a few. */
--- a/node/src/main/java/io/persimmonstack/node/placing/ZoneLinks.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/ZoneLinks.java
@@ -21,10 +21,26 @@
 
     private final Map<String, Link> links = new HashMap<>();
 
-    private static final class Link {
-        private boolean cut;
-        private long untilNanos;
-        private long pauseNanos;
+    /** State of a link; immutable. */
+    private record Link(boolean cut, long untilNanos, long pauseNanos) {
+        private static final Link WORKING = new Link(false, 0, 0);
+
+        private Link next(Collection<RunnerLoadTracker> runners, long nowNanos) {
+            if (cut && nowNanos - untilNanos < 0) {
+                return this;
+            }
+            if (!isFailing(runners, nowNanos)) {
+                return new Link(false, untilNanos, pauseNanos);
+            }
+            boolean again = pauseNanos > 0 && nowNanos - untilNanos < pauseNanos;
+            long nextPauseNanos = again ? Math.min(MAX_PAUSE_NANOS, 2 * pauseNanos) : FIRST_PAUSE_NANOS;
+            return new Link(true, nowNanos + nextPauseNanos, nextPauseNanos);
+        }
+    }
+
+    /** Returns whether the link to a zone would be found to be cut; changes nothing. */
+    boolean wouldBeCut(String zone, Collection<RunnerLoadTracker> runners, long nowNanos) {
+        return links.getOrDefault(zone, Link.WORKING).next(runners, nowNanos).cut();
     }
 
     /**
@@ -35,19 +51,9 @@
      * @param nowNanos monotonic time
      */
     boolean isCut(String zone, Collection<RunnerLoadTracker> runners, long nowNanos) {
-        Link link = links.computeIfAbsent(zone, ignored -> new Link());
-        if (link.cut && nowNanos - link.untilNanos < 0) {
-            return true;
-        }
-        if (isFailing(runners, nowNanos)) {
-            boolean again = link.pauseNanos > 0 && nowNanos - link.untilNanos < link.pauseNanos;
-            link.pauseNanos = again ? Math.min(MAX_PAUSE_NANOS, 2 * link.pauseNanos) : FIRST_PAUSE_NANOS;
-            link.untilNanos = nowNanos + link.pauseNanos;
-            link.cut = true;
-        } else {
-            link.cut = false;
-        }
-        return link.cut;
+        Link link = links.getOrDefault(zone, Link.WORKING).next(runners, nowNanos);
+        links.put(zone, link);
+        return link.cut();
     }
 
     private static boolean isFailing(Collection<RunnerLoadTracker> runners, long nowNanos) {
--- a/node/src/main/java/io/persimmonstack/node/placing/ZoneRouter.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/ZoneRouter.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 /**
@@ -137,6 +139,31 @@
             Collection<RunnerLoadTracker> trackers,
             Predicate<RunnerLoadTracker> suitable,
             long nowNanos) {
+        return candidates(request, trackers, suitable, () -> reachable(trackers, nowNanos), nowNanos);
+    }
+
+    /** Returns what {@link #candidates} would return; changes nothing and tells the listener nothing. */
+    List<Candidates> preview(
+            Request request,
+            Collection<RunnerLoadTracker> trackers,
+            Predicate<RunnerLoadTracker> suitable,
+            long nowNanos) {
+        Supplier<List<RunnerLoadTracker>> reachable =
+                () -> reachable(trackers, (zone, ofZone) -> links.wouldBeCut(zone, ofZone, nowNanos), nowNanos);
+        return candidates(request, trackers, suitable, reachable, nowNanos);
+    }
+
+    /** Returns the price of sending a request to a zone. */
+    double price(String zone, long bytes) {
+        return zone.equals(home) ? 0 : prices.of(zone, bytes);
+    }
+
+    private List<Candidates> candidates(
+            Request request,
+            Collection<RunnerLoadTracker> trackers,
+            Predicate<RunnerLoadTracker> suitable,
+            Supplier<List<RunnerLoadTracker>> reachableRunners,
+            long nowNanos) {
         List<RunnerLoadTracker> here = usable(trackers, tracker -> isHome(tracker) && suitable.test(tracker), nowNanos);
         if (here.isEmpty()) {
             return List.of(new Candidates(trackers.stream().toList(), ZoneCause.ONLY));
@@ -146,7 +173,7 @@
             return List.of(stay);
         }
         List<RunnerLoadTracker> reachable =
-                reachable(trackers, nowNanos).stream().filter(suitable).toList();
+                reachableRunners.get().stream().filter(suitable).toList();
         List<RunnerLoadTracker> there = lessLoaded(reachable, ZoneLoad.of(here, 0));
         List<RunnerLoadTracker> caching = reachable.stream()
                 .filter(tracker -> isPreferred(tracker, request))
@@ -211,16 +238,25 @@
 
     /** Returns the usable runners in other zones to which the links work. */
     private List<RunnerLoadTracker> reachable(Collection<RunnerLoadTracker> trackers, long nowNanos) {
+        return reachable(trackers, (zone, ofZone) -> observeLink(zone, ofZone, nowNanos), nowNanos);
+    }
+
+    private boolean observeLink(String zone, List<RunnerLoadTracker> ofZone, long nowNanos) {
+        boolean cut = links.isCut(zone, ofZone, nowNanos);
+        if (cutZones.put(zone, cut) == Boolean.TRUE != cut) {
+            listener.linkChanged(zone, cut);
+        }
+        return cut;
+    }
+
+    private List<RunnerLoadTracker> reachable(
+            Collection<RunnerLoadTracker> trackers, BiPredicate<String, List<RunnerLoadTracker>> isCut, long nowNanos) {
         Map<String, List<RunnerLoadTracker>> byZone = trackers.stream()
                 .filter(tracker -> !isHome(tracker))
                 .collect(Collectors.groupingBy(tracker -> tracker.runner().zone()));
         List<RunnerLoadTracker> reachable = new ArrayList<>();
         byZone.forEach((zone, ofZone) -> {
-            boolean cut = links.isCut(zone, ofZone, nowNanos);
-            if (cutZones.put(zone, cut) == Boolean.TRUE != cut) {
-                listener.linkChanged(zone, cut);
-            }
-            if (!cut) {
+            if (!isCut.test(zone, ofZone)) {
                 reachable.addAll(usable(ofZone, tracker -> true, nowNanos));
             }
         });
