--- a/node/src/main/java/io/persimmonstack/node/callers/RouteRefusals.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RouteRefusals.java
@@ -29,8 +29,7 @@
         String detail = request.host() + request.path() + " in configuration " + routing.version();
         return unconfirmedMs <= applyMs
                 ? Refusal.noRoute(detail)
-                : Refusal.notRun(
-                        "configuration-unconfirmed", detail + ", " + unconfirmedMs + " ms old", RETRY_AFTER_MS);
+                : Refusal.unconfirmed(detail, unconfirmedMs);
     }
 
     /** Returns the refusal of a request whose route names a service that the configuration lacks. */
