--- a/node/src/main/java/io/persimmonstack/node/callers/RouteRefusals.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RouteRefusals.java
@@ -27,9 +27,7 @@
      */
     static Refusal noRoute(CallerRequest request, RoutingTable routing, long unconfirmedMs, int applyMs) {
         String detail = request.host() + request.path() + " in configuration " + routing.version();
-        return unconfirmedMs <= applyMs
-                ? Refusal.noRoute(detail)
-                : Refusal.unconfirmed(detail, unconfirmedMs);
+        return unconfirmedMs <= applyMs ? Refusal.noRoute(detail) : Refusal.unconfirmed(detail, unconfirmedMs);
     }
 
     /** Returns the refusal of a request whose route names a service that the configuration lacks. */
