node: a listener goes on accepting while it has as many connections as it may

Cause: the socket pauses at 8 connections above the bound of the guard and went on only below the bound. The guard closes connections down to the bound, not below it, so that after a burst nothing was accepted until a connection was closed for another reason, at the latest by the idle timeout (15 s at the customers' deployments).

Change: accepting goes on at 8 connections above the bound and pauses at 16, as the router's listener does already. The handler that ends the process on fatal errors and the stop of the I/O threads, which stood twice, are classes of their own.

Callers saw: no answer on new connections while silent ones took all places. HttpListenersTest failed before (read timeout of 10 s), passes after.

--- a/backends/src/main/java/io/persimmonstack/backends/http/GuardedServer.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/GuardedServer.java
@@ -1,6 +1,5 @@
 package io.persimmonstack.backends.http;
 
-import io.persimmonstack.runtime.FatalErrors;
 import io.undertow.Handlers;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
@@ -40,7 +39,6 @@
     /** Interval at which connections are checked for being overdue; small against the timeouts. */
     private static final int CHECK_INTERVAL_MS = 250;
 
-    private static final long STOP_TIMEOUT_MS = 5_000;
     private final XnioWorker worker;
     private final GuardedServerOptions options;
     private final HttpOpenListener http;
@@ -86,7 +84,7 @@
                 .getMap());
         GuardedServer server = new GuardedServer(worker, options);
         server.http.setRootHandler(
-                endingOnFatalErrors(server.createGuard().checkingHeads(Handlers.httpContinueRead(handler))));
+                FatalErrorHandler.wrap(server.createGuard().checkingHeads(Handlers.httpContinueRead(handler))));
         try {
             server.listen(xnio, address, tls);
             return server;
@@ -134,17 +132,6 @@
                 http, options.maxConnectionsPerThread(), options.limits(), options.memory(), options.onRefusal());
     }
 
-    /** Undertow and XNIO catch every error of a handler, so that a process without memory would go on half-dead. */
-    private static HttpHandler endingOnFatalErrors(HttpHandler handler) {
-        return exchange -> {
-            try {
-                handler.handleRequest(exchange);
-            } catch (VirtualMachineError e) {
-                throw FatalErrors.end(e);
-            }
-        };
-    }
-
     /** Returns the TCP port that the server listens on; the one chosen by the system if it was started with port 0. */
     public int port() {
         return channel.getLocalAddress(InetSocketAddress.class).getPort();
@@ -154,14 +141,6 @@
     public void close() {
         checks.values().forEach(XnioExecutor.Key::remove);
         IoUtils.safeClose(channel);
-        worker.shutdown();
-        try {
-            if (!worker.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
-                worker.shutdownNow();
-            }
-        } catch (InterruptedException e) {
-            worker.shutdownNow();
-            Thread.currentThread().interrupt();
-        }
+        WorkerShutdown.stop(worker);
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/callers/HttpListeners.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/HttpListeners.java
@@ -1,10 +1,11 @@
 package io.persimmonstack.node.callers;
 
 import io.persimmonstack.backends.http.BodyReader;
+import io.persimmonstack.backends.http.FatalErrorHandler;
 import io.persimmonstack.backends.http.GuardedListener;
 import io.persimmonstack.backends.http.InputRefusal;
 import io.persimmonstack.backends.http.RefusalText;
-import io.persimmonstack.runtime.FatalErrors;
+import io.persimmonstack.backends.http.WorkerShutdown;
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.wire.PeerAddress;
 import io.undertow.Handlers;
@@ -41,8 +42,6 @@
     /** Interval at which connections are checked for being overdue; small against the timeouts. */
     private static final int CHECK_INTERVAL_MS = 250;
 
-    private static final long STOP_TIMEOUT_MS = 5_000;
-
     /** Limits of Undertow itself, above those that the configuration may have; the guards apply the latter. */
     private static final OptionMap HTTP_OPTIONS = OptionMap.builder()
             .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
@@ -108,7 +107,7 @@
         GuardedListener guard =
                 GuardedListener.of(http, maxConnections, options.limits(), options.memory(), options.onRefusal());
         HttpHandler served = address.equals(options.callers()) ? handler : withoutBodies(handler);
-        http.setRootHandler(endingOnFatalErrors(guard.checkingHeads(Handlers.httpContinueRead(served))));
+        http.setRootHandler(FatalErrorHandler.wrap(guard.checkingHeads(Handlers.httpContinueRead(served))));
         guards.add(guard);
         channels.add(worker.createStreamConnectionServer(
                 new InetSocketAddress(address.ip(), address.port()),
@@ -118,8 +117,9 @@
                         .set(Options.TCP_NODELAY, true)
                         .set(Options.REUSE_ADDRESSES, true)
                         .set(Options.BACKLOG, BACKLOG)
-                        .set(Options.CONNECTION_HIGH_WATER, maxConnections + ACCEPTED_AT_ONCE)
-                        .set(Options.CONNECTION_LOW_WATER, maxConnections)
+                        .set(Options.CONNECTION_HIGH_WATER, maxConnections + 2 * ACCEPTED_AT_ONCE)
+                        // Above the bound, so that accepting goes on while the guard has as many connections as it may.
+                        .set(Options.CONNECTION_LOW_WATER, maxConnections + ACCEPTED_AT_ONCE)
                         .getMap()));
     }
 
@@ -143,31 +143,12 @@
         };
     }
 
-    /** Undertow and XNIO catch every error of a handler, so that a process without memory would go on half-dead. */
-    private static HttpHandler endingOnFatalErrors(HttpHandler handler) {
-        return exchange -> {
-            try {
-                handler.handleRequest(exchange);
-            } catch (VirtualMachineError e) {
-                throw FatalErrors.end(e);
-            }
-        };
-    }
-
     @Override
     public void close() {
         if (check != null) {
             check.remove();
         }
         channels.forEach(IoUtils::safeClose);
-        worker.shutdown();
-        try {
-            if (!worker.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
-                worker.shutdownNow();
-            }
-        } catch (InterruptedException e) {
-            worker.shutdownNow();
-            Thread.currentThread().interrupt();
-        }
+        WorkerShutdown.stop(worker);
     }
 }
