--- a/coordination/src/test/java/io/persimmonstack/coordination/crowd/HttpCrowd.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/crowd/HttpCrowd.java
@@ -1,8 +1,6 @@
 package io.persimmonstack.coordination.crowd;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -78,11 +76,4 @@
             }
         };
     }
-
-    /** Returns a port that is free at the time. */
-    public static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/coordinator/src/test/java/io/persimmonstack/coordinator/CoordinatorCrowdTest.java
+++ b/coordinator/src/test/java/io/persimmonstack/coordinator/CoordinatorCrowdTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.persimmonstack.coordination.crowd.CrowdCheck;
+import io.persimmonstack.coordination.crowd.FreePort;
 import io.persimmonstack.coordination.crowd.HttpCrowd;
 import io.persimmonstack.coordination.crowd.JavaProcess;
 import java.net.http.HttpClient;
@@ -38,9 +39,8 @@
     @BeforeEach
     void start() throws Exception {
         client = HttpClient.newHttpClient();
-        adminPort = HttpCrowd.freePort();
-        String settings = SETTINGS.formatted(
-                HttpCrowd.freePort(), HttpCrowd.freePort(), HttpCrowd.freePort(), HttpCrowd.freePort());
+        adminPort = FreePort.find();
+        String settings = SETTINGS.formatted(FreePort.find(), FreePort.find(), FreePort.find(), FreePort.find());
         Path file = Files.writeString(directory.resolve("coordinator.json"), settings);
         process = JavaProcess.start(
                 HEAP_MB,
--- a/router/src/test/java/io/persimmonstack/router/RouterCrowdTest.java
+++ b/router/src/test/java/io/persimmonstack/router/RouterCrowdTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.persimmonstack.coordination.crowd.CrowdCheck;
+import io.persimmonstack.coordination.crowd.FreePort;
 import io.persimmonstack.coordination.crowd.HttpCrowd;
 import io.persimmonstack.coordination.crowd.JavaProcess;
 import java.net.http.HttpClient;
@@ -40,10 +41,9 @@
     @BeforeEach
     void start() throws Exception {
         client = HttpClient.newHttpClient();
-        callersPort = HttpCrowd.freePort();
-        adminPort = HttpCrowd.freePort();
-        String settings =
-                SETTINGS.formatted(callersPort, HttpCrowd.freePort(), HttpCrowd.freePort(), HttpCrowd.freePort());
+        callersPort = FreePort.find();
+        adminPort = FreePort.find();
+        String settings = SETTINGS.formatted(callersPort, FreePort.find(), FreePort.find(), FreePort.find());
         Path file = Files.writeString(directory.resolve("router.json"), settings);
         process = JavaProcess.start(
                 HEAP_MB,
--- a/wire/src/test/java/io/persimmonstack/wire/LinkCrowdTest.java
+++ b/wire/src/test/java/io/persimmonstack/wire/LinkCrowdTest.java
@@ -5,13 +5,12 @@
 
 import io.persimmonstack.coordination.crowd.Crowd;
 import io.persimmonstack.coordination.crowd.CrowdCheck;
+import io.persimmonstack.coordination.crowd.FreePort;
 import io.persimmonstack.coordination.crowd.JavaProcess;
 import io.persimmonstack.wire.gen.ClaimRecord;
 import io.persimmonstack.wire.gen.RouterPeer;
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
@@ -67,9 +66,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = new PeerAddress("127.0.0.1", free.getLocalPort());
-        }
+        address = new PeerAddress("127.0.0.1", FreePort.find());
         process = JavaProcess.start(
                 HEAP_MB, directory.resolve("log").toFile(), LinkServerProcess.class, Integer.toString(address.port()));
         peers = ThriftPeers.of(new RouterPeer.Client.Factory(), 1_000);
