--- a/review/standins-2/review2/Runner.java
+++ b/review/standins-2/review2/Runner.java
@@ -33,11 +33,17 @@
     private final long workMs;
     private final TreeSet<String> loaded = new TreeSet<>();
     private final Set<String> ran = ConcurrentHashMap.newKeySet();
-    private final HttpServer server;
-    private final long born = System.currentTimeMillis() - 1_000;
+    private final int port;
+    private volatile HttpServer server;
+    private volatile long born = System.currentTimeMillis() - 1_000;
+    /** Part of a prompt that ends this process when an answer on it begins, empty if there is none. */
+    volatile String fatalPart = "";
+    /** What happens when the process has ended. */
+    volatile Runnable onEnd = () -> {};
     private final TreeSet<String> adapters = new TreeSet<>();
     private final Map<String, Integer> running = new HashMap<>();
     private final List<Order> orders = new ArrayList<>();
+    private final List<Long> fatalArrivals = new ArrayList<>();
     private long sequence;
     private long busyUntilMs = -1;
 
@@ -60,15 +66,37 @@
         this.id = id;
         this.service = service;
         this.model = model;
-        server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
-        server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
-        server.createContext("/", this::handle);
-        server.start();
+        server = listen(0);
+        port = server.getAddress().getPort();
+    }
+
+    private HttpServer listen(int wanted) throws IOException {
+        HttpServer listening = HttpServer.create(new InetSocketAddress("127.0.0.1", wanted), 0);
+        listening.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        listening.createContext("/", this::handle);
+        listening.start();
+        return listening;
+    }
+
+    /** Ends the process: its port and all its channels are closed. */
+    synchronized boolean end(HttpServer of) {
+        if (server != of) {
+            return false;
+        }
+        server = null;
+        Thread.ofVirtual().start(() -> of.stop(0));
+        return true;
+    }
+
+    /** Starts again under the same identifier, with a new time of birth. */
+    void startAgain() throws IOException {
+        born = System.currentTimeMillis();
+        server = listen(port);
     }
 
     synchronized String entry() {
         return "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z-a\",\"version\":\"v1\",\"slots\":12,"
-                        .formatted(service, server.getAddress().getPort())
+                        .formatted(service, port)
                 + "\"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":\"colocated\",\"born\":" + born + ",\"models\":"
                 + models() + ",\"sequence_no\":" + sequence + "}";
     }
@@ -98,6 +126,11 @@
         return List.copyOf(orders);
     }
 
+    /** Returns when requests with the part that ends processes arrived. */
+    synchronized List<Long> fatalArrivals() {
+        return List.copyOf(fatalArrivals);
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         byte[] body = exchange.getRequestBody().readAllBytes();
         String target = exchange.getRequestHeaders().getFirst("X-Target-Instance");
@@ -186,8 +219,21 @@
             return;
         }
         ran.add(String.valueOf(request));
+        if (isFatal(exchange)) {
+            synchronized (this) {
+                fatalArrivals.add(Clock.ms());
+            }
+            Record.write("runner " + id + " gets request " + request + " with the part");
+        }
         try {
             Clock.sleep(workMs);
+            if (isFatal(exchange)) {
+                HttpServer mine = server;
+                if (mine != null && mine.equals(exchange.getHttpContext().getServer()) && end(mine)) {
+                    onEnd.run();
+                }
+                return;
+            }
             exchange.getResponseHeaders().set("X-Server-Seal", "seal." + id + "." + request);
             if (wanted == null) {
                 send(exchange, 200, "answer to " + request);
@@ -207,6 +253,12 @@
         }
     }
 
+    private boolean isFatal(HttpExchange exchange) {
+        String prompt = exchange.getRequestHeaders().getFirst("X-Prompt-Prefix");
+        int last = prompt == null ? -1 : prompt.lastIndexOf(',');
+        return !fatalPart.isEmpty() && last >= 0 && ("," + prompt.substring(0, last)).contains("," + fatalPart + ":");
+    }
+
     private static void send(HttpExchange exchange, int status, String body) throws IOException {
         byte[] bytes = body.getBytes();
         exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
@@ -217,6 +269,9 @@
     }
 
     void close() {
-        server.stop(0);
+        HttpServer mine = server;
+        if (mine != null) {
+            mine.stop(0);
+        }
     }
 }
--- a/review/standins-2/review2/Store.java
+++ b/review/standins-2/review2/Store.java
@@ -37,7 +37,13 @@
     private record Lease(long ttlMs, long renewedNanos) {}
 
     /** The state at one moment. */
-    record Copy(long revision, long lastLease, Map<String, ObjectNode> items, Map<Long, Lease> leases, int events) {}
+    record Copy(
+            long takenNanos,
+            long revision,
+            long lastLease,
+            Map<String, ObjectNode> items,
+            Map<Long, Lease> leases,
+            int events) {}
 
     private final Map<Integer, Gate> gates = new HashMap<>();
     private final List<HttpServer> servers = new ArrayList<>();
@@ -107,17 +113,20 @@
     }
 
     synchronized Copy copy() {
-        return new Copy(revision, lastLease, new TreeMap<>(items), new HashMap<>(leases), events.size());
+        return new Copy(
+                System.nanoTime(), revision, lastLease, new TreeMap<>(items), new HashMap<>(leases), events.size());
     }
 
-    /** Comes back from a copy; the leases of the copy go on from here. */
+    /** Comes back from a copy; the leases of the copy have as much time left as they had then. */
     synchronized void restore(Copy copy) {
         revision = copy.revision();
         lastLease = copy.lastLease();
         items.clear();
         items.putAll(copy.items());
         leases.clear();
-        copy.leases().forEach((id, lease) -> leases.put(id, new Lease(lease.ttlMs(), System.nanoTime())));
+        long awayNanos = System.nanoTime() - copy.takenNanos();
+        copy.leases().forEach((id, lease) ->
+                leases.put(id, new Lease(lease.ttlMs(), lease.renewedNanos() + awayNanos)));
         events.subList(Math.min(copy.events(), events.size()), events.size()).clear();
         era++;
         notifyAll();
