--- a/review/standins-2/review2/KeptChannels.java
+++ b/review/standins-2/review2/KeptChannels.java
@@ -20,7 +20,10 @@
     private final AtomicBoolean over = new AtomicBoolean();
     final AtomicInteger answered = new AtomicInteger();
     final AtomicInteger lost = new AtomicInteger();
+    /** Requests without an answer half a second after their time limit, which is also their route's timeout. */
     final AtomicInteger late = new AtomicInteger();
+    /** Requests that were answered within that half second. */
+    final AtomicInteger justLate = new AtomicInteger();
 
     private KeptChannels(Node node, Runner runner) {
         this.node = node;
@@ -58,6 +61,7 @@
     /** Sends a request and reads its answer; returns whether the channel can be used again. */
     private boolean ask(Socket socket, InputStream in, boolean kept) {
         String request = "%016x".formatted(0x7000_0000L + COUNT.incrementAndGet());
+        long sentMs = Clock.ms();
         try {
             socket.getOutputStream().write(("POST /pay/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + request
                     + "\r\nX-Deadline-Ms: " + LIMIT_MS + "\r\nContent-Length: 4\r\n\r\nbody").getBytes());
@@ -67,6 +71,7 @@
             }
             in.skipNBytes(length(head));
             answered.incrementAndGet();
+            justLate.addAndGet(Clock.ms() - sentMs > LIMIT_MS ? 1 : 0);
             return !head.toLowerCase().contains("connection: close");
         } catch (java.net.SocketTimeoutException e) {
             late.incrementAndGet();
--- a/review/standins-2/review2/Node.java
+++ b/review/standins-2/review2/Node.java
@@ -28,6 +28,8 @@
         this.name = name;
         this.storePort = storePort;
         this.port = freePorts();
+        // Ends the process also if the script is ended.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::kill));
         this.settings = folder.resolve(name + ".json");
         this.log = folder.resolve(name + ".log").toFile();
         Files.writeString(settings, """
--- a/review/standins-2/review2/Prompts.java
+++ b/review/standins-2/review2/Prompts.java
@@ -91,7 +91,10 @@
         kept.stop();
         Record.tell(kept.answered + " ordinary requests answered; " + kept.lost
                 + " that the runner ran on kept channels ended without an answer, " + kept.late + " had none in time");
-        boolean broken = ended || silentMs > 10_000 || kept.lost.get() > 3;
+        boolean config = kept.late.get() > kept.justLate.get();
+        Record.tell("of " + (kept.late.get() + kept.justLate.get()) + " ordinary requests without an answer at their route's "
+                + "timeout, " + kept.late + " had none half a second later" + (config ? ": CONFIG is broken" : ""));
+        boolean broken = ended || config || silentMs > 10_000 || kept.lost.get() > 3;
         Record.tell(broken ? "broken" : "held");
         return broken ? 1 : 0;
     }
