tests: clients inside the limits whose requests end a node, a router or a coordinator

- Whole requests with heads of 15 KB, each on a connection of its own, end the node on each of its four listeners, the router on both ports and the coordinator at its admin port.
- Node and router: bodies that drip on all connections; no ordinary request is answered in 40 s.

--- a/coordination/src/test/java/io/persimmonstack/coordination/crowd/Crowd.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/crowd/Crowd.java
@@ -15,6 +15,9 @@
     /** Pause before a client whose connection was closed connects again. */
     private static final long RECONNECT_PAUSE_MS = 20;
 
+    /** Time after which a client gives up on an answer. */
+    private static final int ANSWER_TIMEOUT_MS = 20_000;
+
     private final int port;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final List<Thread> threads = new ArrayList<>();
@@ -32,13 +35,17 @@
 
     /** Starts clients that send endless input and connect again when their connection is closed. */
     public static Crowd startEndless(int clients, int port, byte[] start, byte[] repeated) {
+        return startEndless(clients, port, start, out -> out.write(repeated));
+    }
+
+    private static Crowd startEndless(int clients, int port, byte[] start, Input repeated) {
         Crowd crowd = new Crowd(port);
         crowd.start(clients, () -> {
             while (!crowd.closed) {
                 crowd.send(out -> {
                     out.write(start);
                     while (!crowd.closed) {
-                        out.write(repeated);
+                        repeated.write(out);
                     }
                 });
                 Thread.sleep(RECONNECT_PAUSE_MS);
@@ -47,6 +54,22 @@
         return crowd;
     }
 
+    /**
+     * Starts clients that send endless input in pieces and connect again when their connection is closed.
+     *
+     * @param clients number of clients
+     * @param port port of the listener
+     * @param start first bytes on each connection
+     * @param piece sent again and again after that
+     * @param pauseMs pause after each piece, in milliseconds
+     */
+    public static Crowd startDripping(int clients, int port, byte[] start, byte[] piece, long pauseMs) {
+        return startEndless(clients, port, start, out -> {
+            out.write(piece);
+            Thread.sleep(pauseMs);
+        });
+    }
+
     /** Starts clients that send an input once and then keep their connection open in silence. */
     public static Crowd startOnce(int clients, int port, Input input) {
         Crowd crowd = new Crowd(port);
@@ -54,6 +77,25 @@
         return crowd;
     }
 
+    /**
+     * Starts clients that each send a number of requests, one after the other and each on a new connection, and wait
+     * for the end of every answer.
+     *
+     * @param clients number of clients
+     * @param port port of the listener
+     * @param requests number of requests of each client
+     * @param input writes a request that asks for the connection to be closed
+     */
+    public static Crowd startRepeating(int clients, int port, int requests, Input input) {
+        Crowd crowd = new Crowd(port);
+        crowd.start(clients, () -> {
+            for (int sent = 0; sent < requests && !crowd.closed; sent++) {
+                crowd.exchange(input);
+            }
+        });
+        return crowd;
+    }
+
     private interface Client {
         void run() throws InterruptedException;
     }
@@ -82,6 +124,23 @@
         }
     }
 
+    /** Sends a request on a new connection and reads until that is closed. */
+    private void exchange(Input input) throws InterruptedException {
+        Socket socket = null;
+        try {
+            socket = new Socket(InetAddress.getLoopbackAddress(), port);
+            sockets.add(socket);
+            socket.setSoTimeout(ANSWER_TIMEOUT_MS);
+            input.write(socket.getOutputStream());
+            socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+        } catch (IOException e) {
+            // Refused, closed or too slow; the next request follows.
+            Thread.sleep(RECONNECT_PAUSE_MS);
+        } finally {
+            closeSocket(socket);
+        }
+    }
+
     private void closeSocket(Socket socket) {
         if (socket != null) {
             sockets.remove(socket);
--- a/coordination/src/test/java/io/persimmonstack/coordination/crowd/HttpCrowd.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/crowd/HttpCrowd.java
@@ -18,6 +18,8 @@
     ENDLESS_HEADERS,
     /** Heads of a legal size without their last line, on more connections than the process may have. */
     UNFINISHED_HEADS,
+    /** Whole requests with heads of a legal size, each on a connection of its own. */
+    LONG_HEADS,
     /** Connections on which nothing is sent, more than the process may have. */
     SILENT;
 
@@ -25,6 +27,11 @@
     private static final int MANY_CLIENTS = 1_500;
     private static final int PIECE_BYTES = 32 * 1024;
     private static final int LEGAL_HEAD_BYTES = 16_000;
+    private static final int REQUESTING_CLIENTS = 100;
+    /** Requests of each of these clients, one after the other. */
+    private static final int REQUESTS = 100;
+
+    private static final int LONG_HEADER_BYTES = 15_400;
     /** Time for which clients that send endless input are let do so. */
     private static final long ENDLESS_MS = 4_000;
     /** Time for which other clients may send; a crowd that is refused ends earlier. */
@@ -45,6 +52,13 @@
                 byte[] head = bytes(HEAD + "X-Long: " + "a".repeat(LEGAL_HEAD_BYTES));
                 check.checkDuring(Crowd.startOnce(MANY_CLIENTS, port, out -> out.write(head)), SENDING_MS);
             }
+            case LONG_HEADS -> {
+                byte[] request =
+                        bytes(HEAD + "Connection: close\r\nX-Long: " + "a".repeat(LONG_HEADER_BYTES) + "\r\n\r\n");
+                check.checkDuring(
+                        Crowd.startRepeating(REQUESTING_CLIENTS, port, REQUESTS, out -> out.write(request)),
+                        SENDING_MS);
+            }
             case SILENT -> check.checkDuring(Crowd.startOnce(MANY_CLIENTS, port, out -> out.flush()), SENDING_MS);
             default -> throw new IllegalStateException(name());
         }
