backends: closed connections leave no long head behind

What callers saw: with some 3,000 requests whose heads have 15 KB, each on a connection of its own, a node, a router or a coordinator ran out of memory and ended, on each listener, though every request was refused or answered at once.

Cause: after the last answer on a connection Undertow waits up to 10 s for the client, by a timer that holds the connection and the buffer of its parser, which has the size of the longest value (18 KB). It may suspend reads after it has resumed them, in the handler that read the request, so that it does not see the client close; and a connection that a full listener closes stays in its timer. The memory reserved for a head was returned as soon as the head was parsed.

Evidence: heap dump of the node of CallerContentTest.longHeadsOnManyConnections: 1,311 connections, two thirds of them closed and held by timers only, 25 of 40 MB in buffers of parsers. The queue of the log, which had been suspected, held little.

The memory of a head beyond 4 KB is reserved as it arrives and held until the connection is closed; such a connection is closed after its answer. These reservations count as large: they leave the last quarter to ordinary requests. The timer of a refusal ends with its connection.

--- a/backends/src/main/java/io/persimmonstack/backends/http/ConnectionGuard.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ConnectionGuard.java
@@ -25,16 +25,22 @@
     /** Bytes of a head that need no reserved memory; they are part of the cost of a connection. */
     private static final int SMALL_HEAD_BYTES = 4 * 1024;
 
-    /** Memory that a parsed head takes for each of its bytes. */
+    /** Memory that a parsed head takes for each of its bytes: the text, and the buffer of the parser. */
     private static final int MEMORY_PER_HEAD_BYTE = 3;
 
+    /** Bytes of a head whose memory is reserved at once. */
+    private static final int HEAD_STEP_BYTES = 4 * 1024;
+
     private final StreamConnection connection;
     private final Supplier<InputLimits> limits;
-    private final ReceiveMemory memory;
-    private Optional<ReceiveMemory.Reservation> headMemory = Optional.empty();
+    private final ReceiveMemory.Reservation headMemory;
+    /** Bytes of a head for which memory is reserved. */
+    private int reservedHeadBytes = SMALL_HEAD_BYTES;
+
     private volatile State state = State.IDLE;
     private volatile long stateNanos = System.nanoTime();
     private volatile int headBytes;
+    private volatile Optional<LingeringClose> lingering = Optional.empty();
     private int turnBytes = BYTES_PER_TURN;
 
     /** What a connection is used for. */
@@ -44,14 +50,16 @@
         /** A part of a head has been received. */
         HEAD,
         /** A request is received or served. */
-        REQUEST
+        REQUEST,
+        /** The last answer has been sent, and the client has not closed the connection yet. */
+        CLOSING
     }
 
     private ConnectionGuard(StreamConnection connection, Supplier<InputLimits> limits, ReceiveMemory memory) {
         super(connection.getSourceChannel().getConduit());
         this.connection = connection;
         this.limits = limits;
-        this.memory = memory;
+        this.headMemory = memory.openLarge();
     }
 
     /** Puts a guard before a connection that was accepted. */
@@ -77,16 +85,29 @@
                 + exchange.getRequestURI().length()
                 + exchange.getQueryString().length();
         int size = headBytes - (later == null ? 0 : later.getBuffer().remaining()) - lineBytes;
-        releaseHead();
         enter(State.REQUEST);
         return Math.max(size, 0);
     }
 
+    /**
+     * Returns whether the connection has had a head whose memory it holds until it is closed, since the parser keeps
+     * its buffer for the next one.
+     */
+    boolean holdsHeadMemory() {
+        return reservedHeadBytes > SMALL_HEAD_BYTES;
+    }
+
     /** Records that the request has ended, so that another one may begin. */
     void endRequest() {
         enter(State.IDLE);
     }
 
+    /** Records that the last request has ended; closes the connection once its client has closed it, too. */
+    void endLastRequest(HttpServerExchange exchange) {
+        enter(State.CLOSING);
+        lingering = Optional.of(LingeringClose.begin(connection, exchange));
+    }
+
     private void enter(State newState) {
         state = newState;
         stateNanos = System.nanoTime();
@@ -118,6 +139,7 @@
             case IDLE -> waitedMs >= limits.get().idleTimeoutMs();
             case HEAD -> waitedMs >= limits.get().headerTimeoutMs();
             case REQUEST -> false;
+            case CLOSING -> waitedMs >= LingeringClose.MAX_MS;
         };
     }
 
@@ -127,10 +149,10 @@
         releaseHead();
     }
 
-    /** Returns the memory of a head that will not be completed. */
+    /** Returns the memory of the heads of a closed connection. */
     void releaseHead() {
-        headMemory.ifPresent(ReceiveMemory.Reservation::close);
-        headMemory = Optional.empty();
+        lingering.ifPresent(LingeringClose::cancel);
+        headMemory.close();
     }
 
     @Override
@@ -174,12 +196,11 @@
         if (headBytes > maxBytes) {
             throw new FramingException("head: more than " + maxBytes + " bytes without an end");
         }
-        if (headMemory.isEmpty()) {
-            ReceiveMemory.Reservation reservation = memory.open();
-            if (!reservation.tryAdd((long) MEMORY_PER_HEAD_BYTE * Math.min(maxBytes, ReceiveMemory.SMALL_BYTES / 4))) {
+        while (headBytes > reservedHeadBytes) {
+            if (!headMemory.tryAdd((long) MEMORY_PER_HEAD_BYTE * HEAD_STEP_BYTES)) {
                 throw new FramingException("head: no memory for more than " + headBytes + " bytes");
             }
-            headMemory = Optional.of(reservation);
+            reservedHeadBytes += HEAD_STEP_BYTES;
         }
     }
 }
--- a/backends/src/main/java/io/persimmonstack/backends/http/GuardedListener.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/GuardedListener.java
@@ -63,6 +63,7 @@
             if (guard.isPresent()
                     && guard.get().beginRequest(exchange) > limits.get().maxHeaderBytes()) {
                 onRefusal.accept(InputRefusal.HEAD_TOO_LARGE);
+                guard.ifPresent(present -> endWith(exchange, present));
                 BodyReader.refuse(
                         exchange, RefusalText.plain(InputRefusal.HEAD_TOO_LARGE).orElseThrow());
                 return;
@@ -72,10 +73,18 @@
         };
     }
 
+    /** Has the guard take over the connection after its last exchange, which Undertow then does not learn of. */
     private static void endWith(HttpServerExchange exchange, ConnectionGuard guard) {
+        if (guard.holdsHeadMemory()) {
+            exchange.setPersistent(false);
+        }
         exchange.addExchangeCompleteListener((done, next) -> {
-            guard.endRequest();
-            next.proceed();
+            if (done.isPersistent()) {
+                guard.endRequest();
+                next.proceed();
+            } else {
+                guard.endLastRequest(done);
+            }
         });
     }
 
--- a/backends/src/main/java/io/persimmonstack/backends/http/ReceiveMemory.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ReceiveMemory.java
@@ -40,7 +40,12 @@
 
     /** Returns a new reservation, which holds nothing yet. */
     public Reservation open() {
-        return new Reservation();
+        return new Reservation(SMALL_BYTES);
+    }
+
+    /** Returns a new reservation that counts as large whatever its size, for data that ordinary clients do not send. */
+    public Reservation openLarge() {
+        return new Reservation(0);
     }
 
     /** Returns the bytes that are reserved. */
@@ -58,10 +63,10 @@
         return hadShortage && lastShortageNanos - nanos >= 0;
     }
 
-    private synchronized boolean tryChange(long heldBytes, long wantedBytes) {
-        long heldLarge = largePart(heldBytes);
+    private synchronized boolean tryChange(long heldBytes, long wantedBytes, int smallBytes) {
+        long heldLarge = largePart(heldBytes, smallBytes);
         long newUsedBytes = usedBytes - heldBytes + wantedBytes;
-        long newLargeBytes = largeBytes - heldLarge + largePart(wantedBytes);
+        long newLargeBytes = largeBytes - heldLarge + largePart(wantedBytes, smallBytes);
         // A single large request is served whatever its size, as long as nothing else needs the memory.
         boolean alone = usedBytes - heldBytes == 0;
         boolean grows = wantedBytes > heldBytes;
@@ -76,20 +81,25 @@
         return true;
     }
 
-    private static long largePart(long bytes) {
-        return bytes > SMALL_BYTES ? bytes : 0;
+    private static long largePart(long bytes, int smallBytes) {
+        return bytes > smallBytes ? bytes : 0;
     }
 
     /** Part of the memory that belongs to one request. Thread-safe. */
     public final class Reservation implements AutoCloseable {
+        /** Size up to which the reservation counts as small. */
+        private final int smallBytes;
+
         private long heldBytes;
         private boolean closed;
 
-        private Reservation() {}
+        private Reservation(int smallBytes) {
+            this.smallBytes = smallBytes;
+        }
 
         /** Reserves further bytes if they are free, and returns whether they were. */
         public synchronized boolean tryAdd(long bytes) {
-            if (closed || !tryChange(heldBytes, heldBytes + bytes)) {
+            if (closed || !tryChange(heldBytes, heldBytes + bytes, smallBytes)) {
                 return false;
             }
             heldBytes += bytes;
@@ -99,7 +109,7 @@
         /** Returns some of the reserved bytes. */
         public synchronized void giveBack(long bytes) {
             if (!closed) {
-                tryChange(heldBytes, heldBytes - bytes);
+                tryChange(heldBytes, heldBytes - bytes, smallBytes);
                 heldBytes -= bytes;
             }
         }
@@ -108,7 +118,7 @@
         @Override
         public synchronized void close() {
             if (!closed) {
-                tryChange(heldBytes, 0);
+                tryChange(heldBytes, 0, smallBytes);
                 heldBytes = 0;
                 closed = true;
             }
--- a/backends/src/main/java/io/persimmonstack/backends/http/RefusalAnswer.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/RefusalAnswer.java
@@ -55,6 +55,7 @@
         // Removed at the end, since a pending timer keeps the memory of the exchange.
         XnioExecutor.Key timeout = exchange.getIoThread()
                 .executeAfter(() -> IoUtils.safeClose(exchange.getConnection()), LINGER_MS, TimeUnit.MILLISECONDS);
+        exchange.getConnection().addCloseListener(closed -> timeout.remove());
         new RefusalAnswer(exchange, timeout).send(refusal.body(), body);
     }
 
