node: a prompt of many parts is reserved by what decoding makes of it

What callers saw: a few hundred requests at once, each with a prompt of 3,000 parts in a head inside the limits, and the node answered nobody for seconds and then ran out of memory.

Cause: 8 KB were reserved for a request whose decoded parts take 300 KB. Each part was matched by a regular expression that was compiled anew, and the search for a cached prefix looked at every part, under the lock that all requests wait for and at each try to place the request.

The cache of prefixes looks at the first 64 parts; one prompt evicts as many entries at most. The log joins no more identifiers than it shows.

--- a/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
@@ -121,8 +121,13 @@
         BodyReader.read(exchange, limits.get(), memory, reservation, request, new BodyReader.Listener() {
             @Override
             public void received(HttpServerExchange received, byte[] body) {
+                RawRequest raw = toRawRequest(received, body);
+                if (!reservation.tryAdd(server.decodedBytes(raw))) {
+                    refuse(received, InputRefusal.MEMORY);
+                    return;
+                }
                 request.use();
-                received.dispatch(executor, () -> serve(received, body, request));
+                received.dispatch(executor, () -> serve(received, raw, request));
             }
 
             @Override
@@ -138,7 +143,7 @@
         BodyReader.refuse(exchange, RefusalText.plain(refusal).orElseThrow());
     }
 
-    private void serve(HttpServerExchange exchange, byte[] body, ReceivedRequest request) {
+    private void serve(HttpServerExchange exchange, RawRequest raw, ReceivedRequest request) {
         long receivedNanos = System.nanoTime();
         String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
         UndertowReply reply =
@@ -150,7 +155,7 @@
         reply.onCallerGone(thread::interrupt);
         serving.put(thread, reply);
         try {
-            server.serve(toRawRequest(exchange, body), receivedNanos, reply);
+            server.serve(raw, receivedNanos, reply);
         } catch (VirtualMachineError e) {
             throw FatalErrors.end(e);
         } finally {
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -139,6 +139,11 @@
         }
     }
 
+    /** Returns the memory that a request takes once it is decoded, beyond its text and its body, in bytes. */
+    long decodedBytes(RawRequest raw) {
+        return protocol.decodedBytes(raw);
+    }
+
     /** Counts a request for its workspace and forwards it; one that did not run is not counted. */
     private Delivery dispatch(ActiveRequest request, Reply reply, SendTracker sends)
             throws RefusedException, CallerGoneException {
--- a/node/src/main/java/io/persimmonstack/node/placing/PromptAffinityCache.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/PromptAffinityCache.java
@@ -14,6 +14,12 @@
  */
 final class PromptAffinityCache {
     private static final int MAX_ENTRIES = 4_096;
+    /**
+     * Parts from the start of a prompt that are looked at, since requests wait for each other meanwhile, and since one
+     * prompt must not evict the prefixes of many others.
+     */
+    private static final int MAX_PARTS = 64;
+
     private final Map<String, String> runnerByPart;
 
     PromptAffinityCache() {
@@ -51,9 +57,13 @@
         return Optional.empty();
     }
 
-    /** Returns all parts but the last, which is specific to the request; the only part of a single-part prompt. */
+    /**
+     * Returns the first parts without the last, which is specific to the request; the only part of a single-part
+     * prompt.
+     */
     private static List<PromptPart> sharedParts(List<PromptPart> parts) {
-        return parts.size() <= 1 ? parts : parts.subList(0, parts.size() - 1);
+        int shared = Math.max(1, parts.size() - 1);
+        return parts.subList(0, Math.min(MAX_PARTS, Math.min(shared, parts.size())));
     }
 
     private static String key(CallerRequest request, PromptPart part) {
--- a/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
@@ -75,10 +75,13 @@
 
     /** Returns the identifiers of the shared parts for the log, shortened if they are long. */
     public String loggedParts() {
-        String ids = String.join(",", sharedPartIds());
-        if (ids.isEmpty()) {
-            return "-";
+        StringBuilder ids = new StringBuilder();
+        for (PromptPart part : sharedParts()) {
+            ids.append(ids.isEmpty() ? "" : ",").append(part.id());
+            if (ids.length() > MAX_LOGGED_CHARACTERS) {
+                return ids.substring(0, MAX_LOGGED_CHARACTERS) + "...";
+            }
         }
-        return ids.length() <= MAX_LOGGED_CHARACTERS ? ids : ids.substring(0, MAX_LOGGED_CHARACTERS) + "...";
+        return ids.isEmpty() ? "-" : ids.toString();
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/sending/RunnerProtocol.java
+++ b/node/src/main/java/io/persimmonstack/node/sending/RunnerProtocol.java
@@ -12,6 +12,12 @@
 
 /** HTTP conventions between callers, nodes and runners. */
 public interface RunnerProtocol {
+    /**
+     * Returns the memory that {@link #decode} takes for what a request lists in its headers, beyond the text of the
+     * headers, in bytes. To be reserved before the request is decoded.
+     */
+    long decodedBytes(RawRequest raw);
+
     /**
      * Decodes a request of a caller.
      *
--- a/node/src/test/java/io/persimmonstack/node/callers/RefusalAnswerTest.java
+++ b/node/src/test/java/io/persimmonstack/node/callers/RefusalAnswerTest.java
@@ -27,6 +27,11 @@
 class RefusalAnswerTest {
     /** Refuses every request in the same way. */
     private record RefusingProtocol(Refusal refusal) implements RunnerProtocol {
+        @Override
+        public long decodedBytes(RawRequest raw) {
+            return 0;
+        }
+
         @Override
         public CallerRequest decode(RawRequest raw) throws RefusedException {
             throw new RefusedException(refusal);
