node: long identifiers of parts are kept by a digest

What callers saw: some thousand requests, one at a time, whose prompts have a part with an identifier of 15 KB; all are served, then the node runs out of memory and ends.

Cause: the cache of prefixes and every other place that keeps parts bound the number of entries, not their length. Only the evidence about runners that end kept long identifiers by a digest.

--- a/coordination/src/main/java/io/persimmonstack/coordination/crash/CrashEvidence.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/crash/CrashEvidence.java
@@ -1,7 +1,7 @@
 package io.persimmonstack.coordination.crash;
 
 import io.persimmonstack.coordination.BoundedMap;
-import java.nio.charset.StandardCharsets;
+import io.persimmonstack.coordination.hash.ShortKey;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -25,8 +24,6 @@
 
     static final int MAX_PROMPTS_PER_END = 8;
     static final int MAX_PARTS_PER_PROMPT = 8;
-    /** Longest identifier of a part that is kept as it is. */
-    static final int MAX_PART_LENGTH = 64;
     /** Time for which an end is kept after the last end with one of its parts. */
     static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
     /** Largest number of answers since the first end that a node counts for a part. */
@@ -70,18 +67,8 @@
         return new CrashEvidence(reporter);
     }
 
-    /** Returns the identifier under which a part is kept: a long one is replaced by a digest. */
-    public static String key(String part) {
-        return part.length() <= MAX_PART_LENGTH
-                ? part
-                : "digest-" + UUID.nameUUIDFromBytes(part.getBytes(StandardCharsets.UTF_8));
-    }
-
     private static List<String> keys(List<String> prompt) {
-        return prompt.stream()
-                .limit(MAX_PARTS_PER_PROMPT)
-                .map(CrashEvidence::key)
-                .toList();
+        return prompt.stream().limit(MAX_PARTS_PER_PROMPT).map(ShortKey::of).toList();
     }
 
     /**
--- a/coordination/src/main/java/io/persimmonstack/coordination/crash/PartGuard.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/crash/PartGuard.java
@@ -2,6 +2,7 @@
 
 import io.persimmonstack.coordination.BoundedMap;
 import io.persimmonstack.coordination.hash.RendezvousHash;
+import io.persimmonstack.coordination.hash.ShortKey;
 import io.persimmonstack.coordination.time.TimeSource;
 import java.util.Collection;
 import java.util.HashSet;
@@ -97,11 +98,11 @@
         }
         long nowNanos = time.nanoTime();
         for (String part : parts) {
-            if (current.get(CrashEvidence.key(part)) instanceof PartStatus.Blocked blocked) {
-                long untilTrialNanos = trialNanos(CrashEvidence.key(part), blocked) - nowNanos;
+            if (current.get(ShortKey.of(part)) instanceof PartStatus.Blocked blocked) {
+                long untilTrialNanos = trialNanos(ShortKey.of(part), blocked) - nowNanos;
                 if (untilTrialNanos > 0 || !node.equals(trialNode(part))) {
                     long untilTrialMs = TimeUnit.NANOSECONDS.toMillis(Math.max(0, untilTrialNanos));
-                    return Optional.of(new BlockedPart(CrashEvidence.key(part), blocked.ends(), untilTrialMs));
+                    return Optional.of(new BlockedPart(ShortKey.of(part), blocked.ends(), untilTrialMs));
                 }
             }
         }
@@ -118,7 +119,7 @@
     /** Returns whether a part of a prompt is suspected or blocked. */
     public boolean isSuspected(List<String> parts) {
         Map<String, PartStatus> current = statuses;
-        return !current.isEmpty() && parts.stream().map(CrashEvidence::key).anyMatch(current::containsKey);
+        return !current.isEmpty() && parts.stream().map(ShortKey::of).anyMatch(current::containsKey);
     }
 
     /**
@@ -149,7 +150,7 @@
         Optional<BlockedPart> blocked = blockedPart(parts);
         if (blocked.isEmpty()) {
             parts.stream()
-                    .map(CrashEvidence::key)
+                    .map(ShortKey::of)
                     .filter(part -> statuses.get(part) instanceof PartStatus.Blocked)
                     .forEach(part -> {
                         triedNanos.put(part, time.nanoTime());
@@ -160,7 +161,7 @@
     }
 
     private String trialNode(String part) {
-        return RendezvousHash.preferred(CrashEvidence.key(part), nodes.get()).orElse(node);
+        return RendezvousHash.preferred(ShortKey.of(part), nodes.get()).orElse(node);
     }
 
     /** Returns when the next request with a blocked part may be sent. */
--- a/coordination/src/test/java/io/persimmonstack/coordination/crash/CrashEvidenceTest.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/crash/CrashEvidenceTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.persimmonstack.coordination.hash.ShortKey;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -248,8 +249,8 @@
         assertEquals(Optional.empty(), status("many" + CrashEvidence.MAX_PARTS_PER_PROMPT));
         String longPart = "x".repeat(10_000);
         end(evidence, List.of("first", longPart));
-        assertTrue(isSuspected(CrashEvidence.key(longPart)));
-        assertTrue(CrashEvidence.key(longPart).length() <= CrashEvidence.MAX_PART_LENGTH);
+        assertTrue(isSuspected(ShortKey.of(longPart)));
+        assertTrue(ShortKey.of(longPart).length() <= ShortKey.MAX_LENGTH);
     }
 
     @Test
