node: a refused request counts as demand without its body

What callers saw: some 13 requests with bodies of 4 MB, one after the other, for a model that cannot be loaded in their time; each is rightly refused at once, then the node runs out of memory and ends.

Cause: the demand of refused requests, which counts until their callers are expected to retry, was kept as the whole requests, outside of the memory that their receipt had reserved.

Change: kept are the service, the model, the versions and the time of receipt, for 4,096 requests at most; later ones take the places of the oldest. What is reported to the leader stays the same below that number.

--- a/node/src/main/java/io/persimmonstack/node/placing/LocalLoadCollector.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/LocalLoadCollector.java
@@ -24,16 +24,6 @@
     private final ArrivalRates arrivalRates = new ArrivalRates();
     private final ModelArrivalTracker modelArrivals;
 
-    /** Model or adapter of a service, and the only software version that may serve the requests for it, if any. */
-    private record DemandKey(String service, ModelRef model, Optional<String> softwareVersion) {
-        static DemandKey of(QueuedRequest queued, ModelRef model) {
-            return new DemandKey(
-                    queued.request().service().name(),
-                    model,
-                    queued.runnerFilter().softwareVersion());
-        }
-    }
-
     /**
      * Creates a collector that has counted no arrivals.
      *
@@ -85,13 +75,16 @@
 
     private List<ModelDemand> drainDemand(
             Collection<RunnerLoadTracker> trackers, Collection<QueuedRequest> queue, long nowNanos) {
-        Map<DemandKey, List<ActiveRequest>> requestsByKey = new HashMap<>();
+        Map<DemandKey, List<WaitingSince>> requestsByKey = new HashMap<>();
         arrivalCounts.keySet().forEach(key -> requestsByKey.put(key, new ArrayList<>()));
-        queue.forEach(queued ->
-                queued.request().callerRequest().model().ifPresent(model -> addTo(requestsByKey, queued, model)));
+        queue.forEach(queued -> queued.request()
+                .callerRequest()
+                .model()
+                .ifPresent(
+                        model -> addTo(requestsByKey, DemandKey.of(queued, model), WaitingSince.of(queued.request()))));
         modelArrivals.expectedRetries(nowNanos).stream()
                 .filter(retry -> !isHeld(retry, trackers, nowNanos))
-                .forEach(retry -> addTo(requestsByKey, retry.queued(), retry.model()));
+                .forEach(retry -> addTo(requestsByKey, retry.demand(), retry.since()));
         List<ModelDemand> demands = new ArrayList<>();
         requestsByKey.forEach((key, requests) -> demands.add(demand(key, requests, nowNanos)));
         arrivalCounts.clear();
@@ -104,22 +97,21 @@
      */
     private static boolean isHeld(
             ModelArrivalTracker.ExpectedRetry retry, Collection<RunnerLoadTracker> trackers, long nowNanos) {
-        String service = retry.queued().request().service().name();
-        RunnerFilter filter = retry.queued().runnerFilter();
+        String service = retry.demand().service();
+        RunnerFilter filter = retry.runnerFilter();
         return trackers.stream()
                 .filter(tracker -> tracker.runner().service().equals(service))
                 .filter(tracker -> filter.allowsVersionOf(tracker.runner()))
-                .anyMatch(tracker -> !tracker.runner().leaving() && tracker.holds(retry.model(), nowNanos));
+                .anyMatch(tracker -> !tracker.runner().leaving()
+                        && tracker.holds(retry.demand().model(), nowNanos));
     }
 
-    private static void addTo(Map<DemandKey, List<ActiveRequest>> requestsByKey, QueuedRequest queued, ModelRef model) {
-        requestsByKey
-                .computeIfAbsent(DemandKey.of(queued, model), ignored -> new ArrayList<>())
-                .add(queued.request());
+    private static void addTo(Map<DemandKey, List<WaitingSince>> requestsByKey, DemandKey key, WaitingSince since) {
+        requestsByKey.computeIfAbsent(key, ignored -> new ArrayList<>()).add(since);
     }
 
-    private ModelDemand demand(DemandKey key, List<ActiveRequest> requests, long nowNanos) {
-        Optional<ActiveRequest> oldest = requests.stream().min(Comparator.comparingLong(ActiveRequest::receivedNanos));
+    private ModelDemand demand(DemandKey key, List<WaitingSince> requests, long nowNanos) {
+        Optional<WaitingSince> oldest = requests.stream().min(Comparator.comparingLong(WaitingSince::receivedNanos));
         return new ModelDemand(
                 key.service(),
                 key.model(),
@@ -127,7 +119,7 @@
                 arrivalCounts.getOrDefault(key, 0),
                 oldest.map(request -> TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos()))
                         .orElse(0L),
-                oldest.map(request -> (long) request.route().targetLatencyMs()).orElse(0L),
+                oldest.map(request -> (long) request.targetLatencyMs()).orElse(0L),
                 key.softwareVersion());
     }
 }
--- a/node/src/main/java/io/persimmonstack/node/placing/ModelArrivalTracker.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/ModelArrivalTracker.java
@@ -1,7 +1,8 @@
 package io.persimmonstack.node.placing;
 
 import io.persimmonstack.node.request.ModelRef;
-import java.util.ArrayList;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,20 +22,24 @@
     /** Time after the advised retry time by which a caller is still expected to retry. */
     private static final long RETRY_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+    /** Number of refused requests that count as demand; beyond it, the oldest do not. */
+    private static final int MAX_EXPECTED_RETRIES = 4_096;
+
     private final Map<ModelKey, Long> earliestAvailableNanos = new HashMap<>();
-    private final List<ExpectedRetry> expectedRetries = new ArrayList<>();
+    private final Deque<ExpectedRetry> expectedRetries = new ArrayDeque<>();
     private long updatedNanos;
 
     private record ModelKey(String service, String model, Optional<String> softwareVersion) {}
 
     /**
-     * Refused request whose caller is expected to retry.
+     * What counts as demand of a refused request, without the request and its body.
      *
-     * @param queued refused request
-     * @param model requested model or adapter
-     * @param expiresNanos monotonic time from which the request no longer counts as demand
+     * @param demand service, model and versions that it asked for
+     * @param since when it was received, and its target
+     * @param runnerFilter runners that may take it
+     * @param expiresNanos monotonic time from which it no longer counts as demand
      */
-    record ExpectedRetry(QueuedRequest queued, ModelRef model, long expiresNanos) {}
+    record ExpectedRetry(DemandKey demand, WaitingSince since, RunnerFilter runnerFilter, long expiresNanos) {}
 
     /** Replaces all estimates. */
     void update(List<ModelArrival> arrivals, long nowNanos) {
@@ -84,7 +89,14 @@
         queued.request()
                 .callerRequest()
                 .model()
-                .ifPresent(model -> expectedRetries.add(new ExpectedRetry(queued, model, expiresNanos)));
+                .ifPresent(model -> expectedRetries.add(new ExpectedRetry(
+                        DemandKey.of(queued, model),
+                        WaitingSince.of(queued.request()),
+                        queued.runnerFilter(),
+                        expiresNanos)));
+        if (expectedRetries.size() > MAX_EXPECTED_RETRIES) {
+            expectedRetries.removeFirst();
+        }
     }
 
     /** Returns the refused requests whose callers are still expected to retry. */
