node: names of models that no configuration has are refused at once and kept nowhere

What callers saw: requests for models or adapters that do not exist, with names of 15 KB, at any node; after some 4,000 of them the node, or the leader that the node reports to, ran out of memory and ended. One such request waited until its deadline.

Cause: the demand for a model is counted, reported to the leader and kept there as a rate under the name that the caller sent, for as long as the rate decays.

Change: the service of a request must have the model and the adapter by the configuration (ModelCheck); else the request is refused with 404, or with 503 while a newer configuration may be in force, as for routes. Where a route splits its requests, a service that has the model takes it. A service without models takes the request as one for no model, where it waited for a runner with that model before. explain tells the same. The leader ignores reported demand for what the configuration lacks, since nodes of an earlier version may report it.

--- a/node/src/main/java/io/persimmonstack/node/callers/RequestExplainer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestExplainer.java
@@ -121,15 +121,18 @@
                     OptionalLong.empty());
         }
         ActiveRequest request = new ActiveRequest(
-                callerRequest,
+                ModelCheck.requestFor(service.get(), callerRequest),
                 route,
                 service.get(),
                 Optional.empty(),
                 nowNanos,
                 workspace,
                 routing.priority(workspace, route));
-        Optional<Refusal> refusal =
-                drainState.accepts(request, nowNanos) ? Optional.empty() : Optional.of(RouteRefusals.leaving());
+        Optional<Refusal> refusal = ModelCheck.refusal(
+                        service.get(), callerRequest, routing, fleet.routingUnconfirmedMs(nowNanos), applyMs)
+                .or(() -> drainState.accepts(request, nowNanos)
+                        ? Optional.empty()
+                        : Optional.of(RouteRefusals.leaving()));
         PlacementOutlook placement = placer.outlook(request);
         OptionalLong expectedLoadMs =
                 placement.choice().isPresent() || placement.expectedLoadMs().isPresent()
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -203,11 +203,9 @@
         summary.route = route;
         WorkspaceCheck.Checked checked = workspaces.check(callerRequest, route, routing, System.nanoTime());
         Optional<StreamOrigin> origin = origin(checked.callerRequest(), route);
-        String name = origin.map(StreamOrigin::service)
-                .orElseGet(() -> route.pickService(ThreadLocalRandom.current().nextDouble()));
-        Service service = routing.service(name).orElseThrow(() -> new RefusedException(RouteRefusals.noService(name)));
+        Service service = service(checked.callerRequest(), origin, route, routing);
         ActiveRequest request = new ActiveRequest(
-                checked.callerRequest(),
+                ModelCheck.requestFor(service, checked.callerRequest()),
                 route,
                 service,
                 origin,
@@ -220,6 +218,26 @@
         return request;
     }
 
+    /** Returns the service of a request: where its stream began, or one by the shares of the route. */
+    private Service service(
+            CallerRequest callerRequest, Optional<StreamOrigin> origin, Route route, RoutingTable routing)
+            throws RefusedException {
+        String name = origin.map(StreamOrigin::service)
+                .orElseGet(() -> route.pickService(ThreadLocalRandom.current().nextDouble()));
+        Service picked = routing.service(name).orElseThrow(() -> new RefusedException(RouteRefusals.noService(name)));
+        if (ModelCheck.takes(picked, callerRequest)) {
+            return picked;
+        }
+        Optional<Service> other =
+                origin.isPresent() ? Optional.empty() : ModelCheck.otherService(route, routing, callerRequest);
+        if (other.isPresent()) {
+            return other.get();
+        }
+        throw new RefusedException(ModelCheck.refusal(
+                        picked, callerRequest, routing, fleet.routingUnconfirmedMs(System.nanoTime()), applyMs)
+                .orElseThrow());
+    }
+
     /** Returns where the stream began that a request resumes, empty if it starts anew. */
     private Optional<StreamOrigin> origin(CallerRequest callerRequest, Route route)
             throws RefusedException, CallerGoneException {
--- a/node/src/main/java/io/persimmonstack/node/config/Engine.java
+++ b/node/src/main/java/io/persimmonstack/node/config/Engine.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node.config;
 
+import io.persimmonstack.node.request.ModelRef;
 import java.util.Map;
 
 /**
@@ -24,6 +25,13 @@
         models = Map.copyOf(models);
     }
 
+    /** Returns whether the service has a model or an adapter of this name. */
+    public boolean has(ModelRef model) {
+        Model configured = models.get(model.model());
+        return configured != null
+                && (!model.hasAdapter() || configured.adapters().contains(model.adapter()));
+    }
+
     /**
      * Returns the accelerator memory available for weights, in megabytes. The rest is reserved for
      * {@link #adapterSlots()} adapters of the largest size.
--- a/node/src/main/java/io/persimmonstack/node/config/Service.java
+++ b/node/src/main/java/io/persimmonstack/node/config/Service.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.node.config;
 
+import io.persimmonstack.node.request.ModelRef;
 import java.util.Optional;
 
 /**
@@ -10,4 +11,9 @@
  * @param maxConnections connections that a runner accepts in total
  * @param engine capacity of its model runners, empty for services without models
  */
-public record Service(String name, String healthPath, int maxConnections, Optional<Engine> engine) {}
+public record Service(String name, String healthPath, int maxConnections, Optional<Engine> engine) {
+    /** Returns whether the service has a model or an adapter of this name. */
+    public boolean has(ModelRef model) {
+        return engine.map(present -> present.has(model)).orElse(false);
+    }
+}
--- a/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
+++ b/node/src/main/java/io/persimmonstack/node/peers/LeaderHandler.java
@@ -2,14 +2,18 @@
 
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.node.RateLimitedLog;
+import io.persimmonstack.node.config.RoutingTable;
 import io.persimmonstack.node.fleet.FleetView;
 import io.persimmonstack.node.pace.FleetPaces;
+import io.persimmonstack.node.placing.ModelDemand;
 import io.persimmonstack.node.planning.NodeReports;
 import io.persimmonstack.node.planning.Planner;
 import io.persimmonstack.runtime.event.EventLog;
 import io.persimmonstack.wire.gen.FleetLoad;
 import io.persimmonstack.wire.gen.NodeLoad;
 import io.persimmonstack.wire.gen.WireRefusal;
+import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
 
@@ -67,7 +71,7 @@
             throw new WireRefusal(NOT_LEADING, "this node does not lead");
         }
         long nowNanos = System.nanoTime();
-        reports.update(load.getNode(), LoadMessages.usages(load), LoadMessages.demands(load), nowNanos);
+        reports.update(load.getNode(), LoadMessages.usages(load), configuredDemands(load), nowNanos);
         planner.suspect(load.getUnreachable());
         fleet.recordLeaving(LoadMessages.leaving(load), "node " + load.getNode());
         SnapshotDeltas.Delta delta = snapshotDeltas.deltaFor(
@@ -86,6 +90,19 @@
         return answer;
     }
 
+    /**
+     * Returns the demand that a node reports for models of the configuration. Names that it lacks would be kept with
+     * their rates, and callers can make nodes report as many of them as they like.
+     */
+    private List<ModelDemand> configuredDemands(NodeLoad load) {
+        Optional<RoutingTable> routing = fleet.current().routing();
+        return LoadMessages.demands(load).stream()
+                .filter(demand -> routing.flatMap(known -> known.service(demand.service()))
+                        .filter(service -> service.has(demand.model()))
+                        .isPresent())
+                .toList();
+    }
+
     /** Returns the number of runner processes whose pace is not the usual one. */
     public int unusualPaces() {
         return paces.unusualCount();
--- a/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
+++ b/node/src/main/java/io/persimmonstack/node/request/CallerRequest.java
@@ -45,8 +45,17 @@
         prompt = List.copyOf(prompt);
     }
 
+    /** Returns a copy that asks for no model. Its headers stay the same. */
+    public CallerRequest withoutModel() {
+        return copy(headers, Optional.empty());
+    }
+
     /** Returns a copy with other headers. */
     public CallerRequest withHeaders(List<HttpHeader> newHeaders) {
+        return copy(newHeaders, model);
+    }
+
+    private CallerRequest copy(List<HttpHeader> newHeaders, Optional<ModelRef> newModel) {
         return new CallerRequest(
                 id,
                 method,
@@ -56,7 +65,7 @@
                 newHeaders,
                 body,
                 timeLimitMs,
-                model,
+                newModel,
                 tokens,
                 prompt,
                 lastEventId,
--- a/node/src/main/java/io/persimmonstack/node/request/Refusal.java
+++ b/node/src/main/java/io/persimmonstack/node/request/Refusal.java
@@ -42,6 +42,11 @@
         return new Refusal(NOT_FOUND, "no-route", detail, OptionalLong.empty());
     }
 
+    /** Returns the refusal of a request for a model or an adapter that its service does not have. */
+    public static Refusal noModel(String detail) {
+        return new Refusal(NOT_FOUND, "no-model", detail, OptionalLong.empty());
+    }
+
     /** Returns the refusal of a request that has not run and will not run, so that the caller may retry it safely. */
     public static Refusal notRun(String reason, String detail, long retryAfterMs) {
         return new Refusal(SERVICE_UNAVAILABLE, reason, detail, OptionalLong.of(retryAfterMs));
