backends: connections with unfinished bodies give way to new ones

What callers saw: while clients held all places of a listener with bodies or chunks that come byte by byte, or stop short of their end, other callers were reset on connecting; of 31 ordinary requests one was answered.

Cause: a full listener closes the connection that has waited longest without a request, and a request counted from the end of its head on. One whose body never ends kept its place.

Change: the guard of a connection tells a body that is being received from a request that is served. At the bound the connection that has been idle, or has sent parts of the same request, for longest gives way; a whole request never does. The body that is given up returns its memory at once.

--- a/backends/src/main/java/io/persimmonstack/backends/http/BodyReader.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/BodyReader.java
@@ -119,6 +119,7 @@
             IoUtils.safeClose(exchange.getConnection());
             return;
         }
+        ConnectionGuard.of(exchange).ifPresent(guard -> guard.receiveBody(this::end));
         channel.getReadSetter().set(ignored -> Connectors.executeRootHandler(called -> readAvailable(), exchange));
         scheduleCheck();
         readAvailable();
@@ -189,6 +190,7 @@
 
     private void finish() {
         byte[] body = buffer.toBytes(reservation);
+        ConnectionGuard.of(exchange).ifPresent(ConnectionGuard::endBody);
         listener.received(exchange, body);
         end();
     }
--- a/backends/src/main/java/io/persimmonstack/backends/http/ConnectionGuard.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ConnectionGuard.java
@@ -31,6 +31,8 @@
     /** Bytes of a head whose memory is reserved at once. */
     private static final int HEAD_STEP_BYTES = 4 * 1024;
 
+    private static final Runnable NOTHING = () -> {};
+
     private final StreamConnection connection;
     private final Supplier<InputLimits> limits;
     private final ReceiveMemory.Reservation headMemory;
@@ -41,6 +43,7 @@
     private volatile long stateNanos = System.nanoTime();
     private volatile int headBytes;
     private volatile Optional<LingeringClose> lingering = Optional.empty();
+    private Runnable abandonBody = NOTHING;
     private int turnBytes = BYTES_PER_TURN;
 
     /** What a connection is used for. */
@@ -49,7 +52,9 @@
         IDLE,
         /** A part of a head has been received. */
         HEAD,
-        /** A request is received or served. */
+        /** A head has been received, and a part of its body. */
+        BODY,
+        /** A whole request is served. */
         REQUEST,
         /** The last answer has been sent, and the client has not closed the connection yet. */
         CLOSING
@@ -85,7 +90,7 @@
                 + exchange.getRequestURI().length()
                 + exchange.getQueryString().length();
         int size = headBytes - (later == null ? 0 : later.getBuffer().remaining()) - lineBytes;
-        enter(State.REQUEST);
+        enter(exchange.isRequestComplete() ? State.REQUEST : State.BODY);
         return Math.max(size, 0);
     }
 
@@ -97,6 +102,17 @@
         return reservedHeadBytes > SMALL_HEAD_BYTES;
     }
 
+    /** Sets what gives up the body that is being received if the connection is closed meanwhile. */
+    void receiveBody(Runnable abandon) {
+        abandonBody = abandon;
+    }
+
+    /** Records that the whole request has been received. */
+    void endBody() {
+        abandonBody = NOTHING;
+        enter(State.REQUEST);
+    }
+
     /** Records that the request has ended, so that another one may begin. */
     void endRequest() {
         enter(State.IDLE);
@@ -118,6 +134,7 @@
         return connection.isOpen();
     }
 
+    /** Returns whether a whole request has been received and not been answered. */
     boolean hasRequest() {
         return state == State.REQUEST;
     }
@@ -138,7 +155,7 @@
         return switch (state) {
             case IDLE -> waitedMs >= limits.get().idleTimeoutMs();
             case HEAD -> waitedMs >= limits.get().headerTimeoutMs();
-            case REQUEST -> false;
+            case BODY, REQUEST -> false;
             case CLOSING -> waitedMs >= LingeringClose.MAX_MS;
         };
     }
@@ -147,6 +164,7 @@
     void close() {
         IoUtils.safeClose(connection);
         releaseHead();
+        abandonBody.run();
     }
 
     /** Returns the memory of the heads of a closed connection. */
--- a/backends/src/main/java/io/persimmonstack/backends/http/GuardedListener.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/GuardedListener.java
@@ -14,8 +14,9 @@
 import org.xnio.StreamConnection;
 
 /**
- * Accepts connections of clients that may be outside the limits. At the bound on connections, the one that has waited
- * longest without a request is closed for a new one. Used on a single I/O thread.
+ * Accepts connections of clients that may be outside the limits. At the bound on connections, the one that has been
+ * idle, or has sent a part of the same request, for longest is closed for a new one: a client that finishes its
+ * requests is served also among many that do not. Used on a single I/O thread.
  */
 public final class GuardedListener implements ChannelListener<StreamConnection> {
     private final HttpOpenListener listener;
