runtime: logged values have a bound

Cause, by reading: the queue of a node's log holds 2,048 events, each with the values that a client sent, of up to 16 KB; only the number of lines a second has a bound. With an output that is slow they would fill the heap, and 40 lines of 16 KB a second are output for one client's mistakes.

It holds for all programs, since all log through it.

--- a/runtime/src/main/java/io/persimmonstack/runtime/event/EventLog.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/event/EventLog.java
@@ -24,14 +24,14 @@
     }
 
     /**
-     * Writes an event if its severity is enabled.
+     * Writes an event if its severity is enabled. Long values are shortened, see {@link LoggedValues}.
      *
      * @param event event to write
      * @param arguments values for the placeholders; an additional trailing throwable is logged with its stack trace
      */
     public void write(Event event, Object... arguments) {
         if (logger.isEnabled(event.level())) {
-            logger.log(event.level(), "PS" + event.number() + " " + event.message(), arguments);
+            logger.log(event.level(), "PS" + event.number() + " " + event.message(), LoggedValues.shortened(arguments));
         }
     }
 }
