router: bodies of completions are read without a tree

What callers saw: twenty requests with bodies of 1 MB that hold many small JSON objects, inside the limits and also without a key, and the router ran out of memory and ended. One such body takes some 27 times its size.

Cause: the body was parsed into a tree before its caller was identified, with nothing reserved but its length, and was written anew from the tree for the engine.

Change: ChatBodyReader reads a body in one pass and keeps places and hashes. The engine gets the bytes of the caller with another model name; that copy is reserved when the body is complete, else the request is refused as not run. The first 64 messages have identifiers; they are compared without white space between tokens.

--- a/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
@@ -10,6 +10,7 @@
 import io.persimmonstack.backends.http.RequestFraming;
 import io.persimmonstack.router.CallersSettings;
 import io.persimmonstack.router.filter.IdentifyFilter;
+import io.persimmonstack.router.filter.ReceiveFilter;
 import io.persimmonstack.router.request.CallerGoneException;
 import io.persimmonstack.router.request.CallerMessage;
 import io.persimmonstack.router.request.ProblemDocument;
@@ -152,6 +153,10 @@
             @Override
             public void received(HttpServerExchange whole, byte[] body) {
                 receiveTimeout.remove();
+                if (!reservation.tryAdd(copiedBytes(whole, body))) {
+                    BodyReader.refuse(whole, refusalText(MEMORY_IN_USE));
+                    return;
+                }
                 request.use();
                 whole.dispatch(executor, () -> {
                     try {
@@ -170,6 +175,11 @@
         });
     }
 
+    /** Returns the size of the copy that is made of a body: that of a completion gets another model name. */
+    private static long copiedBytes(HttpServerExchange exchange, byte[] body) {
+        return exchange.getRequestPath().equals(ReceiveFilter.COMPLETIONS_PATH) ? body.length : 0;
+    }
+
     /** Returns the answer to refused input; a body that arrives too slowly gets none. */
     private Optional<RefusalText> textOf(InputRefusal refusal) {
         return switch (refusal) {
--- a/router/src/main/java/io/persimmonstack/router/request/ChatBody.java
+++ b/router/src/main/java/io/persimmonstack/router/request/ChatBody.java
@@ -1,87 +1,54 @@
 package io.persimmonstack.router.request;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.util.JsonRecyclerPools;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.persimmonstack.coordination.hash.RendezvousHash;
-import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 
-/** Parsed JSON body of a chat completion request. Not thread-safe. */
+/**
+ * JSON body of a chat completion request, read in one pass without a tree, which would take many times the size of the
+ * body. Immutable.
+ */
 public final class ChatBody {
-    /** Number of characters of the message contents that {@link #prefixHash()} covers. */
-    private static final int PREFIX_CHARACTERS = 256;
-
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-    private static final long FNV_PRIME = 0x100000001b3L;
-    private static final JsonMapper MAPPER = JsonMapper.builder(JsonFactory.builder()
-                    .recyclerPool(JsonRecyclerPools.sharedConcurrentDequePool())
-                    .build())
-            .enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS)
-            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-            .build();
-
-    private final ObjectNode root;
+    private final byte[] body;
+    private final JsonSpan modelText;
     private final ModelName model;
     private final boolean stream;
+    private final long prefixHash;
+    private final List<String> promptParts;
 
-    private ChatBody(ObjectNode root, ModelName model, boolean stream) {
-        this.root = root;
+    /**
+     * Creates a body from what was read of it.
+     *
+     * @param body JSON in UTF-8
+     * @param modelText the name of the model in it, with its quotes
+     * @param model the same name
+     * @param stream whether the caller requested a streamed answer
+     * @param prefixHash hash of the start of the prompt
+     * @param promptParts identifiers of the messages
+     */
+    ChatBody(
+            byte[] body,
+            JsonSpan modelText,
+            ModelName model,
+            boolean stream,
+            long prefixHash,
+            List<String> promptParts) {
+        this.body = body;
+        this.modelText = modelText;
         this.model = model;
         this.stream = stream;
+        this.prefixHash = prefixHash;
+        this.promptParts = List.copyOf(promptParts);
     }
 
     /**
-     * Parses and checks the body of a chat completion request.
+     * Reads and checks the body of a chat completion request.
      *
      * @param body JSON in UTF-8
-     * @return the parsed body
-     * @throws RefusalException if the body is not a JSON object or one of {@code model}, {@code messages} and
-     *     {@code stream} is not of the expected form
+     * @return what the router needs of it
+     * @throws RefusalException if the body is not a JSON object, or one of {@code model}, {@code messages} and
+     *     {@code stream} is not of the expected form or comes twice
      */
     public static ChatBody parse(byte[] body) throws RefusalException {
-        JsonNode tree = readTree(body);
-        if (!(tree instanceof ObjectNode root)) {
-            throw malformed("body", "expected a JSON object");
-        }
-        JsonNode name = root.path("model");
-        if (!name.isTextual()) {
-            throw malformed("model " + nodeType(name), "expected text such as model@version+adapter");
-        }
-        ModelName model = ModelName.parse(name.textValue())
-                .orElseThrow(
-                        () -> malformed("model " + name, "expected model, model@version or model@version+adapter"));
-        if (!root.path("messages").isArray()) {
-            throw malformed("messages " + nodeType(root.path("messages")), "expected a list");
-        }
-        JsonNode stream = root.path("stream");
-        if (!stream.isMissingNode() && !stream.isNull() && !stream.isBoolean()) {
-            throw malformed("stream " + stream, "expected true or false");
-        }
-        return new ChatBody(root, model, stream.asBoolean(false));
-    }
-
-    private static JsonNode readTree(byte[] body) throws RefusalException {
-        try {
-            return MAPPER.readTree(body);
-        } catch (JsonProcessingException e) {
-            throw malformed("body", "expected JSON: " + e.getOriginalMessage());
-        } catch (IOException e) {
-            throw malformed("body", "expected JSON in UTF-8");
-        }
-    }
-
-    private static String nodeType(JsonNode node) {
-        return node.isMissingNode() ? "missing" : node.getNodeType().toString().toLowerCase(java.util.Locale.ROOT);
-    }
-
-    private static RefusalException malformed(String what, String expected) {
-        return Refusal.notRun(RefusalCode.MALFORMED, what + "; " + expected).exception();
+        return ChatBodyReader.read(body);
     }
 
     /** Returns the model name that the caller sent. */
@@ -95,28 +62,22 @@
     }
 
     /**
-     * Replaces the model name and returns the body to send to an engine.
+     * Returns the body to send to an engine, with another model name; all else stays as the caller sent it.
      *
      * @param resolvedModel {@code model@version}, followed by {@code +adapter} if an adapter is used
      * @return JSON in UTF-8
      */
     public byte[] withModel(String resolvedModel) {
-        root.put("model", resolvedModel);
-        try {
-            return MAPPER.writeValueAsBytes(root);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a parsed JSON tree can always be written", e);
-        }
+        return modelText.replacedIn(body, resolvedModel);
     }
 
     /**
-     * Returns an identifier of each message but the last, in order; equal messages have equal ones. Other requests may
-     * have these messages, too, while the last one is their own.
+     * Returns identifiers of the first {@link ChatBodyReader#MAX_PARTS} messages, without the last one of the prompt, in
+     * order; equal messages have equal ones. Other requests may have these messages, too, while the last one is their
+     * own.
      */
     public List<String> promptParts() {
-        List<String> parts = new ArrayList<>();
-        root.path("messages").forEach(message -> parts.add(Long.toHexString(RendezvousHash.hash(message.toString()))));
-        return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+        return promptParts;
     }
 
     /**
@@ -124,21 +85,6 @@
      * so that they can be sent to the same target.
      */
     public long prefixHash() {
-        long hash = FNV_OFFSET;
-        int remaining = PREFIX_CHARACTERS;
-        for (JsonNode message : root.path("messages")) {
-            String content = message.path("content").isTextual()
-                    ? message.path("content").textValue()
-                    : message.path("content").toString();
-            int count = Math.min(remaining, content.length());
-            for (int i = 0; i < count; i++) {
-                hash = (hash ^ content.charAt(i)) * FNV_PRIME;
-            }
-            remaining -= count;
-            if (remaining == 0) {
-                break;
-            }
-        }
-        return hash;
+        return prefixHash;
     }
 }
