router, runtime: refusals keep a bounded part of what they quote

What callers saw: 60 requests for models whose names have 1 MB, or 2,000 for services with paths of 30 KB, all refused, and the router ran out of memory and ended.

Cause: the list of the latest refusals bounds their number, 1,024, and keeps the name, path and detail of each whole. The search for the nearest known name compared the whole of it, too.

A name that differs by more characters than a hint allows is not compared.

--- a/router/src/main/java/io/persimmonstack/router/request/Refusal.java
+++ b/router/src/main/java/io/persimmonstack/router/request/Refusal.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.router.request;
 
+import io.persimmonstack.runtime.event.LoggedValues;
 import java.util.OptionalLong;
 
 /**
@@ -11,6 +12,11 @@
  * @param retryAfterMs delay in milliseconds before a retry, absent if a retry is not expected to help
  */
 public record Refusal(RefusalCode code, String detail, Ran ran, OptionalLong retryAfterMs) {
+    /** Shortens the detail, which quotes what the caller sent and is kept with the latest refusals. */
+    public Refusal {
+        detail = LoggedValues.shortened(detail);
+    }
+
     /**
      * Returns a refusal of a request that did not run and that a retry is not expected to help.
      *
--- a/router/src/main/java/io/persimmonstack/router/request/RefusalLog.java
+++ b/router/src/main/java/io/persimmonstack/router/request/RefusalLog.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.router.request;
 
+import io.persimmonstack.runtime.event.LoggedValues;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -54,7 +55,7 @@
         RefusedRequest refused = new RefusedRequest(
                 request.id(),
                 System.currentTimeMillis(),
-                requestedName(request),
+                LoggedValues.shortened(requestedName(request)),
                 request.policy(),
                 request.caller(),
                 refusal.code().code(),
--- a/runtime/src/main/java/io/persimmonstack/runtime/NearestMatch.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/NearestMatch.java
@@ -39,8 +39,12 @@
                 .orElse("");
     }
 
-    /** Returns the Levenshtein distance between two texts, ignoring letter case. */
+    /** Returns the Levenshtein distance between two texts, ignoring letter case; if it is too large, any such value. */
     private static int distance(String a, String b) {
+        int lengthDifference = Math.abs(a.length() - b.length());
+        if (lengthDifference > MAX_DISTANCE) {
+            return lengthDifference;
+        }
         int[] row = new int[b.length() + 1];
         for (int j = 0; j <= b.length(); j++) {
             row[j] = j;
