router: the time limit of a receipt ends with its connection

What callers saw: 120 bodies of 1 MB that stop just short of their end and whose connections are closed then, and the router ran out of memory and ended.

Cause: the timer that closes the connection of a slow request went on after the connection had gone, for up to 10 s, and held the exchange with what had come of its body, while the memory reserved for it had been returned.

Change: ReceiveTimeout ends with the request or its connection, whichever is first.

Result: RouterContentTest.bodiesThatAreBrokenOff, new here, failed before (the process ended) and holds with a peak of 117 MB. The node has no such timer; CallerContentTest.bodiesThatAreBrokenOff held before, with 117 MB.

--- a/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
@@ -33,8 +33,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import org.xnio.IoUtils;
-import org.xnio.XnioExecutor;
 
 /**
  * Buffers each request on the I/O thread, without blocking, and then handles it on its own virtual thread. Filters may
@@ -131,8 +129,10 @@
         openRequests.incrementAndGet();
         ReceiveMemory.Reservation reservation = memory.open();
         ReceivedRequest request = new ReceivedRequest(reservation::close);
+        ReceiveTimeout receiveTimeout = new ReceiveTimeout();
         ConnectionEnd.whenEnded(exchange, () -> {
             openRequests.decrementAndGet();
+            receiveTimeout.end();
             request.release();
         });
         if (RequestFraming.isAmbiguous(exchange)) {
@@ -144,15 +144,11 @@
             return;
         }
         RequestFraming.checkChunks(exchange);
-        XnioExecutor.Key receiveTimeout = exchange.getIoThread()
-                .executeAfter(
-                        () -> IoUtils.safeClose(exchange.getConnection()),
-                        settings.receiveTimeoutMs(),
-                        java.util.concurrent.TimeUnit.MILLISECONDS);
+        receiveTimeout.start(exchange, settings.receiveTimeoutMs());
         BodyReader.read(exchange, limits, memory, reservation, request, new BodyReader.Listener() {
             @Override
             public void received(HttpServerExchange whole, byte[] body) {
-                receiveTimeout.remove();
+                receiveTimeout.end();
                 if (!reservation.tryAdd(copiedBytes(whole, body))) {
                     BodyReader.refuse(whole, refusalText(MEMORY_IN_USE));
                     return;
@@ -169,7 +165,7 @@
 
             @Override
             public Optional<RefusalText> refused(InputRefusal refusal) {
-                receiveTimeout.remove();
+                receiveTimeout.end();
                 return textOf(refusal);
             }
         });
--- a/router/src/test/java/io/persimmonstack/router/RouterContentTest.java
+++ b/router/src/test/java/io/persimmonstack/router/RouterContentTest.java
@@ -164,6 +164,20 @@
         return headers + "\r\n";
     }
 
+    /** The time limit for the receipt of a request used to keep what had come of its body after its caller had left. */
+    @Test
+    void bodiesThatAreBrokenOff() throws Exception {
+        byte[] start = bytes("POST /services/map/x HTTP/1.1\r\nHost: r\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n");
+        byte[] part = new byte[BODY_BYTES - 1_000];
+        check.checkDuring(
+                Crowd.startRepeating(2, port, 60, out -> {
+                    out.write(start);
+                    out.write(part);
+                    throw new IOException("broken off");
+                }),
+                SENDING_MS);
+    }
+
     /** Bodies that go on slowly used to take all places: other callers were reset. */
     @Test
     void bodiesThatDripOnAllConnections() throws Exception {
