runtime, backends: guarded HTTP servers move to runtime

The admin port of every program is in runtime, which backends depends on; it cannot be guarded as the other listeners are while the guard is in backends. The server side moves as it is: guards, listeners, limits, reservations, reading and refusing of bodies, and their two tests. backends/http keeps the client and what checks the framing. No behaviour changes; three types that both use became public.

--- a/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ExchangeDriver.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.backends.http;
 
+import io.persimmonstack.runtime.http.FramingException;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
--- a/backends/src/main/java/io/persimmonstack/backends/http/FramingConduit.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/FramingConduit.java
@@ -1,5 +1,7 @@
 package io.persimmonstack.backends.http;
 
+import io.persimmonstack.runtime.http.BufferSourceConduit;
+import io.persimmonstack.runtime.http.FramingException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.xnio.conduits.StreamSourceConduit;
--- a/backends/src/main/java/io/persimmonstack/backends/http/ResponseFraming.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/ResponseFraming.java
@@ -1,5 +1,6 @@
 package io.persimmonstack.backends.http;
 
+import io.persimmonstack.runtime.http.FramingException;
 import java.nio.ByteBuffer;
 import java.util.Locale;
 import java.util.OptionalLong;
--- a/node/src/main/java/io/persimmonstack/node/Node.java
+++ b/node/src/main/java/io/persimmonstack/node/Node.java
@@ -2,8 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.persimmonstack.backends.RefusedInputs;
-import io.persimmonstack.backends.http.InputLimits;
-import io.persimmonstack.backends.http.ReceiveMemory;
 import io.persimmonstack.coordination.kv.WatchTimes;
 import io.persimmonstack.node.callers.Directory;
 import io.persimmonstack.node.callers.DrainState;
@@ -48,6 +46,8 @@
 import io.persimmonstack.runtime.ProgramException;
 import io.persimmonstack.runtime.RunningProgram;
 import io.persimmonstack.runtime.event.EventLog;
+import io.persimmonstack.runtime.http.InputLimits;
+import io.persimmonstack.runtime.http.ReceiveMemory;
 import io.persimmonstack.wire.PeerAddress;
 import io.persimmonstack.wire.PeerSecurity;
 import io.persimmonstack.wire.ThriftPeers;
--- a/node/src/main/java/io/persimmonstack/node/callers/HttpListeners.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/HttpListeners.java
@@ -1,12 +1,12 @@
 package io.persimmonstack.node.callers;
 
-import io.persimmonstack.backends.http.BodyReader;
-import io.persimmonstack.backends.http.FatalErrorHandler;
-import io.persimmonstack.backends.http.GuardedListener;
-import io.persimmonstack.backends.http.InputRefusal;
-import io.persimmonstack.backends.http.RefusalText;
-import io.persimmonstack.backends.http.WorkerShutdown;
 import io.persimmonstack.runtime.ProgramException;
+import io.persimmonstack.runtime.http.BodyReader;
+import io.persimmonstack.runtime.http.FatalErrorHandler;
+import io.persimmonstack.runtime.http.GuardedListener;
+import io.persimmonstack.runtime.http.InputRefusal;
+import io.persimmonstack.runtime.http.RefusalText;
+import io.persimmonstack.runtime.http.WorkerShutdown;
 import io.persimmonstack.wire.PeerAddress;
 import io.undertow.Handlers;
 import io.undertow.Undertow;
--- a/node/src/main/java/io/persimmonstack/node/callers/ListenerOptions.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/ListenerOptions.java
@@ -1,8 +1,8 @@
 package io.persimmonstack.node.callers;
 
-import io.persimmonstack.backends.http.InputLimits;
-import io.persimmonstack.backends.http.InputRefusal;
-import io.persimmonstack.backends.http.ReceiveMemory;
+import io.persimmonstack.runtime.http.InputLimits;
+import io.persimmonstack.runtime.http.InputRefusal;
+import io.persimmonstack.runtime.http.ReceiveMemory;
 import io.persimmonstack.wire.PeerAddress;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
@@ -1,19 +1,19 @@
 package io.persimmonstack.node.callers;
 
-import io.persimmonstack.backends.http.BodyReader;
-import io.persimmonstack.backends.http.ConnectionEnd;
 import io.persimmonstack.backends.http.HttpHeader;
-import io.persimmonstack.backends.http.InputLimits;
-import io.persimmonstack.backends.http.InputRefusal;
-import io.persimmonstack.backends.http.ReceiveMemory;
-import io.persimmonstack.backends.http.ReceivedRequest;
-import io.persimmonstack.backends.http.RefusalText;
 import io.persimmonstack.backends.http.RequestFraming;
 import io.persimmonstack.node.request.RawRequest;
 import io.persimmonstack.router.callers.AnswerMemory;
 import io.persimmonstack.router.callers.CallerWatch;
 import io.persimmonstack.router.callers.UndertowReply;
 import io.persimmonstack.runtime.FatalErrors;
+import io.persimmonstack.runtime.http.BodyReader;
+import io.persimmonstack.runtime.http.ConnectionEnd;
+import io.persimmonstack.runtime.http.InputLimits;
+import io.persimmonstack.runtime.http.InputRefusal;
+import io.persimmonstack.runtime.http.ReceiveMemory;
+import io.persimmonstack.runtime.http.ReceivedRequest;
+import io.persimmonstack.runtime.http.RefusalText;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderValues;
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -1,6 +1,5 @@
 package io.persimmonstack.node.callers;
 
-import io.persimmonstack.backends.http.InputRefusal;
 import io.persimmonstack.node.NodeEvent;
 import io.persimmonstack.node.NodeMetrics;
 import io.persimmonstack.node.RateLimitedLog;
@@ -25,6 +24,7 @@
 import io.persimmonstack.router.request.CallerGoneException;
 import io.persimmonstack.router.request.Reply;
 import io.persimmonstack.runtime.event.EventLog;
+import io.persimmonstack.runtime.http.InputRefusal;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
--- a/node/src/main/java/io/persimmonstack/node/config/RoutingTable.java
+++ b/node/src/main/java/io/persimmonstack/node/config/RoutingTable.java
@@ -1,6 +1,6 @@
 package io.persimmonstack.node.config;
 
-import io.persimmonstack.backends.http.InputLimits;
+import io.persimmonstack.runtime.http.InputLimits;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
--- a/node/src/test/java/io/persimmonstack/node/callers/HttpListenersTest.java
+++ b/node/src/test/java/io/persimmonstack/node/callers/HttpListenersTest.java
@@ -2,8 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.persimmonstack.backends.http.InputLimits;
-import io.persimmonstack.backends.http.ReceiveMemory;
+import io.persimmonstack.runtime.http.InputLimits;
+import io.persimmonstack.runtime.http.ReceiveMemory;
 import io.persimmonstack.wire.PeerAddress;
 import java.io.BufferedReader;
 import java.io.IOException;
--- a/router/src/main/java/io/persimmonstack/router/callers/AnswerMemory.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/AnswerMemory.java
@@ -1,6 +1,6 @@
 package io.persimmonstack.router.callers;
 
-import io.persimmonstack.backends.http.ReceiveMemory;
+import io.persimmonstack.runtime.http.ReceiveMemory;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
--- a/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
@@ -1,12 +1,5 @@
 package io.persimmonstack.router.callers;
 
-import io.persimmonstack.backends.http.BodyReader;
-import io.persimmonstack.backends.http.ConnectionEnd;
-import io.persimmonstack.backends.http.InputLimits;
-import io.persimmonstack.backends.http.InputRefusal;
-import io.persimmonstack.backends.http.ReceiveMemory;
-import io.persimmonstack.backends.http.ReceivedRequest;
-import io.persimmonstack.backends.http.RefusalText;
 import io.persimmonstack.backends.http.RequestFraming;
 import io.persimmonstack.router.CallersSettings;
 import io.persimmonstack.router.filter.IdentifyFilter;
@@ -21,6 +14,13 @@
 import io.persimmonstack.router.snapshot.FleetView;
 import io.persimmonstack.router.snapshot.FleetViews;
 import io.persimmonstack.router.snapshot.SelfDescription;
+import io.persimmonstack.runtime.http.BodyReader;
+import io.persimmonstack.runtime.http.ConnectionEnd;
+import io.persimmonstack.runtime.http.InputLimits;
+import io.persimmonstack.runtime.http.InputRefusal;
+import io.persimmonstack.runtime.http.ReceiveMemory;
+import io.persimmonstack.runtime.http.ReceivedRequest;
+import io.persimmonstack.runtime.http.RefusalText;
 import io.persimmonstack.wire.gen.RouterState;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
--- a/router/src/main/java/io/persimmonstack/router/callers/CallersServer.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallersServer.java
@@ -1,10 +1,10 @@
 package io.persimmonstack.router.callers;
 
-import io.persimmonstack.backends.http.GuardedServer;
-import io.persimmonstack.backends.http.GuardedServerOptions;
-import io.persimmonstack.backends.http.InputRefusal;
 import io.persimmonstack.router.CallersSettings;
 import io.persimmonstack.runtime.ProgramException;
+import io.persimmonstack.runtime.http.GuardedServer;
+import io.persimmonstack.runtime.http.GuardedServerOptions;
+import io.persimmonstack.runtime.http.InputRefusal;
 import io.persimmonstack.runtime.tls.TlsContexts;
 import io.persimmonstack.wire.PeerAddress;
 import java.io.IOException;
--- a/backends/src/main/java/io/persimmonstack/backends/http/BufferSourceConduit.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/BufferSourceConduit.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.backends.http;
+package io.persimmonstack.runtime.http;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -10,8 +10,9 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /** Source of bytes all of whose reads go through {@link #read(ByteBuffer)}, so that a subclass sees each byte. */
-abstract class BufferSourceConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
-    BufferSourceConduit(StreamSourceConduit source) {
+public abstract class BufferSourceConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    /** Creates a source of the bytes of another one. */
+    protected BufferSourceConduit(StreamSourceConduit source) {
         super(source);
     }
 
--- a/backends/src/main/java/io/persimmonstack/backends/http/GuardedListener.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/GuardedListener.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.backends.http;
+package io.persimmonstack.runtime.http;
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
--- a/backends/src/main/java/io/persimmonstack/backends/http/GuardedServerOptions.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/GuardedServerOptions.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.backends.http;
+package io.persimmonstack.runtime.http;
 
 import java.util.function.Consumer;
 import java.util.function.Supplier;
--- a/backends/src/main/java/io/persimmonstack/backends/http/InputLimits.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/InputLimits.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.backends.http;
+package io.persimmonstack.runtime.http;
 
 /**
  * Limits of the requests that a listener accepts.
--- a/backends/src/main/java/io/persimmonstack/backends/http/InputRefusal.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/InputRefusal.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.backends.http;
+package io.persimmonstack.runtime.http;
 
 /** Why the input of a client is not accepted. The request was not run. */
 public enum InputRefusal {
--- a/backends/src/main/java/io/persimmonstack/backends/http/ReceiveMemory.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/ReceiveMemory.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.backends.http;
+package io.persimmonstack.runtime.http;
 
 /**
  * Memory for data that has been received and not yet passed on: heads, bodies, and requests that wait. Reservations of
--- a/backends/src/main/java/io/persimmonstack/backends/http/ReceivedRequest.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/ReceivedRequest.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.backends.http;
+package io.persimmonstack.runtime.http;
 
 /**
  * Runs an action once nothing uses the memory of a request any more: neither its exchange, nor the reader of its body,
--- a/backends/src/main/java/io/persimmonstack/backends/http/RefusalAnswer.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/RefusalAnswer.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.backends.http;
+package io.persimmonstack.runtime.http;
 
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
--- a/backends/src/main/java/io/persimmonstack/backends/http/RefusalText.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/RefusalText.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.backends.http;
+package io.persimmonstack.runtime.http;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
--- a/backends/src/main/java/io/persimmonstack/backends/http/WorkerShutdown.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/WorkerShutdown.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.backends.http;
+package io.persimmonstack.runtime.http;
 
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioWorker;
--- a/backends/src/test/java/io/persimmonstack/backends/http/ReceiveMemoryTest.java
+++ b/runtime/src/test/java/io/persimmonstack/runtime/http/ReceiveMemoryTest.java
@@ -1,4 +1,4 @@
-package io.persimmonstack.backends.http;
+package io.persimmonstack.runtime.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
