node, router: connections do not keep their last answers

What callers saw: 100 requests, answered with 1 MB each, on connections that stay open, and the node ran out of memory and ended; nothing of it was outside the limits.

Cause: Undertow writes the head of an answer together with the first bytes of its body, and its connection keeps the array with these bytes until the next answer, after the memory of the answer has been returned.

Change: AnswerBody copies the first 4 KB of a large body; what follows is written apart and not kept.

--- a/router/src/main/java/io/persimmonstack/router/callers/UndertowReply.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/UndertowReply.java
@@ -2,13 +2,13 @@
 
 import io.persimmonstack.router.request.CallerGoneException;
 import io.persimmonstack.router.request.Reply;
+import io.persimmonstack.runtime.http.AnswerBody;
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -112,7 +112,7 @@
             return;
         }
         CompletableFuture<Void> written = new CompletableFuture<>();
-        exchange.getResponseSender().send(ByteBuffer.wrap(part), new IoCallback() {
+        AnswerBody.send(exchange, part, new IoCallback() {
             @Override
             public void onComplete(HttpServerExchange done, Sender sender) {
                 written.complete(null);
