runtime: the admin port is guarded like the ports of callers

What callers saw: 1,500 clients that connect to the admin port of a router or coordinator and send nothing, or heads without an end, took as many descriptors; whole requests with long heads ended the process; so did 150 clients that ask for the page of refusals and do not read it.

Cause: the port had Undertow's own bounds, which limit neither connections nor answers in memory.

Change: AdminServer uses GuardedServer: connections by the heap (256 KB each), heads of 32 KB, 10 s for a head, 60 s idle, no bodies. Answers that wait for their clients fill a sixteenth of the heap at most, others get 503; a client that has not taken its answer after 10 s is closed. Refusals are counted as admin.refused.REASON. The handler that refuses bodies is one for node, router and coordinator.

--- a/node/src/main/java/io/persimmonstack/node/callers/HttpListeners.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/HttpListeners.java
@@ -1,11 +1,9 @@
 package io.persimmonstack.node.callers;
 
 import io.persimmonstack.runtime.ProgramException;
-import io.persimmonstack.runtime.http.BodyReader;
+import io.persimmonstack.runtime.http.BodilessHandler;
 import io.persimmonstack.runtime.http.FatalErrorHandler;
 import io.persimmonstack.runtime.http.GuardedListener;
-import io.persimmonstack.runtime.http.InputRefusal;
-import io.persimmonstack.runtime.http.RefusalText;
 import io.persimmonstack.runtime.http.WorkerShutdown;
 import io.persimmonstack.wire.PeerAddress;
 import io.undertow.Handlers;
@@ -106,7 +104,8 @@
         int maxConnections = options.maxConnections(address);
         GuardedListener guard =
                 GuardedListener.of(http, maxConnections, options.limits(), options.memory(), options.onRefusal());
-        HttpHandler served = address.equals(options.callers()) ? handler : withoutBodies(handler);
+        HttpHandler served =
+                address.equals(options.callers()) ? handler : BodilessHandler.before(handler, options.onRefusal());
         http.setRootHandler(FatalErrorHandler.wrap(guard.checkingHeads(Handlers.httpContinueRead(served))));
         guards.add(guard);
         channels.add(worker.createStreamConnectionServer(
@@ -130,19 +129,6 @@
                         () -> guards.forEach(GuardedListener::closeOverdue), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Refuses requests with a body, which would otherwise be read to its end before the answer is sent. */
-    private HttpHandler withoutBodies(HttpHandler handler) {
-        return exchange -> {
-            if (exchange.isRequestComplete()) {
-                handler.handleRequest(exchange);
-            } else {
-                options.onRefusal().accept(InputRefusal.BODY_TOO_LARGE);
-                BodyReader.refuse(
-                        exchange, RefusalText.plain(InputRefusal.BODY_TOO_LARGE).orElseThrow());
-            }
-        };
-    }
-
     @Override
     public void close() {
         if (check != null) {
--- a/router/src/test/java/io/persimmonstack/router/RouterContentTest.java
+++ b/router/src/test/java/io/persimmonstack/router/RouterContentTest.java
@@ -57,6 +57,7 @@
 
     private HttpClient client;
     private int port;
+    private int adminPort;
     private CrowdCheck check;
 
     @BeforeEach
@@ -67,13 +68,20 @@
         FakeCoordinator coordinator = closer.add(FakeCoordinator.start("c1"));
         port = FreePort.find();
         int peerPort = FreePort.find();
+        adminPort = FreePort.find();
         String settings = SETTINGS.formatted(port, peerPort, coordinator.address(), FreePort.find(), MAX_BODY_BYTES);
         Path file = Files.writeString(directory.resolve("router.json"), settings);
         coordinator.publish(FakeFleet.of()
                 .router("e1", "127.0.0.1:" + port, "127.0.0.1:" + peerPort, RouterState.SERVING)
                 .service("map", target));
         JavaProcess process = closer.add(JavaProcess.start(
-                HEAP_MB, directory.resolve("log").toFile(), RouterProgram.class, "--settings", file.toString()));
+                HEAP_MB,
+                directory.resolve("log").toFile(),
+                RouterProgram.class,
+                "--settings",
+                file.toString(),
+                "--admin",
+                "127.0.0.1:" + adminPort));
         check = CrowdCheck.of(process.handle(), MEMORY_MB, MAX_DESCRIPTORS, this::isOrdinaryRequestAnswered);
         assertTrue(check.answersOrdinaryRequest(), "ordinary request answered before the crowd");
     }
@@ -178,6 +186,24 @@
                 SENDING_MS);
     }
 
+    /** Pages that nobody reads used to stay in memory, one a connection. */
+    @Test
+    void pagesThatAreNotRead() throws Exception {
+        try (Crowd refused =
+                Crowd.startRepeating(8, port, 200, out -> out.write(request("/nothing-" + "x".repeat(300), "", "")))) {
+            refused.awaitSent(SENDING_MS);
+        }
+        byte[] request = bytes("GET /refusals/ HTTP/1.1\r\nHost: r\r\n\r\n");
+        // Several on each connection, since the system takes the first ones.
+        check.checkDuring(
+                Crowd.startOnce(150, adminPort, out -> {
+                    for (int i = 0; i < 8; i++) {
+                        out.write(request);
+                    }
+                }),
+                ENDLESS_MS);
+    }
+
     /** Bodies that go on slowly used to take all places: other callers were reset. */
     @Test
     void bodiesThatDripOnAllConnections() throws Exception {
--- a/runtime/src/main/java/io/persimmonstack/runtime/admin/AdminServer.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/admin/AdminServer.java
@@ -2,26 +2,45 @@
 
 import io.persimmonstack.runtime.ProgramContext;
 import io.persimmonstack.runtime.ProgramException;
+import io.persimmonstack.runtime.http.BodilessHandler;
+import io.persimmonstack.runtime.http.GuardedServer;
+import io.persimmonstack.runtime.http.GuardedServerOptions;
+import io.persimmonstack.runtime.http.InputLimits;
+import io.persimmonstack.runtime.http.InputRefusal;
+import io.persimmonstack.runtime.http.ReceiveMemory;
 import io.persimmonstack.runtime.tls.TlsContexts;
 import io.persimmonstack.runtime.tls.TlsSettings;
-import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.Consumer;
 
 /**
  * HTTP server of the admin port: {@code /health}, {@code /ready}, {@code /metrics}, {@code /traces/{id}} and the
- * {@link AdminPages} of the program.
+ * {@link AdminPages} of the program. Bounds what its clients send, hold and leave unread, as the ports of callers do.
  */
 public final class AdminServer implements AutoCloseable {
     private static final String JSON = "application/json";
-    private final Undertow server;
+    /** Part of the heap per connection; operators and monitors have few. */
+    private static final int HEAP_BYTES_PER_CONNECTION = 256 * 1024;
+
+    private static final int MAX_HEADERS = 100;
+    private static final int MAX_HEADER_BYTES = 32 * 1024;
+    private static final int HEADER_TIMEOUT_MS = 10_000;
+    private static final int IDLE_TIMEOUT_MS = 60_000;
+    /** Longest time for which a client may leave an answer untaken, in milliseconds. */
+    private static final int ANSWER_TIMEOUT_MS = 10_000;
+    /** Parts of the heap that heads and answers may fill, each. */
+    private static final int HEAP_DIVISOR = 16;
+
+    private final GuardedServer server;
     private final Optional<TlsContexts.PortTls> portTls;
 
-    private AdminServer(Undertow server, Optional<TlsContexts.PortTls> portTls) {
+    private AdminServer(GuardedServer server, Optional<TlsContexts.PortTls> portTls) {
         this.server = server;
         this.portTls = portTls;
     }
@@ -52,74 +71,87 @@
     public static AdminServer start(String ip, int port, Optional<TlsSettings> tls, ProgramContext context)
             throws ProgramException {
         Optional<TlsContexts.PortTls> portTls = TlsContexts.ofPort(tls);
-        Undertow server = TlsContexts.listener(ip, port, portTls)
-                .setIoThreads(1)
-                .setWorkerThreads(1)
-                .setHandler(handler(context))
-                .build();
+        Consumer<InputRefusal> onRefusal = refusal ->
+                context.metrics().counter("admin.refused." + refusal.reason()).inc();
         try {
-            server.start();
-        } catch (RuntimeException e) {
+            GuardedServer server = GuardedServer.start(
+                    new InetSocketAddress(ip, port),
+                    portTls.map(TlsContexts.PortTls::context),
+                    options(onRefusal),
+                    BodilessHandler.before(handler(context), onRefusal));
+            return new AdminServer(server, portTls);
+        } catch (IOException e) {
+            portTls.ifPresent(TlsContexts.PortTls::close);
             throw new ProgramException("admin port " + ip + ":" + port + " cannot be bound: " + e.getMessage(), e);
         }
-        return new AdminServer(server, portTls);
+    }
+
+    private static GuardedServerOptions options(Consumer<InputRefusal> onRefusal) {
+        InputLimits limits = new InputLimits(MAX_HEADER_BYTES, 1, HEADER_TIMEOUT_MS, IDLE_TIMEOUT_MS);
+        return new GuardedServerOptions(
+                1,
+                GuardedServerOptions.connectionsOfHeap(HEAP_BYTES_PER_CONNECTION),
+                MAX_HEADERS,
+                () -> limits,
+                ReceiveMemory.ofBytes(partOfHeap()),
+                onRefusal,
+                OptionalInt.of(ANSWER_TIMEOUT_MS));
+    }
+
+    private static long partOfHeap() {
+        return Runtime.getRuntime().maxMemory() / HEAP_DIVISOR;
     }
 
     /** Returns the TCP port that the server listens on; the one chosen by the system if it was started with port 0. */
     public int port() {
-        return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+        return server.port();
     }
 
     private static HttpHandler handler(ProgramContext context) {
         MetricsPage metrics = MetricsPage.of(context.metrics());
+        AdminAnswers answers = AdminAnswers.within(partOfHeap());
         return exchange -> {
             String path = exchange.getRequestPath();
             if (path.equals("/health")) {
-                send(exchange, StatusCodes.OK, "text/plain", "ok\n");
+                answers.send(exchange, StatusCodes.OK, "text/plain", "ok\n");
             } else if (path.equals("/ready")) {
-                sendReadiness(exchange, context.readiness());
+                sendReadiness(exchange, context.readiness(), answers);
             } else if (path.equals("/metrics")) {
-                send(exchange, StatusCodes.OK, JSON, metrics.json());
+                answers.send(exchange, StatusCodes.OK, JSON, metrics.json());
             } else if (path.startsWith("/traces/")) {
                 String id = path.substring("/traces/".length());
-                send(
+                answers.send(
                         exchange,
                         StatusCodes.OK,
                         JSON,
                         TracePage.json(context.tracing().buffer().trace(id)));
             } else {
-                sendPage(exchange, context.pages());
+                sendPage(exchange, context.pages(), answers);
             }
         };
     }
 
-    private static void sendPage(HttpServerExchange exchange, AdminPages pages) {
+    private static void sendPage(HttpServerExchange exchange, AdminPages pages, AdminAnswers answers) {
         Optional<String> page = pages.json(exchange.getRequestPath());
         if (page.isPresent()) {
-            send(exchange, StatusCodes.OK, JSON, page.get());
+            answers.send(exchange, StatusCodes.OK, JSON, page.get());
         } else {
             String knownPaths = "known: /health /ready /metrics /traces/{id} " + String.join(" ", pages.prefixes());
-            send(exchange, StatusCodes.NOT_FOUND, "text/plain", knownPaths.strip() + "\n");
+            answers.send(exchange, StatusCodes.NOT_FOUND, "text/plain", knownPaths.strip() + "\n");
         }
     }
 
-    private static void sendReadiness(HttpServerExchange exchange, Readiness readiness) {
+    private static void sendReadiness(HttpServerExchange exchange, Readiness readiness, AdminAnswers answers) {
         if (readiness.isReady()) {
-            send(exchange, StatusCodes.OK, "text/plain", "ready\n");
+            answers.send(exchange, StatusCodes.OK, "text/plain", "ready\n");
         } else {
-            send(exchange, StatusCodes.SERVICE_UNAVAILABLE, "text/plain", readiness.notReadyReason() + "\n");
+            answers.send(exchange, StatusCodes.SERVICE_UNAVAILABLE, "text/plain", readiness.notReadyReason() + "\n");
         }
     }
 
-    private static void send(HttpServerExchange exchange, int status, String type, String body) {
-        exchange.setStatusCode(status);
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, type);
-        exchange.getResponseSender().send(body);
-    }
-
     @Override
     public void close() {
-        server.stop();
+        server.close();
         portTls.ifPresent(TlsContexts.PortTls::close);
     }
 }
--- a/runtime/src/main/java/io/persimmonstack/runtime/http/GuardedListener.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/GuardedListener.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.xnio.ChannelListener;
@@ -138,4 +139,13 @@
             }
         }
     }
+
+    /** Closes the connections whose request has had no whole answer for the given time, in milliseconds. */
+    void closeUnanswered(int timeoutMs) {
+        long nowNanos = System.nanoTime();
+        connections.stream()
+                .filter(ConnectionGuard::hasRequest)
+                .filter(guard -> nowNanos - guard.stateNanos() >= TimeUnit.MILLISECONDS.toNanos(timeoutMs))
+                .forEach(ConnectionGuard::close);
+    }
 }
--- a/runtime/src/main/java/io/persimmonstack/runtime/http/GuardedServer.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/GuardedServer.java
@@ -122,11 +122,18 @@
     private GuardedListener guardOf(XnioIoThread thread) {
         return guards.computeIfAbsent(thread, added -> {
             GuardedListener guard = createGuard();
-            checks.put(added, added.executeAtInterval(guard::closeOverdue, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS));
+            checks.put(
+                    added,
+                    added.executeAtInterval(() -> closeOverdue(guard), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS));
             return guard;
         });
     }
 
+    private void closeOverdue(GuardedListener guard) {
+        guard.closeOverdue();
+        options.answerTimeoutMs().ifPresent(guard::closeUnanswered);
+    }
+
     private GuardedListener createGuard() {
         return GuardedListener.of(
                 http, options.maxConnectionsPerThread(), options.limits(), options.memory(), options.onRefusal());
--- a/runtime/src/main/java/io/persimmonstack/runtime/tls/TlsContexts.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/tls/TlsContexts.java
@@ -1,7 +1,6 @@
 package io.persimmonstack.runtime.tls;
 
 import io.persimmonstack.runtime.ProgramException;
-import io.undertow.Undertow;
 import java.nio.file.Path;
 import java.security.GeneralSecurityException;
 import java.util.List;
@@ -38,21 +37,6 @@
         return settings.isPresent() ? Optional.of(ofPort(settings.get())) : Optional.empty();
     }
 
-    /**
-     * Returns an Undertow builder with one HTTP or HTTPS listener.
-     *
-     * @param ip IP address to listen on
-     * @param port TCP port, 0 for any free port
-     * @param portTls TLS of the port, empty for plain HTTP
-     * @return the builder
-     */
-    public static Undertow.Builder listener(String ip, int port, Optional<PortTls> portTls) {
-        Undertow.Builder builder = Undertow.builder();
-        return portTls.isPresent()
-                ? builder.addHttpsListener(port, ip, portTls.get().context())
-                : builder.addHttpListener(port, ip);
-    }
-
     private static PortTls ofPort(TlsSettings settings) throws ProgramException {
         ReloadedFiles<X509ExtendedKeyManager> files = ReloadedFiles.start(
                 "keyStore",
