backends: connections to runners remember refused requests by a key

Cause, by reading: each connection to a runner keeps the identifiers of up to 32 requests that the runner refused on it, as callers sent them, 15 KB at most; with 50 connections that is 24 MB that nothing reserved.

Change: they are kept by ShortKey, 64 characters at most.

--- a/backends/src/main/java/io/persimmonstack/backends/http/PooledConnection.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/PooledConnection.java
@@ -1,6 +1,7 @@
 package io.persimmonstack.backends.http;
 
 import com.codahale.metrics.MetricRegistry;
+import io.persimmonstack.coordination.hash.ShortKey;
 import io.persimmonstack.wire.PeerAddress;
 import io.undertow.client.ClientConnection;
 import java.io.IOException;
@@ -23,7 +24,7 @@
     private final ResponseFraming framing;
     private final MetricRegistry metrics;
     private final AtomicBoolean closed = new AtomicBoolean();
-    /** Identifiers of the requests that the peer has refused, or failed, on this connection. */
+    /** Keys of the identifiers of the requests that the peer has refused, or failed, on this connection. */
     private final Set<String> refused = ConcurrentHashMap.newKeySet();
 
     private volatile XnioExecutor.Key expiryTask;
@@ -73,11 +74,11 @@
 
     /** Remembers a refused request: the peer might write the same refusal once more if it were sent here again. */
     void recordRefusal(String requestId) {
-        refused.add(requestId);
+        refused.add(ShortKey.of(requestId));
     }
 
     boolean hasRefused(String requestId) {
-        return refused.contains(requestId);
+        return refused.contains(ShortKey.of(requestId));
     }
 
     /** Returns whether the connection can remember no further refusal. */
