--- a/runtime/src/main/java/io/persimmonstack/runtime/http/ReceivedRequest.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/ReceivedRequest.java
@@ -6,6 +6,9 @@
  * Thread-safe.
  */
 public final class ReceivedRequest {
+    /** Memory of a request without its body: a short head, exchange, and the stack of its virtual thread. */
+    public static final long BYTES = 8 * 1024;
+
     private final Runnable action;
     /** The exchange is the first user. */
     private int users = 1;
