--- a/coordination/src/main/java/io/persimmonstack/coordination/hash/ShortKey.java
+++ b/coordination/src/main/java/io/persimmonstack/coordination/hash/ShortKey.java
@@ -12,7 +12,7 @@
 
     private ShortKey() {}
 
-    /** Returns the key of an identifier: the identifier itself, or a digest if it is long. Equal ones have equal keys. */
+    /** Returns the key of an identifier: itself, or a digest if it is long. Equal ones have equal keys. */
     public static String of(String identifier) {
         return identifier.length() <= MAX_LENGTH
                 ? identifier
--- a/node/src/main/java/io/persimmonstack/node/placing/Placer.java
+++ b/node/src/main/java/io/persimmonstack/node/placing/Placer.java
@@ -7,7 +7,6 @@
 import io.persimmonstack.node.request.ActiveRequest;
 import io.persimmonstack.node.request.ModelRef;
 import io.persimmonstack.node.request.RefusedException;
-import io.persimmonstack.router.request.Jitter;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -33,11 +32,13 @@
     private final RunnerLoadTrackers trackers;
     private final PaceRecorder paces = PaceRecorder.create();
     private final RunnerChooser chooser;
+    private final TooLateChecks lateChecks;
     private volatile Runnable onQueued = () -> {};
 
     private Placer(FleetView fleet, String zone, Map<String, String> regions, ZoneListener listener) {
         this.fleet = fleet;
         this.trackers = RunnerLoadTrackers.of(fleet);
+        this.lateChecks = new TooLateChecks(trackers, modelArrivals);
         this.chooser = RunnerChooser.of(fleet, zone, regions, listener, loadCollector);
     }
 
@@ -98,8 +99,8 @@
             if (queued.result().isDone()) {
                 return;
             }
-            refuseIfVersionGone(queued);
-            refuseIfModelTooLate(queued);
+            lateChecks.refuseIfVersionGone(queued);
+            lateChecks.refuseIfModelTooLate(queued);
             quietCheck().refuseIfTooLong(queued);
             if (queued.result().isDone()) {
                 queue.remove(queued);
@@ -232,7 +233,7 @@
         try {
             trackers.update(System.nanoTime());
             offerAllRunners(queue.allGroups());
-            refuseQueued(this::refuseIfVersionGone);
+            refuseQueued(lateChecks::refuseIfVersionGone);
             refuseQueued(quietCheck()::refuseIfTooLong);
         } finally {
             lock.unlock();
@@ -271,7 +272,7 @@
         lock.lock();
         try {
             modelArrivals.update(expected, System.nanoTime());
-            refuseQueued(this::refuseIfModelTooLate);
+            refuseQueued(lateChecks::refuseIfModelTooLate);
         } finally {
             lock.unlock();
         }
@@ -284,20 +285,6 @@
         waiting.stream().filter(queued -> queued.refusal().isPresent()).forEach(queue::remove);
     }
 
-    /** Refuses the rest of a stream if no runner of the software version that began it stays or can still take it. */
-    private void refuseIfVersionGone(QueuedRequest queued) {
-        RunnerFilter filter = queued.runnerFilter();
-        if (filter.softwareVersion().isEmpty()) {
-            return;
-        }
-        long nowNanos = System.nanoTime();
-        boolean left = trackers.ofService(queued.request().service().name()).stream()
-                .anyMatch(tracker -> tracker.canTakeRest(filter, nowNanos));
-        if (!left) {
-            queued.refuse(PlacementRefusals.versionGone(filter.softwareVersion().get()));
-        }
-    }
-
     private QuietCheck quietCheck() {
         return new QuietCheck(
                 queued -> chooser.selector(queued.request())
@@ -306,17 +293,6 @@
                 System.nanoTime());
     }
 
-    /** Refuses a request whose model cannot be loaded before its deadline, with the time to retry after. */
-    private void refuseIfModelTooLate(QueuedRequest queued) {
-        long nowNanos = System.nanoTime();
-        modelArrivals.unavailableForMs(queued, nowNanos).ifPresent(earliestMs -> {
-            long retryAfterMs = Jitter.spread(earliestMs);
-            modelArrivals.recordRefusal(queued, retryAfterMs, nowNanos);
-            ModelRef model = queued.request().callerRequest().model().orElse(NO_MODEL);
-            queued.refuse(PlacementRefusals.modelNotLoaded(model, earliestMs, retryAfterMs));
-        });
-    }
-
     /** Discards the snapshots of a silent leader, so that the runners' own entries in the store count. */
     public void discardSnapshots() {
         runLocked(() -> {
@@ -366,7 +342,7 @@
     public void retryQueued() {
         runLocked(() -> {
             offerAllRunners(queue.allGroups());
-            refuseQueued(this::refuseIfVersionGone);
+            refuseQueued(lateChecks::refuseIfVersionGone);
         });
     }
 
--- a/router/src/main/java/io/persimmonstack/router/request/ChatBody.java
+++ b/router/src/main/java/io/persimmonstack/router/request/ChatBody.java
@@ -72,9 +72,9 @@
     }
 
     /**
-     * Returns identifiers of the first {@link ChatBodyReader#MAX_PARTS} messages, without the last one of the prompt, in
-     * order; equal messages have equal ones. Other requests may have these messages, too, while the last one is their
-     * own.
+     * Returns identifiers of the first {@link ChatBodyReader#MAX_PARTS} messages, without the last one of the prompt,
+     * in order; equal messages have equal ones. Other requests may have these messages, too, while the last one is
+     * their own.
      */
     public List<String> promptParts() {
         return promptParts;
