runtime: new connections are served in their turn

Cause: the I/O thread takes accepted connections as tasks, and runs all tasks before it looks at connections with bytes. Each task served its connection at once: read, parsed, refused and closed it. With clients that come back within 20 ms the tasks never ended.

Change: an accepted connection waits for its first bytes among all others, which are looked at in turns.

--- a/runtime/src/main/java/io/persimmonstack/runtime/http/GuardedListener.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/GuardedListener.java
@@ -13,6 +13,7 @@
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
  * Accepts connections of clients that may be outside the limits. At the bound on connections, the one that has been
@@ -98,6 +99,17 @@
             return;
         }
         connections.add(ConnectionGuard.attach(connection, limits, memory));
+        ConduitStreamSourceChannel source = connection.getSourceChannel();
+        source.setReadListener(readable -> begin(connection));
+        source.resumeReads();
+    }
+
+    /**
+     * Serves a connection from its first bytes on, in its turn among those that have bytes. The I/O thread accepts
+     * before it looks at any of these: served at once, clients that connect again and again would occupy it alone.
+     */
+    private void begin(StreamConnection connection) {
+        connection.getSourceChannel().suspendReads();
         listener.handleEvent(connection);
     }
 
