runtime: a long head waits for memory in place of being closed

The memory of a whole head is reserved at once, so that many heads that grow together do not each get a part of it.

--- a/runtime/src/main/java/io/persimmonstack/runtime/http/ConnectionGuard.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/ConnectionGuard.java
@@ -43,6 +43,11 @@
     private volatile long stateNanos = System.nanoTime();
     private volatile int headBytes;
     private volatile Optional<LingeringClose> lingering = Optional.empty();
+    /** Whether a part of a head waits for memory; its client is not read from meanwhile. */
+    private boolean waitsForMemory;
+    /** Whether the reader wants to be told of further bytes. */
+    private boolean readsWanted;
+
     private Runnable abandonBody = NOTHING;
     private int turnBytes = BYTES_PER_TURN;
 
@@ -184,6 +189,9 @@
             return 0;
         }
         checkHead();
+        if (waitsForMemory) {
+            return 0;
+        }
         int limit = target.limit();
         target.limit(target.position() + Math.min(target.remaining(), turnBytes));
         try {
@@ -205,7 +213,10 @@
         }
     }
 
-    /** Fails if the head has no end within its limit, or if there is no memory for more of it. */
+    /**
+     * Fails if the head has no end within its limit. Without memory for more of it, it waits until its time is over: a
+     * client whose connection is closed at once comes back at once.
+     */
     private void checkHead() throws FramingException {
         if (state != State.HEAD || headBytes <= SMALL_HEAD_BYTES) {
             return;
@@ -214,11 +225,51 @@
         if (headBytes > maxBytes) {
             throw new FramingException("head: more than " + maxBytes + " bytes without an end");
         }
-        while (headBytes > reservedHeadBytes) {
-            if (!headMemory.tryAdd((long) MEMORY_PER_HEAD_BYTE * HEAD_STEP_BYTES)) {
-                throw new FramingException("head: no memory for more than " + headBytes + " bytes");
+        if (headBytes > reservedHeadBytes && !reserveHead()) {
+            waitsForMemory = true;
+            super.suspendReads();
+        }
+    }
+
+    /** Reserves memory for a whole head, so that many that grow together do not each get a part; then for what exceeds. */
+    private boolean reserveHead() {
+        int wholeBytes = Math.max(limits.get().maxHeaderBytes(), headBytes + HEAD_STEP_BYTES);
+        if (!headMemory.tryAdd((long) MEMORY_PER_HEAD_BYTE * (wholeBytes - reservedHeadBytes))) {
+            return false;
+        }
+        reservedHeadBytes = wholeBytes;
+        return true;
+    }
+
+    /** Goes on with a head that waits for memory, if there is enough by now. */
+    void retryHead() {
+        if (waitsForMemory && isOpen() && reserveHead()) {
+            waitsForMemory = false;
+            if (readsWanted) {
+                super.wakeupReads();
             }
-            reservedHeadBytes += HEAD_STEP_BYTES;
         }
     }
+
+    @Override
+    public void resumeReads() {
+        readsWanted = true;
+        if (!waitsForMemory) {
+            super.resumeReads();
+        }
+    }
+
+    @Override
+    public void wakeupReads() {
+        readsWanted = true;
+        if (!waitsForMemory) {
+            super.wakeupReads();
+        }
+    }
+
+    @Override
+    public void suspendReads() {
+        readsWanted = false;
+        super.suspendReads();
+    }
 }
--- a/runtime/src/main/java/io/persimmonstack/runtime/http/GuardedListener.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/GuardedListener.java
@@ -143,6 +143,7 @@
         forgetClosed();
         long nowNanos = System.nanoTime();
         for (ConnectionGuard guard : connections) {
+            guard.retryHead();
             if (guard.isOverdue(nowNanos)) {
                 if (guard.hasPartOfHead()) {
                     onRefusal.accept(InputRefusal.HEAD_TIMEOUT);
