router: names of fields in bodies are not kept for later ones

What callers saw: 160 bodies of 1 MB, each with 20 fields whose names have 49 KB, and the router ran out of memory and ended.

Cause: the JSON factory keeps the names of the fields that its parsers have read, up to 6,000 of up to 50 KB each, and interns them. It was one for all bodies, before and after they were read without a tree; found by reading.

Change: each body has a factory of its own, which interns nothing.

--- a/router/src/main/java/io/persimmonstack/router/request/ChatBodyReader.java
+++ b/router/src/main/java/io/persimmonstack/router/request/ChatBodyReader.java
@@ -19,10 +19,6 @@
     /** Bytes of the message contents that the hash of the prefix covers. */
     private static final int PREFIX_BYTES = 256;
 
-    private static final JsonFactory FACTORY = JsonFactory.builder()
-            .recyclerPool(JsonRecyclerPools.sharedConcurrentDequePool())
-            .build();
-
     private final byte[] body;
     private final JsonParser parser;
     private Optional<JsonSpan> modelText = Optional.empty();
@@ -41,7 +37,7 @@
 
     /** Reads a body; see {@link ChatBody#parse}. */
     static ChatBody read(byte[] body) throws RefusalException {
-        try (JsonParser parser = FACTORY.createParser(body)) {
+        try (JsonParser parser = newFactory().createParser(body)) {
             return new ChatBodyReader(body, parser).read();
         } catch (JsonProcessingException e) {
             throw malformed("body", "expected JSON: " + e.getOriginalMessage());
@@ -50,6 +46,14 @@
         }
     }
 
+    /** Returns a factory for one body: a factory keeps the names of fields, which callers choose, for later bodies. */
+    private static JsonFactory newFactory() {
+        return JsonFactory.builder()
+                .recyclerPool(JsonRecyclerPools.sharedConcurrentDequePool())
+                .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+                .build();
+    }
+
     private ChatBody read() throws IOException, RefusalException {
         if (parser.nextToken() != JsonToken.START_OBJECT) {
             throw malformed("body", "expected a JSON object");
--- a/router/src/test/java/io/persimmonstack/router/RouterContentTest.java
+++ b/router/src/test/java/io/persimmonstack/router/RouterContentTest.java
@@ -36,6 +36,10 @@
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final int BODY_BYTES = 1_000_000;
     private static final int LONG_PATH_BYTES = 30_000;
+    /** Longest name of a field that the JSON library reads. */
+    private static final int FIELD_NAME_BYTES = 49_000;
+
+    private static final int FIELDS = 20;
     /** Longest value of a member of a trace state, and the number of members, by W3C Trace Context. */
     private static final int TRACE_VALUE_BYTES = 256;
 
@@ -133,6 +137,22 @@
         check.checkDuring(Crowd.startRepeating(4, port, 5, out -> out.write(body)), SENDING_MS);
     }
 
+    /** Names of fields used to be kept by the JSON library for all later bodies. */
+    @Test
+    void longNamesOfFields() throws Exception {
+        check.checkDuring(
+                Crowd.startRepeating(4, port, 40, out -> out.write(chat("deed", "{" + longFields() + "},"))),
+                SENDING_MS);
+    }
+
+    private String longFields() {
+        StringBuilder fields = new StringBuilder();
+        for (int i = 0; i < FIELDS; i++) {
+            fields.append('"').append(longValue(FIELD_NAME_BYTES)).append("\":1,");
+        }
+        return fields + "\"role\":\"user\"";
+    }
+
     /** Names of unknown models used to be kept, whatever their length, with the latest refusals. */
     @Test
     void modelsThatDoNotExist() throws Exception {
--- a/runtime/src/main/java/io/persimmonstack/runtime/http/ConnectionGuard.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/ConnectionGuard.java
@@ -28,7 +28,7 @@
     /** Memory that a parsed head takes for each of its bytes: the text, and the buffer of the parser. */
     private static final int MEMORY_PER_HEAD_BYTE = 3;
 
-    /** Bytes of a head whose memory is reserved at once. */
+    /** Bytes beyond the limit of the headers, as of a long request line, whose memory is reserved at once. */
     private static final int HEAD_STEP_BYTES = 4 * 1024;
 
     private static final Runnable NOTHING = () -> {};
