--- a/runtime/src/main/java/io/persimmonstack/runtime/http/ConnectionGuard.java
+++ b/runtime/src/main/java/io/persimmonstack/runtime/http/ConnectionGuard.java
@@ -231,7 +231,7 @@
         }
     }
 
-    /** Reserves memory for a whole head, so that many that grow together do not each get a part; then for what exceeds. */
+    /** Reserves memory for a whole head, since many that grow together would each get a part; then for what exceeds. */
     private boolean reserveHead() {
         int wholeBytes = Math.max(limits.get().maxHeaderBytes(), headBytes + HEAD_STEP_BYTES);
         if (!headMemory.tryAdd((long) MEMORY_PER_HEAD_BYTE * (wholeBytes - reservedHeadBytes))) {
