coordinator: host list, preallocated slots and age of the catalogue out of CoordinatorNode

CoordinatorNode had 405 lines, the largest file of the project, with the bodies of its periodic tasks among the code that connects components. CoordinatorNodeTest passes (13 cases).

--- a/coordinator/src/main/java/io/persimmonstack/coordinator/CoordinatorNode.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/CoordinatorNode.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.persimmonstack.backends.RefusedInputs;
-import io.persimmonstack.backends.hosts.HostListException;
 import io.persimmonstack.backends.peer.PeerTrust;
 import io.persimmonstack.configuration.ConfigurationCodec;
 import io.persimmonstack.configuration.ConfigurationException;
@@ -32,15 +31,13 @@
 import io.persimmonstack.coordinator.load.LoadHistory;
 import io.persimmonstack.coordinator.load.LoadKey;
 import io.persimmonstack.coordinator.load.LoadRequestHandler;
-import io.persimmonstack.coordinator.load.LoadSizes;
 import io.persimmonstack.coordinator.load.Preloader;
-import io.persimmonstack.coordinator.load.SlotPlanner;
+import io.persimmonstack.coordinator.load.SlotPreallocator;
 import io.persimmonstack.coordinator.load.StorePermits;
 import io.persimmonstack.coordinator.load.UseReportForwarder;
 import io.persimmonstack.coordinator.runner.RunnerAgentContext;
 import io.persimmonstack.coordinator.runner.Runners;
 import io.persimmonstack.coordinator.view.FleetView;
-import io.persimmonstack.coordinator.view.HostListSnapshot;
 import io.persimmonstack.coordinator.view.LocalRouterMonitor;
 import io.persimmonstack.coordinator.view.OperatorCommands;
 import io.persimmonstack.coordinator.view.SnapshotPublisher;
@@ -74,7 +71,6 @@
     private static final long HAND_OVER_POLL_MS = 200;
     private static final long RECONCILE_INTERVAL_MS = 30_000;
     private static final long SLOT_PREALLOCATION_INTERVAL_MS = 2_000;
-    private static final long CATALOGUE_REFRESH_INTERVAL_MS = 60_000;
     private static final long CATALOGUE_RETRY_INTERVAL_MS = 2_000;
     private static final long WATCHER_CHECK_INTERVAL_MS = 2_000;
     private static final long ROUTER_CHECK_INTERVAL_MS = 500;
@@ -91,12 +87,14 @@
     private final ConfigurationFeed<FleetConfiguration> feed;
     private final ConfigurationUpdater configurationUpdater;
     private final SnapshotPublisher snapshots;
+    private final HostListReader hostListReader;
     private final CapHistory capHistory = CapHistory.create();
     private final WeightCatalogueCache catalogueCache;
     private final StorePermits permits;
     private final GrantReader grantReader;
     private final DemandTracker demandTracker;
     private final Preloader preloader;
+    private final SlotPreallocator slotPreallocator;
     private final DemandStatisticsReplicator demandReplicator;
     private final Runners runners;
     private final LocalRouterMonitor localRouterMonitor;
@@ -104,8 +102,6 @@
     private final PeriodicTasks tasks;
     /** False until the constructor has finished; listeners may be called earlier, when components are still null. */
     private volatile boolean started;
-    /** Wall-clock time of the last attempt to read the weight store's catalogue, in milliseconds. */
-    private long catalogueReadAtMs;
 
     private CoordinatorNode(CoordinatorSettings settings, ProgramContext context, PlatformClients platform)
             throws WireException, ProgramException {
@@ -136,6 +132,7 @@
         this.updatePusher = new UpdatePusher(membership);
         this.view = FleetView.of(membership);
         this.snapshots = SnapshotPublisher.of(view, feed, time.currentTimeMillis());
+        this.hostListReader = HostListReader.of(platform, view, snapshots);
         this.catalogueCache = WeightCatalogueCache.of(platform.weightStore());
         this.localRouterMonitor = LocalRouterMonitor.of(membership, time);
         joinFleet();
@@ -144,6 +141,7 @@
         this.demandTracker = createDemandTracker();
         this.runners = Runners.of(runnerAgentContext(), grantReader, view, peers, settings.suspicionTimeoutMs());
         this.preloader = Preloader.of(view, runners, catalogueCache, demandTracker, feed, peers, time);
+        this.slotPreallocator = SlotPreallocator.of(view, runners, catalogueCache, feed);
         this.demandReplicator = DemandStatisticsReplicator.of(view, demandTracker, peers, time);
         this.tasks = PeriodicTasks.create(random);
         processor.setDelegate(new Coordinator.Processor<Coordinator.Iface>(createService()));
@@ -208,7 +206,7 @@
     }
 
     private void joinFleet() {
-        readHosts();
+        hostListReader.read();
         List<String> contacts = new ArrayList<>(contactAddresses());
         Collections.shuffle(contacts, random);
         int membersAnswered = membership.join(contacts);
@@ -278,7 +276,7 @@
         tasks.every("probe", settings.probeIntervalMs(), membership::probeRound);
         tasks.every(
                 "synchronize", settings.synchronizeIntervalMs(), () -> membership.synchronizeRound(contactAddresses()));
-        tasks.every("hosts", settings.hostListIntervalMs(), this::readHosts);
+        tasks.every("hosts", settings.hostListIntervalMs(), hostListReader::read);
         tasks.every("configuration", settings.configurationIntervalMs(), configurationUpdater::refresh);
         tasks.every(
                 "watchers",
@@ -287,35 +285,14 @@
                         membership.self(), membership.liveMembers(), settings.watchersPerZone()));
         tasks.every("ownership", settings.ownershipIntervalMs(), runners::updateOwnership);
         tasks.every("reconcile", RECONCILE_INTERVAL_MS, this::reconcile);
-        tasks.every("catalogue", CATALOGUE_RETRY_INTERVAL_MS, this::readCatalogue);
-        tasks.every("spread", SLOT_PREALLOCATION_INTERVAL_MS, this::preallocateSlots);
+        tasks.every(
+                "catalogue", CATALOGUE_RETRY_INTERVAL_MS, () -> catalogueCache.refreshIfDue(time.currentTimeMillis()));
+        tasks.every("spread", SLOT_PREALLOCATION_INTERVAL_MS, slotPreallocator::preallocate);
         tasks.every("load-ahead", settings.loadAheadIntervalMs(), preloader::preloadExpectedModels);
         tasks.every("demand", settings.demandIntervalMs(), demandReplicator::replicate);
         tasks.every("presence", ROUTER_CHECK_INTERVAL_MS, this::checkRouterPermitsAndReadiness);
     }
 
-    /** Reads the host list and adjusts this node's share of calls to the key-value store to the number of nodes. */
-    private void readHosts() {
-        try {
-            if (view.replaceHosts(HostListSnapshot.of(platform.hostList().hosts()))) {
-                snapshots.stateChanged();
-            }
-            platform.kvBudget()
-                    .updateNodeCount(Math.max(
-                            view.hosts().entries().size(), view.liveMembers().size()));
-        } catch (HostListException e) {
-            LOG.write(CoordinatorEvent.HOST_LIST_FAILED, e.getMessage());
-        }
-    }
-
-    private void readCatalogue() {
-        long nowMs = time.currentTimeMillis();
-        if (catalogueCache.catalogue().isEmpty() || nowMs - catalogueReadAtMs > CATALOGUE_REFRESH_INTERVAL_MS) {
-            catalogueCache.refresh();
-            catalogueReadAtMs = nowMs;
-        }
-    }
-
     /** Reconciles slots with the key-value store, but not before a configuration sets the replica caps. */
     private void reconcile() {
         if (feed.current().version() > 0) {
@@ -323,17 +300,6 @@
         }
     }
 
-    /** Grants slots on owned runners ahead of demand, so that a cold start needs no call to the key-value store. */
-    private void preallocateSlots() {
-        SlotPlanner.propose(feed.current().configuration(), view.runners(), this::baseModelBytes)
-                .forEach(proposal ->
-                        runners.agent(proposal.runner()).ifPresent(agent -> agent.grantSlot(proposal.model())));
-    }
-
-    private Optional<Long> baseModelBytes(io.persimmonstack.coordination.model.ModelVersion model) {
-        return catalogueCache.sizes(new LoadKey(model, Optional.empty())).map(LoadSizes::baseBytes);
-    }
-
     private void checkRouterPermitsAndReadiness() {
         localRouterMonitor.markStoppedIfSilent();
         permits.rebalance();
--- a/coordinator/src/main/java/io/persimmonstack/coordinator/view/WeightCatalogueCache.java
+++ b/coordinator/src/main/java/io/persimmonstack/coordinator/view/WeightCatalogueCache.java
@@ -16,11 +16,16 @@
 public final class WeightCatalogueCache {
     private static final EventLog LOG = EventLog.of(WeightCatalogueCache.class);
 
+    /** Age from which the catalogue is read again, in milliseconds. */
+    private static final long REFRESH_INTERVAL_MS = 60_000;
+
     /** Catalogue with the accelerator memory, in bytes, of each model and adapter. */
     private record IndexedCatalogue(WeightCatalogue catalogue, Map<LoadKey, Long> memoryBytesByKey) {}
 
     private final WeightStore store;
     private volatile Optional<IndexedCatalogue> latest = Optional.empty();
+    /** Wall-clock time of the last attempt of {@link #refreshIfDue}, in milliseconds. */
+    private volatile long attemptedAtMs;
 
     private WeightCatalogueCache(WeightStore store) {
         this.store = store;
@@ -31,6 +36,19 @@
         return new WeightCatalogueCache(store);
     }
 
+    /**
+     * Reads the catalogue from the store if there is none yet or it is due again; a failed read is due as late as a
+     * successful one.
+     *
+     * @param nowMs wall-clock time, in milliseconds
+     */
+    public void refreshIfDue(long nowMs) {
+        if (latest.isEmpty() || nowMs - attemptedAtMs > REFRESH_INTERVAL_MS) {
+            refresh();
+            attemptedAtMs = nowMs;
+        }
+    }
+
     /** Reads the catalogue from the store. If that fails, logs the failure and keeps the previous catalogue. */
     public void refresh() {
         try {
