node, router: requests of callers that have left by the time they are read are not served

Callers that gave up while a node was late in reading had their requests run all the same, ahead of those of callers that still waited.

Cause: CallerWatch looks at a connection for the first time up to 200 ms after its request was read. What a request needs until it is sent takes a few milliseconds, so that of a backlog nearly all requests were sent. Now the connection is looked at once when the request has been received, on the I/O thread that has just read it, at node and router alike.

A caller that closes its sending side only counts as gone, as it did from 200 ms on.

--- a/coordination/src/test/java/io/persimmonstack/coordination/crowd/Crowd.java
+++ b/coordination/src/test/java/io/persimmonstack/coordination/crowd/Crowd.java
@@ -124,6 +124,21 @@
         }
     }
 
+    /**
+     * Sends requests, each on a connection of its own that is closed at once.
+     *
+     * @param requests number of requests
+     * @param port port of the listener
+     * @param input writes a request
+     */
+    public static void sendAndLeave(int requests, int port, Input input) throws IOException, InterruptedException {
+        for (int sent = 0; sent < requests; sent++) {
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                input.write(socket.getOutputStream());
+            }
+        }
+    }
+
     /** Sends a request on a new connection and reads until that is closed. */
     private void exchange(Input input) throws InterruptedException {
         Socket socket = null;
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestReceiver.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.xnio.IoUtils;
 
 /** Reads each request completely on the I/O thread, then serves it on its own virtual thread. */
 public final class RequestReceiver implements HttpHandler, AutoCloseable {
@@ -118,6 +119,11 @@
         BodyReader.read(exchange, limits.get(), memory, reservation, request, new BodyReader.Listener() {
             @Override
             public void received(HttpServerExchange received, byte[] body) {
+                if (CallerWatch.hasDisconnected(received)) {
+                    server.callerLeftEarly();
+                    IoUtils.safeClose(received.getConnection());
+                    return;
+                }
                 RawRequest raw = toRawRequest(received, body);
                 if (!reservation.tryAdd(server.decodedBytes(raw))) {
                     refuse(received, InputRefusal.MEMORY);
--- a/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
+++ b/node/src/main/java/io/persimmonstack/node/callers/RequestServer.java
@@ -123,16 +123,7 @@
                 return;
             }
             reply.abort();
-            metrics.recordCallerLeft();
-            LOG.write(
-                    NodeEvent.CALLER_LEFT,
-                    summary.id(),
-                    summary.route(),
-                    summary.model(),
-                    summary.sends.lastRunner(),
-                    summary.sends.lastVersion(),
-                    summary.sends.count(),
-                    summary.elapsedMs());
+            recordCallerLeft(summary);
         } catch (RuntimeException e) {
             LOG.write(NodeEvent.REQUEST_ERROR, summary.id(), e.toString(), e);
             refuse(summary, refusalAfterError(summary), reply);
@@ -164,6 +155,11 @@
         }
     }
 
+    /** Records a request whose caller had left by the time it was received. */
+    void callerLeftEarly() {
+        recordCallerLeft(new RequestSummary(System.nanoTime()));
+    }
+
     /** Records input that was refused before it was a whole request. */
     void refusedInput(InputRefusal refusal) {
         metrics.recordInputRefused(refusal.reason());
@@ -256,6 +252,19 @@
         }
     }
 
+    private void recordCallerLeft(RequestSummary summary) {
+        metrics.recordCallerLeft();
+        LOG.write(
+                NodeEvent.CALLER_LEFT,
+                summary.id(),
+                summary.route(),
+                summary.model(),
+                summary.sends.lastRunner(),
+                summary.sends.lastVersion(),
+                summary.sends.count(),
+                summary.elapsedMs());
+    }
+
     private void logServed(RequestSummary summary, Delivery delivery) {
         metrics.recordServed(summary.elapsedMs(), delivery.firstEventMs());
         LOG.write(
--- a/router/src/main/java/io/persimmonstack/router/callers/CallerWatch.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallerWatch.java
@@ -5,6 +5,7 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
@@ -38,13 +39,54 @@
      */
     WatchedCaller watch(HttpServerExchange exchange, Runnable onDisconnect) {
         WatchedCaller caller = new WatchedCaller(exchange, onDisconnect);
-        boolean plaintext = exchange.getConnection().getSslSessionInfo() == null;
-        if (plaintext && exchange.getConnection() instanceof HttpServerConnection) {
+        if (pollable(exchange).isPresent()) {
             watchedCallers.add(caller);
         }
         return caller;
     }
 
+    /**
+     * Returns whether the caller of a request that has just been received has disconnected. If requests are read late,
+     * many of their callers have, before the first poll. Called on the I/O thread, within a call of the exchange's
+     * handler.
+     */
+    public static boolean hasDisconnected(HttpServerExchange exchange) {
+        return pollable(exchange).filter(CallerWatch::hasEnded).isPresent();
+    }
+
+    /** Returns the connection of an exchange, empty if it cannot be polled. */
+    private static Optional<HttpServerConnection> pollable(HttpServerExchange exchange) {
+        boolean plaintext = exchange.getConnection().getSslSessionInfo() == null;
+        return plaintext && exchange.getConnection() instanceof HttpServerConnection connection
+                ? Optional.of(connection)
+                : Optional.empty();
+    }
+
+    /** Reads without blocking; bytes of a pipelined request are returned to the connection. */
+    private static boolean hasEnded(HttpServerConnection connection) {
+        if (connection.getExtraBytes() != null) {
+            return false;
+        }
+        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+        boolean returned = false;
+        try {
+            ByteBuffer buffer = pooled.getBuffer();
+            int bytesRead = connection.getOriginalSourceConduit().read(buffer);
+            if (bytesRead > 0) {
+                buffer.flip();
+                connection.ungetRequestBytes(pooled);
+                returned = true;
+            }
+            return bytesRead < 0;
+        } catch (IOException e) {
+            return true;
+        } finally {
+            if (!returned) {
+                pooled.close();
+            }
+        }
+    }
+
     private void run() {
         try {
             while (true) {
@@ -95,37 +137,12 @@
             if (!state.compareAndSet(State.WAITING, State.LOOKING)) {
                 return;
             }
-            boolean disconnected = hasDisconnected((HttpServerConnection) exchange.getConnection());
+            boolean disconnected = hasEnded((HttpServerConnection) exchange.getConnection());
             state.set(disconnected ? State.ENDED : State.WAITING);
             if (disconnected) {
                 watchedCallers.remove(this);
                 onDisconnect.run();
             }
         }
-
-        /** Reads without blocking; bytes of a pipelined request are returned to the connection. */
-        private boolean hasDisconnected(HttpServerConnection connection) {
-            if (connection.getExtraBytes() != null) {
-                return false;
-            }
-            PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
-            boolean returned = false;
-            try {
-                ByteBuffer buffer = pooled.getBuffer();
-                int bytesRead = connection.getOriginalSourceConduit().read(buffer);
-                if (bytesRead > 0) {
-                    buffer.flip();
-                    connection.ungetRequestBytes(pooled);
-                    returned = true;
-                }
-                return bytesRead < 0;
-            } catch (IOException e) {
-                return true;
-            } finally {
-                if (!returned) {
-                    pooled.close();
-                }
-            }
-        }
     }
 }
--- a/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
+++ b/router/src/main/java/io/persimmonstack/router/callers/CallersHandler.java
@@ -33,6 +33,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.xnio.IoUtils;
 
 /**
  * Buffers each request on the I/O thread, without blocking, and then handles it on its own virtual thread. Filters may
@@ -146,6 +147,10 @@
             @Override
             public void received(HttpServerExchange whole, byte[] body) {
                 receiveTimeout.end();
+                if (CallerWatch.hasDisconnected(whole)) {
+                    IoUtils.safeClose(whole.getConnection());
+                    return;
+                }
                 if (!reservation.tryAdd(copiedBytes(whole, body))) {
                     BodyReader.refuse(whole, refusalText(MEMORY_IN_USE));
                     return;
--- a/router/src/test/java/io/persimmonstack/router/RouterContentTest.java
+++ b/router/src/test/java/io/persimmonstack/router/RouterContentTest.java
@@ -1,11 +1,13 @@
 package io.persimmonstack.router;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.persimmonstack.coordination.crowd.Crowd;
 import io.persimmonstack.coordination.crowd.CrowdCheck;
 import io.persimmonstack.coordination.crowd.FreePort;
 import io.persimmonstack.coordination.crowd.JavaProcess;
+import io.persimmonstack.coordination.crowd.ProcessPause;
 import io.persimmonstack.runtime.Closer;
 import io.persimmonstack.wire.gen.RouterState;
 import java.io.IOException;
@@ -17,6 +19,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -55,6 +59,8 @@
 
     private final Closer closer = Closer.create();
     private final AtomicInteger count = new AtomicInteger();
+    /** Paths of the requests that the router has sent to the service. */
+    private final List<String> servedPaths = new CopyOnWriteArrayList<>();
 
     @TempDir
     Path directory;
@@ -62,13 +68,16 @@
     private HttpClient client;
     private int port;
     private int adminPort;
+    private JavaProcess process;
     private CrowdCheck check;
 
     @BeforeEach
     void start() throws Exception {
         client = HttpClient.newHttpClient();
-        FakeTarget target = closer.add(FakeTarget.start(
-                "t1", (exchange, received) -> exchange.getResponseSender().send("done")));
+        FakeTarget target = closer.add(FakeTarget.start("t1", (exchange, received) -> {
+            servedPaths.add(exchange.getRequestPath());
+            exchange.getResponseSender().send("done");
+        }));
         FakeCoordinator coordinator = closer.add(FakeCoordinator.start("c1"));
         port = FreePort.find();
         int peerPort = FreePort.find();
@@ -78,7 +87,7 @@
         coordinator.publish(FakeFleet.of()
                 .router("e1", "127.0.0.1:" + port, "127.0.0.1:" + peerPort, RouterState.SERVING)
                 .service("map", target));
-        JavaProcess process = closer.add(JavaProcess.start(
+        process = closer.add(JavaProcess.start(
                 HEAP_MB,
                 directory.resolve("log").toFile(),
                 RouterProgram.class,
@@ -230,4 +239,15 @@
         byte[] start = bytes("POST /services/map/x HTTP/1.1\r\nHost: r\r\nContent-Length: 2000\r\n\r\n");
         check.checkDuring(Crowd.startDripping(800, port, start, bytes("a"), DRIP_PAUSE_MS), ENDLESS_MS);
     }
+
+    /** Requests that were read late used to be sent on for callers that had left meanwhile. */
+    @Test
+    void requestsOfCallersThatHaveLeftAreNotSent() throws Exception {
+        String path = "/services/map/left";
+        try (ProcessPause pause = ProcessPause.begin(process.handle().pid())) {
+            Crowd.sendAndLeave(40, port, out -> out.write(request(path, "", "{}")));
+        }
+        assertTrue(check.answersOrdinaryRequest(), "ordinary request answered afterwards");
+        assertFalse(servedPaths.stream().anyMatch(served -> served.endsWith("/left")), servedPaths.toString());
+    }
 }
