backends: the time left for a body is rounded up

Callers whose time limit ended while a runner dribbled its answer got 502 outcome-unknown at times, in place of 504 timeout.

Cause: the time left for a body was rounded down to milliseconds, twice on its way from the deadline to the last wait, so that the read could end up to 2 ms before the deadline. An attempt that ends with a millisecond or more left counts as a failure of the runner, not as one that came too late. Now it is rounded up in BodyLimit: what is lost before that is under a millisecond.

--- a/backends/src/main/java/io/persimmonstack/backends/http/BodyLimit.java
+++ b/backends/src/main/java/io/persimmonstack/backends/http/BodyLimit.java
@@ -21,12 +21,25 @@
 
     /** Returns a limit that begins now, with the longest time in milliseconds. */
     static BodyLimit of(int timeoutMs, BodyMemory memory) {
-        return new BodyLimit(memory, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs));
+        return until(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs), memory);
     }
 
-    /** Returns the time left, in milliseconds; 0 after the deadline. */
+    /** Returns a limit that ends at a monotonic time. */
+    static BodyLimit until(long deadlineNanos, BodyMemory memory) {
+        return new BodyLimit(memory, deadlineNanos);
+    }
+
+    /** Returns the time left now, in milliseconds. */
     int remainingMs() {
-        long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        return remainingMs(System.nanoTime());
+    }
+
+    /**
+     * Returns the time left, in milliseconds; 0 from the deadline on. Rounded up: a read that ended before the deadline
+     * would be taken for a failure of the peer.
+     */
+    int remainingMs(long nowNanos) {
+        long remainingMs = Math.ceilDiv(deadlineNanos - nowNanos, TimeUnit.MILLISECONDS.toNanos(1));
         return (int) Math.clamp(remainingMs, 0, Integer.MAX_VALUE);
     }
 
